--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Front of the CMake build; `make demo` and `make check` are all a newcomer
+# needs on a fresh Debian machine.
+
+BUILD ?= build
+PREFIX ?= /usr/local
+DESTDIR ?=
+SEED ?= 1
+SECONDS ?= 60
+FAULTS ?= all
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build check demo soak bench install format format-check lint clean sanitize
+
+all: build
+
+deps:
+	tools/install-deps
+
+$(BUILD)/Makefile: deps
+	cmake -S . -B $(BUILD) -DCMAKE_INSTALL_PREFIX=$(PREFIX) >/dev/null
+
+build: $(BUILD)/Makefile
+	cmake --build $(BUILD) -j $(JOBS) -- --no-print-directory
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	$(BUILD)/test/soak/pl_lab --demo
+
+soak: build
+	$(BUILD)/test/soak/pl_lab --seed $(SEED) --seconds $(SECONDS) --faults $(FAULTS)
+
+bench: build
+	$(BUILD)/test/bench/pl_bench
+
+install: build
+	cmake --install $(BUILD) --prefix $(PREFIX)
+
+format:
+	git ls-files '*.c' '*.h' '*.cpp' | xargs clang-format -i
+
+format-check:
+	git ls-files '*.c' '*.h' '*.cpp' | xargs clang-format --dry-run -Werror
+
+lint: build
+	run-clang-tidy -quiet -p $(BUILD) -j $(JOBS) '(src|test)/.*\.c$$' > $(BUILD)/lint.log 2>&1 \
+		|| { grep -E 'error:|warning:' $(BUILD)/lint.log | sort -u; exit 1; }
+
+sanitize:
+	cmake -S . -B $(BUILD)-asan -DPL_SANITIZE=address,undefined -DPL_ABORT_ON_INVARIANT=ON >/dev/null
+	cmake --build $(BUILD)-asan -j $(JOBS) -- --no-print-directory
+	ctest --test-dir $(BUILD)-asan --output-on-failure -j 4 -LE process
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan
