--- /dev/null
+++ b/include/pimentolift/event.h
@@ -0,0 +1,100 @@
+/**
+ * @file
+ * @defgroup event Numbered log events
+ *
+ * Every line that a process logs has a number from this table. The text goes
+ * through GLib's structured logging with the fields PL_EVENT and PL_NAME, so
+ * journald can filter by them. docs/EVENTS.md is the catalogue; a test
+ * compares it with this table.
+ * @{
+ */
+#ifndef PIMENTOLIFT_EVENT_H
+#define PIMENTOLIFT_EVENT_H
+
+/** Severity of an event. */
+typedef enum {
+	PL_SEVERITY_INFO,
+	PL_SEVERITY_WARNING,
+	PL_SEVERITY_ERROR,
+} pl_severity_t;
+
+/** All events: identifier, number, name, severity, meaning. */
+#define PL_EVENT_TABLE(X)                                                     \
+	X(PL_EVENT_READY, 100, "ready", INFO, "a process takes traffic")      \
+	X(PL_EVENT_STOPPING, 101, "stopping", INFO,                           \
+	  "a graceful shutdown was asked for")                                \
+	X(PL_EVENT_STOPPED, 102, "stopped", INFO,                             \
+	  "a process ended with nothing in progress")                         \
+	X(PL_EVENT_INVARIANT, 103, "invariant", ERROR,                        \
+	  "an internal invariant was broken; the step was refused")           \
+	X(PL_EVENT_PAUSED, 104, "paused", WARNING,                            \
+	  "the process was not scheduled for longer than a lease")            \
+	X(PL_EVENT_SERVICE_MISMATCH, 200, "service-mismatch", ERROR,          \
+	  "a datagram of one service reached an agent of another")            \
+	X(PL_EVENT_BACKEND_UP, 210, "backend-up", INFO,                       \
+	  "the backend server announced itself")                              \
+	X(PL_EVENT_BACKEND_DOWN, 211, "backend-down", WARNING,                \
+	  "the backend server's registration lapsed or it stopped answering") \
+	X(PL_EVENT_DRAIN_STARTED, 220, "drain-started", INFO,                 \
+	  "the endpoint takes no new work")                                   \
+	X(PL_EVENT_DRAIN_DONE, 221, "drain-done", INFO,                       \
+	  "no view and no request is left at the endpoint")                   \
+	X(PL_EVENT_VIEWS_MOVED, 222, "views-moved", INFO,                     \
+	  "views were handed to another endpoint")                            \
+	X(PL_EVENT_VIEWS_RECOVERED, 223, "views-recovered", WARNING,          \
+	  "views of a failed endpoint were taken over")                       \
+	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,          \
+	  "a caller was told that the outcome of its request is unknown")     \
+	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                 \
+	  "a member became known")                                            \
+	X(PL_EVENT_MEMBER_SUSPECT, 301, "member-suspect", INFO,               \
+	  "a member did not answer probes")                                   \
+	X(PL_EVENT_MEMBER_DEAD, 302, "member-dead", WARNING,                  \
+	  "a member did not refute a suspicion in time")                      \
+	X(PL_EVENT_MEMBER_LEFT, 303, "member-left", INFO,                     \
+	  "a member left after a graceful shutdown")                          \
+	X(PL_EVENT_DATACENTRE_CUT, 304, "datacentre-cut", ERROR,              \
+	  "most members of a data centre vanished at once")                   \
+	X(PL_EVENT_DATACENTRE_BACK, 305, "datacentre-back", INFO,             \
+	  "a data centre that was cut off answers again")                     \
+	X(PL_EVENT_CONFIG_IN_FORCE, 400, "config-in-force", INFO,             \
+	  "a configuration revision is in force")                             \
+	X(PL_EVENT_CONFIG_REFUSED, 401, "config-refused", ERROR,              \
+	  "a configuration document was not valid and is not in force")       \
+	X(PL_EVENT_CONFIG_OLDER, 402, "config-older", WARNING,                \
+	  "a peer or the platform offered an older revision; it was ignored") \
+	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,              \
+	  "the platform's key-value service does not answer")                 \
+	X(PL_EVENT_PLATFORM_UP, 411, "platform-up", INFO,                     \
+	  "the platform's key-value service answers again")                   \
+	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                  \
+	  "an inner message failed authentication")
+
+/** Number of an event. */
+typedef enum {
+#define PL_EVENT_ENUM_(id, number, name, severity, meaning) id = (number),
+	PL_EVENT_TABLE(PL_EVENT_ENUM_)
+#undef PL_EVENT_ENUM_
+} pl_event_id_t;
+
+/** Logs an event with a text for this occurrence. */
+void pl_event(pl_event_id_t event, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** Name of an event, for example "ready". */
+const char *pl_event_name(pl_event_id_t event);
+
+/**
+ * Checks an invariant of the running system. In production a broken one is
+ * counted and logged as PL_EVENT_INVARIANT and the caller refuses the step;
+ * test builds abort.
+ */
+#define PL_INVARIANT(condition, ...) \
+	((condition) ? 1 : (pl_invariant_broken(#condition, __VA_ARGS__), 0))
+
+/** Reports a broken invariant; use @ref PL_INVARIANT. */
+void pl_invariant_broken(const char *condition, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif
+/** @} */
--- /dev/null
+++ b/include/pimentolift/routing.h
@@ -0,0 +1,120 @@
+/**
+ * @file
+ * @defgroup routing Routing table
+ *
+ * An immutable table of services, their addresses and their endpoints. The
+ * control thread builds one from the configuration and the membership and
+ * publishes it under RCU; traffic threads only read it. An endpoint is one
+ * backend server with its agent, named by the agent's member identity.
+ * @{
+ */
+#ifndef PIMENTOLIFT_ROUTING_H
+#define PIMENTOLIFT_ROUTING_H
+
+#include <pimentolift/addr.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Longest name of a service, data centre or endpoint, with terminator. */
+#define PL_NAME_MAX 64
+/** Weight of an endpoint at full share. */
+#define PL_WEIGHT_FULL 1000
+
+/** Identity of a service: the hash of its name. */
+typedef uint64_t pl_service_id_t;
+
+/** Identity of a data centre: the hash of its name. */
+typedef uint64_t pl_datacentre_id_t;
+
+/** Identity of a service by name. */
+pl_service_id_t pl_service_id(const char *name);
+
+/** What an endpoint may be given. */
+typedef enum {
+	PL_ENDPOINT_SERVING, /**< new work and old */
+	PL_ENDPOINT_DRAINING, /**< old work only */
+	PL_ENDPOINT_UNREACHABLE, /**< nothing now, may come back */
+	PL_ENDPOINT_STATE_COUNT,
+} pl_endpoint_state_t;
+
+/** Names of @ref pl_endpoint_state_t, in its order. */
+extern const char *const pl_endpoint_state_names[];
+
+/** One backend server with its agent. */
+typedef struct {
+	pl_member_id_t agent;
+	uint64_t boot; /**< random identity of the agent's present life */
+	pl_service_id_t service;
+	pl_datacentre_id_t datacentre;
+	pl_endpoint_state_t state;
+	uint32_t weight; /**< 0 to PL_WEIGHT_FULL */
+	uint32_t slots; /**< requests that the backend server runs at once */
+} pl_endpoint_t;
+
+/** How a service's traffic is shared and limited, from the document. */
+typedef struct {
+	uint32_t deadline_ms; /**< answer due within, unless the caller says */
+	uint32_t short_slots; /**< slots that long work may not take */
+	uint32_t queue_max; /**< requests that wait at one endpoint */
+	uint32_t upload_max_bytes; /**< largest request body */
+	uint32_t ramp_ms; /**< cold start: time until full weight */
+	uint32_t retry_percent; /**< passed-on work as share of all work */
+	uint32_t answer_keep_ms; /**< how long an answer can be replayed */
+} pl_service_policy_t;
+
+/** A service of a routing table. */
+typedef struct {
+	pl_service_id_t id;
+	char name[PL_NAME_MAX];
+	pl_service_policy_t policy;
+	const pl_endpoint_t *endpoints; /**< sorted by agent */
+	size_t endpoint_count;
+} pl_route_service_t;
+
+typedef struct pl_routing pl_routing_t;
+typedef struct pl_routing_builder pl_routing_builder_t;
+
+/** Starts a table for configuration @p revision. */
+pl_routing_builder_t *pl_routing_builder_new(uint64_t revision);
+
+/** Adds a service; the identity follows from the name. */
+void pl_routing_builder_service(pl_routing_builder_t *builder, const char *name,
+				const pl_service_policy_t *policy);
+
+/** Adds the service address @p addr, which callers send to. */
+void pl_routing_builder_address(pl_routing_builder_t *builder,
+				pl_service_id_t service, const pl_addr_t *addr);
+
+/** Adds an endpoint; one of a service that is not in the table is left out. */
+void pl_routing_builder_endpoint(pl_routing_builder_t *builder,
+				 const pl_endpoint_t *endpoint);
+
+/** Finishes the table and frees the builder; one reference is the caller's. */
+pl_routing_t *pl_routing_builder_finish(pl_routing_builder_t *builder);
+
+void pl_routing_get(pl_routing_t *routing);
+void pl_routing_put(pl_routing_t *routing);
+
+/** Configuration revision of the table. */
+uint64_t pl_routing_revision(const pl_routing_t *routing);
+
+/** Number of services, and the service at @p index. */
+size_t pl_routing_service_count(const pl_routing_t *routing);
+const pl_route_service_t *pl_routing_service_at(const pl_routing_t *routing,
+						size_t index);
+
+/** Service that owns the address @p addr, or NULL. */
+const pl_route_service_t *pl_routing_by_address(const pl_routing_t *routing,
+						const pl_addr_t *addr);
+
+/** Service @p id, or NULL. */
+const pl_route_service_t *pl_routing_by_id(const pl_routing_t *routing,
+					   pl_service_id_t id);
+
+/** Endpoint of the agent @p agent, or NULL. */
+const pl_endpoint_t *pl_routing_endpoint(const pl_routing_t *routing,
+					 pl_member_id_t agent);
+
+#endif
+/** @} */
