--- a/include/pimentolift/wire.h
+++ b/include/pimentolift/wire.h
@@ -29,8 +29,15 @@
 typedef enum {
 	PL_WIRE_FORWARD = 1, /**< entry or agent to agent */
 	PL_WIRE_REPLY = 2, /**< agent to entry */
+	PL_WIRE_GOSSIP = 16, /**< first of the membership's types */
 } pl_wire_type_t;
 
+/**
+ * Type of the datagram in @p buf, read without checking its code, or 0. One
+ * port carries traffic and membership; this tells which decoder takes it.
+ */
+unsigned int pl_wire_peek_type(const uint8_t *buf, size_t len);
+
 /** Whose datagram it is, and for which service. */
 typedef struct {
 	pl_addr_t caller;
