--- /dev/null
+++ b/src/proto/wire.c
@@ -0,0 +1,262 @@
+/**
+ * @file
+ * msgpack codec of the datagrams between entries and agents.
+ */
+#include <pimentolift/wire.h>
+
+#include <assert.h>
+#include <glib.h>
+#include <msgpack.h>
+#include <string.h>
+
+#define FORWARD_FIELDS 10
+#define REPLY_FIELDS 9
+#define FIXARRAY_MASK 0xf0
+#define FIXARRAY 0x90
+#define FIXINT_MAX 0x7f
+#define ADDR_IPV4_BYTES 6
+#define ADDR_IPV6_BYTES 18
+#define ZONE_BYTES 2048
+
+struct pl_wire_decoder {
+	pl_key_t key;
+	msgpack_zone zone;
+};
+
+/* Output buffer of fixed size; overflow sticks. */
+typedef struct {
+	uint8_t *buf;
+	size_t cap;
+	size_t len;
+} out_t;
+
+static int out_write_(void *data, const char *bytes, size_t len)
+{
+	out_t *out = data;
+
+	if (out->cap - out->len < len)
+		return -1;
+	memcpy(out->buf + out->len, bytes, len);
+	out->len += len;
+	return 0;
+}
+
+static void pack_addr_(msgpack_packer *packer, const pl_addr_t *addr)
+{
+	uint8_t bytes[ADDR_IPV6_BYTES];
+	size_t ip_len = addr->family == PL_ADDR_IPV6 ? 16 : 4;
+
+	memcpy(bytes, addr->ip, ip_len);
+	bytes[ip_len] = (uint8_t)(addr->port >> 8);
+	bytes[ip_len + 1] = (uint8_t)addr->port;
+	msgpack_pack_bin(packer, ip_len + 2);
+	msgpack_pack_bin_body(packer, bytes, ip_len + 2);
+}
+
+static void pack_start_(msgpack_packer *packer, size_t fields,
+			pl_wire_type_t type, const pl_flow_t *flow)
+{
+	msgpack_pack_array(packer, fields);
+	msgpack_pack_uint8(packer, PL_WIRE_VERSION);
+	msgpack_pack_uint8(packer, (uint8_t)type);
+	pack_addr_(packer, &flow->caller);
+	pack_addr_(packer, &flow->address);
+	msgpack_pack_uint64(packer, flow->service);
+}
+
+static int pack_pdu_(msgpack_packer *packer, const uint8_t *pdu, size_t len)
+{
+	msgpack_pack_bin(packer, len);
+	return msgpack_pack_bin_body(packer, pdu, len);
+}
+
+static size_t seal_(const pl_key_t *key, out_t *out, int packed)
+{
+	if (packed != 0 || out->cap - out->len < PL_MAC_BYTES)
+		return 0;
+	pl_mac(key, out->buf, out->len, out->buf + out->len);
+	return out->len + PL_MAC_BYTES;
+}
+
+size_t pl_wire_encode_forward(const pl_key_t *key, const pl_forward_t *forward,
+			      uint8_t *buf, size_t cap)
+{
+	out_t out = { .buf = buf, .cap = cap };
+	msgpack_packer packer;
+	int packed;
+
+	msgpack_packer_init(&packer, &out, out_write_);
+	pack_start_(&packer, FORWARD_FIELDS, PL_WIRE_FORWARD, &forward->flow);
+	msgpack_pack_uint64(&packer, forward->entry);
+	msgpack_pack_uint64(&packer, forward->origin);
+	msgpack_pack_uint64(&packer, forward->revision);
+	msgpack_pack_uint8(&packer, forward->hops);
+	packed = pack_pdu_(&packer, forward->pdu, forward->pdu_len);
+	return seal_(key, &out, packed);
+}
+
+size_t pl_wire_encode_reply(const pl_key_t *key, const pl_reply_t *reply,
+			    uint8_t *buf, size_t cap)
+{
+	out_t out = { .buf = buf, .cap = cap };
+	msgpack_packer packer;
+	int packed;
+
+	msgpack_packer_init(&packer, &out, out_write_);
+	pack_start_(&packer, REPLY_FIELDS, PL_WIRE_REPLY, &reply->flow);
+	msgpack_pack_uint64(&packer, reply->agent);
+	msgpack_pack_uint32(&packer, reply->load);
+	msgpack_pack_uint64(&packer, reply->revision);
+	packed = pack_pdu_(&packer, reply->pdu, reply->pdu_len);
+	return seal_(key, &out, packed);
+}
+
+unsigned int pl_wire_peek_type(const uint8_t *buf, size_t len)
+{
+	if (len < 3 + PL_MAC_BYTES || (buf[0] & FIXARRAY_MASK) != FIXARRAY ||
+	    buf[2] > FIXINT_MAX)
+		return 0;
+	return buf[2];
+}
+
+pl_wire_decoder_t *pl_wire_decoder_new(const pl_key_t *key)
+{
+	pl_wire_decoder_t *decoder = g_new0(pl_wire_decoder_t, 1);
+
+	decoder->key = *key;
+	if (!msgpack_zone_init(&decoder->zone, ZONE_BYTES))
+		g_error("out of memory");
+	return decoder;
+}
+
+void pl_wire_decoder_delete(pl_wire_decoder_t *decoder)
+{
+	if (!decoder)
+		return;
+	msgpack_zone_destroy(&decoder->zone);
+	g_free(decoder);
+}
+
+static bool get_uint_(const msgpack_object *object, uint64_t max,
+		      uint64_t *value)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > max)
+		return false;
+	*value = object->via.u64;
+	return true;
+}
+
+static bool get_addr_(const msgpack_object *object, pl_addr_t *addr)
+{
+	const uint8_t *bytes;
+	size_t ip_len;
+
+	if (object->type != MSGPACK_OBJECT_BIN)
+		return false;
+	if (object->via.bin.size != ADDR_IPV4_BYTES &&
+	    object->via.bin.size != ADDR_IPV6_BYTES)
+		return false;
+	bytes = (const uint8_t *)object->via.bin.ptr;
+	ip_len = object->via.bin.size - 2;
+	memset(addr, 0, sizeof(*addr));
+	memcpy(addr->ip, bytes, ip_len);
+	addr->port = (uint16_t)(bytes[ip_len] << 8 | bytes[ip_len + 1]);
+	addr->family = ip_len == 4 ? PL_ADDR_IPV4 : PL_ADDR_IPV6;
+	return true;
+}
+
+static bool get_pdu_(const msgpack_object *object, const uint8_t **pdu,
+		     size_t *len)
+{
+	if (object->type != MSGPACK_OBJECT_BIN)
+		return false;
+	*pdu = (const uint8_t *)object->via.bin.ptr;
+	*len = object->via.bin.size;
+	return true;
+}
+
+static bool get_flow_(const msgpack_object *fields, pl_flow_t *flow)
+{
+	return get_addr_(&fields[2], &flow->caller) &&
+	       get_addr_(&fields[3], &flow->address) &&
+	       get_uint_(&fields[4], UINT64_MAX, &flow->service);
+}
+
+static bool get_forward_(const msgpack_object_array *array,
+			 pl_forward_t *forward)
+{
+	const msgpack_object *fields = array->ptr;
+	uint64_t hops;
+
+	if (array->size < FORWARD_FIELDS || !get_flow_(fields, &forward->flow))
+		return false;
+	if (!get_uint_(&fields[5], UINT64_MAX, &forward->entry) ||
+	    !get_uint_(&fields[6], UINT64_MAX, &forward->origin) ||
+	    !get_uint_(&fields[7], UINT64_MAX, &forward->revision) ||
+	    !get_uint_(&fields[8], UINT8_MAX, &hops))
+		return false;
+	forward->hops = (uint8_t)hops;
+	return get_pdu_(&fields[9], &forward->pdu, &forward->pdu_len);
+}
+
+static bool get_reply_(const msgpack_object_array *array, pl_reply_t *reply)
+{
+	const msgpack_object *fields = array->ptr;
+	uint64_t load;
+
+	if (array->size < REPLY_FIELDS || !get_flow_(fields, &reply->flow))
+		return false;
+	if (!get_uint_(&fields[5], UINT64_MAX, &reply->agent) ||
+	    !get_uint_(&fields[6], UINT32_MAX, &load) ||
+	    !get_uint_(&fields[7], UINT64_MAX, &reply->revision))
+		return false;
+	reply->load = (uint32_t)load;
+	return get_pdu_(&fields[8], &reply->pdu, &reply->pdu_len);
+}
+
+static pl_result_t read_message_(const msgpack_object *object,
+				 pl_wire_message_t *message)
+{
+	const msgpack_object_array *array = &object->via.array;
+	uint64_t version;
+	uint64_t type;
+	bool valid;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY || array->size < 2 ||
+	    !get_uint_(&array->ptr[0], UINT8_MAX, &version) ||
+	    !get_uint_(&array->ptr[1], UINT8_MAX, &type))
+		return PL_ERR_MALFORMED;
+	if (version != PL_WIRE_VERSION)
+		return PL_ERR_VERSION;
+	message->type = (pl_wire_type_t)type;
+	if (type == PL_WIRE_FORWARD)
+		valid = get_forward_(array, &message->forward);
+	else if (type == PL_WIRE_REPLY)
+		valid = get_reply_(array, &message->reply);
+	else
+		return PL_ERR_VERSION;
+	return valid ? PL_OK : PL_ERR_MALFORMED;
+}
+
+pl_result_t pl_wire_decode(pl_wire_decoder_t *decoder, const uint8_t *buf,
+			   size_t len, pl_wire_message_t *message)
+{
+	uint8_t mac[PL_MAC_BYTES];
+	msgpack_object object;
+	size_t body_len;
+	size_t offset = 0;
+
+	if (len <= PL_MAC_BYTES || len > PL_WIRE_DATAGRAM_MAX)
+		return PL_ERR_MALFORMED;
+	body_len = len - PL_MAC_BYTES;
+	pl_mac(&decoder->key, buf, body_len, mac);
+	if (!pl_mac_equal(mac, buf + body_len, PL_MAC_BYTES))
+		return PL_ERR_AUTH;
+	msgpack_zone_clear(&decoder->zone);
+	if (msgpack_unpack((const char *)buf, body_len, &offset, &decoder->zone,
+			   &object) != MSGPACK_UNPACK_SUCCESS ||
+	    offset != body_len)
+		return PL_ERR_MALFORMED;
+	return read_message_(&object, message);
+}
