--- /dev/null
+++ b/src/net/loop.c
@@ -0,0 +1,210 @@
+/**
+ * @file
+ * Event loop on epoll and eventfd.
+ */
+#include <pimentolift/loop.h>
+
+#include <assert.h>
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#define EVENTS_MAX 64
+/** Longest wait, which is also the resolution of the timers. */
+#define TICK_MS 8
+
+struct pl_loop_watch {
+	pl_list_t dead_link;
+	int fd;
+	pl_loop_ready_t ready;
+	void *ctx;
+	bool dead;
+};
+
+typedef struct {
+	pl_list_t link;
+	pl_loop_posted_t posted;
+	void *ctx;
+} post_t;
+
+struct pl_loop {
+	int epoll_fd;
+	int wake_fd;
+	atomic_bool stopping;
+	pl_timer_service_t *timers;
+	pl_loop_watch_t *wake_watch;
+	pl_list_t dead;
+	pthread_mutex_t lock;
+	pl_list_t posts;
+};
+
+pl_ms_t pl_loop_clock_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (pl_ms_t)now.tv_sec * 1000 + (pl_ms_t)now.tv_nsec / 1000000;
+}
+
+static void run_posts_(pl_loop_t *loop)
+{
+	pl_list_t batch;
+
+	pl_list_init(&batch);
+	pthread_mutex_lock(&loop->lock);
+	pl_list_for_each_safe(node, &loop->posts) {
+		pl_list_remove(node);
+		pl_list_append(&batch, node);
+	}
+	pthread_mutex_unlock(&loop->lock);
+	pl_list_for_each_safe(node, &batch) {
+		post_t *post = PL_CONTAINER_OF(node, post_t, link);
+
+		pl_list_remove(node);
+		post->posted(post->ctx);
+		g_free(post);
+	}
+}
+
+static void woken_(void *ctx, uint32_t events)
+{
+	pl_loop_t *loop = ctx;
+	uint64_t value;
+
+	while (read(loop->wake_fd, &value, sizeof(value)) > 0)
+		;
+}
+
+static void wake_(pl_loop_t *loop)
+{
+	const uint64_t one = 1;
+
+	/* a full counter still wakes the loop, so the result is not needed */
+	if (write(loop->wake_fd, &one, sizeof(one)) < 0)
+		return;
+}
+
+pl_loop_t *pl_loop_new(pl_error_t *err)
+{
+	pl_loop_t *loop = g_new0(pl_loop_t, 1);
+
+	loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	loop->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (loop->epoll_fd < 0 || loop->wake_fd < 0) {
+		pl_error_set(err, PL_ERR_IO, "event loop: %s", strerror(errno));
+		g_free(loop);
+		return NULL;
+	}
+	loop->timers = pl_timer_service_new(pl_loop_clock_ms());
+	pthread_mutex_init(&loop->lock, NULL);
+	pl_list_init(&loop->posts);
+	pl_list_init(&loop->dead);
+	loop->wake_watch =
+		pl_loop_watch(loop, loop->wake_fd, EPOLLIN, woken_, loop);
+	return loop;
+}
+
+static void free_dead_(pl_loop_t *loop)
+{
+	pl_list_for_each_safe(node, &loop->dead) {
+		pl_list_remove(node);
+		g_free(PL_CONTAINER_OF(node, pl_loop_watch_t, dead_link));
+	}
+}
+
+void pl_loop_delete(pl_loop_t *loop)
+{
+	if (!loop)
+		return;
+	run_posts_(loop);
+	pl_loop_unwatch(loop, loop->wake_watch);
+	free_dead_(loop);
+	pl_timer_service_delete(loop->timers);
+	pthread_mutex_destroy(&loop->lock);
+	close(loop->wake_fd);
+	close(loop->epoll_fd);
+	g_free(loop);
+}
+
+void pl_loop_run(pl_loop_t *loop)
+{
+	struct epoll_event events[EVENTS_MAX];
+
+	while (!atomic_load(&loop->stopping)) {
+		int count =
+			epoll_wait(loop->epoll_fd, events, EVENTS_MAX, TICK_MS);
+
+		pl_timer_service_advance(loop->timers, pl_loop_clock_ms());
+		for (int i = 0; i < count; i++) {
+			pl_loop_watch_t *watch = events[i].data.ptr;
+
+			if (!watch->dead)
+				watch->ready(watch->ctx, events[i].events);
+		}
+		run_posts_(loop);
+		free_dead_(loop);
+	}
+}
+
+void pl_loop_stop(pl_loop_t *loop)
+{
+	atomic_store(&loop->stopping, true);
+	wake_(loop);
+}
+
+pl_timer_service_t *pl_loop_timers(pl_loop_t *loop)
+{
+	return loop->timers;
+}
+
+pl_loop_watch_t *pl_loop_watch(pl_loop_t *loop, int fd, uint32_t events,
+			       pl_loop_ready_t ready, void *ctx)
+{
+	pl_loop_watch_t *watch = g_new0(pl_loop_watch_t, 1);
+	struct epoll_event event = { .events = events, .data.ptr = watch };
+
+	assert(ready);
+	watch->fd = fd;
+	watch->ready = ready;
+	watch->ctx = ctx;
+	pl_list_init(&watch->dead_link);
+	if (epoll_ctl(loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0)
+		g_error("epoll_ctl: %s", strerror(errno));
+	return watch;
+}
+
+void pl_loop_watch_events(pl_loop_t *loop, pl_loop_watch_t *watch,
+			  uint32_t events)
+{
+	struct epoll_event event = { .events = events, .data.ptr = watch };
+
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_MOD, watch->fd, &event);
+}
+
+void pl_loop_unwatch(pl_loop_t *loop, pl_loop_watch_t *watch)
+{
+	if (!watch || watch->dead)
+		return;
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_DEL, watch->fd, NULL);
+	watch->dead = true;
+	pl_list_append(&loop->dead, &watch->dead_link);
+}
+
+void pl_loop_post(pl_loop_t *loop, pl_loop_posted_t posted, void *ctx)
+{
+	post_t *post = g_new0(post_t, 1);
+
+	post->posted = posted;
+	post->ctx = ctx;
+	pl_list_init(&post->link);
+	pthread_mutex_lock(&loop->lock);
+	pl_list_append(&loop->posts, &post->link);
+	pthread_mutex_unlock(&loop->lock);
+	wake_(loop);
+}
