--- a/include/pimentolift/placement.h
+++ b/include/pimentolift/placement.h
@@ -13,6 +13,9 @@
 
 #include <pimentolift/routing.h>
 
+/** Most endpoints that one call ranks. */
+#define PL_PLACEMENT_RANK_MAX 64
+
 /** Which endpoints are ranked. */
 typedef enum {
 	PL_RANK_SERVING, /**< those that take new work */
@@ -24,7 +27,7 @@
  *
  * @param exclude  agent left out, or 0
  * @param out      the endpoints
- * @param want     size of @p out
+ * @param want     size of @p out; at most PL_PLACEMENT_RANK_MAX are written
  * @return number of endpoints written
  */
 size_t pl_placement_rank(const pl_route_service_t *service,
