--- a/include/pimentolift/loop.h
+++ b/include/pimentolift/loop.h
@@ -24,7 +24,10 @@
 /** A function posted to a loop. */
 typedef void (*pl_loop_posted_t)(void *ctx);
 
-/** New loop; its timer service starts at the monotonic clock's time. */
+/** Called at the start of each turn, before timers and descriptors. */
+typedef void (*pl_loop_turn_t)(void *ctx, pl_ms_t now);
+
+/** New loop; its timer service starts at the time of pl_loop_clock_ms(). */
 pl_loop_t *pl_loop_new(pl_error_t *err);
 void pl_loop_delete(pl_loop_t *loop);
 
@@ -37,7 +40,13 @@
 /** Timer service of the loop's thread. */
 pl_timer_service_t *pl_loop_timers(pl_loop_t *loop);
 
-/** Monotonic clock, in milliseconds. */
+/** Calls @p turn at the start of each turn. */
+void pl_loop_on_turn(pl_loop_t *loop, pl_loop_turn_t turn, void *ctx);
+
+/** Calls @p idle at the end of each turn, before the loop waits. */
+void pl_loop_on_idle(pl_loop_t *loop, pl_loop_posted_t idle, void *ctx);
+
+/** Time since boot in milliseconds, suspended time included. */
 pl_ms_t pl_loop_clock_ms(void);
 
 /** Watches @p fd for @p events (EPOLLIN, EPOLLOUT). */
--- /dev/null
+++ b/src/daemon/node_post.c
@@ -0,0 +1,81 @@
+/**
+ * @file
+ * What traffic threads hand to the control thread.
+ */
+#include "private/node.h"
+#include "private/node_post.h"
+
+#include <string.h>
+
+typedef struct {
+	pl_node_t *node;
+	pl_peer_frame_t frame; /* a gossip datagram is kept in the body */
+	pl_service_id_t service;
+	uint32_t slots;
+} post_t;
+
+static post_t *post_new_(pl_node_t *node, const uint8_t *bytes, size_t len)
+{
+	post_t *post = g_new0(post_t, 1);
+
+	post->node = node;
+	post->frame.body = g_memdup2(bytes, len);
+	post->frame.body_len = len;
+	return post;
+}
+
+static void post_free_(post_t *post)
+{
+	g_free((void *)post->frame.body);
+	g_free(post);
+}
+
+static void take_gossip_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_member_receive(pl_node_members(post->node), post->frame.body,
+			  post->frame.body_len);
+	post_free_(post);
+}
+
+void pl_node_gossip(pl_node_t *node, const uint8_t *bytes, size_t len)
+{
+	pl_loop_post(pl_node_loop(node), take_gossip_,
+		     post_new_(node, bytes, len));
+}
+
+static void take_frame_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_node_send_frame_now(post->node, &post->frame);
+	post_free_(post);
+}
+
+void pl_node_send_frame(pl_node_t *node, const pl_peer_frame_t *frame)
+{
+	post_t *post = post_new_(node, frame->body, frame->body_len);
+
+	post->frame.peer = frame->peer;
+	post->frame.type = frame->type;
+	pl_loop_post(pl_node_loop(node), take_frame_, post);
+}
+
+static void take_backend_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_node_set_backend_now(post->node, post->service, post->slots);
+	post_free_(post);
+}
+
+void pl_node_set_backend(pl_node_t *node, pl_service_id_t service,
+			 uint32_t slots)
+{
+	post_t *post = post_new_(node, NULL, 0);
+
+	post->service = service;
+	post->slots = slots;
+	pl_loop_post(pl_node_loop(node), take_backend_, post);
+}
--- /dev/null
+++ b/src/daemon/private/node_config.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * Configuration of a node: the document in force and where it comes from.
+ */
+#ifndef PIMENTOLIFT_DAEMON_NODE_CONFIG_H
+#define PIMENTOLIFT_DAEMON_NODE_CONFIG_H
+
+#include "private/node.h"
+
+#include <pimentolift/document.h>
+
+typedef struct pl_node_config pl_node_config_t;
+
+/** Called when another document is in force. */
+typedef void (*pl_node_config_changed_t)(void *ctx);
+
+pl_node_config_t *pl_node_config_new(pl_node_t *node,
+				     pl_node_config_changed_t changed,
+				     void *ctx);
+void pl_node_config_delete(pl_node_config_t *config);
+
+/** Starts to look for a document. */
+void pl_node_config_start(pl_node_config_t *config);
+
+/** Document in force, or NULL. */
+const pl_document_t *pl_node_config_document(const pl_node_config_t *config);
+
+/** Its revision, or 0. */
+uint64_t pl_node_config_revision(const pl_node_config_t *config);
+
+/** The membership changed, and with it perhaps who watches the platform. */
+void pl_node_config_members_changed(pl_node_config_t *config);
+
+/** The member @p from holds @p revision. */
+void pl_node_config_heard(pl_node_config_t *config, pl_member_id_t from,
+			  uint64_t revision);
+
+/** Frames of the types PL_PEER_CONFIG_*. */
+void pl_node_config_frame(pl_node_config_t *config,
+			  const pl_peer_frame_t *frame);
+void pl_node_config_frame_failed(pl_node_config_t *config,
+				 const pl_peer_frame_t *frame);
+
+#endif
--- /dev/null
+++ b/src/daemon/private/routing_build.h
@@ -0,0 +1,25 @@
+/**
+ * @file
+ * Builds the routing table from the document and the membership.
+ */
+#ifndef PIMENTOLIFT_DAEMON_ROUTING_BUILD_H
+#define PIMENTOLIFT_DAEMON_ROUTING_BUILD_H
+
+#include "private/node.h"
+
+#include <pimentolift/document.h>
+
+/**
+ * Table for @p document and the members at wall-clock time @p unix_s.
+ *
+ * @param ramping  set when an endpoint has not reached its full weight, so
+ *                 that the table has to be built again soon
+ */
+pl_routing_t *pl_routing_build(const pl_document_t *document,
+			       const pl_member_table_t *members,
+			       uint32_t unix_s, bool *ramping);
+
+/** Entries that answers can go through now. */
+pl_entry_list_t *pl_entry_list_build(const pl_member_table_t *members);
+
+#endif
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -40,6 +40,10 @@
 	pl_timer_service_t *timers;
 	pl_loop_watch_t *wake_watch;
 	pl_list_t dead;
+	pl_loop_turn_t turn;
+	void *turn_ctx;
+	pl_loop_posted_t idle;
+	void *idle_ctx;
 	pthread_mutex_t lock;
 	pl_list_t posts;
 };
@@ -48,7 +52,7 @@
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
+	clock_gettime(CLOCK_BOOTTIME, &now);
 	return (pl_ms_t)now.tv_sec * 1000 + (pl_ms_t)now.tv_nsec / 1000000;
 }
 
@@ -140,7 +144,11 @@
 		int count =
 			epoll_wait(loop->epoll_fd, events, EVENTS_MAX, TICK_MS);
 
-		pl_timer_service_advance(loop->timers, pl_loop_clock_ms());
+		pl_ms_t now = pl_loop_clock_ms();
+
+		if (loop->turn)
+			loop->turn(loop->turn_ctx, now);
+		pl_timer_service_advance(loop->timers, now);
 		for (int i = 0; i < count; i++) {
 			pl_loop_watch_t *watch = events[i].data.ptr;
 
@@ -149,6 +157,8 @@
 		}
 		run_posts_(loop);
 		free_dead_(loop);
+		if (loop->idle)
+			loop->idle(loop->idle_ctx);
 	}
 }
 
@@ -163,6 +173,18 @@
 	return loop->timers;
 }
 
+void pl_loop_on_turn(pl_loop_t *loop, pl_loop_turn_t turn, void *ctx)
+{
+	loop->turn = turn;
+	loop->turn_ctx = ctx;
+}
+
+void pl_loop_on_idle(pl_loop_t *loop, pl_loop_posted_t idle, void *ctx)
+{
+	loop->idle = idle;
+	loop->idle_ctx = ctx;
+}
+
 pl_loop_watch_t *pl_loop_watch(pl_loop_t *loop, int fd, uint32_t events,
 			       pl_loop_ready_t ready, void *ctx)
 {
