Agent core: thin path with tickets, separate answers, block-wise transfer

Cause: the daemon needs an agent that serves GET, runs a POST only under a ticket, gathers uploads and serves large answers block by block.

Weighed: a ticket bound to caller and service alone, against one that also covers a digest of the request. The digest costs one xxHash per POST and makes a ticket worthless for another request, so a kept answer cannot go to a request that merely carries an old Echo. Separate operation records beside requests, against one record that outlives the answer; the latter has one state machine to check.

Figures: agent_ticket, agent_request, agent_transfer pass (ctest -R agent), a body of 200,000 bytes is whole by GET and by POST and ran once.

--- /dev/null
+++ b/src/agent/request.c
@@ -0,0 +1,320 @@
+/**
+ * @file
+ * Table and state machine of requests.
+ */
+#include "private/request.h"
+
+#include <assert.h>
+#include <pimentolift/event.h>
+#include <string.h>
+
+const char *const pl_request_state_names[] = {
+	"gathering", "queued",	"dispatched", "answered",
+	"refused",   "unknown", "cancelled",
+};
+
+struct pl_request_table {
+	pl_timer_service_t *timers;
+	pl_body_budget_t *budget;
+	pl_request_release_t release;
+	void *ctx;
+	GHashTable *by_id;
+	GHashTable *by_ticket;
+	pl_list_t ticketed;
+	pl_list_t plain;
+	uint64_t last_id;
+};
+
+static guint ticket_hash_(gconstpointer key)
+{
+	return (guint)((const pl_ticket_t *)key)->nonce;
+}
+
+/* The time of issue may differ: it is not what names the operation. */
+static gboolean ticket_equal_(gconstpointer left, gconstpointer right)
+{
+	const pl_ticket_t *a = left;
+	const pl_ticket_t *b = right;
+
+	return a->nonce == b->nonce && a->boot == b->boot &&
+	       a->agent == b->agent;
+}
+
+static void drop_waiters_(pl_request_t *request)
+{
+	pl_exchange_t *exchange = pl_request_next_waiter(request);
+
+	while (exchange) {
+		pl_exchange_close(exchange);
+		exchange = pl_request_next_waiter(request);
+	}
+}
+
+static void free_request_(pl_request_table_t *table, pl_request_t *request)
+{
+	pl_timer_cancel(table->timers, &request->timer);
+	pl_list_remove(&request->age);
+	pl_list_remove(&request->queue);
+	pl_request_drop_body(request);
+	if (request->answer)
+		pl_ref_put(&request->answer->ref);
+	g_free(request->path);
+	g_free(request->query);
+	g_free(request);
+}
+
+pl_request_table_t *pl_request_table_new(pl_timer_service_t *timers,
+					 pl_body_budget_t *budget,
+					 pl_request_release_t release,
+					 void *ctx)
+{
+	pl_request_table_t *table = g_new0(pl_request_table_t, 1);
+
+	assert(timers && budget && release);
+	table->release = release;
+	table->ctx = ctx;
+	table->timers = timers;
+	table->budget = budget;
+	table->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	table->by_ticket = g_hash_table_new(ticket_hash_, ticket_equal_);
+	pl_list_init(&table->ticketed);
+	pl_list_init(&table->plain);
+	return table;
+}
+
+static void free_all_(pl_request_table_t *table, pl_list_t *head)
+{
+	pl_list_for_each_safe(node, head) {
+		pl_request_t *request =
+			PL_CONTAINER_OF(node, pl_request_t, age);
+
+		/* the exchange table goes with its owner, unasked */
+		while (pl_request_next_waiter(request))
+			;
+		free_request_(table, request);
+	}
+}
+
+void pl_request_table_delete(pl_request_table_t *table)
+{
+	if (!table)
+		return;
+	free_all_(table, &table->ticketed);
+	free_all_(table, &table->plain);
+	g_hash_table_destroy(table->by_ticket);
+	g_hash_table_destroy(table->by_id);
+	g_free(table);
+}
+
+static bool has_room_(const pl_request_table_t *table, bool ticketed)
+{
+	size_t with_ticket = g_hash_table_size(table->by_ticket);
+
+	if (ticketed)
+		return with_ticket < PL_REQUEST_TICKETED_MAX;
+	return g_hash_table_size(table->by_id) - with_ticket <
+	       PL_REQUEST_PLAIN_MAX;
+}
+
+pl_request_t *pl_request_new(pl_request_table_t *table, const pl_flow_t *flow,
+			     const pl_coap_msg_t *msg,
+			     const pl_ticket_t *ticket)
+{
+	pl_request_t *request;
+
+	if (!has_room_(table, ticket != NULL))
+		return NULL;
+	request = g_new0(pl_request_t, 1);
+	request->id = ++table->last_id;
+	request->state = PL_REQUEST_GATHERING;
+	request->flow = *flow;
+	request->method = msg->code;
+	request->path = g_strdup(msg->path);
+	request->query = g_strdup(msg->query);
+	request->content_format = msg->content_format;
+	request->accept = msg->accept;
+	request->body = g_byte_array_new();
+	request->budget = table->budget;
+	request->accepted_at = pl_timer_service_now(table->timers);
+	pl_list_init(&request->waiters);
+	pl_list_init(&request->queue);
+	g_hash_table_insert(table->by_id, &request->id, request);
+	if (!ticket) {
+		pl_list_append(&table->plain, &request->age);
+		return request;
+	}
+	assert(!pl_request_by_ticket(table, ticket));
+	request->ticketed = true;
+	request->ticket = *ticket;
+	g_hash_table_insert(table->by_ticket, &request->ticket, request);
+	pl_list_append(&table->ticketed, &request->age);
+	return request;
+}
+
+void pl_request_forget(pl_request_table_t *table, pl_request_t *request)
+{
+	drop_waiters_(request);
+	table->release(table->ctx, request);
+	g_hash_table_remove(table->by_id, &request->id);
+	if (request->ticketed)
+		g_hash_table_remove(table->by_ticket, &request->ticket);
+	free_request_(table, request);
+}
+
+pl_request_t *pl_request_by_id(pl_request_table_t *table, uint64_t id)
+{
+	return g_hash_table_lookup(table->by_id, &id);
+}
+
+pl_request_t *pl_request_by_ticket(pl_request_table_t *table,
+				   const pl_ticket_t *ticket)
+{
+	return g_hash_table_lookup(table->by_ticket, ticket);
+}
+
+static bool waits_(const pl_request_t *request, const pl_flow_t *flow,
+		   const uint8_t *token, size_t token_len)
+{
+	if (!pl_addr_equal(&request->flow.caller, &flow->caller))
+		return false;
+	pl_list_for_each(node, &request->waiters) {
+		const pl_exchange_t *exchange =
+			PL_CONTAINER_OF(node, pl_exchange_t, waiting);
+
+		if (exchange->token_len == token_len &&
+		    memcmp(exchange->token, token, token_len) == 0)
+			return true;
+	}
+	return false;
+}
+
+pl_request_t *pl_request_by_token(pl_request_table_t *table,
+				  const pl_flow_t *flow, const uint8_t *token,
+				  size_t token_len)
+{
+	pl_list_for_each(node, &table->plain) {
+		pl_request_t *request =
+			PL_CONTAINER_OF(node, pl_request_t, age);
+
+		if (waits_(request, flow, token, token_len))
+			return request;
+	}
+	return NULL;
+}
+
+#define BIT(state) (1U << (state))
+
+/* States that may follow each state by a decision of the agent. */
+static const unsigned int agent_moves_[PL_REQUEST_STATE_COUNT] = {
+	[PL_REQUEST_GATHERING] =
+		BIT(PL_REQUEST_QUEUED) | BIT(PL_REQUEST_REFUSED),
+	[PL_REQUEST_QUEUED] = BIT(PL_REQUEST_DISPATCHED) |
+			      BIT(PL_REQUEST_REFUSED) |
+			      BIT(PL_REQUEST_CANCELLED),
+	[PL_REQUEST_DISPATCHED] =
+		BIT(PL_REQUEST_UNKNOWN) | BIT(PL_REQUEST_CANCELLED),
+};
+
+/* States that may follow each state by the word of the backend server. */
+static const unsigned int backend_moves_[PL_REQUEST_STATE_COUNT] = {
+	[PL_REQUEST_DISPATCHED] =
+		BIT(PL_REQUEST_ANSWERED) | BIT(PL_REQUEST_REFUSED) |
+		BIT(PL_REQUEST_UNKNOWN) | BIT(PL_REQUEST_QUEUED),
+};
+
+static bool allowed_(const pl_request_t *request, pl_request_state_t next,
+		     pl_request_cause_t cause)
+{
+	const unsigned int *moves =
+		cause == PL_CAUSE_BACKEND ? backend_moves_ : agent_moves_;
+
+	/* what may have run must not go to the backend server again */
+	if (request->ticketed && request->state == PL_REQUEST_DISPATCHED &&
+	    (next == PL_REQUEST_QUEUED || next == PL_REQUEST_CANCELLED))
+		return false;
+	return (moves[request->state] & BIT(next)) != 0;
+}
+
+bool pl_request_move(pl_request_t *request, pl_request_state_t next,
+		     pl_request_cause_t cause)
+{
+	if (!PL_INVARIANT(allowed_(request, next, cause),
+			  "request %s to %s by %s",
+			  pl_request_state_names[request->state],
+			  pl_request_state_names[next],
+			  cause == PL_CAUSE_BACKEND ? "backend" : "agent"))
+		return false;
+	request->state = next;
+	return true;
+}
+
+void pl_request_wait(pl_request_t *request, pl_exchange_t *exchange)
+{
+	size_t count = 0;
+
+	assert(!pl_request_ended(request));
+	pl_list_for_each(node, &request->waiters)
+		count++;
+	if (count == PL_REQUEST_WAITERS_MAX)
+		pl_exchange_close(pl_request_next_waiter(request));
+	pl_list_append(&request->waiters, &exchange->waiting);
+}
+
+pl_exchange_t *pl_request_next_waiter(pl_request_t *request)
+{
+	pl_list_t *first = pl_list_first(&request->waiters);
+
+	if (!first)
+		return NULL;
+	pl_list_remove(first);
+	return PL_CONTAINER_OF(first, pl_exchange_t, waiting);
+}
+
+void pl_request_drop_body(pl_request_t *request)
+{
+	if (!request->body)
+		return;
+	assert(request->budget->used >= request->body->len);
+	request->budget->used -= request->body->len;
+	g_byte_array_free(request->body, TRUE);
+	request->body = NULL;
+}
+
+bool pl_request_ended(const pl_request_t *request)
+{
+	return request->state >= PL_REQUEST_ANSWERED;
+}
+
+void pl_request_sweep(pl_request_table_t *table, uint32_t now_s)
+{
+	pl_list_for_each_safe(node, &table->ticketed) {
+		pl_request_t *request =
+			PL_CONTAINER_OF(node, pl_request_t, age);
+
+		if (request->ticket.issued_s + PL_REQUEST_KEEP_S > now_s)
+			return;
+		if (pl_request_ended(request))
+			pl_request_forget(table, request);
+	}
+}
+
+static size_t count_open_(const pl_list_t *head)
+{
+	size_t count = 0;
+
+	pl_list_for_each(node, head) {
+		if (!pl_request_ended(PL_CONTAINER_OF(node, pl_request_t, age)))
+			count++;
+	}
+	return count;
+}
+
+size_t pl_request_open_count(const pl_request_table_t *table)
+{
+	return count_open_(&table->ticketed) + count_open_(&table->plain);
+}
+
+size_t pl_request_count(const pl_request_table_t *table)
+{
+	return g_hash_table_size(table->by_id);
+}
--- /dev/null
+++ b/test/agent/transfer_test.c
@@ -0,0 +1,90 @@
+#include "fixture.h"
+
+#include <string.h>
+
+#define BODY_BYTES 200000
+
+static char *body_(size_t len, uint32_t seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	char *body = g_malloc(len);
+
+	for (size_t i = 0; i < len; i++)
+		body[i] = (char)g_rand_int(rand);
+	g_rand_free(rand);
+	return body;
+}
+
+/* Fetches the rest of a body and compares the whole with @p body. */
+static void fetch_rest_(fixture_t *f, ask_t *ask, const char *body, size_t len)
+{
+	GByteArray *got = g_byte_array_new();
+	pl_coap_msg_t msg;
+	bool more = true;
+	uint64_t etag = 0;
+
+	while (more) {
+		fixture_expect(f,
+			       ask->code == PL_COAP_GET ? PL_COAP_CONTENT :
+							  PL_COAP_CHANGED,
+			       &msg);
+		assert_int_equal(msg.block2.num, ask->block2.num);
+		assert_int_equal(msg.etag_len, 8);
+		if (ask->block2.num > 0)
+			assert_memory_equal(&etag, msg.etag, 8);
+		memcpy(&etag, msg.etag, 8);
+		g_byte_array_append(got, msg.payload, (guint)msg.payload_len);
+		more = msg.block2.more;
+		ask->block2 = msg.block2;
+		ask->block2.more = false;
+		ask->block2.num++;
+		ask->token++;
+		if (more)
+			fixture_ask(f, 0, ask);
+	}
+	assert_int_equal(got->len, len);
+	assert_memory_equal(got->data, body, len);
+	g_byte_array_free(got, TRUE);
+}
+
+static void large_answer_is_whole(void **state)
+{
+	fixture_t *f = fixture_new(1, 1);
+	ask_t ask = { .code = PL_COAP_GET, .path = "permits/all" };
+	char *body = body_(BODY_BYTES, 3);
+
+	(void)state;
+	fixture_ask(f, 0, &ask);
+	fixture_end(f, 0, PL_BACKEND_ANSWERED, body, BODY_BYTES);
+	fetch_rest_(f, &ask, body, BODY_BYTES);
+	assert_int_equal(fixture_calls(f), 1);
+	g_free(body);
+	fixture_delete(f);
+}
+
+static void large_answer_of_a_post_is_whole_and_ran_once(void **state)
+{
+	fixture_t *f = fixture_new(1, 1);
+	ask_t ask = { .code = PL_COAP_POST, .path = "permits", .payload = "x" };
+	uint8_t echo[PL_TICKET_BYTES];
+	char *body = body_(BODY_BYTES, 3);
+
+	(void)state;
+	fixture_ask_ticketed(f, 0, &ask, echo);
+	ask.echo = NULL;
+	fixture_end(f, 0, PL_BACKEND_ANSWERED, body, BODY_BYTES);
+	fetch_rest_(f, &ask, body, BODY_BYTES);
+	assert_int_equal(fixture_calls(f), 1);
+	g_free(body);
+	fixture_delete(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(large_answer_is_whole),
+		cmocka_unit_test(large_answer_of_a_post_is_whole_and_ran_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
