Open views: register, notify, acknowledge, close

A view is one record per caller and token; a resource has one subscription at the backend server however many watch it. A view has at most one unacknowledged notification; while it is out only the newest state waits (RFC 7641 section 4.5.2), so a burst costs a caller one datagram per round trip. The body announced is kept until the next one is sent, so that a block-wise fetch ends whole while the resource changes.

--- /dev/null
+++ b/src/view/view_notify.c
@@ -0,0 +1,420 @@
+/**
+ * @file
+ * Answers to registrations, notifications and their retransmission.
+ *
+ * A view has at most one unacknowledged notification. While it is out, newer
+ * states wait, and only the newest is sent when it is acknowledged or, as a
+ * new message that goes on with the count and the timeout of the old one,
+ * when it is due to be retransmitted (RFC 7641 section 4.5.2).
+ */
+#include "private/view_private.h"
+
+#include <assert.h>
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+#define US_PER_MS 1000
+/** Transmission parameters of RFC 7252 section 4.8. */
+#define ACK_TIMEOUT_MS 2000
+#define ACK_RANDOM_MS 1000
+#define MAX_RETRANSMIT 4
+/** A registration is acknowledged by itself when its answer takes longer. */
+#define PIGGYBACK_WAIT_MS 300
+/** Deadline of a registration when the service names none. */
+#define DEADLINE_DEFAULT_MS 10000
+/** A notification that leaves later than this counts as late. */
+#define FRESH_MS 1000
+#define SZX_MAX 6
+#define SZX_SHIFT 4
+
+static size_t block_size_(const pl_view_t *view)
+{
+	return (size_t)1 << (view->szx + SZX_SHIFT);
+}
+
+static void reply_(pl_view_t *view, const uint8_t *pdu, size_t len)
+{
+	pl_view_table_t *table = view->table;
+	pl_flow_t flow = { .caller = view->key.caller,
+			   .address = view->address,
+			   .service = table->service_id };
+
+	if (PL_INVARIANT(len > 0, "a notification does not fit a datagram"))
+		table->ops->reply(table->ctx, view->entry, &flow, 0, pdu, len);
+}
+
+/* Adds the options that describe @p content, as a slice from block @p num. */
+static void write_content_(pl_coap_writer_t *writer, const pl_view_t *view,
+			   const pl_view_content_t *content, bool observe,
+			   uint32_t num)
+{
+	size_t size = block_size_(view);
+	size_t start = (size_t)num * size;
+	size_t len = content->len - start;
+	bool blockwise = content->len > size;
+	pl_coap_block_t block = { .present = true, .num = num };
+
+	assert(start <= content->len);
+	if (len > size)
+		len = size;
+	block.more = start + len < content->len;
+	block.szx = view->szx;
+	if (blockwise)
+		pl_coap_write_option(writer, PL_COAP_OPT_ETAG, &content->etag,
+				     sizeof(content->etag));
+	if (observe)
+		pl_coap_write_uint(writer, PL_COAP_OPT_OBSERVE, view->sequence);
+	if (content->content_format >= 0)
+		pl_coap_write_uint(writer, PL_COAP_OPT_CONTENT_FORMAT,
+				   (uint32_t)content->content_format);
+	if (content->max_age_s >= 0) {
+		int64_t age = (int64_t)(pl_view_now(view->table) -
+					content->received) /
+			      MS_PER_S;
+		int64_t left = content->max_age_s - age;
+
+		pl_coap_write_uint(writer, PL_COAP_OPT_MAX_AGE,
+				   left > 0 ? (uint32_t)left : 0);
+	}
+	if (blockwise)
+		pl_coap_write_block(writer, PL_COAP_OPT_BLOCK2, &block);
+	if (blockwise && num == 0)
+		pl_coap_write_uint(writer, PL_COAP_OPT_SIZE2,
+				   (uint32_t)content->len);
+	pl_coap_write_payload(writer, content->body + start, len);
+}
+
+static bool ended_(const pl_view_t *view)
+{
+	return view->resource->state == PL_VIEW_RESOURCE_ENDED;
+}
+
+/* Sends what @c sent holds. */
+static void send_(pl_view_t *view, pl_coap_type_t type, uint16_t mid)
+{
+	uint8_t buf[PL_COAP_DATAGRAM_MAX];
+	pl_coap_writer_t writer;
+	/* an error ends the observation and carries no Observe option */
+	bool observe = view->sent->code < PL_COAP_BAD_REQUEST;
+
+	pl_coap_write_start(&writer, buf, sizeof(buf), type, view->sent->code,
+			    mid, view->key.token, view->key.token_len);
+	write_content_(&writer, view, view->sent, observe, 0);
+	reply_(view, buf, pl_coap_write_end(&writer));
+}
+
+static void send_empty_ack_(pl_view_t *view, uint16_t mid)
+{
+	uint8_t buf[PL_COAP_DATAGRAM_MAX];
+	pl_coap_writer_t writer;
+
+	pl_coap_write_start(&writer, buf, sizeof(buf), PL_COAP_ACK,
+			    PL_COAP_EMPTY, mid, NULL, 0);
+	reply_(view, buf, pl_coap_write_end(&writer));
+}
+
+/* Makes the resource's state the one that goes out next. */
+static void take_content_(pl_view_t *view)
+{
+	pl_view_content_t *content = view->resource->content;
+
+	pl_ref_get(&content->ref);
+	if (view->sent)
+		pl_view_content_put(view->sent);
+	view->sent = content;
+	pl_view_sequence_next(view);
+}
+
+void pl_view_delivery_end(pl_view_t *view)
+{
+	pl_view_delivery_t *delivery = view->delivery;
+
+	if (!delivery)
+		return;
+	pl_timer_cancel(view->table->timers, &delivery->timer);
+	pl_list_remove(&delivery->link);
+	g_free(delivery);
+	view->delivery = NULL;
+}
+
+void pl_view_pending_end(pl_view_t *view)
+{
+	if (!view->pending)
+		return;
+	pl_timer_cancel(view->table->timers, &view->pending->timer);
+	g_free(view->pending);
+	view->pending = NULL;
+}
+
+static void record_freshness_(const pl_view_t *view)
+{
+	pl_ms_t delay = pl_view_now(view->table) - view->sent->received;
+
+	pl_counter_add(PL_COUNTER_NOTIFICATIONS, 1);
+	pl_histogram_record(PL_HISTOGRAM_NOTIFY, delay * US_PER_MS);
+	if (delay > FRESH_MS)
+		pl_counter_add(PL_COUNTER_NOTIFICATIONS_LATE, 1);
+}
+
+/* Sends the newest state as the next message of the delivery. */
+static void deliver_newest_(pl_view_t *view)
+{
+	take_content_(view);
+	view->delivery->mid = pl_view_mid_next(view->table, view->caller);
+	record_freshness_(view);
+	send_(view, PL_COAP_CON, view->delivery->mid);
+}
+
+static void delivery_arm_(pl_view_t *view)
+{
+	pl_view_delivery_t *delivery = view->delivery;
+
+	pl_timer_arm(view->table->timers, &delivery->timer,
+		     pl_view_now(view->table) + delivery->timeout_ms);
+}
+
+static void delivery_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_t *view = ctx;
+	pl_view_delivery_t *delivery = view->delivery;
+
+	if (delivery->attempts == MAX_RETRANSMIT) {
+		pl_counter_add(PL_COUNTER_VIEWS_LOST, 1);
+		pl_view_delete(view);
+		return;
+	}
+	delivery->attempts++;
+	delivery->timeout_ms *= 2;
+	delivery_arm_(view);
+	if (view->sent != view->resource->content)
+		deliver_newest_(view);
+	else
+		send_(view, PL_COAP_CON, delivery->mid);
+}
+
+static void delivery_start_(pl_view_t *view)
+{
+	pl_view_table_t *table = view->table;
+	pl_view_delivery_t *delivery = g_new0(pl_view_delivery_t, 1);
+
+	assert(!view->delivery);
+	view->delivery = delivery;
+	pl_timer_init(&delivery->timer, delivery_fire_, view);
+	pl_list_append(&view->caller->deliveries, &delivery->link);
+	delivery->view = view;
+	delivery->timeout_ms =
+		ACK_TIMEOUT_MS +
+		(uint32_t)(table->ops->random(table->ctx) % ACK_RANDOM_MS);
+	delivery_arm_(view);
+	deliver_newest_(view);
+}
+
+/* Answers the registration; may free an ended view. */
+static void answer_(pl_view_t *view)
+{
+	pl_view_pending_t pending = *view->pending;
+
+	pl_view_pending_end(view);
+	pl_view_delivery_end(view);
+	if (pending.confirmable && pending.acknowledged) {
+		delivery_start_(view);
+		return;
+	}
+	take_content_(view);
+	/* a caller that missed this answer repeats its request */
+	view->confirmed_etag = view->sent->etag;
+	if (pending.confirmable)
+		send_(view, PL_COAP_ACK, pending.mid);
+	else
+		send_(view, PL_COAP_NON,
+		      pl_view_mid_next(view->table, view->caller));
+	if (ended_(view))
+		pl_view_delete(view);
+}
+
+void pl_view_update(pl_view_t *view)
+{
+	const pl_view_content_t *content = view->resource->content;
+
+	if (!content ||
+	    !(ended_(view) || pl_view_resource_fresh(view->resource)))
+		return;
+	if (view->pending) {
+		answer_(view);
+		return;
+	}
+	if (view->delivery || view->sent == content)
+		return;
+	if (!view->sent && view->confirmed_etag == content->etag) {
+		view->sent = view->resource->content;
+		pl_ref_get(&view->sent->ref);
+		return;
+	}
+	delivery_start_(view);
+}
+
+void pl_view_pend_acknowledge(pl_view_t *view)
+{
+	pl_view_pending_t *pending = view->pending;
+
+	if (!pending || !pending->confirmable || pending->acknowledged)
+		return;
+	pending->acknowledged = true;
+	send_empty_ack_(view, pending->mid);
+}
+
+void pl_view_refuse(pl_view_t *view, uint8_t code)
+{
+	pl_view_resource_detach(view, code);
+	pl_view_update(view);
+}
+
+static void pending_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_t *view = ctx;
+	pl_view_pending_t *pending = view->pending;
+
+	if (now < pending->deadline) {
+		pl_view_pend_acknowledge(view);
+		pl_timer_arm(view->table->timers, timer, pending->deadline);
+		return;
+	}
+	/* only a resource that was never asked for was surely not read */
+	if (view->resource->state == PL_VIEW_RESOURCE_IDLE)
+		pl_view_refuse(view, PL_COAP_UNAVAILABLE);
+	else
+		pl_view_refuse(view, PL_COAP_GATEWAY_TIMEOUT);
+}
+
+static uint32_t deadline_ms_(const pl_view_table_t *table)
+{
+	const pl_route_service_t *service = pl_view_service(table);
+
+	if (!service || service->policy.deadline_ms == 0)
+		return DEADLINE_DEFAULT_MS;
+	return service->policy.deadline_ms;
+}
+
+pl_view_pending_t *pl_view_pending_start(pl_view_t *view)
+{
+	pl_view_pending_t *pending = g_new0(pl_view_pending_t, 1);
+	pl_ms_t now = pl_view_now(view->table);
+	pl_ms_t wait = now + PIGGYBACK_WAIT_MS;
+
+	pl_view_pending_end(view);
+	view->pending = pending;
+	pending->deadline = now + deadline_ms_(view->table);
+	pl_timer_init(&pending->timer, pending_fire_, view);
+	pl_timer_arm(view->table->timers, &pending->timer,
+		     wait < pending->deadline ? wait : pending->deadline);
+	return pending;
+}
+
+void pl_view_pend(pl_view_t *view, const pl_coap_msg_t *msg)
+{
+	pl_view_pending_t *pending = view->pending;
+
+	view->szx = SZX_MAX;
+	if (msg->block2.present && msg->block2.szx < SZX_MAX)
+		view->szx = msg->block2.szx;
+	if (pending && pending->confirmable && pending->mid == msg->mid) {
+		if (pending->acknowledged)
+			send_empty_ack_(view, msg->mid);
+		return;
+	}
+	pending = pl_view_pending_start(view);
+	pending->mid = msg->mid;
+	pending->confirmable = msg->type == PL_COAP_CON;
+	pl_view_update(view);
+}
+
+/* Delivery of @p caller with the message ID @p mid, or NULL. */
+static pl_view_t *delivered_(const pl_view_caller_t *caller, uint16_t mid)
+{
+	pl_list_for_each(node, &caller->deliveries) {
+		const pl_view_delivery_t *delivery =
+			PL_CONTAINER_OF(node, pl_view_delivery_t, link);
+
+		if (delivery->mid == mid)
+			return delivery->view;
+	}
+	return NULL;
+}
+
+static void acknowledged_(pl_view_t *view, pl_member_id_t entry)
+{
+	view->entry = entry;
+	view->confirmed_etag = view->sent->etag;
+	pl_view_delivery_end(view);
+	if (ended_(view) && view->sent == view->resource->content)
+		pl_view_delete(view);
+	else
+		pl_view_update(view);
+}
+
+pl_view_verdict_t pl_view_ack(pl_view_table_t *table,
+			      const pl_forward_t *forward,
+			      const pl_coap_msg_t *msg, pl_member_id_t *next)
+{
+	const pl_view_caller_t *caller =
+		pl_view_caller_find(table, &forward->flow.caller);
+	pl_view_t *view = caller ? delivered_(caller, msg->mid) : NULL;
+
+	*next = 0;
+	if (!view)
+		return pl_view_find(table, &forward->flow.caller, next);
+	if (msg->type == PL_COAP_RST) {
+		pl_counter_add(PL_COUNTER_VIEWS_CLOSED, 1);
+		pl_view_delete(view);
+	} else {
+		acknowledged_(view, forward->entry);
+	}
+	return PL_VIEW_HANDLED;
+}
+
+/* View of @p caller on the resource that @p msg names, or NULL. */
+static pl_view_t *watching_(const pl_view_caller_t *caller,
+			    const pl_coap_msg_t *msg)
+{
+	pl_list_for_each(node, &caller->views) {
+		pl_view_t *view = PL_CONTAINER_OF(node, pl_view_t, caller_link);
+
+		if (strcmp(view->resource->path, msg->path) == 0 &&
+		    strcmp(view->resource->query, msg->query) == 0)
+			return view;
+	}
+	return NULL;
+}
+
+pl_view_verdict_t pl_view_block(pl_view_table_t *table,
+				const pl_forward_t *forward,
+				const pl_coap_msg_t *msg)
+{
+	const pl_view_caller_t *caller =
+		pl_view_caller_find(table, &forward->flow.caller);
+	pl_view_t *view = caller ? watching_(caller, msg) : NULL;
+	uint8_t buf[PL_COAP_DATAGRAM_MAX];
+	pl_coap_writer_t writer;
+	bool confirmable = msg->type == PL_COAP_CON;
+	uint16_t mid = msg->mid;
+
+	/* block 0 asks for the present state, which the core fetches */
+	if (!view || !view->sent || msg->block2.num == 0 ||
+	    msg->block2.szx > SZX_MAX)
+		return PL_VIEW_UNKNOWN;
+	view->entry = forward->entry;
+	view->szx = msg->block2.szx;
+	if ((size_t)msg->block2.num * block_size_(view) >= view->sent->len)
+		return PL_VIEW_UNKNOWN;
+	if (!confirmable)
+		mid = pl_view_mid_next(table, view->caller);
+	pl_coap_write_start(&writer, buf, sizeof(buf),
+			    confirmable ? PL_COAP_ACK : PL_COAP_NON,
+			    view->sent->code, mid, msg->token, msg->token_len);
+	/* the body that was announced, though a newer one may be waiting */
+	write_content_(&writer, view, view->sent, false, msg->block2.num);
+	reply_(view, buf, pl_coap_write_end(&writer));
+	return PL_VIEW_HANDLED;
+}
--- /dev/null
+++ b/test/view/view_test.c
@@ -0,0 +1,159 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "view_fake.h"
+
+#include <pimentolift/counter.h>
+
+#define CALLERS 8
+#define SETTLE_MS 50
+#define GIVE_UP_MS 100000
+
+static void notifications_reach_every_caller(void **state)
+{
+	fake_t *fake = fake_new(1, 1, 1, CALLERS);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_views(fake), CALLERS);
+	assert_int_equal(fake_behind(fake), 0);
+	for (unsigned int i = 0; i < 20; i++) {
+		fake_update(fake, i % FAKE_RESOURCES);
+		fake_run(fake, SETTLE_MS);
+		assert_int_equal(fake_behind(fake), 0);
+	}
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		assert_int_equal(fake->callers[i].notified, 6);
+		assert_int_equal(fake->callers[i].stale, 0);
+	}
+	fake_delete(fake);
+}
+
+/* A burst ends with the newest state; what came between may be left out. */
+static void newest_state_supersedes(void **state)
+{
+	fake_t *fake = fake_new(2, 1, 1, 1);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	fake->callers[0].deaf = true;
+	for (unsigned int i = 0; i < 50; i++) {
+		fake_update(fake, 0);
+		fake_run(fake, 1);
+	}
+	fake->callers[0].deaf = false;
+	fake->datagrams = 0;
+	fake_run(fake, 4000);
+	assert_int_equal(fake_behind(fake), 0);
+	assert_int_equal(fake->datagrams, 1);
+	fake_delete(fake);
+}
+
+static void lost_datagrams_are_repeated(void **state)
+{
+	fake_t *fake = fake_new(3, 1, 1, CALLERS);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	fake->loss_percent = 15;
+	for (unsigned int i = 0; i < 20; i++)
+		fake_update(fake, i % FAKE_RESOURCES);
+	fake_run(fake, GIVE_UP_MS);
+	assert_int_equal(fake_behind(fake), 0);
+	assert_int_equal(fake_views(fake), CALLERS);
+	fake_delete(fake);
+}
+
+static void silent_caller_is_dropped(void **state)
+{
+	fake_t *fake = fake_new(4, 1, 1, 2);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	fake->callers[0].deaf = true;
+	fake_update(fake, 0);
+	fake_update(fake, 1);
+	fake_run(fake, 40000);
+	assert_int_equal(fake_views(fake), 2);
+	fake_run(fake, GIVE_UP_MS);
+	assert_int_equal(fake_views(fake), 1);
+	fake_delete(fake);
+}
+
+static void reset_and_deregistration_close(void **state)
+{
+	fake_t *fake = fake_new(5, 1, 1, 3);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	fake_close(fake, &fake->callers[0]);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_views(fake), 2);
+	/* the caller forgot its view and rejects the notification */
+	fake->callers[1].closed = true;
+	fake_update(fake, 1);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_views(fake), 1);
+	fake_delete(fake);
+}
+
+/* A registration without an answer in time is told so, and not kept. */
+static void registration_ends_at_its_deadline(void **state)
+{
+	fake_t *fake = fake_new(6, 1, 1, 1);
+
+	fake->agents[0].refuses = true;
+	fake_open_all(fake);
+	fake_run(fake, 4000);
+	assert_int_equal(fake->callers[0].code, 0);
+	fake_run(fake, 2000);
+	assert_int_equal(fake->callers[0].code, PL_COAP_GATEWAY_TIMEOUT);
+	assert_int_equal(fake_views(fake), 0);
+
+	pl_view_backend(fake->agents[0].table, false);
+	fake_open_all(fake);
+	fake_run(fake, 6000);
+	assert_int_equal(fake->callers[0].code, PL_COAP_UNAVAILABLE);
+	fake_delete(fake);
+}
+
+/* A restart of the backend server is not seen by callers. */
+static void backend_restart_is_unseen(void **state)
+{
+	fake_t *fake = fake_new(7, 1, 1, CALLERS);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	fake->datagrams = 0;
+	pl_view_backend(fake->agents[0].table, false);
+	fake_run(fake, SETTLE_MS);
+	pl_view_backend(fake->agents[0].table, true);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake->datagrams, 0);
+	pl_view_backend(fake->agents[0].table, false);
+	fake_update(fake, 0);
+	fake_run(fake, SETTLE_MS);
+	pl_view_backend(fake->agents[0].table, true);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_behind(fake), 0);
+	assert_int_equal(fake_views(fake), CALLERS);
+	fake_delete(fake);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(notifications_reach_every_caller),
+		cmocka_unit_test(newest_state_supersedes),
+		cmocka_unit_test(lost_datagrams_are_repeated),
+		cmocka_unit_test(silent_caller_is_dropped),
+		cmocka_unit_test(reset_and_deregistration_close),
+		cmocka_unit_test(registration_ends_at_its_deadline),
+		cmocka_unit_test(backend_restart_is_unseen),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
