--- /dev/null
+++ b/test/platform/platform_test.c
@@ -0,0 +1,226 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <pimentolift/platform.h>
+#include <store.h>
+#include <string.h>
+
+#define TIMEOUT_MS 300
+#define KEY "pimentolift/trial/document"
+
+typedef struct {
+	pl_store_t *store;
+	pl_platform_t *platform;
+} fixture_t;
+
+/* What the last callback gave. */
+typedef struct {
+	int calls;
+	pl_result_t result;
+	char *value;
+	size_t value_len;
+	uint64_t modify_index;
+	uint64_t watch_index;
+} outcome_t;
+
+static void on_done_(void *ctx, const pl_platform_reply_t *reply)
+{
+	outcome_t *outcome = ctx;
+
+	outcome->calls++;
+	outcome->result = reply->result;
+	g_free(outcome->value);
+	outcome->value = g_memdup2(reply->value, reply->value_len);
+	outcome->value_len = reply->value_len;
+	outcome->modify_index = reply->modify_index;
+	outcome->watch_index = reply->watch_index;
+}
+
+static int set_up_(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+	char url[64];
+
+	f->store = pl_store_new(0);
+	assert_non_null(f->store);
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/",
+		   pl_store_port(f->store));
+	f->platform = pl_platform_new(url, TIMEOUT_MS);
+	*state = f;
+	return 0;
+}
+
+static int tear_down_(void **state)
+{
+	fixture_t *f = *state;
+
+	pl_platform_delete(f->platform);
+	pl_store_delete(f->store);
+	g_free(f);
+	return 0;
+}
+
+static void finish_(fixture_t *f)
+{
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 1000);
+}
+
+static pl_result_t put_(fixture_t *f, const char *value, uint64_t replaces)
+{
+	outcome_t outcome = { 0 };
+
+	pl_platform_put(f->platform, KEY, value, strlen(value), replaces,
+			on_done_, &outcome);
+	finish_(f);
+	assert_int_equal(outcome.calls, 1);
+	g_free(outcome.value);
+	return outcome.result;
+}
+
+static pl_result_t get_(fixture_t *f, outcome_t *outcome)
+{
+	g_free(outcome->value);
+	memset(outcome, 0, sizeof(*outcome));
+	pl_platform_get(f->platform, KEY, on_done_, outcome);
+	finish_(f);
+	assert_int_equal(outcome->calls, 1);
+	return outcome->result;
+}
+
+static void compare_and_swap_lets_one_writer_through(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+
+	assert_int_equal(get_(f, &read), PL_ERR_NOT_FOUND);
+	assert_int_equal(put_(f, "one", 0), PL_OK);
+	assert_int_equal(put_(f, "other", 0), PL_ERR_CONFLICT);
+	assert_int_equal(get_(f, &read), PL_OK);
+	assert_memory_equal(read.value, "one", 3);
+	assert_int_equal(put_(f, "two", read.modify_index), PL_OK);
+	assert_int_equal(put_(f, "late", read.modify_index), PL_ERR_CONFLICT);
+	assert_int_equal(get_(f, &read), PL_OK);
+	assert_memory_equal(read.value, "two", 3);
+	g_free(read.value);
+}
+
+static void megabyte_value_round_trips(void **state)
+{
+	fixture_t *f = *state;
+	char *value = g_malloc(PL_PLATFORM_VALUE_MAX);
+	outcome_t outcome = { 0 };
+
+	for (size_t i = 0; i < PL_PLATFORM_VALUE_MAX; i++)
+		value[i] = (char)(i * 31);
+	pl_platform_put(f->platform, KEY, value, PL_PLATFORM_VALUE_MAX, 0,
+			on_done_, &outcome);
+	finish_(f);
+	assert_int_equal(outcome.result, PL_OK);
+	assert_int_equal(get_(f, &outcome), PL_OK);
+	assert_int_equal(outcome.value_len, PL_PLATFORM_VALUE_MAX);
+	assert_memory_equal(outcome.value, value, PL_PLATFORM_VALUE_MAX);
+	g_free(outcome.value);
+	g_free(value);
+}
+
+static void watch_ends_when_the_value_changes(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+	outcome_t watch = { 0 };
+	outcome_t put = { 0 };
+	pl_store_stats_t stats = { 0 };
+
+	assert_int_equal(put_(f, "one", 0), PL_OK);
+	assert_int_equal(get_(f, &read), PL_OK);
+	pl_platform_watch(f->platform, KEY, read.watch_index, on_done_, &watch);
+	while (stats.watches_waiting == 0) {
+		pl_platform_wait(f->platform, 10);
+		pl_store_stats(f->store, &stats);
+	}
+	assert_int_equal(watch.calls, 0);
+	pl_platform_put(f->platform, KEY, "two", 3, read.modify_index, on_done_,
+			&put);
+	finish_(f);
+	assert_int_equal(watch.calls, 1);
+	assert_memory_equal(watch.value, "two", 3);
+	assert_true(watch.watch_index > read.watch_index);
+	g_free(read.value);
+	g_free(watch.value);
+}
+
+static void lost_answer_is_an_unknown_outcome(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+
+	/* libcurl repeats a request by itself on a connection used before */
+	assert_int_equal(get_(f, &read), PL_ERR_NOT_FOUND);
+	pl_store_command(f->store, "lose-answers 1");
+	assert_int_equal(put_(f, "one", 0), PL_ERR_UNKNOWN_OUTCOME);
+	assert_int_equal(get_(f, &read), PL_OK);
+	assert_memory_equal(read.value, "one", 3);
+	g_free(read.value);
+}
+
+static void outage_is_typed_and_ends(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+	pl_platform_t *nowhere = pl_platform_new("http://127.0.0.1:1", 200);
+	outcome_t put = { 0 };
+
+	pl_store_command(f->store, "down");
+	assert_int_equal(get_(f, &read), PL_ERR_UNAVAILABLE);
+	assert_true(pl_platform_is_down(f->platform));
+	pl_store_command(f->store, "up");
+	pl_store_command(f->store, "slow 60000");
+	assert_int_equal(get_(f, &read), PL_ERR_TIMEOUT);
+	pl_store_command(f->store, "up");
+	assert_int_equal(get_(f, &read), PL_ERR_NOT_FOUND);
+	assert_false(pl_platform_is_down(f->platform));
+
+	/* a refused connection cannot have written anything */
+	pl_platform_put(nowhere, KEY, "x", 1, 0, on_done_, &put);
+	while (pl_platform_pending(nowhere) > 0)
+		pl_platform_wait(nowhere, 1000);
+	assert_int_equal(put.result, PL_ERR_UNAVAILABLE);
+	pl_platform_delete(nowhere);
+}
+
+static void outage_ends_a_watch(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t watch = { 0 };
+	pl_store_stats_t stats = { 0 };
+
+	assert_int_equal(put_(f, "one", 0), PL_OK);
+	pl_platform_watch(f->platform, KEY, 2, on_done_, &watch);
+	while (stats.watches_waiting == 0) {
+		pl_platform_wait(f->platform, 10);
+		pl_store_stats(f->store, &stats);
+	}
+	pl_store_command(f->store, "down");
+	finish_(f);
+	assert_int_equal(watch.result, PL_ERR_UNAVAILABLE);
+}
+
+int main(void)
+{
+#define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
+	const struct CMUnitTest tests[] = {
+		TEST_(compare_and_swap_lets_one_writer_through),
+		TEST_(megabyte_value_round_trips),
+		TEST_(watch_ends_when_the_value_changes),
+		TEST_(lost_answer_is_an_unknown_outcome),
+		TEST_(outage_is_typed_and_ends),
+		TEST_(outage_ends_a_watch),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
