The operators' document: sections with a canonical form and a hash

A section per service is what members will exchange, so each has one encoding. Targets are held per million: a double would not be canonical. Weighed and ruled out: passing the TOML text between members (200 KB a change at 1,400 addresses) and hashing the text (a comment would count as a change of every service).

config_document: 5 tests pass, the examples among them.

--- /dev/null
+++ b/src/config/document_diff.c
@@ -0,0 +1,203 @@
+/**
+ * @file
+ * The difference of two documents in words.
+ */
+#include <pimentolift/document.h>
+
+#include <glib.h>
+#include <string.h>
+
+/* A number of the policy by name. */
+typedef struct {
+	const char *name;
+	size_t offset;
+} field_t;
+
+#define FIELD_(name)                                       \
+	{                                                  \
+#name, offsetof(pl_service_policy_t, name) \
+	}
+static const field_t fields_[] = {
+	FIELD_(deadline_ms),	  FIELD_(short_slots), FIELD_(queue_max),
+	FIELD_(upload_max_bytes), FIELD_(ramp_ms),     FIELD_(retry_percent),
+	FIELD_(answer_keep_ms),
+};
+
+static uint32_t field_value_(const pl_service_policy_t *policy,
+			     const field_t *field)
+{
+	const char *base = (const char *)policy;
+
+	return *(const uint32_t *)(const void *)(base + field->offset);
+}
+
+static void diff_policy_(GString *out, const pl_service_config_t *before,
+			 const pl_service_config_t *after)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields_); i++) {
+		uint32_t old = field_value_(&before->policy, &fields_[i]);
+		uint32_t new = field_value_(&after->policy, &fields_[i]);
+
+		if (old != new)
+			g_string_append_printf(out, "service %s: %s %u -> %u\n",
+					       after->name, fields_[i].name,
+					       old, new);
+	}
+}
+
+static bool has_address_(const pl_service_config_t *service,
+			 const pl_addr_t *addr)
+{
+	for (size_t i = 0; i < service->address_count; i++) {
+		if (pl_addr_equal(&service->addresses[i], addr))
+			return true;
+	}
+	return false;
+}
+
+/* Names the addresses of @p service that @p other lacks. */
+static void list_addresses_(GString *out, const pl_service_config_t *service,
+			    const pl_service_config_t *other, const char *what)
+{
+	char text[PL_ADDR_TEXT_MAX];
+
+	for (size_t i = 0; i < service->address_count; i++) {
+		const pl_addr_t *addr = &service->addresses[i];
+
+		if (!has_address_(other, addr))
+			g_string_append_printf(
+				out, "service %s: address %s %s\n",
+				service->name, pl_addr_format(addr, text),
+				what);
+	}
+}
+
+static const pl_share_t *find_share_(const pl_service_config_t *service,
+				     const char *datacentre)
+{
+	for (size_t i = 0; i < service->share_count; i++) {
+		if (strcmp(service->shares[i].datacentre, datacentre) == 0)
+			return &service->shares[i];
+	}
+	return NULL;
+}
+
+static void diff_shares_(GString *out, const pl_service_config_t *before,
+			 const pl_service_config_t *after)
+{
+	for (size_t i = 0; i < after->share_count; i++) {
+		const pl_share_t *new = &after->shares[i];
+		const pl_share_t *old = find_share_(before, new->datacentre);
+
+		if (!old)
+			g_string_append_printf(
+				out, "service %s: share of %s %u added\n",
+				after->name, new->datacentre, new->weight);
+		else if (old->weight != new->weight)
+			g_string_append_printf(
+				out, "service %s: share of %s %u -> %u\n",
+				after->name, new->datacentre, old->weight,
+				new->weight);
+	}
+	for (size_t i = 0; i < before->share_count; i++) {
+		const pl_share_t *old = &before->shares[i];
+
+		if (!find_share_(after, old->datacentre))
+			g_string_append_printf(
+				out, "service %s: share of %s %u removed\n",
+				after->name, old->datacentre, old->weight);
+	}
+}
+
+static void print_objective_(GString *out, const pl_objective_t *objective)
+{
+	g_string_append_printf(out, "%s %.4f%%",
+			       pl_objective_kind_names[objective->kind],
+			       objective->target_ppm * 100.0 / PL_PPM);
+	if (objective->threshold_ms > 0)
+		g_string_append_printf(out, " within %u ms",
+				       objective->threshold_ms);
+	g_string_append_printf(out, " over %u days", objective->window_days);
+}
+
+static bool has_objective_(const pl_service_config_t *service,
+			   const pl_objective_t *objective)
+{
+	for (size_t i = 0; i < service->objective_count; i++) {
+		const pl_objective_t *other = &service->objectives[i];
+
+		if (other->kind == objective->kind &&
+		    other->target_ppm == objective->target_ppm &&
+		    other->threshold_ms == objective->threshold_ms &&
+		    other->window_days == objective->window_days)
+			return true;
+	}
+	return false;
+}
+
+static void list_objectives_(GString *out, const pl_service_config_t *service,
+			     const pl_service_config_t *other, const char *what)
+{
+	for (size_t i = 0; i < service->objective_count; i++) {
+		const pl_objective_t *objective = &service->objectives[i];
+
+		if (has_objective_(other, objective))
+			continue;
+		g_string_append_printf(out, "service %s: objective ",
+				       service->name);
+		print_objective_(out, objective);
+		g_string_append_printf(out, " %s\n", what);
+	}
+}
+
+static void diff_service_(GString *out, const pl_section_t *before,
+			  const pl_section_t *after)
+{
+	const pl_service_config_t *old = pl_section_service(before);
+	const pl_service_config_t *new = pl_section_service(after);
+	size_t len = out->len;
+
+	if (pl_section_hash(before) == pl_section_hash(after))
+		return;
+	list_addresses_(out, old, new, "removed");
+	list_addresses_(out, new, old, "added");
+	diff_policy_(out, old, new);
+	diff_shares_(out, old, new);
+	list_objectives_(out, old, new, "removed");
+	list_objectives_(out, new, old, "added");
+	if (out->len == len)
+		g_string_append_printf(out, "service %s: order changed\n",
+				       new->name);
+}
+
+/* Names the services of @p document that @p other lacks. */
+static void list_services_(GString *out, const pl_document_t *document,
+			   const pl_document_t *other, const char *what)
+{
+	for (size_t i = 0; document && i < pl_document_count(document); i++) {
+		const char *name =
+			pl_section_service(pl_document_at(document, i))->name;
+
+		if (!other || !pl_document_find(other, name))
+			g_string_append_printf(out, "service %s %s\n", name,
+					       what);
+	}
+}
+
+char *pl_document_diff(const pl_document_t *before, const pl_document_t *after)
+{
+	GString *out = g_string_new("");
+
+	list_services_(out, before, after, "removed");
+	list_services_(out, after, before, "added");
+	for (size_t i = 0; before && after && i < pl_document_count(after);
+	     i++) {
+		const pl_section_t *section = pl_document_at(after, i);
+		const pl_section_t *old = pl_document_find(
+			before, pl_section_service(section)->name);
+
+		if (old)
+			diff_service_(out, old, section);
+	}
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/src/config/document_parse.c
@@ -0,0 +1,349 @@
+/**
+ * @file
+ * Reads the operators' document from TOML.
+ */
+#include <pimentolift/document.h>
+
+#include "private/reader.h"
+
+#include <assert.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SHARE_WEIGHT_MAX 1000
+#define THRESHOLD_MAX_MS (60 * 60 * 1000)
+#define WINDOW_DEFAULT_DAYS 28
+#define WINDOW_MAX_DAYS 92
+/** The sections of a document must fit into one frame between members. */
+#define SECTIONS_MAX_BYTES (960 * 1024)
+
+static const pl_service_policy_t policy_default_ = {
+	.deadline_ms = 5000,
+	.short_slots = 1,
+	.queue_max = 64,
+	.upload_max_bytes = 4 * 1024 * 1024,
+	.ramp_ms = 10000,
+	.retry_percent = 10,
+	.answer_keep_ms = 300000,
+};
+
+/* A number of the policy: its key, where it goes, and its range. */
+typedef struct {
+	const char *key;
+	size_t offset;
+	uint32_t min;
+	uint32_t max;
+} policy_row_t;
+
+#define POLICY_ROW_(name, min, max)                                  \
+	{                                                            \
+#name, offsetof(pl_service_policy_t, name), min, max \
+	}
+static const policy_row_t policy_rows_[] = {
+	POLICY_ROW_(deadline_ms, 10, 600000),
+	POLICY_ROW_(short_slots, 0, 64),
+	POLICY_ROW_(queue_max, 0, 65536),
+	POLICY_ROW_(upload_max_bytes, 1024, 64 * 1024 * 1024),
+	POLICY_ROW_(ramp_ms, 0, 600000),
+	POLICY_ROW_(retry_percent, 0, 100),
+	POLICY_ROW_(answer_keep_ms, 1000, 3600000),
+};
+
+/* The document while it is read. */
+typedef struct {
+	pl_problems_t *problems;
+	GHashTable *names; /* of services, to their lines */
+	GHashTable *addresses; /* pl_addr_t to the service's name */
+	GPtrArray *sections;
+} reading_t;
+
+static guint addr_hash_(gconstpointer key)
+{
+	return (guint)pl_addr_hash(key, 0);
+}
+
+static gboolean addr_equal_(gconstpointer a, gconstpointer b)
+{
+	return pl_addr_equal(a, b);
+}
+
+static void read_policy_(pl_problems_t *problems, pl_toml_t *table,
+			 pl_service_policy_t *policy)
+{
+	*policy = policy_default_;
+	for (size_t i = 0; i < G_N_ELEMENTS(policy_rows_); i++) {
+		const policy_row_t *row = &policy_rows_[i];
+		char *base = (char *)policy;
+
+		pl_reader_number(problems, table, row->key, row->min, row->max,
+				 (uint32_t *)(void *)(base + row->offset));
+	}
+}
+
+static int by_datacentre_(const void *a, const void *b)
+{
+	const pl_share_t *first = a;
+	const pl_share_t *second = b;
+
+	return strcmp(first->datacentre, second->datacentre);
+}
+
+static void read_shares_(pl_problems_t *problems, pl_toml_t *table,
+			 pl_service_config_t *service)
+{
+	pl_toml_t *share = pl_reader_get(problems, table, "share",
+					 PL_TOML_TABLE, PL_KEY_OPTIONAL);
+	uint64_t total = 0;
+
+	if (!share)
+		return;
+	service->shares = g_new0(pl_share_t, PL_DOCUMENT_SHARES_MAX);
+	pl_list_for_each(node, &share->children) {
+		pl_toml_t *child = PL_CONTAINER_OF(node, pl_toml_t, link);
+		pl_share_t *item = &service->shares[service->share_count];
+
+		if (!pl_reader_check_name(problems, child, child->key))
+			continue;
+		if (service->share_count == PL_DOCUMENT_SHARES_MAX) {
+			pl_reader_problem(problems, table, "share",
+					  "has more than %d data centres",
+					  PL_DOCUMENT_SHARES_MAX);
+			break;
+		}
+		g_strlcpy(item->datacentre, child->key, PL_NAME_MAX);
+		pl_reader_number(problems, share, child->key, 0,
+				 SHARE_WEIGHT_MAX, &item->weight);
+		total += item->weight;
+		service->share_count++;
+	}
+	if (service->share_count > 0 && total == 0)
+		pl_reader_problem(problems, table, "share",
+				  "gives every data centre the weight 0");
+	if (service->share_count > 0)
+		qsort(service->shares, service->share_count, sizeof(pl_share_t),
+		      by_datacentre_);
+}
+
+static void read_objective_(pl_problems_t *problems, pl_toml_t *table,
+			    pl_objective_t *objective)
+{
+	unsigned int kind = PL_OBJECTIVE_AVAILABILITY;
+	double target = 0;
+
+	pl_reader_choice(problems, table, "kind", PL_KEY_REQUIRED,
+			 pl_objective_kind_names, PL_OBJECTIVE_KIND_COUNT,
+			 &kind);
+	pl_reader_real(problems, table, "target", PL_KEY_REQUIRED, 0, 1,
+		       &target);
+	objective->kind = (pl_objective_kind_t)kind;
+	objective->target_ppm = (uint32_t)lround(target * PL_PPM);
+	if (target > 0 && objective->target_ppm >= PL_PPM)
+		pl_reader_problem(problems, table, "target",
+				  "is nearer to 1 than one in a million");
+	objective->window_days = WINDOW_DEFAULT_DAYS;
+	pl_reader_number(problems, table, "window_days", 1, WINDOW_MAX_DAYS,
+			 &objective->window_days);
+	if (kind != PL_OBJECTIVE_AVAILABILITY) {
+		pl_reader_number(problems, table, "threshold_ms", 1,
+				 THRESHOLD_MAX_MS, &objective->threshold_ms);
+		if (objective->threshold_ms == 0)
+			/* reports the key when it is absent */
+			pl_reader_get(problems, table, "threshold_ms",
+				      PL_TOML_INTEGER, PL_KEY_REQUIRED);
+	}
+	pl_reader_unknown(problems, table);
+}
+
+static void read_objectives_(pl_problems_t *problems, pl_toml_t *table,
+			     pl_service_config_t *service)
+{
+	pl_toml_t *list = pl_reader_get(problems, table, "objective",
+					PL_TOML_ARRAY, PL_KEY_OPTIONAL);
+
+	if (!list)
+		return;
+	service->objectives =
+		g_new0(pl_objective_t, PL_DOCUMENT_OBJECTIVES_MAX);
+	pl_list_for_each(node, &list->children) {
+		pl_toml_t *item = PL_CONTAINER_OF(node, pl_toml_t, link);
+
+		if (item->type != PL_TOML_TABLE) {
+			pl_problems_add(problems, item->line, item->path,
+					"must be a table");
+			continue;
+		}
+		if (service->objective_count == PL_DOCUMENT_OBJECTIVES_MAX) {
+			pl_problems_add(problems, item->line, item->path,
+					"is more than %d objectives",
+					PL_DOCUMENT_OBJECTIVES_MAX);
+			return;
+		}
+		read_objective_(
+			problems, item,
+			&service->objectives[service->objective_count++]);
+	}
+}
+
+static void read_addresses_(reading_t *reading, pl_toml_t *table,
+			    pl_service_config_t *service)
+{
+	pl_addr_list_t list = { 0 };
+	char text[PL_ADDR_TEXT_MAX];
+
+	pl_reader_addr_list(reading->problems, table, "addresses",
+			    PL_KEY_REQUIRED, &list);
+	service->addresses = list.at;
+	service->address_count = list.count;
+	if (list.count > PL_DOCUMENT_ADDRESSES_MAX)
+		pl_reader_problem(reading->problems, table, "addresses",
+				  "has more than %d addresses",
+				  PL_DOCUMENT_ADDRESSES_MAX);
+	for (size_t i = 0; i < list.count; i++) {
+		const char *owner =
+			g_hash_table_lookup(reading->addresses, &list.at[i]);
+
+		pl_addr_format(&list.at[i], text);
+		if (owner)
+			pl_reader_problem(reading->problems, table, "addresses",
+					  "%s is an address of the service "
+					  "\"%s\" already",
+					  text, owner);
+		else if (list.at[i].port == 0)
+			pl_reader_problem(reading->problems, table, "addresses",
+					  "%s has the port 0", text);
+		else
+			g_hash_table_insert(
+				reading->addresses,
+				g_memdup2(&list.at[i], sizeof(pl_addr_t)),
+				g_strdup(service->name));
+	}
+}
+
+static void check_policy_(pl_problems_t *problems, pl_toml_t *table,
+			  const pl_service_policy_t *policy)
+{
+	if (policy->answer_keep_ms < policy->deadline_ms)
+		pl_problems_add(problems, table->line, table->path,
+				"answer_keep_ms %u is shorter than "
+				"deadline_ms %u",
+				policy->answer_keep_ms, policy->deadline_ms);
+}
+
+static void read_service_(reading_t *reading, pl_toml_t *table)
+{
+	pl_service_config_t service = { 0 };
+	gpointer line;
+
+	pl_reader_name(reading->problems, table, "name", PL_KEY_REQUIRED,
+		       service.name);
+	line = g_hash_table_lookup(reading->names, service.name);
+	if (line)
+		pl_reader_problem(reading->problems, table, "name",
+				  "\"%s\" is the name of the service at line "
+				  "%u already",
+				  service.name, GPOINTER_TO_UINT(line));
+	else if (*service.name)
+		g_hash_table_insert(reading->names, g_strdup(service.name),
+				    GUINT_TO_POINTER(table->line));
+	read_addresses_(reading, table, &service);
+	read_policy_(reading->problems, table, &service.policy);
+	check_policy_(reading->problems, table, &service.policy);
+	read_shares_(reading->problems, table, &service);
+	read_objectives_(reading->problems, table, &service);
+	pl_reader_unknown(reading->problems, table);
+	g_ptr_array_add(reading->sections, pl_section_new(&service));
+}
+
+static void read_services_(reading_t *reading, pl_toml_t *root)
+{
+	pl_toml_t *list = pl_reader_get(reading->problems, root, "service",
+					PL_TOML_ARRAY, PL_KEY_OPTIONAL);
+
+	if (!list)
+		return;
+	pl_list_for_each(node, &list->children) {
+		pl_toml_t *item = PL_CONTAINER_OF(node, pl_toml_t, link);
+
+		if (reading->sections->len == PL_DOCUMENT_SERVICES_MAX) {
+			pl_problems_add(reading->problems, item->line,
+					item->path, "is more than %d services",
+					PL_DOCUMENT_SERVICES_MAX);
+			return;
+		}
+		if (item->type == PL_TOML_TABLE)
+			read_service_(reading, item);
+		else
+			pl_problems_add(reading->problems, item->line,
+					item->path, "must be a table");
+	}
+}
+
+static void check_size_(const reading_t *reading)
+{
+	size_t total = 0;
+
+	for (guint i = 0; i < reading->sections->len; i++) {
+		size_t len = 0;
+
+		pl_section_bytes(g_ptr_array_index(reading->sections, i), &len);
+		total += len;
+	}
+	if (total > SECTIONS_MAX_BYTES)
+		pl_problems_add(reading->problems, 0, "",
+				"the services take %zu bytes, more than %d",
+				total, SECTIONS_MAX_BYTES);
+}
+
+static void read_format_(pl_problems_t *problems, pl_toml_t *root)
+{
+	const pl_toml_t *format = pl_reader_get(
+		problems, root, "format", PL_TOML_INTEGER, PL_KEY_REQUIRED);
+
+	if (format && format->integer != PL_DOCUMENT_FORMAT)
+		pl_problems_add(problems, format->line, format->path,
+				"this release reads the format %d only",
+				PL_DOCUMENT_FORMAT);
+}
+
+static void reading_init_(reading_t *reading, pl_problems_t *problems)
+{
+	reading->problems = problems;
+	reading->names =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	reading->addresses =
+		g_hash_table_new_full(addr_hash_, addr_equal_, g_free, g_free);
+	reading->sections =
+		g_ptr_array_new_with_free_func((GDestroyNotify)pl_section_put);
+}
+
+static void reading_finish_(reading_t *reading)
+{
+	g_hash_table_destroy(reading->names);
+	g_hash_table_destroy(reading->addresses);
+	g_ptr_array_free(reading->sections, TRUE);
+}
+
+pl_result_t pl_document_parse(const char *text, size_t len, uint64_t revision,
+			      pl_document_t **document, pl_problems_t *problems)
+{
+	size_t before = pl_problems_count(problems);
+	pl_toml_t *root = pl_toml_parse(text, len, problems);
+	reading_t reading;
+
+	*document = NULL;
+	if (!root)
+		return PL_ERR_CONFIG;
+	reading_init_(&reading, problems);
+	read_format_(problems, root);
+	read_services_(&reading, root);
+	pl_reader_unknown(problems, root);
+	check_size_(&reading);
+	pl_toml_delete(root);
+	if (pl_problems_count(problems) == before)
+		*document = pl_document_new(
+			revision, (pl_section_t **)reading.sections->pdata,
+			reading.sections->len);
+	reading_finish_(&reading);
+	return *document ? PL_OK : PL_ERR_CONFIG;
+}
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -64,6 +64,7 @@
 static void read_secret_(pl_problems_t *problems, pl_toml_t *root,
 			 pl_settings_t *settings)
 {
+	size_t before = pl_problems_count(problems);
 	pl_toml_t *here = pl_reader_get(problems, root, "secret",
 					PL_TOML_STRING, PL_KEY_OPTIONAL);
 	pl_toml_t *file = pl_reader_get(problems, root, "secret_file",
@@ -77,7 +78,9 @@
 	}
 	if (!node) {
 		/* one of a wrong type was reported already */
-		pl_problems_add(problems, root->line, "secret",
+		if (pl_problems_count(problems) == before)
+			pl_problems_add(
+				problems, root->line, "secret",
 				"is missing, or secret_file in its place");
 		return;
 	}
--- /dev/null
+++ b/test/config/document_test.c
@@ -0,0 +1,217 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <pimentolift/document.h>
+#include <pimentolift/settings.h>
+#include <stdlib.h>
+#include <string.h>
+
+static pl_document_t *parse_(const char *text)
+{
+	pl_problems_t *problems = pl_problems_new("d.toml");
+	pl_document_t *document = NULL;
+
+	if (pl_document_parse(text, strlen(text), 1, &document, problems) !=
+	    PL_OK)
+		fail_msg("%s", pl_problems_text(problems));
+	pl_problems_delete(problems);
+	return document;
+}
+
+static const char base_[] = "format = 1\n"
+			    "[[service]]\n"
+			    "name = \"permits\"\n"
+			    "addresses = [\"192.0.2.1:5683\"]\n"
+			    "deadline_ms = 3000\n"
+			    "[service.share]\n"
+			    "gent = 2\n"
+			    "brugge = 1\n"
+			    "[[service.objective]]\n"
+			    "kind = \"latency\"\n"
+			    "target = 0.9995\n"
+			    "threshold_ms = 500\n"
+			    "[[service]]\n"
+			    "name = \"meters\"\n"
+			    "addresses = [\"192.0.2.2:5683\"]\n";
+
+static void section_survives_its_encoding(void **state)
+{
+	pl_document_t *document = parse_(base_);
+	pl_section_t *section = pl_document_find(document, "permits");
+	const pl_service_config_t *service;
+	pl_section_t *copy = NULL;
+	const uint8_t *bytes;
+	size_t len;
+
+	(void)state;
+	assert_int_equal(pl_document_count(document), 2);
+	assert_null(pl_document_find(document, "permit"));
+	bytes = pl_section_bytes(section, &len);
+	assert_int_equal(pl_section_decode(bytes, len, &copy, NULL), PL_OK);
+	assert_int_equal(pl_section_hash(copy), pl_section_hash(section));
+	service = pl_section_service(copy);
+	assert_int_equal(service->policy.deadline_ms, 3000);
+	assert_int_equal(service->policy.retry_percent, 10);
+	assert_int_equal(service->addresses[0].port, 5683);
+	assert_int_equal(service->share_count, 2);
+	assert_string_equal(service->shares[0].datacentre, "brugge");
+	assert_int_equal(service->objectives[0].target_ppm, 999500);
+	assert_int_equal(service->objectives[0].window_days, 28);
+	pl_section_put(copy);
+	/* every truncation is refused */
+	for (size_t cut = 0; cut < len; cut++)
+		assert_int_equal(pl_section_decode(bytes, cut, &copy, NULL),
+				 PL_ERR_MALFORMED);
+	pl_document_put(document);
+}
+
+static void layout_of_the_text_does_not_change_the_hash(void **state)
+{
+	pl_document_t *one = parse_(base_);
+	pl_document_t *two =
+		parse_("# other order\nformat = 1\n[[service]]\n"
+		       "addresses = [\"192.0.2.2:5683\"]\nname = \"meters\"\n"
+		       "[[service]]\nname = 'permits'\ndeadline_ms = 3_000\n"
+		       "addresses = [ \"192.0.2.1:5683\" ]\n"
+		       "[[service.objective]]\ntarget = 0.9995\n"
+		       "window_days = 28\nthreshold_ms = 500\n"
+		       "kind = \"latency\"\n"
+		       "[service.share]\nbrugge = 1\ngent = 2\n");
+
+	(void)state;
+	assert_int_equal(pl_document_hash(one), pl_document_hash(two));
+	pl_document_put(one);
+	pl_document_put(two);
+}
+
+static void every_problem_names_its_line(void **state)
+{
+	static const char text[] = "format = 2\n"
+				   "environment = \"trial\"\n"
+				   "[[service]]\n"
+				   "name = \"a\"\n"
+				   "addresses = [\"192.0.2.1:1\"]\n"
+				   "[[service]]\n"
+				   "name = \"a\"\n"
+				   "addresses = [\"192.0.2.1:1\"]\n"
+				   "retry_percent = 101\n"
+				   "[[service]]\n"
+				   "addresses = []\n"
+				   "answer_keep_ms = 1000\n"
+				   "[service.share]\n"
+				   "gent = 0\n"
+				   "[[service.objective]]\n"
+				   "kind = \"latency\"\n"
+				   "target = 1.0\n";
+	static const char *const expected[] = {
+		"d:1: format: this release reads the format 1 only",
+		"d:2: environment: is not a known key",
+		"d:7: service[1].name: \"a\" is the name of the service at "
+		"line 3 already",
+		"d:8: service[1].addresses: 192.0.2.1:1 is an address of the "
+		"service \"a\" already",
+		"d:9: service[1].retry_percent: 101 is not from 0 to 100",
+		"d:10: service[2].name: is missing",
+		"d:11: service[2].addresses: is empty",
+		"d:10: service[2]: answer_keep_ms 1000 is shorter than "
+		"deadline_ms 5000",
+		"d:13: service[2].share: gives every data centre the weight 0",
+		"d:15: service[2].objective[0].threshold_ms: is missing",
+		"d:17: service[2].objective[0].target: 1 is not above 0 and "
+		"below 1",
+	};
+	pl_problems_t *problems = pl_problems_new("d");
+	pl_document_t *document;
+
+	(void)state;
+	assert_int_equal(
+		pl_document_parse(text, strlen(text), 1, &document, problems),
+		PL_ERR_CONFIG);
+	assert_null(document);
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+		if (!strstr(pl_problems_text(problems), expected[i]))
+			fail_msg("no \"%s\" in:\n%s", expected[i],
+				 pl_problems_text(problems));
+	}
+	assert_int_equal(pl_problems_count(problems), G_N_ELEMENTS(expected));
+	pl_problems_delete(problems);
+}
+
+static void difference_is_told_in_words(void **state)
+{
+	pl_document_t *one = parse_(base_);
+	pl_document_t *two = parse_("format = 1\n"
+				    "[[service]]\nname = \"permits\"\n"
+				    "addresses = [\"192.0.2.9:5683\"]\n"
+				    "[service.share]\ngent = 3\n"
+				    "[[service]]\nname = \"new\"\n"
+				    "addresses = [\"192.0.2.2:5683\"]\n");
+	char *text = pl_document_diff(one, two);
+
+	(void)state;
+	assert_string_equal(
+		text, "service meters removed\n"
+		      "service new added\n"
+		      "service permits: address 192.0.2.1:5683 removed\n"
+		      "service permits: address 192.0.2.9:5683 added\n"
+		      "service permits: deadline_ms 3000 -> 5000\n"
+		      "service permits: share of gent 2 -> 3\n"
+		      "service permits: share of brugge 1 removed\n"
+		      "service permits: objective latency 99.9500% within "
+		      "500 ms over 28 days removed\n");
+	free(text);
+	text = pl_document_diff(one, one);
+	assert_string_equal(text, "");
+	free(text);
+	pl_document_put(one);
+	pl_document_put(two);
+}
+
+static void examples_are_valid(void **state)
+{
+	static const char *const documents[] = {
+		EXAMPLES "/document-hydrantis.toml",
+		EXAMPLES "/document-mesure-juste.toml",
+	};
+	static const char *const settings_files[] = {
+		EXAMPLES "/settings-entry.toml",
+		EXAMPLES "/settings-agent.toml",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(documents); i++) {
+		char *text = NULL;
+
+		assert_true(
+			g_file_get_contents(documents[i], &text, NULL, NULL));
+		pl_document_put(parse_(text));
+		g_free(text);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(settings_files); i++) {
+		pl_problems_t *problems = pl_problems_new(settings_files[i]);
+		pl_settings_t *settings = NULL;
+
+		if (pl_settings_load(settings_files[i], &settings, problems) !=
+		    PL_OK)
+			fail_msg("%s", pl_problems_text(problems));
+		pl_settings_free(settings);
+		pl_problems_delete(problems);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(section_survives_its_encoding),
+		cmocka_unit_test(layout_of_the_text_does_not_change_the_hash),
+		cmocka_unit_test(every_problem_names_its_line),
+		cmocka_unit_test(difference_is_told_in_words),
+		cmocka_unit_test(examples_are_valid),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
