--- /dev/null
+++ b/test/standin/backend/backend.c
@@ -0,0 +1,404 @@
+/**
+ * @file
+ * Stand-in for a backend server: a libcoap server with a few slots that
+ * announces itself to its agent.
+ */
+#include "backend.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define PATH_BYTES 64
+#define POLL_MS 50
+#define LEAVE_MS 3000
+#define STATE_PREFIX "state/"
+
+typedef struct {
+	coap_context_t *coap;
+	backend_options_t options;
+	work_t *work;
+	announce_t *announce;
+	GHashTable *versions; /* path of a state to its version */
+	bool leaving;
+} backend_t;
+
+static volatile sig_atomic_t stop_;
+
+static void on_signal_(int number)
+{
+	stop_ = 1;
+}
+
+static backend_t *self_(coap_session_t *session)
+{
+	return coap_get_app_data(coap_session_get_context(session));
+}
+
+static char *path_of_(const coap_pdu_t *request)
+{
+	coap_string_t *path = coap_get_uri_path(request);
+	char *text = path ? g_strndup((const char *)path->s, path->length) :
+			    g_strdup("");
+
+	coap_delete_string(path);
+	return text;
+}
+
+static void on_request_(coap_resource_t *resource, coap_session_t *session,
+			const coap_pdu_t *request, const coap_string_t *query,
+			coap_pdu_t *response);
+
+/*
+ * libcoap knows a long answer in progress by its resource, so each path that
+ * is asked for gets a resource of its own.
+ */
+static coap_resource_t *resource_of_(backend_t *backend, const char *path)
+{
+	coap_str_const_t name = { strlen(path), (const uint8_t *)path };
+	coap_resource_t *resource =
+		coap_get_resource_from_uri_path(backend->coap, &name);
+
+	if (resource)
+		return resource;
+	resource = coap_resource_init(coap_new_str_const(name.s, name.length),
+				      COAP_RESOURCE_FLAGS_RELEASE_URI);
+	coap_register_handler(resource, COAP_REQUEST_GET, on_request_);
+	coap_register_handler(resource, COAP_REQUEST_POST, on_request_);
+	coap_add_resource(backend->coap, resource);
+	return resource;
+}
+
+static void on_request_(coap_resource_t *resource, coap_session_t *session,
+			const coap_pdu_t *request, const coap_string_t *query,
+			coap_pdu_t *response)
+{
+	backend_t *backend = self_(session);
+	char *path = path_of_(request);
+
+	work_take(backend->work, resource_of_(backend, path), session, request,
+		  response, path);
+	g_free(path);
+}
+
+/* A state is small and always at hand, so that it is answered at once. */
+static void on_state_(coap_resource_t *resource, coap_session_t *session,
+		      const coap_pdu_t *request, const coap_string_t *query,
+		      coap_pdu_t *response)
+{
+	backend_t *backend = self_(session);
+	coap_str_const_t *name = coap_resource_get_uri_path(resource);
+	char *path = g_strndup((const char *)name->s, name->length);
+	uint64_t version = (uint64_t)(uintptr_t)g_hash_table_lookup(
+		backend->versions, path);
+	char *text = pl_content_state(backend->options.service, path, version);
+
+	coap_pdu_set_code(response, COAP_RESPONSE_CODE(205));
+	coap_add_data(response, strlen(text), (const uint8_t *)text);
+	g_free(text);
+	g_free(path);
+}
+
+static void add_state_(backend_t *backend, const char *path)
+{
+	coap_resource_t *resource = coap_resource_init(
+		coap_new_str_const((const uint8_t *)path, strlen(path)),
+		COAP_RESOURCE_FLAGS_RELEASE_URI |
+			COAP_RESOURCE_FLAGS_NOTIFY_CON);
+
+	coap_register_handler(resource, COAP_REQUEST_GET, on_state_);
+	coap_resource_set_get_observable(resource, 1);
+	coap_add_resource(backend->coap, resource);
+}
+
+static coap_response_t on_response_(coap_session_t *session,
+				    const coap_pdu_t *sent,
+				    const coap_pdu_t *received,
+				    const coap_mid_t mid)
+{
+	announce_response(self_(session)->announce, received);
+	return COAP_RESPONSE_OK;
+}
+
+static void on_nack_(coap_session_t *session, const coap_pdu_t *sent,
+		     const coap_nack_reason_t reason, const coap_mid_t mid)
+{
+	announce_failed(self_(session)->announce, session);
+}
+
+/* update NAME [VERSION]: a new version of /state/NAME, told to observers. */
+static void command_update_(void *ctx, char **words, int count)
+{
+	backend_t *backend = ctx;
+	char path[PATH_BYTES];
+	coap_str_const_t name;
+	coap_resource_t *resource;
+	uintptr_t version;
+
+	snprintf(path, sizeof(path), STATE_PREFIX "%s", words[1]);
+	name.s = (const uint8_t *)path;
+	name.length = strlen(path);
+	resource = coap_get_resource_from_uri_path(backend->coap, &name);
+	if (!resource) {
+		pl_line_print("error no such state");
+		return;
+	}
+	version = (uintptr_t)g_hash_table_lookup(backend->versions, path) + 1;
+	if (count > 2)
+		version = strtoul(words[2], NULL, 10);
+	g_hash_table_replace(backend->versions, g_strdup(path),
+			     (gpointer)version);
+	coap_resource_notify_observers(resource, NULL);
+	pl_line_print("ok version=%zu", (size_t)version);
+}
+
+static void command_runs_(void *ctx, char **words, int count)
+{
+	work_print_runs(((backend_t *)ctx)->work);
+}
+
+static void command_shed_(void *ctx, char **words, int count)
+{
+	work_set_shed(((backend_t *)ctx)->work, strcmp(words[1], "on") == 0);
+	pl_line_print("ok");
+}
+
+static void command_slow_(void *ctx, char **words, int count)
+{
+	work_set_service_ms(((backend_t *)ctx)->work,
+			    (uint32_t)strtoul(words[1], NULL, 10));
+	pl_line_print("ok");
+}
+
+static void command_drain_(void *ctx, char **words, int count)
+{
+	((backend_t *)ctx)->leaving = true;
+	announce_remove(((backend_t *)ctx)->announce);
+	pl_line_print("ok");
+}
+
+static void command_agent_(void *ctx, char **words, int count)
+{
+	pl_addr_t agent;
+
+	if (pl_addr_parse(words[1], &agent, NULL) != PL_OK) {
+		pl_line_print("error address");
+		return;
+	}
+	announce_set_agent(((backend_t *)ctx)->announce, &agent);
+	pl_line_print("ok");
+}
+
+static void command_status_(void *ctx, char **words, int count)
+{
+	const backend_t *backend = ctx;
+
+	pl_line_print("ok registered=%d busy=%zu",
+		      announce_registered(backend->announce),
+		      work_busy(backend->work));
+}
+
+static const pl_line_command_t commands_[] = {
+	{ "update", 2, command_update_ }, { "runs", 1, command_runs_ },
+	{ "shed", 2, command_shed_ },	  { "slow", 2, command_slow_ },
+	{ "drain", 1, command_drain_ },	  { "agent", 2, command_agent_ },
+	{ "status", 1, command_status_ }, { NULL, 0, NULL },
+};
+
+enum {
+	OPTION_NAME = 'n',
+	OPTION_SERVICE = 's',
+	OPTION_AGENT = 'a',
+	OPTION_RECORD = 'r',
+	OPTION_SLOTS = 256,
+	OPTION_SERVICE_MS,
+	OPTION_COLD_START_MS,
+	OPTION_LIFETIME,
+};
+
+static const struct argp_option argp_options_[] = {
+	{ "name", OPTION_NAME, "NAME", 0, "Name of the endpoint", 0 },
+	{ "service", OPTION_SERVICE, "NAME", 0, "Service that it serves", 0 },
+	{ "agent", OPTION_AGENT, "IP:PORT", 0, "Agent to announce to", 0 },
+	{ "record", OPTION_RECORD, "FILE", 0, "Append each run to FILE", 0 },
+	{ "slots", OPTION_SLOTS, "N", 0, "Requests run at once", 0 },
+	{ "service-ms", OPTION_SERVICE_MS, "MS", 0, "Time of a request", 0 },
+	{ "cold-start-ms", OPTION_COLD_START_MS, "MS", 0,
+	  "Time after the start in which requests take four times as long",
+	  0 },
+	{ "lifetime", OPTION_LIFETIME, "S", 0, "Of the announcement", 0 },
+	{ 0 },
+};
+
+static error_t parse_(int key, char *arg, struct argp_state *state)
+{
+	backend_options_t *options = state->input;
+
+	switch (key) {
+	case OPTION_NAME:
+		options->name = arg;
+		return 0;
+	case OPTION_SERVICE:
+		options->service = arg;
+		return 0;
+	case OPTION_AGENT:
+		options->agent = arg;
+		return 0;
+	case OPTION_RECORD:
+		options->record = arg;
+		return 0;
+	case OPTION_SLOTS:
+		options->slots = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case OPTION_SERVICE_MS:
+		options->service_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case OPTION_COLD_START_MS:
+		options->cold_start_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case OPTION_LIFETIME:
+		options->lifetime_s = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp_ = { argp_options_, parse_, NULL,
+				   "Stand-in for a backend server.",
+				   NULL,	  NULL,	  NULL };
+
+/*
+ * libcoap does not tell the port that the kernel chose for an endpoint, so
+ * one is taken from a probing socket.
+ */
+static pl_addr_t listen_(backend_t *backend)
+{
+	struct sockaddr_storage storage = { 0 };
+	struct sockaddr_in *in = (struct sockaddr_in *)&storage;
+	socklen_t len = sizeof(storage);
+	coap_address_t address;
+	pl_addr_t own = { 0 };
+
+	for (bool done = false; !done;) {
+		int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+		memset(&storage, 0, sizeof(storage));
+		in->sin_family = AF_INET;
+		in->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		len = sizeof(storage);
+		if (bind(fd, (struct sockaddr *)&storage, sizeof(*in)) != 0 ||
+		    getsockname(fd, (struct sockaddr *)&storage, &len) != 0)
+			exit(EXIT_FAILURE);
+		close(fd);
+		coap_address_init(&address);
+		address.size = sizeof(*in);
+		memcpy(&address.addr, in, sizeof(*in));
+		done = coap_new_endpoint(backend->coap, &address,
+					 COAP_PROTO_UDP) != NULL;
+	}
+	pl_addr_from_sockaddr(&storage, &own);
+	return own;
+}
+
+static void add_resources_(backend_t *backend)
+{
+	coap_resource_t *any = coap_resource_unknown_init(on_request_);
+	char path[PATH_BYTES];
+
+	coap_register_handler(any, COAP_REQUEST_GET, on_request_);
+	coap_register_handler(any, COAP_REQUEST_POST, on_request_);
+	coap_add_resource(backend->coap, any);
+	(void)resource_of_(backend, "applications");
+	(void)resource_of_(backend, "uploads");
+	for (int i = 0; i < BACKEND_STATES; i++) {
+		snprintf(path, sizeof(path), STATE_PREFIX "%d", i);
+		add_state_(backend, path);
+	}
+}
+
+/* Waits for input or the next thing to do, then does what is due. */
+static void step_(backend_t *backend)
+{
+	coap_tick_t now;
+	int wait_ms = POLL_MS;
+	int next_ms = work_answer_due(backend->work);
+
+	if (next_ms >= 0)
+		wait_ms = MIN(wait_ms, next_ms);
+	if (!backend->leaving || announce_removing(backend->announce))
+		next_ms = announce_run(backend->announce);
+	if (next_ms >= 0)
+		wait_ms = MIN(wait_ms, next_ms);
+	coap_ticks(&now);
+	next_ms = (int)coap_io_prepare_epoll(backend->coap, now);
+	if (next_ms > 0)
+		wait_ms = MIN(wait_ms, next_ms);
+	struct pollfd fds[] = {
+		{ .fd = STDIN_FILENO, .events = POLLIN },
+		{ .fd = coap_context_get_coap_fd(backend->coap),
+		  .events = POLLIN },
+	};
+	(void)poll(fds, G_N_ELEMENTS(fds), wait_ms);
+	coap_io_process(backend->coap, COAP_IO_NO_WAIT);
+}
+
+/* Removes the registration and ends the requests in progress. */
+static void leave_(backend_t *backend)
+{
+	uint64_t until_ms = pl_now_ms() + LEAVE_MS;
+
+	backend->leaving = true;
+	announce_remove(backend->announce);
+	while ((announce_removing(backend->announce) ||
+		work_busy(backend->work) > 0) &&
+	       pl_now_ms() < until_ms)
+		step_(backend);
+}
+
+int main(int argc, char **argv)
+{
+	backend_t backend = { .options = { .name = "backend",
+					   .service = "permit-desk",
+					   .slots = 5,
+					   .service_ms = 10,
+					   .lifetime_s = 6 } };
+	pl_line_reader_t reader;
+	char text[PL_ADDR_TEXT_MAX];
+	pl_addr_t own;
+
+	argp_parse(&argp_, argc, argv, 0, NULL, &backend.options);
+	signal(SIGTERM, on_signal_);
+	coap_startup();
+	coap_set_log_level(LOG_ERR);
+	backend.coap = coap_new_context(NULL);
+	coap_set_app_data(backend.coap, &backend);
+	coap_context_set_block_mode(backend.coap,
+				    COAP_BLOCK_USE_LIBCOAP |
+					    COAP_BLOCK_SINGLE_BODY);
+	coap_register_response_handler(backend.coap, on_response_);
+	coap_register_nack_handler(backend.coap, on_nack_);
+	backend.versions = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL);
+	add_resources_(&backend);
+	own = listen_(&backend);
+	backend.work = work_new(backend.coap, &backend.options);
+	backend.announce =
+		announce_new(backend.coap, &backend.options, &own);
+	pl_line_reader_init(&reader, STDIN_FILENO);
+	pl_line_print("ready listen=%s", pl_addr_format(&own, text));
+	while (!stop_ && pl_line_reader_run(&reader, commands_, &backend))
+		step_(&backend);
+	leave_(&backend);
+	announce_delete(backend.announce);
+	work_delete(backend.work);
+	coap_free_context(backend.coap);
+	coap_cleanup();
+	g_hash_table_destroy(backend.versions);
+	pl_line_reader_finish(&reader);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/standin/backend/work.c
@@ -0,0 +1,310 @@
+/**
+ * @file
+ * Requests in progress at a backend server. Each takes a slot for the
+ * service time and is answered by a separate response (RFC 7252 section
+ * 5.2.2). An operation runs, and is recorded, when it takes its slot.
+ */
+#include "backend.h"
+
+#include <inttypes.h>
+#include <pimentolift/hash.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define TOKEN_MAX 8
+#define COLD_START_FACTOR 4
+/* EXCHANGE_LIFETIME would outlast the 16-bit message IDs of a busy agent. */
+#define REPEAT_WINDOW_MS 60000
+#define REPEATS_MAX 65536
+#define MAX_AGE_REFUSED_S 1
+#define DEADLINE_QUERY "deadline_ms="
+
+/* A request that holds a slot. */
+typedef struct {
+	uint64_t due_ms;
+	coap_session_t *session;
+	coap_resource_t *resource;
+	coap_pdu_t *request;
+	coap_string_t *query;
+	uint8_t code;
+	char *head; /* first line of the answer, or the whole of it */
+	size_t size; /* bytes of the answer */
+} job_t;
+
+/* A message that was seen: who sent it and its ID. */
+typedef struct {
+	uint64_t key;
+	uint64_t seen_ms;
+} repeat_t;
+
+struct work {
+	coap_context_t *coap;
+	const backend_options_t *options;
+	uint32_t service_ms;
+	uint64_t started_ms;
+	bool shed;
+	GQueue jobs;
+	GHashTable *seen;
+	GQueue seen_order;
+	GString *runs;
+	size_t run_count;
+	size_t refused;
+	FILE *record;
+};
+
+work_t *work_new(coap_context_t *coap, const backend_options_t *options)
+{
+	work_t *work = g_new0(work_t, 1);
+
+	work->coap = coap;
+	work->options = options;
+	work->service_ms = options->service_ms;
+	work->started_ms = pl_now_ms();
+	work->seen = g_hash_table_new(g_int64_hash, g_int64_equal);
+	work->runs = g_string_new(NULL);
+	g_queue_init(&work->jobs);
+	g_queue_init(&work->seen_order);
+	if (options->record)
+		work->record = fopen(options->record, "a");
+	return work;
+}
+
+static void job_delete_(job_t *job)
+{
+	coap_session_release(job->session);
+	coap_delete_pdu(job->request);
+	coap_delete_string(job->query);
+	g_free(job->head);
+	g_free(job);
+}
+
+void work_delete(work_t *work)
+{
+	job_t *job;
+
+	while ((job = g_queue_pop_head(&work->jobs)))
+		job_delete_(job);
+	g_hash_table_destroy(work->seen);
+	g_queue_clear_full(&work->seen_order, g_free);
+	g_string_free(work->runs, TRUE);
+	if (work->record)
+		fclose(work->record);
+	g_free(work);
+}
+
+/* Whether this message was seen before (RFC 7252 section 4.5). */
+static bool repeated_(work_t *work, const coap_session_t *session,
+		      const coap_pdu_t *request)
+{
+	const coap_address_t *from = coap_session_get_addr_remote(session);
+	uint64_t now_ms = pl_now_ms();
+	repeat_t *repeat;
+
+	while ((repeat = g_queue_peek_head(&work->seen_order)) &&
+	       (repeat->seen_ms + REPEAT_WINDOW_MS < now_ms ||
+		work->seen_order.length > REPEATS_MAX)) {
+		g_hash_table_remove(work->seen, &repeat->key);
+		g_free(g_queue_pop_head(&work->seen_order));
+	}
+	repeat = g_new(repeat_t, 1);
+	repeat->seen_ms = now_ms;
+	repeat->key = pl_hash(&from->addr, from->size,
+			      (uint64_t)coap_pdu_get_mid(request));
+	if (g_hash_table_contains(work->seen, &repeat->key)) {
+		g_free(repeat);
+		return true;
+	}
+	g_hash_table_add(work->seen, &repeat->key);
+	g_queue_push_tail(&work->seen_order, repeat);
+	return false;
+}
+
+/* Writes down that an operation ran, at once, so that a kill loses nothing. */
+static void record_run_(work_t *work, const char *id)
+{
+	g_string_append_printf(work->runs, "%s%s", work->run_count ? "," : "",
+			       id);
+	work->run_count++;
+	if (!work->record)
+		return;
+	fprintf(work->record, "%s %s %s %" PRIu64 "\n", id,
+		work->options->service, work->options->name, pl_now_ms());
+	fflush(work->record);
+}
+
+/* Runs a POST: records it and prepares the answer. */
+static void run_post_(work_t *work, job_t *job, const char *path)
+{
+	size_t len = 0;
+	size_t offset = 0;
+	size_t total = 0;
+	const uint8_t *data = NULL;
+	char *id;
+
+	(void)coap_get_data_large(job->request, &len, &data, &offset, &total);
+	id = data ? pl_content_field((const char *)data, len, "id") : NULL;
+	record_run_(work, id ? id : "none");
+	job->code = COAP_RESPONSE_CODE(201);
+	if (g_str_has_prefix(path, "uploads"))
+		job->head = g_strdup_printf(
+			"service=%s id=%s size=%zu hash=%016" PRIx64 "\n",
+			work->options->service, id ? id : "none", len,
+			pl_hash(data, len, 0));
+	else
+		job->head = g_strdup_printf("service=%s id=%s\n",
+					    work->options->service,
+					    id ? id : "none");
+	job->size = strlen(job->head);
+	g_free(id);
+}
+
+static void run_get_(work_t *work, job_t *job, const char *path)
+{
+	static const char blob[] = "blob/";
+
+	job->code = COAP_RESPONSE_CODE(205);
+	job->head = pl_content_text(work->options->service, path);
+	job->size = strlen(job->head);
+	if (g_str_has_prefix(path, blob))
+		job->size = strtoul(path + strlen(blob), NULL, 10);
+}
+
+static uint32_t service_ms_(const work_t *work)
+{
+	uint64_t age_ms = pl_now_ms() - work->started_ms;
+
+	return age_ms < work->options->cold_start_ms ?
+		       work->service_ms * COLD_START_FACTOR :
+		       work->service_ms;
+}
+
+static bool too_late_(const work_t *work, const coap_string_t *query)
+{
+	const char *at = query ? g_strstr_len((const char *)query->s,
+					      (gssize)query->length,
+					      DEADLINE_QUERY) :
+				 NULL;
+
+	return at && strtoul(at + strlen(DEADLINE_QUERY), NULL, 10) <
+			     service_ms_(work);
+}
+
+static void refuse_(work_t *work, coap_pdu_t *response)
+{
+	uint8_t buf[4];
+
+	work->refused++;
+	coap_pdu_set_code(response, COAP_RESPONSE_CODE(503));
+	coap_add_option(response, COAP_OPTION_MAXAGE,
+			coap_encode_var_safe(buf, sizeof(buf),
+					     MAX_AGE_REFUSED_S),
+			buf);
+}
+
+/* The body of a gathered upload goes with the copy of its request. */
+static coap_pdu_t *copy_request_(coap_session_t *session,
+				 const coap_pdu_t *request)
+{
+	coap_bin_const_t token = coap_pdu_get_token(request);
+
+	return coap_pdu_duplicate(request, session, token.length, token.s,
+				  NULL);
+}
+
+void work_take(work_t *work, coap_resource_t *resource,
+	       coap_session_t *session, const coap_pdu_t *request,
+	       coap_pdu_t *response, const char *path)
+{
+	coap_string_t *query = coap_get_query(request);
+	job_t *job;
+
+	if (repeated_(work, session, request)) {
+		coap_delete_string(query);
+		return;
+	}
+	if (work->shed || work->jobs.length >= work->options->slots ||
+	    too_late_(work, query)) {
+		refuse_(work, response);
+		coap_delete_string(query);
+		return;
+	}
+	job = g_new0(job_t, 1);
+	job->due_ms = pl_now_ms() + service_ms_(work);
+	job->session = coap_session_reference(session);
+	job->resource = resource;
+	job->query = query;
+	job->request = (coap_pdu_t *)request;
+	if (coap_pdu_get_code(request) == COAP_REQUEST_CODE_POST)
+		run_post_(work, job, path);
+	else
+		run_get_(work, job, path);
+	job->request = copy_request_(session, request);
+	g_queue_push_tail(&work->jobs, job);
+}
+
+static void release_body_(coap_session_t *session, void *body)
+{
+	g_free(body);
+}
+
+static void answer_(job_t *job)
+{
+	bool con = coap_pdu_get_type(job->request) == COAP_MESSAGE_CON;
+	coap_bin_const_t token = coap_pdu_get_token(job->request);
+	uint8_t *body = pl_content_body(job->head, job->size);
+	coap_pdu_t *pdu = coap_new_pdu(con ? COAP_MESSAGE_CON :
+					     COAP_MESSAGE_NON,
+				       (coap_pdu_code_t)job->code,
+				       job->session);
+
+	coap_add_token(pdu, token.length, token.s);
+	coap_add_data_large_response(job->resource, job->session, job->request,
+				     pdu, job->query,
+				     COAP_MEDIATYPE_TEXT_PLAIN, -1, 0,
+				     job->size, body, release_body_, body);
+	coap_send(job->session, pdu);
+}
+
+int work_answer_due(work_t *work)
+{
+	uint64_t now_ms = pl_now_ms();
+	uint64_t next_ms = UINT64_MAX;
+	GList *next;
+
+	for (GList *node = work->jobs.head; node; node = next) {
+		job_t *job = node->data;
+
+		next = node->next;
+		if (job->due_ms > now_ms) {
+			next_ms = MIN(next_ms, job->due_ms);
+			continue;
+		}
+		answer_(job);
+		g_queue_delete_link(&work->jobs, node);
+		job_delete_(job);
+	}
+	return next_ms == UINT64_MAX ? -1 : (int)(next_ms - now_ms);
+}
+
+void work_set_shed(work_t *work, bool shed)
+{
+	work->shed = shed;
+}
+
+void work_set_service_ms(work_t *work, uint32_t service_ms)
+{
+	work->service_ms = service_ms;
+}
+
+void work_print_runs(const work_t *work)
+{
+	pl_line_print("ok runs=%zu refused=%zu busy=%u ids=%s",
+		      work->run_count, work->refused, work->jobs.length,
+		      work->runs->str);
+}
+
+size_t work_busy(const work_t *work)
+{
+	return work->jobs.length;
+}
