--- /dev/null
+++ b/src/member/merge.c
@@ -0,0 +1,271 @@
+/**
+ * @file Merging of what others say into the table.
+ *
+ * Records of a member are ordered by its incarnation, which only the member
+ * itself raises: at its start from the wall clock, then by one for each
+ * change of attributes, refuted suspicion or pause. Within an incarnation a
+ * later state goes before an earlier one: alive, suspect, dead, left.
+ */
+#include "private/member_private.h"
+
+#include <assert.h>
+#include <math.h>
+
+void pl_member_record_(const pl_member_t *member, bool whole,
+		       pl_gossip_record_t *record)
+{
+	*record = (pl_gossip_record_t){
+		.id = member->id,
+		.incarnation = member->incarnation,
+		.state = member->state,
+		.role = member->role,
+		.whole = whole && member->dc,
+	};
+	if (!record->whole)
+		return;
+	record->boot = member->boot;
+	record->datacentre = member->dc->id;
+	record->started_s = member->started_s;
+	record->attr = member->attr;
+}
+
+/* Raises the own incarnation above @p above and spreads it. */
+void pl_member_raise_(pl_member_table_t *table, uint32_t above)
+{
+	pl_member_t *self = table->self;
+
+	if (self->incarnation > above)
+		return;
+	pl_member_uncount_(table, self);
+	self->incarnation = above + 1;
+	pl_member_recount_(table, self, self->state);
+	pl_member_queue_(table, self);
+}
+
+static void apply_self_(pl_member_table_t *table,
+			const pl_gossip_record_t *record)
+{
+	pl_member_t *self = table->self;
+	bool other_life = record->whole && record->boot != self->boot;
+
+	if (record->incarnation < self->incarnation)
+		return;
+	if (record->incarnation == self->incarnation && !other_life &&
+	    (record->state == self->state ||
+	     record->state == PL_MEMBER_UNREACHABLE || table->leaving))
+		return;
+	table->refuted++;
+	pl_member_raise_(table, (uint32_t)record->incarnation);
+}
+
+static pl_ms_t suspicion_ms_(const pl_member_table_t *table)
+{
+	double tenfold = log10((double)pl_member_others_(table) + 1);
+	pl_ms_t time = PL_MEMBER_SUSPICION_MIN_MS +
+		       (pl_ms_t)(tenfold * PL_MEMBER_SUSPICION_STEP_MS);
+
+	return MIN(time, PL_MEMBER_SUSPICION_MAX_MS);
+}
+
+static bool watched_(const pl_member_table_t *table, pl_member_id_t id)
+{
+	pl_list_for_each(node, &table->watches) {
+		if (PL_CONTAINER_OF(node, pl_watch_t, link)->id == id)
+			return true;
+	}
+	return false;
+}
+
+/* Starts the time in which a suspect can refute; the list is by time. */
+static void start_suspicion_(pl_member_table_t *table, pl_member_t *member)
+{
+	pl_list_t *position = &table->suspects;
+
+	member->deadline = table->now + (watched_(table, member->id) ?
+						 PL_MEMBER_SUSPICION_MIN_MS :
+						 suspicion_ms_(table));
+	member->next_probe = table->now;
+	member->own_suspicion = false;
+	pl_list_remove(&member->suspect_link);
+	while (position->prev != &table->suspects &&
+	       PL_CONTAINER_OF(position->prev, pl_member_t, suspect_link)
+			       ->deadline > member->deadline)
+		position = position->prev;
+	pl_list_insert_before(position, &member->suspect_link);
+}
+
+void pl_member_suspect_(pl_member_table_t *table, pl_member_t *member)
+{
+	if (member->state != PL_MEMBER_ALIVE || member == table->self)
+		return;
+	start_suspicion_(table, member);
+	pl_member_set_state_(table, member, PL_MEMBER_SUSPECT);
+	pl_member_queue_(table, member);
+	if (member->dc)
+		pl_member_partition_suspect_(table, member->dc);
+}
+
+void pl_member_bury_(pl_member_table_t *table, pl_member_t *member,
+		     pl_member_state_t state)
+{
+	assert(state == PL_MEMBER_DEAD || state == PL_MEMBER_LEFT);
+	member->deadline = table->now + PL_MEMBER_TOMBSTONE_MS;
+	pl_member_set_state_(table, member, state);
+}
+
+static void take_names_(pl_member_t *member, const pl_gossip_record_t *record)
+{
+	if (record->name && !member->name)
+		member->name = g_strndup(record->name, record->name_len);
+	if (member->name)
+		member->want_names = false;
+	if (record->datacentre_name && member->dc && !member->dc->name)
+		member->dc->name = g_strndup(record->datacentre_name,
+					     record->datacentre_name_len);
+}
+
+static void take_fields_(pl_member_table_t *table, pl_member_t *member,
+			 const pl_gossip_record_t *record)
+{
+	member->incarnation = (uint32_t)record->incarnation;
+	member->stale = !record->whole;
+	if (!record->whole)
+		return;
+	member->role = record->role;
+	member->boot = record->boot;
+	member->dc = pl_member_dc_(table, record->datacentre);
+	member->started_s = record->started_s;
+	member->attr = record->attr;
+}
+
+/* Sets what belongs to a state that came from others. */
+static void enter_state_(pl_member_table_t *table, pl_member_t *member)
+{
+	if (member->state == PL_MEMBER_SUSPECT)
+		start_suspicion_(table, member);
+	if (!pl_member_live_(member))
+		member->deadline = table->now + PL_MEMBER_TOMBSTONE_MS;
+}
+
+static void apply_unknown_(pl_member_table_t *table,
+			   const pl_gossip_record_t *record)
+{
+	pl_member_t *member;
+
+	if (!record->whole && record->state != PL_MEMBER_DEAD &&
+	    record->state != PL_MEMBER_LEFT)
+		return;
+	member = pl_member_add_(table, record->id);
+	member->role = record->role;
+	member->want_names = true;
+	take_fields_(table, member, record);
+	member->state = record->state;
+	enter_state_(table, member);
+	pl_member_recount_(table, member, PL_MEMBER_STATE_COUNT);
+	take_names_(member, record);
+	if (member->state != PL_MEMBER_UNREACHABLE)
+		pl_member_queue_(table, member);
+}
+
+/* A later life, or later word of the member itself. */
+static void apply_newer_(pl_member_table_t *table, pl_member_t *member,
+			 const pl_gossip_record_t *record)
+{
+	pl_member_state_t old = member->state;
+
+	pl_member_uncount_(table, member);
+	if (record->whole && record->boot != member->boot) {
+		member->revision = 0;
+		member->want_names = true;
+	}
+	take_fields_(table, member, record);
+	member->state = record->state == PL_MEMBER_UNREACHABLE ?
+				PL_MEMBER_ALIVE :
+				record->state;
+	enter_state_(table, member);
+	pl_member_recount_(table, member, old);
+	take_names_(member, record);
+	pl_member_queue_(table, member);
+	if (member->state == PL_MEMBER_SUSPECT && member->dc)
+		pl_member_partition_suspect_(table, member->dc);
+}
+
+/*
+ * Whether @p sender may say that @p member is dead. Of a data centre that is
+ * or may be cut off only those within it know.
+ */
+static bool may_bury_(const pl_member_table_t *table, const pl_member_t *member,
+		      pl_member_id_t sender)
+{
+	const pl_member_t *witness;
+
+	if (!member->dc || !(member->dc->cut || member->dc->sounding))
+		return true;
+	witness = pl_member_lookup_(table, sender);
+	return witness && witness->dc == member->dc;
+}
+
+/* Another state within the known incarnation. */
+static void apply_state_(pl_member_table_t *table, pl_member_t *member,
+			 const pl_gossip_record_t *record,
+			 pl_member_id_t sender)
+{
+	if (record->state == member->state) {
+		pl_member_echo_(table, member);
+		return;
+	}
+	if (record->state < member->state)
+		return;
+	switch (record->state) {
+	case PL_MEMBER_SUSPECT:
+		pl_member_suspect_(table, member);
+		break;
+	case PL_MEMBER_DEAD:
+		if (!may_bury_(table, member, sender))
+			return;
+		pl_member_bury_(table, member, PL_MEMBER_DEAD);
+		pl_member_queue_(table, member);
+		break;
+	case PL_MEMBER_LEFT:
+		pl_member_bury_(table, member, PL_MEMBER_LEFT);
+		pl_member_queue_(table, member);
+		break;
+	default:
+		break;
+	}
+}
+
+void pl_member_apply_(pl_member_table_t *table,
+		      const pl_gossip_record_t *record, pl_member_id_t sender)
+{
+	pl_member_t *member;
+
+	if (record->id == table->self->id) {
+		apply_self_(table, record);
+		return;
+	}
+	member = pl_member_lookup_(table, record->id);
+	if (!member) {
+		apply_unknown_(table, record);
+		return;
+	}
+	if (record->incarnation < member->incarnation)
+		return;
+	/* word of a life whose record is still to come says only its end */
+	if (record->incarnation > member->incarnation &&
+	    (record->whole || record->state >= PL_MEMBER_SUSPECT)) {
+		if (may_bury_(table, member, sender) ||
+		    record->state < PL_MEMBER_DEAD)
+			apply_newer_(table, member, record);
+		return;
+	}
+	if (record->incarnation > member->incarnation)
+		return;
+	if (record->whole && member->stale) {
+		pl_member_uncount_(table, member);
+		take_fields_(table, member, record);
+		pl_member_recount_(table, member, member->state);
+	}
+	take_names_(member, record);
+	apply_state_(table, member, record, sender);
+}
--- /dev/null
+++ b/src/member/probe.c
@@ -0,0 +1,306 @@
+/** @file Failure detection: probes, indirect probes, watches, suspicion. */
+#include "private/member_private.h"
+
+#include <assert.h>
+
+/** Members looked at for the next one to probe. */
+#define PROBE_STEPS_MAX 256
+/** Records looked at for expiry in each beat. */
+#define SWEEP_PER_BEAT 8
+
+static void free_probe_(pl_probe_t *probe)
+{
+	pl_list_remove(&probe->link);
+	g_free(probe);
+}
+
+void pl_member_probes_clear_(pl_member_table_t *table)
+{
+	pl_list_for_each_safe(node, &table->probes)
+		free_probe_(PL_CONTAINER_OF(node, pl_probe_t, link));
+}
+
+static void send_ping_(pl_member_table_t *table, const pl_probe_t *probe)
+{
+	const pl_member_t *target = pl_member_lookup_(table, probe->target);
+	pl_gossip_message_t ping = { .type = PL_GOSSIP_PING,
+				     .sequence = probe->sequence };
+	pl_extra_t extra = { 0 };
+
+	if (!target || target->stale)
+		extra.flags |= PL_GOSSIP_WANT_RECORD;
+	/* it can refute only what it is told */
+	if (target && (target->state == PL_MEMBER_SUSPECT ||
+		       target->state == PL_MEMBER_DEAD))
+		extra.about = target;
+	if (target && target->want_names)
+		extra.flags |= PL_GOSSIP_WANT_NAMES;
+	pl_member_send_(table, probe->target, &ping, &extra);
+}
+
+static pl_probe_t *start_(pl_member_table_t *table, pl_probe_kind_t kind,
+			  pl_member_id_t target, pl_ms_t until)
+{
+	pl_probe_t *probe = g_new0(pl_probe_t, 1);
+
+	probe->kind = kind;
+	probe->target = target;
+	probe->sequence = ++table->sequence;
+	probe->started = table->now;
+	probe->direct_until = table->now + PL_MEMBER_DIRECT_MS;
+	probe->until = table->now + until;
+	pl_list_append(&table->probes, &probe->link);
+	return probe;
+}
+
+void pl_member_probe_(pl_member_table_t *table, pl_probe_kind_t kind,
+		      pl_member_id_t target)
+{
+	send_ping_(table, start_(table, kind, target, PL_MEMBER_PERIOD_MS));
+}
+
+static void probe_within_(pl_member_table_t *table, pl_member_id_t target,
+			  pl_ms_t until)
+{
+	send_ping_(table, start_(table, PL_PROBE_OWN, target, until));
+}
+
+void pl_member_ping_for_(pl_member_table_t *table,
+			 const pl_gossip_message_t *message)
+{
+	pl_probe_t *probe = start_(table, PL_PROBE_RELAY, message->target,
+				   PL_MEMBER_PERIOD_MS);
+
+	probe->asker = message->sender;
+	probe->asker_sequence = message->sequence;
+	send_ping_(table, probe);
+}
+
+static void answered_(pl_member_table_t *table, pl_probe_t *probe)
+{
+	pl_gossip_message_t ack = { .type = PL_GOSSIP_ACK_FOR,
+				    .sequence = probe->asker_sequence,
+				    .target = probe->target };
+	const pl_member_t *target = pl_member_lookup_(table, probe->target);
+
+	if (probe->kind == PL_PROBE_RELAY)
+		pl_member_send_(table, probe->asker, &ack, NULL);
+	if (probe->kind == PL_PROBE_SOUND && target && target->dc)
+		pl_member_partition_answered_(table, target->dc);
+}
+
+void pl_member_ack_(pl_member_table_t *table,
+		    const pl_gossip_message_t *message)
+{
+	pl_member_id_t from = message->type == PL_GOSSIP_ACK ? message->sender :
+							       message->target;
+
+	pl_list_for_each(node, &table->probes) {
+		pl_probe_t *probe = PL_CONTAINER_OF(node, pl_probe_t, link);
+
+		if (probe->sequence != message->sequence ||
+		    probe->target != from)
+			continue;
+		answered_(table, probe);
+		free_probe_(probe);
+		return;
+	}
+}
+
+static void probe_indirectly_(pl_member_table_t *table, pl_probe_t *probe)
+{
+	const pl_member_t *target = pl_member_lookup_(table, probe->target);
+
+	for (int i = 0; i < PL_MEMBER_INDIRECT_PROBES; i++) {
+		pl_gossip_message_t ask = { .type = PL_GOSSIP_PING_FOR,
+					    .sequence = probe->sequence,
+					    .target = probe->target };
+		const pl_member_t *relay = pl_member_pick_(table, target);
+
+		if (!relay)
+			return;
+		pl_member_send_(table, relay->id, &ask, NULL);
+	}
+}
+
+static void repeat_(pl_member_table_t *table, pl_probe_t *probe)
+{
+	probe->repeated = true;
+	if (probe->kind == PL_PROBE_OWN)
+		probe_indirectly_(table, probe);
+	if (probe->kind == PL_PROBE_SOUND)
+		send_ping_(table, probe);
+}
+
+static void failed_(pl_member_table_t *table, pl_member_t *target)
+{
+	pl_member_suspect_(table, target);
+	target->own_suspicion = target->state == PL_MEMBER_SUSPECT;
+}
+
+static void check_probes_(pl_member_table_t *table)
+{
+	pl_list_for_each_safe(node, &table->probes) {
+		pl_probe_t *probe = PL_CONTAINER_OF(node, pl_probe_t, link);
+		pl_member_t *target = pl_member_lookup_(table, probe->target);
+
+		if (table->now >= probe->until) {
+			if (target && probe->kind == PL_PROBE_OWN)
+				failed_(table, target);
+			free_probe_(probe);
+		} else if (table->now >= probe->direct_until &&
+			   !probe->repeated) {
+			repeat_(table, probe);
+		}
+	}
+}
+
+/* Asks suspects again, and ends suspicions that were not refuted. */
+static void check_suspects_(pl_member_table_t *table)
+{
+	pl_list_for_each_safe(node, &table->suspects) {
+		pl_member_t *member =
+			PL_CONTAINER_OF(node, pl_member_t, suspect_link);
+
+		if (table->now < member->deadline)
+			return;
+		/* a hold may have changed the states of many members */
+		if (pl_member_partition_hold_(table, member))
+			return;
+		pl_member_bury_(table, member, PL_MEMBER_DEAD);
+		pl_member_queue_(table, member);
+	}
+}
+
+static void shuffle_(pl_member_table_t *table)
+{
+	GPtrArray *members = table->members;
+
+	for (guint i = members->len - 1; i > 0; i--) {
+		guint j = (guint)pl_member_random_below_(table, i + 1);
+		pl_member_t *a = members->pdata[i];
+		pl_member_t *b = members->pdata[j];
+
+		members->pdata[i] = b;
+		members->pdata[j] = a;
+		b->index = i;
+		a->index = j;
+	}
+}
+
+static pl_member_t *next_target_(pl_member_table_t *table)
+{
+	guint steps = MIN(table->members->len, PROBE_STEPS_MAX);
+
+	for (guint i = 0; i < steps; i++) {
+		pl_member_t *member;
+
+		if (table->probe_at >= table->members->len) {
+			table->probe_at = 0;
+			shuffle_(table);
+		}
+		member = table->members->pdata[table->probe_at++];
+		if (member != table->self && member->state == PL_MEMBER_ALIVE)
+			return member;
+	}
+	return NULL;
+}
+
+static void check_watches_(pl_member_table_t *table)
+{
+	pl_list_for_each(node, &table->watches) {
+		pl_watch_t *watch = PL_CONTAINER_OF(node, pl_watch_t, link);
+		const pl_member_t *member = pl_member_lookup_(table, watch->id);
+
+		if (table->now < watch->next || !member ||
+		    member->state != PL_MEMBER_ALIVE)
+			continue;
+		watch->next = table->now + PL_MEMBER_WATCH_MS;
+		probe_within_(table, watch->id, PL_MEMBER_WATCH_MS);
+	}
+}
+
+/* Only a member's own suspicions are asked again; all would be a storm. */
+static void ask_suspects_(pl_member_table_t *table)
+{
+	unsigned int asked = 0;
+
+	pl_list_for_each(node, &table->suspects) {
+		pl_member_t *member =
+			PL_CONTAINER_OF(node, pl_member_t, suspect_link);
+
+		if (!member->own_suspicion || table->now < member->next_probe)
+			continue;
+		member->next_probe = table->now + PL_MEMBER_WATCH_MS;
+		pl_member_probe_(table, PL_PROBE_CONTACT, member->id);
+		if (++asked == PL_MEMBER_INDIRECT_PROBES)
+			return;
+	}
+}
+
+static void sweep_(pl_member_table_t *table)
+{
+	for (int i = 0; i < SWEEP_PER_BEAT; i++) {
+		pl_member_t *member;
+
+		if (table->sweep_at >= table->members->len)
+			table->sweep_at = 0;
+		member = table->members->pdata[table->sweep_at++];
+		if (!pl_member_live_(member) && member != table->self &&
+		    table->now >= member->deadline)
+			pl_member_forget_(table, member);
+		else if (member->state == PL_MEMBER_UNREACHABLE &&
+			 member->dc->cut &&
+			 table->now - member->dc->cut_since >=
+				 PL_MEMBER_CUT_MAX_MS)
+			pl_member_bury_(table, member, PL_MEMBER_DEAD);
+	}
+}
+
+void pl_member_probe_beat_(pl_member_table_t *table)
+{
+	check_probes_(table);
+	check_suspects_(table);
+	ask_suspects_(table);
+	check_watches_(table);
+	sweep_(table);
+	if (table->now < table->next_period)
+		return;
+	table->next_period = table->now + PL_MEMBER_PERIOD_MS;
+	if (!table->leaving) {
+		pl_member_t *target = next_target_(table);
+
+		if (target)
+			probe_within_(table, target->id, PL_MEMBER_PERIOD_MS);
+	}
+}
+
+void pl_member_watch(pl_member_table_t *table, pl_member_id_t id)
+{
+	pl_watch_t *watch;
+
+	pl_list_for_each(node, &table->watches) {
+		watch = PL_CONTAINER_OF(node, pl_watch_t, link);
+		if (watch->id == id) {
+			watch->count++;
+			return;
+		}
+	}
+	watch = g_new0(pl_watch_t, 1);
+	watch->id = id;
+	watch->count = 1;
+	watch->next = table->now;
+	pl_list_append(&table->watches, &watch->link);
+}
+
+void pl_member_unwatch(pl_member_table_t *table, pl_member_id_t id)
+{
+	pl_list_for_each_safe(node, &table->watches) {
+		pl_watch_t *watch = PL_CONTAINER_OF(node, pl_watch_t, link);
+
+		if (watch->id != id || --watch->count > 0)
+			continue;
+		pl_list_remove(node);
+		g_free(watch);
+	}
+}
--- /dev/null
+++ b/src/member/spread.c
@@ -0,0 +1,239 @@
+/**
+ * @file Spreading of changes within the budget.
+ *
+ * A queue holds, for each member that changed, how often its record was
+ * sent; the least sent goes first. Every datagram carries some of it, and
+ * while changes are young a few datagrams more are sent each round. A member
+ * that hears a change which it spreads itself counts that as a sending, so
+ * that the budget goes to what is less known. A bucket of tokens caps the
+ * bytes: probes always go, without changes when the bucket is empty.
+ */
+#include "private/member_private.h"
+
+#include <math.h>
+#include <pimentolift/counter.h>
+#include <string.h>
+
+/** Sendings of one change: a base and more per natural log of the size. */
+#define SENT_BASE 3
+#define SENT_PER_LN 1.7
+/** Rounds of extra gossip for a new configuration revision. */
+#define REVISION_ROUNDS 6
+/** The bucket holds what the budget gives in this time. */
+#define BUCKET_MS 500
+#define MILLI 1000
+
+static unsigned int sent_limit_(const pl_member_table_t *table)
+{
+	double ln = log((double)pl_member_others_(table) + 1);
+	unsigned int limit = SENT_BASE + (unsigned int)(SENT_PER_LN * ln);
+
+	return MIN(limit, PL_MEMBER_SENT_MAX);
+}
+
+void pl_member_unqueue_(pl_member_table_t *table, pl_member_t *member)
+{
+	if (pl_list_empty(&member->update_link))
+		return;
+	pl_list_remove(&member->update_link);
+	table->updates_queued--;
+}
+
+void pl_member_queue_(pl_member_table_t *table, pl_member_t *member)
+{
+	pl_member_unqueue_(table, member);
+	if (table->quiet && member != table->self)
+		return;
+	member->sent = 0;
+	pl_list_append(&table->updates[0], &member->update_link);
+	table->updates_queued++;
+}
+
+/* Counts a sending; true when @p member is still queued. */
+static bool count_sent_(pl_member_table_t *table, pl_member_t *member,
+			unsigned int limit)
+{
+	unsigned int sent = member->sent + 1U;
+
+	pl_member_unqueue_(table, member);
+	if (sent >= limit)
+		return false;
+	member->sent = (uint8_t)sent;
+	pl_list_append(&table->updates[sent], &member->update_link);
+	table->updates_queued++;
+	return true;
+}
+
+void pl_member_echo_(pl_member_table_t *table, pl_member_t *member)
+{
+	if (!pl_list_empty(&member->update_link))
+		count_sent_(table, member, sent_limit_(table));
+}
+
+static void refill_(pl_member_table_t *table)
+{
+	int64_t most = (int64_t)table->budget * BUCKET_MS;
+
+	table->tokens +=
+		(int64_t)((table->now - table->tokens_at) * table->budget);
+	table->tokens_at = table->now;
+	table->tokens = MIN(table->tokens, most);
+}
+
+bool pl_member_may_send_(pl_member_table_t *table)
+{
+	refill_(table);
+	return table->tokens > 0;
+}
+
+/* Records of one datagram while it is put together. */
+typedef struct {
+	pl_gossip_record_t records[PL_GOSSIP_RECORDS_MAX];
+	size_t count;
+	size_t room; /* bytes */
+} batch_t;
+
+static bool add_(batch_t *batch, const pl_gossip_record_t *record)
+{
+	size_t size = pl_gossip_record_size(record);
+
+	if (batch->count == PL_GOSSIP_RECORDS_MAX || size > batch->room)
+		return false;
+	batch->records[batch->count++] = *record;
+	batch->room -= size;
+	return true;
+}
+
+static void add_member_(batch_t *batch, const pl_member_t *member)
+{
+	pl_gossip_record_t record;
+
+	pl_member_record_(member, member->state == PL_MEMBER_ALIVE, &record);
+	add_(batch, &record);
+}
+
+static void add_own_(pl_member_table_t *table, batch_t *batch, bool names)
+{
+	const pl_member_t *self = table->self;
+	pl_gossip_record_t record;
+
+	pl_member_record_(self, true, &record);
+	if (names) {
+		record.name = self->name;
+		record.name_len = strlen(pl_member_name(self));
+		record.datacentre_name = self->dc->name;
+		record.datacentre_name_len = strlen(self->dc->name);
+	}
+	add_(batch, &record);
+}
+
+static bool in_batch_(const batch_t *batch, pl_member_id_t id)
+{
+	for (size_t i = 0; i < batch->count; i++) {
+		if (batch->records[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+/* Adds queued changes, least sent first, and counts them as sent. */
+static void add_queued_(pl_member_table_t *table, pl_member_id_t to,
+			batch_t *batch)
+{
+	unsigned int limit = sent_limit_(table);
+	pl_member_t *chosen[PL_GOSSIP_RECORDS_MAX];
+	size_t count = 0;
+
+	for (unsigned int sent = 0; sent < limit; sent++) {
+		pl_list_for_each(node, &table->updates[sent]) {
+			pl_member_t *member =
+				PL_CONTAINER_OF(node, pl_member_t, update_link);
+			size_t before = batch->count;
+
+			if (in_batch_(batch, member->id) ||
+			    (member->id == to && pl_member_live_(member)))
+				continue;
+			add_member_(batch, member);
+			if (batch->count == before)
+				goto full;
+			chosen[count++] = member;
+		}
+	}
+full:
+	for (size_t i = 0; i < count; i++)
+		count_sent_(table, chosen[i], limit);
+}
+
+void pl_member_send_(pl_member_table_t *table, pl_member_id_t to,
+		     pl_gossip_message_t *message, const pl_extra_t *extra)
+{
+	uint8_t buf[PL_MEMBER_DATAGRAM_MAX];
+	batch_t batch = { .count = 0 };
+	size_t len;
+
+	message->sender = table->self->id;
+	message->incarnation = table->self->incarnation;
+	message->revision = table->revision;
+	if (extra)
+		message->flags |= extra->flags;
+	/* the length without records tells how much room is left */
+	len = pl_gossip_encode(&table->key, message, buf, sizeof(buf));
+	batch.room = sizeof(buf) - len - 2;
+	if (extra && extra->about)
+		add_member_(&batch, extra->about);
+	if (extra && extra->own)
+		add_own_(table, &batch, extra->names);
+	for (size_t i = 0; i < message->record_count; i++)
+		add_(&batch, &message->records[i]);
+	if (pl_member_may_send_(table))
+		add_queued_(table, to, &batch);
+	message->records = batch.records;
+	message->record_count = batch.count;
+	len = pl_gossip_encode(&table->key, message, buf, sizeof(buf));
+	if (len == 0)
+		return;
+	table->tokens = MAX(table->tokens - (int64_t)len * MILLI,
+			    -(int64_t)table->budget * MILLI);
+	table->bytes_out += len;
+	pl_counter_add(PL_COUNTER_GOSSIP_OUT_BYTES, len);
+	table->ops.send_datagram(table->ctx, to, buf, len);
+}
+
+void pl_member_spread_now_(pl_member_table_t *table, unsigned int fanout)
+{
+	const pl_member_t *last = NULL;
+
+	for (unsigned int i = 0; i < fanout; i++) {
+		pl_gossip_message_t update = { .type = PL_GOSSIP_UPDATE };
+		pl_member_t *to = pl_member_pick_(table, last);
+
+		if (!to || !pl_member_may_send_(table))
+			return;
+		pl_member_send_(table, to->id, &update, NULL);
+		last = to;
+	}
+}
+
+void pl_member_spread_beat_(pl_member_table_t *table)
+{
+	if (table->now < table->next_gossip)
+		return;
+	table->next_gossip = table->now + PL_MEMBER_GOSSIP_MS;
+	if (table->updates_queued == 0 && table->revision_rounds == 0)
+		return;
+	if (table->revision_rounds > 0)
+		table->revision_rounds--;
+	pl_member_spread_now_(table, PL_MEMBER_GOSSIP_FANOUT);
+}
+
+void pl_member_set_revision(pl_member_table_t *table, uint64_t revision)
+{
+	if (revision <= table->revision)
+		return;
+	table->revision = revision;
+	table->self->revision = revision;
+	table->revision_heard = MAX(table->revision_heard, revision);
+	table->revision_rounds = REVISION_ROUNDS;
+	if (table->join != PL_JOIN_IDLE)
+		pl_member_spread_now_(table, PL_MEMBER_GOSSIP_FANOUT);
+}
--- /dev/null
+++ b/src/proto/gossip.c
@@ -0,0 +1,472 @@
+/** @file Codec of the membership's datagrams and frames. */
+#include <pimentolift/gossip.h>
+
+#include <assert.h>
+#include <glib.h>
+#include <msgpack.h>
+#include <string.h>
+
+/** Elements of a datagram's array. */
+#define MESSAGE_ELEMENTS 10
+/** Elements of a record: change of state, whole, whole with names. */
+#define RECORD_STATE_ELEMENTS 3
+#define RECORD_WHOLE_ELEMENTS 10
+#define RECORD_NAMED_ELEMENTS 12
+/** Elements of a frame's body. */
+#define FRAME_ELEMENTS 4
+/** Place of the role in a record's flags; the state is below it. */
+#define RECORD_ROLE_SHIFT 3
+#define RECORD_STATE_MASK 7U
+
+struct pl_gossip_decoder {
+	pl_key_t key;
+	msgpack_unpacked unpacked;
+	GArray *records;
+	GArray *digests;
+	GArray *pulls;
+};
+
+/* Fixed buffer that a msgpack packer writes to. */
+typedef struct {
+	uint8_t *buf;
+	size_t cap;
+	size_t len; /* may grow past cap, then nothing is written */
+} sink_t;
+
+static int sink_write_(void *data, const char *buf, size_t len)
+{
+	sink_t *sink = data;
+
+	if (sink->len + len <= sink->cap)
+		memcpy(sink->buf + sink->len, buf, len);
+	sink->len += len;
+	return 0;
+}
+
+static void pack_text_(msgpack_packer *packer, const char *text, size_t len)
+{
+	if (!text)
+		len = 0;
+	msgpack_pack_str(packer, len);
+	if (len > 0)
+		msgpack_pack_str_body(packer, text, len);
+}
+
+static void pack_whole_(msgpack_packer *packer,
+			const pl_gossip_record_t *record)
+{
+	msgpack_pack_uint64(packer, record->boot);
+	msgpack_pack_uint64(packer, record->datacentre);
+	msgpack_pack_int64(packer, (int64_t)record->incarnation -
+					   (int64_t)record->started_s);
+	msgpack_pack_uint64(packer, record->attr.service);
+	msgpack_pack_uint32(packer, record->attr.endpoint);
+	msgpack_pack_uint32(packer, record->attr.slots);
+	msgpack_pack_int64(packer, (int64_t)record->attr.serving_since_s -
+					   (int64_t)record->started_s);
+}
+
+static void pack_record_(msgpack_packer *packer,
+			 const pl_gossip_record_t *record)
+{
+	bool named = record->whole && (record->name || record->datacentre_name);
+	unsigned int flags = record->state | record->role << RECORD_ROLE_SHIFT;
+
+	msgpack_pack_array(packer, !record->whole ? RECORD_STATE_ELEMENTS :
+				   named	  ? RECORD_NAMED_ELEMENTS :
+						    RECORD_WHOLE_ELEMENTS);
+	msgpack_pack_uint32(packer, flags);
+	msgpack_pack_uint64(packer, record->id);
+	msgpack_pack_uint64(packer, record->incarnation);
+	if (record->whole)
+		pack_whole_(packer, record);
+	if (named) {
+		pack_text_(packer, record->name, record->name_len);
+		pack_text_(packer, record->datacentre_name,
+			   record->datacentre_name_len);
+	}
+}
+
+static void pack_records_(msgpack_packer *packer,
+			  const pl_gossip_record_t *records, size_t count)
+{
+	msgpack_pack_array(packer, count);
+	for (size_t i = 0; i < count; i++)
+		pack_record_(packer, &records[i]);
+}
+
+size_t pl_gossip_record_size(const pl_gossip_record_t *record)
+{
+	sink_t sink = { 0 };
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &sink, sink_write_);
+	pack_record_(&packer, record);
+	return sink.len;
+}
+
+static void pack_digests_(msgpack_packer *packer,
+			  const pl_gossip_message_t *message)
+{
+	msgpack_pack_array(packer, message->digest_count);
+	for (size_t i = 0; i < message->digest_count; i++) {
+		const pl_gossip_digest_t *digest = &message->digests[i];
+
+		msgpack_pack_array(packer, 2);
+		msgpack_pack_uint64(packer, digest->datacentre);
+		if (message->type == PL_GOSSIP_DIGEST) {
+			msgpack_pack_uint64(packer, digest->hash);
+			continue;
+		}
+		msgpack_pack_bin(packer, sizeof(digest->buckets));
+		for (size_t j = 0; j < PL_GOSSIP_BUCKETS; j++) {
+			uint32_t bucket = GUINT32_TO_BE(digest->buckets[j]);
+
+			msgpack_pack_bin_body(packer, &bucket, sizeof(bucket));
+		}
+	}
+}
+
+size_t pl_gossip_encode(const pl_key_t *key, const pl_gossip_message_t *message,
+			uint8_t *buf, size_t cap)
+{
+	sink_t sink = { .buf = buf, .cap = cap };
+	msgpack_packer packer;
+
+	assert(message->record_count <= PL_GOSSIP_RECORDS_MAX);
+	assert(message->digest_count <= PL_GOSSIP_DATACENTRES_MAX);
+	msgpack_packer_init(&packer, &sink, sink_write_);
+	msgpack_pack_array(&packer, MESSAGE_ELEMENTS);
+	msgpack_pack_uint32(&packer, PL_WIRE_VERSION);
+	msgpack_pack_uint32(&packer, message->type);
+	msgpack_pack_uint32(&packer, message->flags);
+	msgpack_pack_uint64(&packer, message->sender);
+	msgpack_pack_uint64(&packer, message->incarnation);
+	msgpack_pack_uint64(&packer, message->revision);
+	msgpack_pack_uint32(&packer, message->sequence);
+	msgpack_pack_uint64(&packer, message->target);
+	pack_records_(&packer, message->records, message->record_count);
+	pack_digests_(&packer, message);
+	if (sink.len + PL_MAC_BYTES > cap)
+		return 0;
+	pl_mac(key, buf, sink.len, buf + sink.len);
+	return sink.len + PL_MAC_BYTES;
+}
+
+uint8_t *pl_gossip_encode_frame(const pl_gossip_frame_t *frame, size_t *len)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	uint8_t *body;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, FRAME_ELEMENTS);
+	msgpack_pack_uint32(&packer, PL_WIRE_VERSION);
+	msgpack_pack_uint32(&packer, frame->last);
+	msgpack_pack_array(&packer, frame->pull_count);
+	for (size_t i = 0; i < frame->pull_count; i++) {
+		msgpack_pack_array(&packer, 2);
+		msgpack_pack_uint64(&packer, frame->pulls[i].datacentre);
+		msgpack_pack_uint32(&packer, frame->pulls[i].mask);
+	}
+	pack_records_(&packer, frame->records, frame->record_count);
+	body = g_memdup2(buffer.data, buffer.size);
+	*len = buffer.size;
+	msgpack_sbuffer_destroy(&buffer);
+	return body;
+}
+
+pl_gossip_decoder_t *pl_gossip_decoder_new(const pl_key_t *key)
+{
+	pl_gossip_decoder_t *decoder = g_new0(pl_gossip_decoder_t, 1);
+
+	decoder->key = *key;
+	msgpack_unpacked_init(&decoder->unpacked);
+	decoder->records =
+		g_array_new(FALSE, FALSE, sizeof(pl_gossip_record_t));
+	decoder->digests =
+		g_array_new(FALSE, FALSE, sizeof(pl_gossip_digest_t));
+	decoder->pulls = g_array_new(FALSE, FALSE, sizeof(pl_gossip_pull_t));
+	return decoder;
+}
+
+void pl_gossip_decoder_delete(pl_gossip_decoder_t *decoder)
+{
+	if (!decoder)
+		return;
+	msgpack_unpacked_destroy(&decoder->unpacked);
+	g_array_free(decoder->records, TRUE);
+	g_array_free(decoder->digests, TRUE);
+	g_array_free(decoder->pulls, TRUE);
+	g_free(decoder);
+}
+
+/* The array @p object when it has at least @p least elements, or NULL. */
+static const msgpack_object *elements_(const msgpack_object *object,
+				       uint32_t least)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size < least)
+		return NULL;
+	return object->via.array.ptr;
+}
+
+static bool read_uint_(const msgpack_object *object, uint64_t max,
+		       uint64_t *value)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > max)
+		return false;
+	*value = object->via.u64;
+	return true;
+}
+
+static bool read_u32_(const msgpack_object *object, uint32_t *value)
+{
+	uint64_t wide;
+
+	if (!read_uint_(object, UINT32_MAX, &wide))
+		return false;
+	*value = (uint32_t)wide;
+	return true;
+}
+
+/* Reads a small signed difference and gives @p base plus it. */
+static bool read_offset_(const msgpack_object *object, int64_t base, int sign,
+			 uint32_t *value)
+{
+	int64_t offset;
+	int64_t sum;
+
+	if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    object->via.u64 <= UINT32_MAX)
+		offset = (int64_t)object->via.u64;
+	else if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER &&
+		 object->via.i64 >= -(int64_t)UINT32_MAX)
+		offset = object->via.i64;
+	else
+		return false;
+	sum = base + sign * offset;
+	if (sum < 0 || sum > UINT32_MAX)
+		return false;
+	*value = (uint32_t)sum;
+	return true;
+}
+
+static bool read_text_(const msgpack_object *object, const char **text,
+		       size_t *len)
+{
+	if (object->type != MSGPACK_OBJECT_STR ||
+	    object->via.str.size >= PL_NAME_MAX)
+		return false;
+	*len = object->via.str.size;
+	*text = *len > 0 ? object->via.str.ptr : NULL;
+	return true;
+}
+
+static bool read_whole_(const msgpack_object *at, pl_gossip_record_t *record)
+{
+	uint64_t endpoint;
+
+	if (!read_uint_(&at[3], UINT64_MAX, &record->boot) ||
+	    !read_uint_(&at[4], UINT64_MAX, &record->datacentre) ||
+	    !read_offset_(&at[5], (int64_t)record->incarnation, -1,
+			  &record->started_s) ||
+	    !read_uint_(&at[6], UINT64_MAX, &record->attr.service) ||
+	    !read_uint_(&at[7], PL_ENDPOINT_STATE_COUNT - 1, &endpoint) ||
+	    !read_u32_(&at[8], &record->attr.slots) ||
+	    !read_offset_(&at[9], record->started_s, 1,
+			  &record->attr.serving_since_s))
+		return false;
+	record->attr.endpoint = (pl_endpoint_state_t)endpoint;
+	record->whole = true;
+	return true;
+}
+
+static bool read_record_(const msgpack_object *object,
+			 pl_gossip_record_t *record)
+{
+	const msgpack_object *at = elements_(object, RECORD_STATE_ELEMENTS);
+	uint32_t size;
+	uint64_t flags;
+
+	memset(record, 0, sizeof(*record));
+	if (!at || !read_uint_(&at[0], 127, &flags) ||
+	    !read_uint_(&at[1], UINT64_MAX, &record->id) ||
+	    !read_uint_(&at[2], UINT32_MAX, &record->incarnation))
+		return false;
+	record->state = flags & RECORD_STATE_MASK;
+	record->role = flags >> RECORD_ROLE_SHIFT;
+	if (record->state >= PL_MEMBER_STATE_COUNT ||
+	    record->role >= PL_MEMBER_ROLE_COUNT || record->id == 0)
+		return false;
+	size = object->via.array.size;
+	if (size < RECORD_WHOLE_ELEMENTS)
+		return true;
+	if (!read_whole_(at, record))
+		return false;
+	return size < RECORD_NAMED_ELEMENTS ||
+	       (read_text_(&at[10], &record->name, &record->name_len) &&
+		read_text_(&at[11], &record->datacentre_name,
+			   &record->datacentre_name_len));
+}
+
+static bool read_records_(pl_gossip_decoder_t *decoder,
+			  const msgpack_object *object)
+{
+	const msgpack_object *at = elements_(object, 0);
+
+	g_array_set_size(decoder->records, 0);
+	if (!at && object->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		pl_gossip_record_t record;
+
+		if (!read_record_(&at[i], &record))
+			return false;
+		g_array_append_val(decoder->records, record);
+	}
+	return true;
+}
+
+static bool read_buckets_(const msgpack_object *object,
+			  pl_gossip_digest_t *digest)
+{
+	if (object->type != MSGPACK_OBJECT_BIN ||
+	    object->via.bin.size != sizeof(digest->buckets))
+		return false;
+	memcpy(digest->buckets, object->via.bin.ptr, sizeof(digest->buckets));
+	for (size_t i = 0; i < PL_GOSSIP_BUCKETS; i++)
+		digest->buckets[i] = GUINT32_FROM_BE(digest->buckets[i]);
+	return true;
+}
+
+static bool read_digests_(pl_gossip_decoder_t *decoder, pl_gossip_type_t type,
+			  const msgpack_object *object)
+{
+	g_array_set_size(decoder->digests, 0);
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size > PL_GOSSIP_DATACENTRES_MAX)
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		const msgpack_object *at =
+			elements_(&object->via.array.ptr[i], 2);
+		pl_gossip_digest_t digest = { 0 };
+
+		if (!at || !read_uint_(&at[0], UINT64_MAX, &digest.datacentre))
+			return false;
+		if (type == PL_GOSSIP_DIGEST ?
+			    !read_uint_(&at[1], UINT64_MAX, &digest.hash) :
+			    !read_buckets_(&at[1], &digest))
+			return false;
+		g_array_append_val(decoder->digests, digest);
+	}
+	return true;
+}
+
+/* Unpacks one array of at least @p least elements that fills the bytes. */
+static pl_result_t unpack_(pl_gossip_decoder_t *decoder, const uint8_t *buf,
+			   size_t len, uint32_t least,
+			   const msgpack_object **out)
+{
+	const msgpack_object *at;
+	size_t offset = 0;
+	uint64_t version;
+
+	if (msgpack_unpack_next(&decoder->unpacked, (const char *)buf, len,
+				&offset) != MSGPACK_UNPACK_SUCCESS ||
+	    offset != len)
+		return PL_ERR_MALFORMED;
+	at = elements_(&decoder->unpacked.data, 1);
+	if (!at || !read_uint_(&at[0], UINT64_MAX, &version))
+		return PL_ERR_MALFORMED;
+	if (version != PL_WIRE_VERSION)
+		return PL_ERR_VERSION;
+	*out = elements_(&decoder->unpacked.data, least);
+	return *out ? PL_OK : PL_ERR_MALFORMED;
+}
+
+static bool read_head_(const msgpack_object *at, pl_gossip_message_t *message)
+{
+	uint64_t type;
+
+	if (!read_uint_(&at[1], PL_GOSSIP_TYPE_END - 1, &type) ||
+	    type < PL_GOSSIP_PING)
+		return false;
+	message->type = (pl_gossip_type_t)type;
+	return read_u32_(&at[2], &message->flags) &&
+	       read_uint_(&at[3], UINT64_MAX, &message->sender) &&
+	       read_uint_(&at[4], UINT32_MAX, &message->incarnation) &&
+	       read_uint_(&at[5], UINT64_MAX, &message->revision) &&
+	       read_u32_(&at[6], &message->sequence) &&
+	       read_uint_(&at[7], UINT64_MAX, &message->target) &&
+	       message->sender != 0;
+}
+
+pl_result_t pl_gossip_decode(pl_gossip_decoder_t *decoder, const uint8_t *buf,
+			     size_t len, pl_gossip_message_t *message)
+{
+	const msgpack_object *at;
+	uint8_t mac[PL_MAC_BYTES];
+	pl_result_t result;
+
+	if (len <= PL_MAC_BYTES)
+		return PL_ERR_MALFORMED;
+	len -= PL_MAC_BYTES;
+	pl_mac(&decoder->key, buf, len, mac);
+	if (!pl_mac_equal(mac, buf + len, PL_MAC_BYTES))
+		return PL_ERR_AUTH;
+	result = unpack_(decoder, buf, len, MESSAGE_ELEMENTS, &at);
+	if (result != PL_OK)
+		return result;
+	memset(message, 0, sizeof(*message));
+	if (!read_head_(at, message) || !read_records_(decoder, &at[8]) ||
+	    !read_digests_(decoder, message->type, &at[9]))
+		return PL_ERR_MALFORMED;
+	message->records = (pl_gossip_record_t *)decoder->records->data;
+	message->record_count = decoder->records->len;
+	message->digests = (pl_gossip_digest_t *)decoder->digests->data;
+	message->digest_count = decoder->digests->len;
+	return PL_OK;
+}
+
+static bool read_pulls_(pl_gossip_decoder_t *decoder,
+			const msgpack_object *object)
+{
+	g_array_set_size(decoder->pulls, 0);
+	if (object->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		const msgpack_object *at =
+			elements_(&object->via.array.ptr[i], 2);
+		pl_gossip_pull_t pull;
+
+		if (!at || !read_uint_(&at[0], UINT64_MAX, &pull.datacentre) ||
+		    !read_u32_(&at[1], &pull.mask))
+			return false;
+		g_array_append_val(decoder->pulls, pull);
+	}
+	return true;
+}
+
+pl_result_t pl_gossip_decode_frame(pl_gossip_decoder_t *decoder,
+				   const uint8_t *body, size_t len,
+				   pl_gossip_frame_t *frame)
+{
+	const msgpack_object *at;
+	uint64_t last;
+	pl_result_t result = unpack_(decoder, body, len, FRAME_ELEMENTS, &at);
+
+	if (result != PL_OK)
+		return result;
+	if (!read_uint_(&at[1], 1, &last) || !read_pulls_(decoder, &at[2]) ||
+	    !read_records_(decoder, &at[3]))
+		return PL_ERR_MALFORMED;
+	frame->last = last == 1;
+	frame->pulls = (pl_gossip_pull_t *)decoder->pulls->data;
+	frame->pull_count = decoder->pulls->len;
+	frame->records = (pl_gossip_record_t *)decoder->records->data;
+	frame->record_count = decoder->records->len;
+	return PL_OK;
+}
--- /dev/null
+++ b/test/member/fleet.c
@@ -0,0 +1,378 @@
+#include "fleet.h"
+
+#include <string.h>
+
+/** Latency of a datagram and of a frame. */
+#define LATENCY_MIN_MS 1
+#define LATENCY_MAX_MS 4
+#define FRAME_LATENCY_MS 8
+
+/* A datagram, or a frame when type is not 0, on its way. */
+typedef struct {
+	pl_ms_t due;
+	pl_member_id_t from;
+	pl_member_id_t to;
+	pl_peer_type_t type;
+	bool failed; /* comes back to its sender */
+	GBytes *body;
+} mail_t;
+
+static node_t *node_by_id_(fleet_t *fleet, pl_member_id_t id)
+{
+	for (size_t i = 0; i < fleet->count; i++) {
+		if (fleet->nodes[i].id == id)
+			return &fleet->nodes[i];
+	}
+	return NULL;
+}
+
+static gint by_due_(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const mail_t *left = a;
+	const mail_t *right = b;
+
+	(void)data;
+	return left->due < right->due ? -1 : left->due > right->due;
+}
+
+static void post_(fleet_t *fleet, const mail_t *mail)
+{
+	mail_t *copy = g_new(mail_t, 1);
+	GList *tail = fleet->mail->tail;
+
+	*copy = *mail;
+	/* mail is posted nearly in order: look from the end */
+	while (tail && by_due_(tail->data, copy, NULL) > 0)
+		tail = tail->prev;
+	g_queue_insert_after(fleet->mail, tail, copy);
+}
+
+static void send_datagram_(void *ctx, pl_member_id_t to, const uint8_t *buf,
+			   size_t len)
+{
+	node_t *node = ctx;
+	fleet_t *fleet = node->fleet;
+	mail_t mail = { .from = node->id, .to = to };
+
+	node->second_out += len;
+	if (g_rand_double(fleet->rand) < fleet->loss)
+		return;
+	mail.due = fleet->now + (pl_ms_t)g_rand_int_range(fleet->rand,
+							  LATENCY_MIN_MS,
+							  LATENCY_MAX_MS + 1);
+	mail.body = g_bytes_new(buf, len);
+	post_(fleet, &mail);
+}
+
+static bool reaches_(const node_t *from, const node_t *to)
+{
+	return to && to->table && from->group == to->group;
+}
+
+static void send_frame_(void *ctx, const pl_peer_frame_t *frame)
+{
+	node_t *node = ctx;
+	mail_t mail = { .from = node->id,
+			.to = frame->peer,
+			.type = frame->type,
+			.due = node->fleet->now + FRAME_LATENCY_MS };
+
+	node->frame_bytes += frame->body_len;
+	mail.failed = !reaches_(node, node_by_id_(node->fleet, frame->peer));
+	mail.body = g_bytes_new(frame->body, frame->body_len);
+	post_(node->fleet, &mail);
+}
+
+static void changed_(void *ctx, const pl_member_t *member,
+		     pl_member_state_t old)
+{
+	(void)ctx;
+	(void)member;
+	(void)old;
+}
+
+static void revision_(void *ctx, pl_member_id_t from, uint64_t revision)
+{
+	node_t *node = ctx;
+
+	(void)from;
+	node->revision_heard = revision;
+}
+
+static uint64_t paused_(void *ctx, pl_ms_t gap)
+{
+	node_t *node = ctx;
+
+	(void)gap;
+	node->paused_calls++;
+	node->boot = (uint64_t)g_rand_int(node->fleet->rand) + 1;
+	return node->boot;
+}
+
+static void datacentre_(void *ctx, pl_datacentre_id_t id, const char *name,
+			bool cut)
+{
+	node_t *node = ctx;
+
+	(void)id;
+	(void)name;
+	if (cut)
+		node->cut_calls++;
+}
+
+static uint64_t random_(void *ctx)
+{
+	node_t *node = ctx;
+
+	return (uint64_t)g_rand_int(node->fleet->rand) << 32 |
+	       g_rand_int(node->fleet->rand);
+}
+
+fleet_t *fleet_new(uint32_t seed, size_t count, unsigned int datacentres)
+{
+	fleet_t *fleet = g_new0(fleet_t, 1);
+
+	fleet->rand = g_rand_new_with_seed(seed);
+	fleet->now = 1000;
+	fleet->count = count;
+	fleet->nodes = g_new0(node_t, count);
+	fleet->mail = g_queue_new();
+	pl_key_derive("the secret of the test fleet", PL_KEY_GOSSIP,
+		      &fleet->key);
+	for (size_t i = 0; i < count; i++) {
+		node_t *node = &fleet->nodes[i];
+		pl_addr_t addr = { .ip = { 10, 0, (uint8_t)(i >> 8),
+					   (uint8_t)i },
+				   .port = 7000,
+				   .family = PL_ADDR_IPV4 };
+
+		node->fleet = fleet;
+		node->id = pl_member_id_from_addr(&addr);
+		node->datacentre = (unsigned int)(i % datacentres);
+		node->role = i % 5 == 0 ? PL_MEMBER_ENTRY : PL_MEMBER_AGENT;
+	}
+	return fleet;
+}
+
+static void free_mail_(mail_t *mail)
+{
+	g_bytes_unref(mail->body);
+	g_free(mail);
+}
+
+void fleet_delete(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet_kill(fleet, i);
+	while (!g_queue_is_empty(fleet->mail))
+		free_mail_(g_queue_pop_head(fleet->mail));
+	g_queue_free(fleet->mail);
+	g_rand_free(fleet->rand);
+	g_free(fleet->nodes);
+	g_free(fleet);
+}
+
+void fleet_start(fleet_t *fleet, size_t at)
+{
+	static const pl_member_ops_t ops = {
+		.send_datagram = send_datagram_,
+		.send_frame = send_frame_,
+		.changed = changed_,
+		.revision = revision_,
+		.paused = paused_,
+		.datacentre = datacentre_,
+		.random = random_,
+	};
+	node_t *node = &fleet->nodes[at];
+	g_autofree char *name = g_strdup_printf("node-%zu", at);
+	g_autofree char *datacentre =
+		g_strdup_printf("dc-%u", node->datacentre);
+	pl_member_params_t params = {
+		.self = node->id,
+		.role = node->role,
+		.name = name,
+		.datacentre = datacentre,
+		.incarnation = FLEET_EPOCH_S + fleet->now / 1000,
+		.key = fleet->key,
+	};
+
+	node->boot = (uint64_t)g_rand_int(fleet->rand) + 1;
+	params.boot = node->boot;
+	node->paused = false;
+	node->timers = pl_timer_service_new(fleet->now);
+	node->table = pl_member_table_new(&params, &ops, node, node->timers);
+	for (size_t i = 0; i < 2 && i < fleet->count; i++) {
+		pl_addr_t seed = pl_member_id_to_addr(fleet->nodes[i].id);
+
+		pl_member_add_seed(node->table, &seed);
+	}
+	pl_member_join(node->table);
+}
+
+void fleet_start_all(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++) {
+		fleet_start(fleet, i);
+		fleet_run(fleet, FLEET_STEP_MS * 2);
+	}
+	for (int i = 0; i < 600 && fleet_wrong_pairs(fleet) > 0; i++)
+		fleet_run(fleet, 100);
+	fleet_run(fleet, 3000);
+	fleet_reset_worst(fleet);
+}
+
+void fleet_kill(fleet_t *fleet, size_t at)
+{
+	node_t *node = &fleet->nodes[at];
+
+	pl_member_table_delete(node->table);
+	pl_timer_service_delete(node->timers);
+	node->table = NULL;
+	node->timers = NULL;
+}
+
+static void deliver_datagram_(node_t *to, const mail_t *mail)
+{
+	gsize len;
+	const uint8_t *buf = g_bytes_get_data(mail->body, &len);
+
+	to->second_in += len;
+	pl_member_receive(to->table, buf, len);
+}
+
+static void deliver_frame_(node_t *to, const mail_t *mail)
+{
+	pl_peer_frame_t frame = { .type = mail->type };
+
+	frame.body = g_bytes_get_data(mail->body, &frame.body_len);
+	frame.peer = mail->failed ? mail->to : mail->from;
+	if (mail->failed)
+		pl_member_frame_failed(to->table, &frame);
+	else
+		pl_member_frame(to->table, &frame);
+}
+
+static void deliver_(fleet_t *fleet, const mail_t *mail)
+{
+	node_t *from = node_by_id_(fleet, mail->from);
+	node_t *to = node_by_id_(fleet, mail->to);
+
+	if (mail->failed)
+		to = from;
+	if (!reaches_(from, to))
+		return;
+	if (mail->type != 0)
+		deliver_frame_(to, mail);
+	else
+		deliver_datagram_(to, mail);
+}
+
+/* Mail to a paused process waits in its socket. */
+static void deliver_due_(fleet_t *fleet)
+{
+	GQueue later = G_QUEUE_INIT;
+	mail_t *mail;
+
+	while ((mail = g_queue_peek_head(fleet->mail)) &&
+	       mail->due <= fleet->now) {
+		const node_t *to = node_by_id_(fleet, mail->to);
+
+		g_queue_pop_head(fleet->mail);
+		if (to && to->paused) {
+			g_queue_push_tail(&later, mail);
+			continue;
+		}
+		deliver_(fleet, mail);
+		free_mail_(mail);
+	}
+	while ((mail = g_queue_pop_tail(&later)))
+		g_queue_push_head(fleet->mail, mail);
+}
+
+static void end_second_(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++) {
+		node_t *node = &fleet->nodes[i];
+
+		node->worst_in = MAX(node->worst_in, node->second_in);
+		node->worst_out = MAX(node->worst_out, node->second_out);
+		node->second_in = 0;
+		node->second_out = 0;
+	}
+}
+
+void fleet_run(fleet_t *fleet, pl_ms_t ms)
+{
+	pl_ms_t end = fleet->now + ms;
+
+	while (fleet->now < end) {
+		fleet->now += FLEET_STEP_MS;
+		for (size_t i = 0; i < fleet->count; i++) {
+			node_t *node = &fleet->nodes[i];
+
+			if (!node->table || node->paused)
+				continue;
+			pl_member_tick(node->table, fleet->now);
+			pl_timer_service_advance(node->timers, fleet->now);
+		}
+		deliver_due_(fleet);
+		if (fleet->now % 1000 == 0)
+			end_second_(fleet);
+	}
+}
+
+pl_member_state_t fleet_state(const fleet_t *fleet, size_t at, size_t about)
+{
+	const pl_member_t *member =
+		pl_member_find(fleet->nodes[at].table, fleet->nodes[about].id);
+
+	return member ? pl_member_state(member) : PL_MEMBER_STATE_COUNT;
+}
+
+static bool runs_(const node_t *node)
+{
+	return node->table && !node->paused;
+}
+
+size_t fleet_others_not(const fleet_t *fleet, size_t about,
+			pl_member_state_t state)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet->count; i++) {
+		if (i != about && runs_(&fleet->nodes[i]) &&
+		    fleet_state(fleet, i, about) != state)
+			count++;
+	}
+	return count;
+}
+
+pl_ms_t fleet_until(fleet_t *fleet, size_t about, pl_member_state_t state,
+		    pl_ms_t max)
+{
+	pl_ms_t start = fleet->now;
+
+	while (fleet->now - start < max &&
+	       fleet_others_not(fleet, about, state) > 0)
+		fleet_run(fleet, FLEET_STEP_MS);
+	return fleet->now - start;
+}
+
+size_t fleet_wrong_pairs(const fleet_t *fleet)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet->count; i++) {
+		if (runs_(&fleet->nodes[i]))
+			count += fleet_others_not(fleet, i, PL_MEMBER_ALIVE);
+	}
+	return count;
+}
+
+void fleet_reset_worst(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++) {
+		fleet->nodes[i].worst_in = 0;
+		fleet->nodes[i].worst_out = 0;
+	}
+}
--- /dev/null
+++ b/test/member/member_test.c
@@ -0,0 +1,259 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "fleet.h"
+
+static void all_join_through_one_seed(void **state)
+{
+	fleet_t *fleet = fleet_new(1, 40, 4);
+	pl_member_stats_t stats;
+
+	(void)state;
+	fleet_start_all(fleet);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	pl_member_stats(fleet->nodes[7].table, &stats);
+	assert_int_equal(stats.members, 40);
+	assert_int_equal(stats.by_role[PL_MEMBER_ENTRY], 8);
+	assert_int_equal(pl_member_datacentre_count(fleet->nodes[7].table), 4);
+	fleet_delete(fleet);
+}
+
+/* A newcomer has names from the table that it pulls. */
+static void newcomer_learns_names(void **state)
+{
+	fleet_t *fleet = fleet_new(2, 10, 2);
+	const pl_member_t *member;
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet_kill(fleet, 9);
+	fleet_start(fleet, 9);
+	fleet_run(fleet, 60000);
+	member = pl_member_find(fleet->nodes[9].table, fleet->nodes[4].id);
+	assert_string_equal(pl_member_name(member), "node-4");
+	assert_string_equal(pl_member_datacentre_name(member), "dc-0");
+	member = pl_member_find(fleet->nodes[4].table, fleet->nodes[9].id);
+	assert_string_equal(pl_member_name(member), "node-9");
+	fleet_delete(fleet);
+}
+
+static void waits_for_a_seed_that_is_down(void **state)
+{
+	fleet_t *fleet = fleet_new(3, 3, 1);
+
+	(void)state;
+	fleet_start(fleet, 2);
+	fleet_run(fleet, 30000);
+	assert_false(pl_member_joined(fleet->nodes[2].table));
+	fleet_start(fleet, 0);
+	fleet_run(fleet, 15000);
+	assert_true(pl_member_joined(fleet->nodes[2].table));
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	fleet_delete(fleet);
+}
+
+static void crash_is_declared_everywhere(void **state)
+{
+	fleet_t *fleet = fleet_new(4, 50, 3);
+	pl_ms_t took;
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet_kill(fleet, 17);
+	took = fleet_until(fleet, 17, PL_MEMBER_DEAD, 20000);
+	assert_in_range(took, 0, 7000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	fleet_delete(fleet);
+}
+
+static void watched_member_is_declared_sooner(void **state)
+{
+	fleet_t *fleet = fleet_new(5, 50, 3);
+	pl_ms_t start;
+
+	(void)state;
+	fleet_start_all(fleet);
+	pl_member_watch(fleet->nodes[3].table, fleet->nodes[17].id);
+	fleet_run(fleet, 1000);
+	fleet_kill(fleet, 17);
+	start = fleet->now;
+	while (fleet_state(fleet, 3, 17) != PL_MEMBER_DEAD &&
+	       fleet->now - start < 20000)
+		fleet_run(fleet, FLEET_STEP_MS);
+	assert_in_range(fleet->now - start, 0, 3400);
+	assert_in_range(fleet_until(fleet, 17, PL_MEMBER_DEAD, 20000), 0, 1500);
+	fleet_delete(fleet);
+}
+
+static void loss_kills_nobody(void **state)
+{
+	fleet_t *fleet = fleet_new(6, 30, 3);
+	size_t refuted = 0;
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet->loss = 0.2;
+	for (int i = 0; i < 300; i++) {
+		fleet_run(fleet, 1000);
+		for (size_t j = 0; j < fleet->count; j++)
+			assert_int_equal(
+				fleet_others_not(fleet, j, PL_MEMBER_DEAD),
+				fleet->count - 1);
+	}
+	for (size_t i = 0; i < fleet->count; i++) {
+		pl_member_stats_t stats;
+
+		pl_member_stats(fleet->nodes[i].table, &stats);
+		refuted += stats.refuted;
+	}
+	assert_true(refuted > 0);
+	fleet_delete(fleet);
+}
+
+static void departure_is_known_fast(void **state)
+{
+	fleet_t *fleet = fleet_new(7, 60, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	pl_member_leave(fleet->nodes[20].table);
+	fleet_run(fleet, 1000);
+	fleet_kill(fleet, 20);
+	assert_in_range(fleet_until(fleet, 20, PL_MEMBER_LEFT, 20000), 0, 1000);
+	fleet_run(fleet, 20000);
+	assert_int_equal(fleet_others_not(fleet, 20, PL_MEMBER_LEFT), 0);
+	fleet_delete(fleet);
+}
+
+static void restart_is_a_new_life(void **state)
+{
+	fleet_t *fleet = fleet_new(8, 30, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	/* twice within a second, so the wall clock does not tell them apart */
+	for (int i = 0; i < 2; i++) {
+		fleet_kill(fleet, 11);
+		fleet_run(fleet, 200);
+		fleet_start(fleet, 11);
+		fleet_run(fleet, 200);
+	}
+	fleet_run(fleet, 10000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	for (size_t i = 0; i < fleet->count; i++) {
+		const pl_member_t *member = pl_member_find(
+			fleet->nodes[i].table, fleet->nodes[11].id);
+
+		assert_int_equal(pl_member_boot(member), fleet->nodes[11].boot);
+	}
+	fleet_delete(fleet);
+}
+
+static void pause_gives_a_new_identity(void **state)
+{
+	fleet_t *fleet = fleet_new(9, 30, 3);
+	uint64_t before;
+
+	(void)state;
+	fleet_start_all(fleet);
+	before = fleet->nodes[13].boot;
+	fleet->nodes[13].paused = true;
+	assert_in_range(fleet_until(fleet, 13, PL_MEMBER_DEAD, 20000), 0, 8000);
+	fleet_run(fleet, 10000);
+	fleet->nodes[13].paused = false;
+	/* it must not take others for dead because it slept */
+	for (int i = 0; i < 50; i++) {
+		fleet_run(fleet, 100);
+		for (size_t j = 0; j < fleet->count; j++)
+			assert_int_not_equal(fleet_state(fleet, 13, j),
+					     PL_MEMBER_DEAD);
+	}
+	assert_int_equal(fleet->nodes[13].paused_calls, 1);
+	assert_int_not_equal(fleet->nodes[13].boot, before);
+	fleet_run(fleet, 2000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	for (size_t i = 0; i < fleet->count; i++) {
+		const pl_member_t *member = pl_member_find(
+			fleet->nodes[i].table, fleet->nodes[13].id);
+
+		assert_int_equal(pl_member_boot(member), fleet->nodes[13].boot);
+	}
+	fleet_delete(fleet);
+}
+
+/* Nodes that do not know @p at as draining. */
+static size_t not_draining_(const fleet_t *fleet, size_t at)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet->count; i++) {
+		const pl_member_t *member = pl_member_find(
+			fleet->nodes[i].table, fleet->nodes[at].id);
+
+		if (pl_member_attr(member)->endpoint != PL_ENDPOINT_DRAINING)
+			count++;
+	}
+	return count;
+}
+
+static void drain_is_known_within_a_second(void **state)
+{
+	fleet_t *fleet = fleet_new(10, 100, 4);
+	pl_member_attr_t attr;
+
+	(void)state;
+	fleet_start_all(fleet);
+	attr = *pl_member_attr(pl_member_self(fleet->nodes[42].table));
+	attr.service = pl_hash_text("permit-desk");
+	attr.endpoint = PL_ENDPOINT_DRAINING;
+	pl_member_set_attributes(fleet->nodes[42].table, &attr);
+	fleet_run(fleet, 1500);
+	assert_int_equal(not_draining_(fleet, 42), 0);
+	fleet_delete(fleet);
+}
+
+static void revision_is_heard_everywhere(void **state)
+{
+	fleet_t *fleet = fleet_new(11, 100, 4);
+
+	(void)state;
+	fleet_start_all(fleet);
+	pl_member_set_revision(fleet->nodes[5].table, 7);
+	for (int i = 0; i < 20; i++) {
+		fleet_run(fleet, 100);
+		for (size_t j = 0; j < fleet->count; j++) {
+			node_t *node = &fleet->nodes[j];
+
+			if (node->revision_heard > 0)
+				pl_member_set_revision(node->table,
+						       node->revision_heard);
+		}
+	}
+	for (size_t i = 0; i < fleet->count; i++) {
+		if (i != 5)
+			assert_int_equal(fleet->nodes[i].revision_heard, 7);
+	}
+	fleet_delete(fleet);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(all_join_through_one_seed),
+		cmocka_unit_test(newcomer_learns_names),
+		cmocka_unit_test(waits_for_a_seed_that_is_down),
+		cmocka_unit_test(crash_is_declared_everywhere),
+		cmocka_unit_test(watched_member_is_declared_sooner),
+		cmocka_unit_test(loss_kills_nobody),
+		cmocka_unit_test(departure_is_known_fast),
+		cmocka_unit_test(restart_is_a_new_life),
+		cmocka_unit_test(pause_gives_a_new_identity),
+		cmocka_unit_test(drain_is_known_within_a_second),
+		cmocka_unit_test(revision_is_heard_everywhere),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
