--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -189,9 +189,8 @@
 		return MHD_YES;
 	}
 	answer = answer_(ctx, connection, url, method);
-	response = MHD_create_response_from_buffer(strlen(answer.body),
-						   answer.body,
-						   MHD_RESPMEM_MUST_COPY);
+	response = MHD_create_response_from_buffer(
+		strlen(answer.body), answer.body, MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				answer.type);
 	result = MHD_queue_response(connection, answer.status, response);
@@ -240,8 +239,8 @@
 		return NULL;
 	}
 	info = MHD_get_daemon_info(admin->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	admin->watch = pl_loop_watch(loop, info->epoll_fd, EPOLLIN, ready_,
-				     admin);
+	admin->watch =
+		pl_loop_watch(loop, info->epoll_fd, EPOLLIN, ready_, admin);
 	pl_timer_init(&admin->poll, poll_, admin);
 	pl_timer_arm(pl_loop_timers(loop), &admin->poll,
 		     pl_timer_service_now(pl_loop_timers(loop)) + POLL_MS);
--- a/src/daemon/admin_report.c
+++ b/src/daemon/admin_report.c
@@ -98,10 +98,10 @@
 			pl_routing_service_at(routing, i);
 
 		for (size_t k = 0; k < service->endpoint_count; k++)
-			json_object_array_add(
-				array, endpoint_(service,
-						 &service->endpoints[k],
-						 pl_node_members(node)));
+			json_object_array_add(array,
+					      endpoint_(service,
+							&service->endpoints[k],
+							pl_node_members(node)));
 	}
 	return array;
 }
@@ -130,9 +130,8 @@
 	add_text_(object, "caller", caller);
 	add_number_(object, "revision", pl_routing_revision(routing));
 	for (size_t i = 0; i < count; i++)
-		json_object_array_add(array,
-				      endpoint_(service, ranked[i],
-						pl_node_members(node)));
+		json_object_array_add(array, endpoint_(service, ranked[i],
+						       pl_node_members(node)));
 	json_object_object_add(object, "rank", array);
 	add_text_(object, "why",
 		  "weighted rendezvous hash of the caller over the endpoints; "
@@ -147,7 +146,8 @@
 	uint64_t cumulated = 0;
 
 	g_string_append_printf(
-		text, "# HELP pimentolift_%s %s\n# TYPE pimentolift_%s histogram\n",
+		text,
+		"# HELP pimentolift_%s %s\n# TYPE pimentolift_%s histogram\n",
 		name, pl_histogram_help(histogram), name);
 	for (size_t b = 0; b < PL_HISTOGRAM_BUCKETS; b++) {
 		uint64_t count = pl_histogram_get(histogram, b);
@@ -174,13 +174,13 @@
 	for (int counter = 0; counter < PL_COUNTER_COUNT; counter++) {
 		const char *name = pl_counter_name(counter);
 
-		g_string_append_printf(
-			text,
-			"# HELP pimentolift_%s_total %s\n"
-			"# TYPE pimentolift_%s_total counter\n"
-			"pimentolift_%s_total %" G_GUINT64_FORMAT "\n",
-			name, pl_counter_help(counter), name, name,
-			pl_counter_get(counter));
+		g_string_append_printf(text,
+				       "# HELP pimentolift_%s_total %s\n"
+				       "# TYPE pimentolift_%s_total counter\n"
+				       "pimentolift_%s_total %" G_GUINT64_FORMAT
+				       "\n",
+				       name, pl_counter_help(counter), name,
+				       name, pl_counter_get(counter));
 	}
 	for (int histogram = 0; histogram < PL_HISTOGRAM_COUNT; histogram++)
 		print_histogram_(text, histogram);
--- a/src/daemon/agent_role.c
+++ b/src/daemon/agent_role.c
@@ -54,8 +54,8 @@
 				    pl_member_id_t entry, const uint8_t *pdu)
 {
 	const pl_entry_list_t *list = role->entries;
-	bool confirmable = ((pdu[0] >> COAP_TYPE_SHIFT) & COAP_TYPE_MASK) ==
-			   PL_COAP_CON;
+	bool confirmable =
+		((pdu[0] >> COAP_TYPE_SHIFT) & COAP_TYPE_MASK) == PL_COAP_CON;
 
 	if (!list || list->count == 0)
 		return entry;
@@ -264,8 +264,8 @@
 	pl_agent_params_t params = {
 		.self = role->self,
 		.boot = pl_node_boot(role->node),
-		.memory_max = (size_t)settings->agent.memory_max_mb *
-			      BYTES_PER_MB,
+		.memory_max =
+			(size_t)settings->agent.memory_max_mb * BYTES_PER_MB,
 	};
 
 	params.unix_time_s = (uint32_t)((uint64_t)time(NULL) -
@@ -292,8 +292,8 @@
 	role->batch = pl_udp_batch_new();
 	role->decoder = pl_wire_decoder_new(&role->key);
 	make_core_(role, settings);
-	role->backend = pl_backend_new(role->loop, &listen, &backend_ops_, role,
-				       err);
+	role->backend =
+		pl_backend_new(role->loop, &listen, &backend_ops_, role, err);
 	if (!role->backend)
 		return NULL;
 	g_string_append_printf(ready, " backend=%s",
--- a/src/daemon/backend.c
+++ b/src/daemon/backend.c
@@ -141,9 +141,9 @@
 static coap_pdu_t *pdu_new_(const exchange_t *exchange, uint8_t method)
 {
 	uint8_t token[TOKEN_BYTES];
-	coap_pdu_t *pdu = coap_new_pdu(COAP_MESSAGE_NON,
-				       (coap_pdu_code_t)method,
-				       exchange->backend->session);
+	coap_pdu_t *pdu =
+		coap_new_pdu(COAP_MESSAGE_NON, (coap_pdu_code_t)method,
+			     exchange->backend->session);
 
 	assert(pdu);
 	token_bytes_(exchange->token, token);
@@ -223,8 +223,8 @@
 void pl_backend_subscribe(pl_backend_t *backend, uint64_t subscription_id,
 			  const char *path, const char *query)
 {
-	exchange_t *exchange = exchange_new_(backend, EXCHANGE_SUBSCRIPTION,
-					     subscription_id);
+	exchange_t *exchange =
+		exchange_new_(backend, EXCHANGE_SUBSCRIPTION, subscription_id);
 
 	exchange->path = g_strdup(path);
 	exchange->query = g_strdup(query);
@@ -445,8 +445,8 @@
 	pl_timer_init(&backend->gone, gone_, backend);
 	backend->coap = coap_new_context(NULL);
 	coap_set_app_data(backend->coap, backend);
-	coap_context_set_block_mode(backend->coap, COAP_BLOCK_USE_LIBCOAP |
-							   COAP_BLOCK_SINGLE_BODY);
+	coap_context_set_block_mode(
+		backend->coap, COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
 	coap_register_response_handler(backend->coap, response_);
 	coap_register_nack_handler(backend->coap, nack_);
 	backend->registry = pl_backend_registry_new(loop, backend->coap, listen,
@@ -455,9 +455,9 @@
 		pl_backend_delete(backend);
 		return NULL;
 	}
-	backend->watch = pl_loop_watch(loop,
-				       coap_context_get_coap_fd(backend->coap),
-				       EPOLLIN, ready_, backend);
+	backend->watch =
+		pl_loop_watch(loop, coap_context_get_coap_fd(backend->coap),
+			      EPOLLIN, ready_, backend);
 	pl_timer_arm(timers_(backend), &backend->poll, now_(backend) + POLL_MS);
 	return backend;
 }
--- a/src/daemon/backend_registry.c
+++ b/src/daemon/backend_registry.c
@@ -124,8 +124,8 @@
 static void take_(pl_backend_registry_t *registry,
 		  const pl_backend_registration_t *entry)
 {
-	bool known = registry->present &&
-		     same_backend_(&registry->current, entry);
+	bool known =
+		registry->present && same_backend_(&registry->current, entry);
 
 	registry->present = true;
 	registry->current = *entry;
@@ -180,8 +180,7 @@
 
 static void add_resources_(pl_backend_registry_t *registry)
 {
-	coap_resource_t *rd =
-		coap_resource_init(coap_make_str_const("rd"), 0);
+	coap_resource_t *rd = coap_resource_init(coap_make_str_const("rd"), 0);
 	coap_resource_t *location =
 		coap_resource_init(coap_make_str_const("rd/1"), 0);
 
--- a/src/daemon/entry_role.c
+++ b/src/daemon/entry_role.c
@@ -316,10 +316,9 @@
 	worker->inner_watch = pl_loop_watch(worker->loop, worker->inner_fd,
 					    EPOLLIN, inner_ready_, worker);
 	for (size_t i = 0; i < role->listener_count; i++)
-		worker->listeners[i].watch =
-			pl_loop_watch(worker->loop, worker->listeners[i].fd,
-				      EPOLLIN, listener_ready_,
-				      &worker->listeners[i]);
+		worker->listeners[i].watch = pl_loop_watch(
+			worker->loop, worker->listeners[i].fd, EPOLLIN,
+			listener_ready_, &worker->listeners[i]);
 	return PL_OK;
 }
 
@@ -328,8 +327,7 @@
 	char text[PL_ADDR_TEXT_MAX];
 
 	for (size_t i = 0; i < count; i++)
-		g_string_append_printf(ready, "%s%s",
-				       i == 0 ? " listen=" : ",",
+		g_string_append_printf(ready, "%s%s", i == 0 ? " listen=" : ",",
 				       pl_addr_format(&addrs[i], text));
 }
 
@@ -392,8 +390,7 @@
 	g_free(role);
 }
 
-static void routing_(void *ctx, pl_routing_t *routing,
-		     pl_entry_list_t *entries)
+static void routing_(void *ctx, pl_routing_t *routing, pl_entry_list_t *entries)
 {
 	/* the workers read the table under RCU */
 }
@@ -436,9 +433,9 @@
 {
 	const entry_role_t *role = ctx;
 
-	json_object_object_add(status, "traffic_threads",
-			       json_object_new_int64(
-				       (int64_t)role->worker_count));
+	json_object_object_add(
+		status, "traffic_threads",
+		json_object_new_int64((int64_t)role->worker_count));
 }
 
 const pl_role_ops_t pl_entry_role = {
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -58,8 +58,8 @@
 	}
 }
 
-static const struct argp argp_ = { options_, parse_, NULL, doc_, NULL, NULL,
-				   NULL };
+static const struct argp argp_ = { options_, parse_, NULL, doc_,
+				   NULL,     NULL,   NULL };
 
 static GLogWriterOutput write_text_(GLogLevelFlags level,
 				    const GLogField *fields, gsize count,
@@ -112,7 +112,7 @@
 		return PL_ERR_INTERNAL;
 	problems = pl_problems_new(arguments.path);
 	if (pl_settings_load(arguments.path, &settings, problems) != PL_OK) {
-		pl_problems_print(problems, stderr);
+		fputs(pl_problems_text(problems), stderr);
 		pl_problems_delete(problems);
 		return PL_ERR_CONFIG;
 	}
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -146,9 +146,8 @@
 	       service->endpoints[next].agent <= node->self)
 		next++;
 	wanted = MIN(WATCHED_AGENTS, service->endpoint_count - 1);
-	for (size_t i = 0; i < service->endpoint_count &&
-			   node->watched_count < wanted;
-	     i++) {
+	for (size_t i = 0;
+	     i < service->endpoint_count && node->watched_count < wanted; i++) {
 		const pl_endpoint_t *endpoint =
 			&service->endpoints[(next + i) %
 					    service->endpoint_count];
@@ -472,8 +471,8 @@
 	};
 
 	pl_key_derive(settings->secret, PL_KEY_GOSSIP, &params.key);
-	node->members = pl_member_table_new(&params, &member_ops_, node,
-					    timers_(node));
+	node->members =
+		pl_member_table_new(&params, &member_ops_, node, timers_(node));
 	for (size_t i = 0; i < settings->seeds.count; i++)
 		pl_member_add_seed(node->members, &settings->seeds.at[i]);
 }
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -86,9 +86,8 @@
 	pl_timer_arm(timers_(config), timer, now + POLL_MS);
 }
 
-pl_node_config_t *pl_node_config_new(pl_node_t *node,
-				     pl_node_config_changed_t changed,
-				     void *ctx)
+pl_node_config_t *
+pl_node_config_new(pl_node_t *node, pl_node_config_changed_t changed, void *ctx)
 {
 	const pl_settings_t *settings = pl_node_settings(node);
 	pl_node_config_t *config = g_new0(pl_node_config_t, 1);
--- a/src/daemon/routing_build.c
+++ b/src/daemon/routing_build.c
@@ -29,9 +29,8 @@
 static GHashTable *count_(const pl_document_t *document,
 			  const pl_member_table_t *members)
 {
-	GHashTable *counts =
-		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-				      g_free);
+	GHashTable *counts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
 
 	for (size_t i = 0; i < pl_document_count(document); i++) {
 		const pl_service_config_t *config =
--- a/test/standin/caller/request.c
+++ b/test/standin/caller/request.c
@@ -121,8 +121,8 @@
 
 static coap_pdu_t *request_(operation_t *operation)
 {
-	bool post = operation->kind == KIND_POST ||
-		    operation->kind == KIND_UPLOAD;
+	bool post =
+		operation->kind == KIND_POST || operation->kind == KIND_UPLOAD;
 	coap_pdu_t *pdu = coap_new_pdu(COAP_MESSAGE_CON,
 				       post ? COAP_REQUEST_CODE_POST :
 					      COAP_REQUEST_CODE_GET,
@@ -154,9 +154,9 @@
 				  g_strdup(path);
 	caller->next_id++;
 	if (kind == KIND_POST || kind == KIND_UPLOAD)
-		operation->id = g_strdup_printf("op-%" PRIu64 "-%" PRIu64,
-						caller->prefix,
-						caller->next_id);
+		operation->id =
+			g_strdup_printf("op-%" PRIu64 "-%" PRIu64,
+					caller->prefix, caller->next_id);
 	operation->started_ms = pl_now_ms();
 	if (!open_session_(operation)) {
 		operation_delete_(operation);
@@ -191,8 +191,7 @@
 		break;
 	case KIND_POST:
 		head = g_strdup_printf("service=%s id=%s\n",
-				       operation->service->name,
-				       operation->id);
+				       operation->service->name, operation->id);
 		break;
 	default:
 		head = pl_content_text(operation->service->name,
@@ -236,8 +235,7 @@
 /* Whether a notification is newer than the last (RFC 7641 section 3.4). */
 static bool fresh_(const operation_t *view, uint32_t sequence, uint64_t now_ms)
 {
-	if (!view->observed ||
-	    now_ms > view->sequence_ms + SEQUENCE_FRESH_MS)
+	if (!view->observed || now_ms > view->sequence_ms + SEQUENCE_FRESH_MS)
 		return true;
 	if (sequence > view->sequence)
 		return sequence - view->sequence < SEQUENCE_HALF;
