Agent: "not run" is said only to the holder of a ticket from here

An overloaded agent answered 5.03 to a POST without a ticket, while a copy of the same datagram may hold a ticket of another agent and run there; a refused request whose record was never submitted crashed on a timer that was not set up; a full table of run-once records stayed full after the tickets had expired.

Weighed: refusing early saves an overloaded caller one round trip, but the answer would not be true for a copy. Now such a request gets a ticket, and the refusal comes with a record that keeps it true. A full table forgets records whose ticket has expired and remembers the newest time of issue among them, so that "unused" is claimed only of later tickets.

Conclusion: 4.08 for a block of an unknown upload is said only when every other reachable agent was asked; otherwise 5.04, outcome unknown.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -47,6 +47,16 @@
 		pl_upload_forget(agent->uploads, request->upload);
 }
 
+static void timeout_(void *ctx, pl_request_t *request)
+{
+	pl_run_expire(ctx, request);
+}
+
+static const pl_request_hooks_t request_hooks_ = {
+	.release = release_,
+	.timeout = timeout_,
+};
+
 static void sweep_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_agent_t *agent = ctx;
@@ -81,8 +91,8 @@
 	agent->parser = pl_coap_parser_new();
 	agent->views = pl_view_table_new(params, ops, ctx, timers);
 	agent->exchanges = pl_exchange_table_new(timers, send_, random_, agent);
-	agent->requests =
-		pl_request_table_new(timers, &agent->budget, release_, agent);
+	agent->requests = pl_request_table_new(timers, &agent->budget,
+					       &request_hooks_, agent);
 	agent->answers = pl_answer_store_new(timers, &agent->budget);
 	agent->uploads = pl_upload_table_new(timers);
 	pl_scheduler_init(&agent->scheduler, &pl_admission_deadline);
@@ -224,13 +234,20 @@
 	}
 }
 
-/* GET with Observe 0: the view is opened at the caller's home. */
+/*
+ * GET with Observe 0: the view is opened at the caller's home. Without one,
+ * the answer has no Observe option, which tells the caller that no view is
+ * open (RFC 7641 section 4.1).
+ */
 static void open_view_(pl_agent_t *agent, const pl_forward_t *forward,
 		       const pl_coap_msg_t *msg)
 {
 	if (pl_agent_forward_home(agent, forward))
 		return;
-	pl_view_register(agent->views, forward, msg);
+	if (agent->service == 0 || agent->draining)
+		pl_serve_get(agent, forward, msg);
+	else
+		pl_view_register(agent->views, forward, msg);
 }
 
 /* GET with Observe 1: closes the view, then answers like any GET. */
@@ -242,8 +259,10 @@
 
 	running = pl_request_by_token(agent->requests, &forward->flow,
 				      msg->token, msg->token_len);
-	if (running)
-		pl_run_cancel(agent, running);
+	if (running) {
+		pl_serve_cancel(agent, forward, msg, running);
+		return;
+	}
 	switch (pl_view_deregister(agent->views, forward, msg, &next)) {
 	case PL_VIEW_HANDLED:
 		break;
@@ -253,7 +272,7 @@
 			return;
 		break;
 	case PL_VIEW_UNKNOWN:
-		if (!running && pl_agent_forward_home(agent, forward))
+		if (pl_agent_forward_home(agent, forward))
 			return;
 		break;
 	}
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -31,6 +31,7 @@
 {
 	pl_answer_t *answer = PL_CONTAINER_OF(ref, pl_answer_t, ref);
 
+	assert(answer->budget->used >= answer->body_len);
 	answer->budget->used -= answer->body_len;
 	g_free(answer->location_path);
 	g_free(answer->body);
--- a/src/agent/exchange.c
+++ b/src/agent/exchange.c
@@ -19,6 +19,9 @@
 	"done",
 };
 
+/** Message IDs of responses; those of notifications have the other bit. */
+#define REPLY_MID_MASK 0x7fff
+
 struct pl_exchange_table {
 	pl_timer_service_t *timers;
 	pl_exchange_send_t send;
@@ -248,8 +251,9 @@
 	pl_exchange_key_t key;
 
 	do {
-		key = key_of_(&exchange->flow,
-			      (uint16_t)table->random(table->ctx));
+		key = key_of_(
+			&exchange->flow,
+			(uint16_t)(table->random(table->ctx) & REPLY_MID_MASK));
 	} while (g_hash_table_contains(table->by_reply, &key));
 	exchange->reply_key = key;
 	return key.mid;
--- a/src/agent/forward.c
+++ b/src/agent/forward.c
@@ -58,6 +58,14 @@
 	return false;
 }
 
+bool pl_agent_was_last(const pl_agent_t *agent, const pl_forward_t *forward)
+{
+	const pl_endpoint_t *ranked[RANKED];
+
+	return rank_(agent, forward, PL_RANK_REACHABLE, agent->params.self,
+		     ranked) <= forward->hops;
+}
+
 bool pl_agent_forward_home(pl_agent_t *agent, const pl_forward_t *forward)
 {
 	const pl_endpoint_t *ranked[RANKED];
--- a/src/agent/private/agent_private.h
+++ b/src/agent/private/agent_private.h
@@ -67,6 +67,9 @@
 /** Passes a datagram on to the next-ranked agent that may know more. */
 bool pl_agent_forward_next(pl_agent_t *agent, const pl_forward_t *forward);
 
+/** Whether every other reachable agent was asked before this one. */
+bool pl_agent_was_last(const pl_agent_t *agent, const pl_forward_t *forward);
+
 /** Passes a datagram on to the caller's home, unless that is here. */
 bool pl_agent_forward_home(pl_agent_t *agent, const pl_forward_t *forward);
 
@@ -79,6 +82,10 @@
 void pl_serve_unsafe(pl_agent_t *agent, const pl_forward_t *forward,
 		     const pl_coap_msg_t *msg);
 
+/** Cancels @p request, which the token of @p msg names. */
+void pl_serve_cancel(pl_agent_t *agent, const pl_forward_t *forward,
+		     const pl_coap_msg_t *msg, pl_request_t *request);
+
 /** Puts @p request into the queue or refuses it, and fills free slots. */
 void pl_run_submit(pl_agent_t *agent, pl_request_t *request);
 
@@ -89,6 +96,9 @@
 void pl_run_refuse(pl_agent_t *agent, pl_request_t *request, uint8_t code,
 		   pl_request_cause_t cause);
 
+/** Refuses a request whose deadline passed in the queue. */
+void pl_run_expire(pl_agent_t *agent, pl_request_t *request);
+
 /** Gives up a plain request that nobody waits for. */
 void pl_run_cancel(pl_agent_t *agent, pl_request_t *request);
 
--- a/src/agent/private/answer.h
+++ b/src/agent/private/answer.h
@@ -11,8 +11,6 @@
 
 /** Answers kept at once for follow-up block requests. */
 #define PL_ANSWER_MAX 4096
-/** Bodies up to this length fit into one block of any size asked for. */
-#define PL_ANSWER_INLINE_BYTES 16
 
 /** Bytes of bodies held by one agent. */
 typedef struct {
--- a/src/agent/private/request.h
+++ b/src/agent/private/request.h
@@ -14,7 +14,7 @@
 /** Messages that wait for one request; a new one takes the oldest's place. */
 #define PL_REQUEST_WAITERS_MAX 8
 /** Records of ticketed requests held at once. */
-#define PL_REQUEST_TICKETED_MAX 16384
+#define PL_REQUEST_TICKETED_MAX 65536
 /** Plain requests held at once. */
 #define PL_REQUEST_PLAIN_MAX 8192
 /**
@@ -52,12 +52,13 @@
 } pl_work_class_t;
 
 typedef struct pl_upload pl_upload_t;
+typedef struct pl_request_table pl_request_table_t;
 
 /** One request. */
 typedef struct {
 	uint64_t id;
 	pl_request_state_t state;
-	void *owner; /**< the agent */
+	pl_request_table_t *table;
 	pl_flow_t flow;
 	bool ticketed; /**< not idempotent, has a ticket */
 	pl_ticket_t ticket;
@@ -83,14 +84,17 @@
 	pl_upload_t *upload; /**< where its blocks are gathered, or NULL */
 } pl_request_t;
 
-typedef struct pl_request_table pl_request_table_t;
-
-/** Lets go of what else refers to @p request, which is forgotten next. */
-typedef void (*pl_request_release_t)(void *ctx, pl_request_t *request);
+/** What the owner of a table is told. */
+typedef struct {
+	/** Lets go of what else refers to @p request, forgotten next. */
+	void (*release)(void *ctx, pl_request_t *request);
+	/** The timer of @p request is due. */
+	void (*timeout)(void *ctx, pl_request_t *request);
+} pl_request_hooks_t;
 
 pl_request_table_t *pl_request_table_new(pl_timer_service_t *timers,
 					 pl_body_budget_t *budget,
-					 pl_request_release_t release,
+					 const pl_request_hooks_t *hooks,
 					 void *ctx);
 void pl_request_table_delete(pl_request_table_t *table);
 
@@ -139,6 +143,19 @@
 /** Forgets ended ticketed requests whose time is over at @p now_s. */
 void pl_request_sweep(pl_request_table_t *table, uint32_t now_s);
 
+/**
+ * Makes room for one more ticketed request by forgetting one whose ticket
+ * has expired; false when there is none.
+ */
+bool pl_request_make_room(pl_request_table_t *table, uint32_t now_s);
+
+/**
+ * Whether a ticket issued here at @p issued_s, of which there is no record,
+ * cannot have been used.
+ */
+bool pl_request_is_unused(const pl_request_table_t *table, uint32_t issued_s,
+			  uint32_t now_s);
+
 /** Requests that have not ended. */
 size_t pl_request_open_count(const pl_request_table_t *table);
 
--- a/src/agent/request.c
+++ b/src/agent/request.c
@@ -16,13 +16,15 @@
 struct pl_request_table {
 	pl_timer_service_t *timers;
 	pl_body_budget_t *budget;
-	pl_request_release_t release;
+	const pl_request_hooks_t *hooks;
 	void *ctx;
 	GHashTable *by_id;
 	GHashTable *by_ticket;
 	pl_list_t ticketed;
 	pl_list_t plain;
 	uint64_t last_id;
+	size_t open;
+	uint32_t forgotten_s; /* newest ticket whose record is gone */
 };
 
 static guint ticket_hash_(gconstpointer key)
@@ -65,13 +67,13 @@
 
 pl_request_table_t *pl_request_table_new(pl_timer_service_t *timers,
 					 pl_body_budget_t *budget,
-					 pl_request_release_t release,
+					 const pl_request_hooks_t *hooks,
 					 void *ctx)
 {
 	pl_request_table_t *table = g_new0(pl_request_table_t, 1);
 
-	assert(timers && budget && release);
-	table->release = release;
+	assert(timers && budget && hooks);
+	table->hooks = hooks;
 	table->ctx = ctx;
 	table->timers = timers;
 	table->budget = budget;
@@ -116,6 +118,15 @@
 	       PL_REQUEST_PLAIN_MAX;
 }
 
+static void timer_fired_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_request_t *request = ctx;
+
+	(void)timer;
+	(void)now;
+	request->table->hooks->timeout(request->table->ctx, request);
+}
+
 pl_request_t *pl_request_new(pl_request_table_t *table, const pl_flow_t *flow,
 			     const pl_coap_msg_t *msg,
 			     const pl_ticket_t *ticket)
@@ -125,7 +136,9 @@
 	if (!has_room_(table, ticket != NULL))
 		return NULL;
 	request = g_new0(pl_request_t, 1);
+	request->table = table;
 	request->id = ++table->last_id;
+	table->open++;
 	request->state = PL_REQUEST_GATHERING;
 	request->flow = *flow;
 	request->method = msg->code;
@@ -138,6 +151,7 @@
 	request->accepted_at = pl_timer_service_now(table->timers);
 	pl_list_init(&request->waiters);
 	pl_list_init(&request->queue);
+	pl_timer_init(&request->timer, timer_fired_, request);
 	g_hash_table_insert(table->by_id, &request->id, request);
 	if (!ticket) {
 		pl_list_append(&table->plain, &request->age);
@@ -154,7 +168,9 @@
 void pl_request_forget(pl_request_table_t *table, pl_request_t *request)
 {
 	drop_waiters_(request);
-	table->release(table->ctx, request);
+	if (!pl_request_ended(request))
+		table->open--;
+	table->hooks->release(table->ctx, request);
 	g_hash_table_remove(table->by_id, &request->id);
 	if (request->ticketed)
 		g_hash_table_remove(table->by_ticket, &request->ticket);
@@ -245,6 +261,8 @@
 			  cause == PL_CAUSE_BACKEND ? "backend" : "agent"))
 		return false;
 	request->state = next;
+	if (pl_request_ended(request))
+		request->table->open--;
 	return true;
 }
 
@@ -298,20 +316,35 @@
 	}
 }
 
-static size_t count_open_(const pl_list_t *head)
+bool pl_request_make_room(pl_request_table_t *table, uint32_t now_s)
 {
-	size_t count = 0;
+	pl_list_t *first = pl_list_first(&table->ticketed);
+	pl_request_t *oldest;
 
-	pl_list_for_each(node, head) {
-		if (!pl_request_ended(PL_CONTAINER_OF(node, pl_request_t, age)))
-			count++;
-	}
-	return count;
+	if (has_room_(table, true))
+		return true;
+	if (!first)
+		return false;
+	oldest = PL_CONTAINER_OF(first, pl_request_t, age);
+	if (!pl_request_ended(oldest) ||
+	    oldest->ticket.issued_s + PL_TICKET_LIFE_S > now_s)
+		return false;
+	if (oldest->ticket.issued_s > table->forgotten_s)
+		table->forgotten_s = oldest->ticket.issued_s;
+	pl_request_forget(table, oldest);
+	return true;
+}
+
+bool pl_request_is_unused(const pl_request_table_t *table, uint32_t issued_s,
+			  uint32_t now_s)
+{
+	return issued_s > table->forgotten_s &&
+	       now_s < issued_s + PL_REQUEST_KEEP_S;
 }
 
 size_t pl_request_open_count(const pl_request_table_t *table)
 {
-	return count_open_(&table->ticketed) + count_open_(&table->plain);
+	return table->open;
 }
 
 size_t pl_request_count(const pl_request_table_t *table)
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -37,15 +37,30 @@
 			    TEXT_UNKNOWN);
 }
 
+/* Sends the answer, and keeps it when the caller will come for the rest. */
+static void respond_answer_(pl_agent_t *agent, const pl_request_t *request,
+			    pl_exchange_t *exchange)
+{
+	if (pl_answer_is_blockwise(request->answer, exchange))
+		pl_answer_store_put(agent->answers, &request->flow.caller,
+				    request->method, request->path,
+				    request->query, request->answer,
+				    pl_agent_policy(agent)->answer_keep_ms);
+	pl_answer_respond(request->answer, exchange);
+}
+
 void pl_run_respond(pl_agent_t *agent, const pl_request_t *request,
 		    pl_exchange_t *exchange)
 {
 	int64_t max_age_s = -1;
 
-	(void)agent;
 	assert(pl_request_ended(request));
+	if (request->state == PL_REQUEST_CANCELLED) {
+		pl_exchange_close(exchange);
+		return;
+	}
 	if (request->state == PL_REQUEST_ANSWERED) {
-		pl_answer_respond(request->answer, exchange);
+		respond_answer_(agent, request, exchange);
 		return;
 	}
 	if (request->state != PL_REQUEST_REFUSED) {
@@ -65,11 +80,11 @@
 
 	assert(pl_request_ended(request));
 	pl_timer_cancel(agent->timers, &request->timer);
-	pl_request_drop_body(request);
 	while (exchange) {
 		pl_run_respond(agent, request, exchange);
 		exchange = pl_request_next_waiter(request);
 	}
+	pl_request_drop_body(request);
 	if (!request->ticketed)
 		pl_request_forget(agent->requests, request);
 }
@@ -106,13 +121,8 @@
 	pl_run_fill_slots(agent);
 }
 
-static void queue_timeout_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+void pl_run_expire(pl_agent_t *agent, pl_request_t *request)
 {
-	pl_request_t *request = ctx;
-	pl_agent_t *agent = request->owner;
-
-	(void)timer;
-	(void)now;
 	if (request->state == PL_REQUEST_QUEUED &&
 	    agent->scheduler.policy->expires)
 		pl_run_refuse(agent, request, PL_COAP_UNAVAILABLE,
@@ -133,13 +143,11 @@
 {
 	const pl_service_policy_t *policy = pl_agent_policy(agent);
 
-	request->owner = agent;
 	request->accepted_at = now_(agent);
 	request->deadline_at = request->accepted_at + policy->deadline_ms;
 	request->work =
 		pl_scheduler_classify(&agent->scheduler, request->method,
 				      request->path, request->body->len);
-	pl_timer_init(&request->timer, queue_timeout_, request);
 	if (!agent->present ||
 	    !pl_scheduler_admit(&agent->scheduler, request,
 				time_left_ms_(agent, request))) {
@@ -207,11 +215,6 @@
 	pl_histogram_record(PL_HISTOGRAM_REQUEST, spent_ms * 1000);
 	pl_answer_store_reclaim(agent->answers, reply->body_len);
 	request->answer = pl_answer_new(&agent->budget, reply);
-	if (reply->body_len > PL_ANSWER_INLINE_BYTES)
-		pl_answer_store_put(agent->answers, &request->flow.caller,
-				    request->method, request->path,
-				    request->query, request->answer,
-				    pl_agent_policy(agent)->answer_keep_ms);
 	conclude_(agent, request);
 }
 
--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -9,8 +9,10 @@
 #include <pimentolift/counter.h>
 
 /** Diagnostic payloads of refusals. */
-#define TEXT_NOT_RUN "not run"
+#define TEXT_BUSY "busy"
+#define TEXT_TOO_LARGE "too large"
 #define TEXT_BLOCK_MISSING "a block is missing"
+#define TEXT_CANCELLED "cancelled"
 
 static void respond_busy_(pl_agent_t *agent, const pl_forward_t *forward,
 			  const pl_coap_msg_t *msg)
@@ -22,8 +24,7 @@
 		return;
 	pl_counter_add(PL_COUNTER_REFUSED, 1);
 	pl_exchange_respond(exchange, PL_COAP_UNAVAILABLE,
-			    pl_run_max_age_s(agent, PL_WORK_SHORT),
-			    TEXT_NOT_RUN);
+			    pl_run_max_age_s(agent, PL_WORK_SHORT), TEXT_BUSY);
 }
 
 static void respond_code_(pl_agent_t *agent, const pl_forward_t *forward,
@@ -69,14 +70,30 @@
 	return true;
 }
 
-/* Whether new short work of this kind would be refused. */
+/* Whether no new work may start, not even under a ticket from here. */
+static bool closed_(const pl_agent_t *agent)
+{
+	pl_ms_t now = pl_timer_service_now(agent->timers);
+
+	return !agent->present ||
+	       (agent->draining && now > agent->drain_at + PL_DRAIN_TICKET_MS);
+}
+
+/* Whether the agent holds as many bytes of bodies as it may. */
+static bool memory_short_(pl_agent_t *agent)
+{
+	return !pl_answer_store_reclaim(agent->answers, 1);
+}
+
+/* Whether new work of this kind would be refused. */
 static bool overloaded_(pl_agent_t *agent, const pl_coap_msg_t *msg)
 {
 	pl_request_t probe = { 0 };
 
 	probe.method = msg->code;
-	probe.work = pl_scheduler_classify(&agent->scheduler, msg->code,
-					   msg->path, msg->payload_len);
+	probe.work = pl_scheduler_classify(
+		&agent->scheduler, msg->code, msg->path,
+		msg->size1 > 0 ? (size_t)msg->size1 : msg->payload_len);
 	return !pl_scheduler_admit(&agent->scheduler, &probe,
 				   pl_agent_policy(agent)->deadline_ms);
 }
@@ -87,7 +104,7 @@
 	pl_request_t *request;
 	pl_exchange_t *exchange;
 
-	if (!agent->present || overloaded_(agent, msg)) {
+	if (closed_(agent) || memory_short_(agent) || overloaded_(agent, msg)) {
 		if (!pl_agent_forward_other(agent, forward))
 			respond_busy_(agent, forward, msg);
 		return;
@@ -99,7 +116,7 @@
 	if (!request) {
 		pl_exchange_respond(exchange, PL_COAP_UNAVAILABLE,
 				    pl_run_max_age_s(agent, PL_WORK_SHORT),
-				    TEXT_NOT_RUN);
+				    TEXT_BUSY);
 		return;
 	}
 	pl_request_wait(request, exchange);
@@ -164,25 +181,24 @@
 	return msg->size1 > pl_agent_policy(agent)->upload_max_bytes;
 }
 
-/* A request without a ticket: it is not run, whatever happens. */
+/*
+ * A request without a ticket is not run. Nor is it refused for lack of room:
+ * a copy of the datagram may have got a ticket of another agent and run
+ * there, so "not run" is said only to the holder of a ticket from here.
+ */
 static void serve_ticketless_(pl_agent_t *agent, const pl_forward_t *forward,
 			      const pl_coap_msg_t *msg)
 {
-	if (agent->draining || !agent->present) {
-		if (!pl_agent_forward_home(agent, forward))
-			respond_busy_(agent, forward, msg);
-		return;
-	}
 	if (too_large_(agent, msg)) {
 		respond_code_(agent, forward, msg, PL_COAP_TOO_LARGE,
-			      TEXT_NOT_RUN);
+			      TEXT_TOO_LARGE);
 		return;
 	}
-	if (overloaded_(agent, msg)) {
-		if (!pl_agent_forward_other(agent, forward))
-			respond_busy_(agent, forward, msg);
+	if ((agent->draining || !agent->present) &&
+	    pl_agent_forward_home(agent, forward))
+		return;
+	if (overloaded_(agent, msg) && pl_agent_forward_other(agent, forward))
 		return;
-	}
 	challenge_(agent, forward, msg);
 }
 
@@ -251,33 +267,26 @@
 	add_block_(agent, request->upload, msg, exchange);
 }
 
-/* Whether a ticket issued here may no longer start new work. */
-static bool closed_(const pl_agent_t *agent)
-{
-	pl_ms_t now = pl_timer_service_now(agent->timers);
-
-	return !agent->present ||
-	       (agent->draining && now > agent->drain_at + PL_DRAIN_TICKET_MS);
-}
-
 /* Runs a request under a ticket that was not used before. */
 static void run_ticketed_(pl_agent_t *agent, const pl_forward_t *forward,
 			  const pl_coap_msg_t *msg, const pl_ticket_t *ticket,
 			  pl_exchange_t *exchange)
 {
-	pl_request_t *request =
-		pl_request_new(agent->requests, &forward->flow, msg, ticket);
+	pl_request_t *request = NULL;
 
+	if (pl_request_make_room(agent->requests, pl_agent_now_s(agent)))
+		request = pl_request_new(agent->requests, &forward->flow, msg,
+					 ticket);
 	if (!request) {
 		/* no record, so no copy of this datagram may run either */
 		agent->revoked_s = pl_agent_now_s(agent);
 		pl_counter_add(PL_COUNTER_REFUSED, 1);
 		pl_exchange_respond(exchange, PL_COAP_UNAVAILABLE,
 				    pl_run_max_age_s(agent, PL_WORK_SHORT),
-				    TEXT_NOT_RUN);
+				    TEXT_BUSY);
 		return;
 	}
-	if (closed_(agent) ||
+	if (memory_short_(agent) || closed_(agent) ||
 	    (msg->block1.present && !pl_upload_has_room(agent->uploads))) {
 		pl_request_wait(request, exchange);
 		pl_run_refuse(agent, request, PL_COAP_UNAVAILABLE,
@@ -325,7 +334,8 @@
 	pl_counter_add(PL_COUNTER_TICKETS_REFUSED, 1);
 	if (pl_request_by_ticket(agent->requests, ticket))
 		serve_ticketed_(agent, forward, msg, ticket);
-	else if (pl_agent_now_s(agent) < ticket->issued_s + PL_REQUEST_KEEP_S)
+	else if (pl_request_is_unused(agent->requests, ticket->issued_s,
+				      pl_agent_now_s(agent)))
 		serve_ticketless_(agent, forward, msg);
 	else
 		answer_unknown_(agent, forward, msg);
@@ -358,7 +368,7 @@
 		if (pl_agent_forward_next(agent, forward))
 			return;
 		/* without its last block an upload has not run anywhere */
-		if (msg->block1.more)
+		if (msg->block1.more && pl_agent_was_last(agent, forward))
 			respond_code_(agent, forward, msg, PL_COAP_INCOMPLETE,
 				      TEXT_BLOCK_MISSING);
 		else
@@ -428,3 +438,15 @@
 	else
 		serve_ticketless_(agent, forward, msg);
 }
+
+void pl_serve_cancel(pl_agent_t *agent, const pl_forward_t *forward,
+		     const pl_coap_msg_t *msg, pl_request_t *request)
+{
+	pl_exchange_t *exchange =
+		pl_exchange_open(agent->exchanges, forward, msg);
+
+	pl_run_cancel(agent, request);
+	if (exchange)
+		pl_exchange_respond(exchange, PL_COAP_UNAVAILABLE, 0,
+				    TEXT_CANCELLED);
+}
