Agent: uploads and transfers tell a later operation with the same key apart

A finished upload answered the blocks of the next operation with the same Request-Tag whose first block had gone to another agent, so a caller got the answer of an older operation. A finished Block2 transfer did the same. A refused upload stayed in the list of idle ones and was refused twice; one that was given up forgot that it had not run.

Weighed: a ticket with every block would settle it at the cost of a round trip per block. Instead a finished upload takes only its own last block (same token) and a kept answer only the blocks in turn; anything else is passed on, then told to be unknown. Two operations of one caller that gather under one Request-Tag at the same time cannot be told apart; RFC 9175 section 3.3 forbids that to clients.

Conclusion: known limit: a caller that leaves large POST answers unfetched can be served a block of an older one; the ETag shows it.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -63,10 +63,8 @@
 	pl_upload_t *idle = pl_upload_idle(agent->uploads);
 
 	while (idle) {
-		pl_request_t *request = idle->request;
-
-		pl_upload_forget(agent->uploads, idle);
-		pl_run_refuse(agent, request, PL_COAP_INCOMPLETE,
+		pl_upload_settle(agent->uploads, idle);
+		pl_run_refuse(agent, idle->request, PL_COAP_INCOMPLETE,
 			      PL_CAUSE_AGENT);
 		idle = pl_upload_idle(agent->uploads);
 	}
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -17,6 +17,7 @@
 	pl_list_t age;
 	GBytes *key; /**< caller, method, path and query */
 	pl_ms_t expires_at;
+	size_t next_offset; /**< end of what was asked for */
 	pl_answer_t *answer;
 } kept_t;
 
@@ -65,10 +66,9 @@
 	return exchange->block2.szx;
 }
 
-bool pl_answer_is_blockwise(const pl_answer_t *answer,
-			    const pl_exchange_t *exchange)
+size_t pl_answer_block_size(const pl_exchange_t *exchange)
 {
-	return answer->body_len > (16U << szx_of_(exchange));
+	return 16U << szx_of_(exchange);
 }
 
 static void write_head_(const pl_answer_t *answer, pl_coap_writer_t *writer)
@@ -179,12 +179,14 @@
 
 void pl_answer_store_put(pl_answer_store_t *store, const pl_addr_t *caller,
 			 uint8_t method, const char *path, const char *query,
-			 pl_answer_t *answer, uint32_t keep_ms)
+			 pl_answer_t *answer, size_t first_block,
+			 uint32_t keep_ms)
 {
 	kept_t *kept = g_new0(kept_t, 1);
 
 	kept->key = key_(caller, method, path, query);
 	kept->expires_at = pl_timer_service_now(store->timers) + keep_ms;
+	kept->next_offset = first_block;
 	kept->answer = answer;
 	pl_ref_get(&answer->ref);
 	g_hash_table_remove(store->kept, kept->key);
@@ -194,15 +196,26 @@
 	g_hash_table_insert(store->kept, kept->key, kept);
 }
 
-pl_answer_t *pl_answer_store_find(pl_answer_store_t *store,
+pl_answer_t *pl_answer_store_take(pl_answer_store_t *store,
 				  const pl_addr_t *caller,
 				  const pl_coap_msg_t *msg)
 {
 	GBytes *key = key_(caller, msg->code, msg->path, msg->query);
 	kept_t *kept = g_hash_table_lookup(store->kept, key);
+	size_t size = 16U << msg->block2.szx;
+	size_t offset = (size_t)msg->block2.num * size;
+	pl_answer_t *answer;
 
 	g_bytes_unref(key);
-	return kept ? kept->answer : NULL;
+	if (!kept || offset > kept->next_offset)
+		return NULL;
+	answer = kept->answer;
+	pl_ref_get(&answer->ref);
+	if (offset + size >= answer->body_len)
+		g_hash_table_remove(store->kept, kept->key);
+	else if (offset + size > kept->next_offset)
+		kept->next_offset = offset + size;
+	return answer;
 }
 
 bool pl_answer_store_reclaim(pl_answer_store_t *store, size_t need)
--- a/src/agent/private/answer.h
+++ b/src/agent/private/answer.h
@@ -38,9 +38,8 @@
 /** Sends the block of @p answer that @p exchange asks for. */
 void pl_answer_respond(const pl_answer_t *answer, pl_exchange_t *exchange);
 
-/** Whether the body takes more than the block that @p exchange asks for. */
-bool pl_answer_is_blockwise(const pl_answer_t *answer,
-			    const pl_exchange_t *exchange);
+/** Size of the blocks that @p exchange asks for, in bytes. */
+size_t pl_answer_block_size(const pl_exchange_t *exchange);
 
 typedef struct pl_answer_store pl_answer_store_t;
 
@@ -48,13 +47,22 @@
 				       pl_body_budget_t *budget);
 void pl_answer_store_delete(pl_answer_store_t *store);
 
-/** Keeps @p answer under {caller, method, path, query} for @p keep_ms. */
+/**
+ * Keeps @p answer under {caller, method, path, query} for @p keep_ms, of
+ * which the caller gets @p first_block bytes now.
+ */
 void pl_answer_store_put(pl_answer_store_t *store, const pl_addr_t *caller,
 			 uint8_t method, const char *path, const char *query,
-			 pl_answer_t *answer, uint32_t keep_ms);
+			 pl_answer_t *answer, size_t first_block,
+			 uint32_t keep_ms);
 
-/** The answer kept for @p msg of @p caller, or NULL; borrowed. */
-pl_answer_t *pl_answer_store_find(pl_answer_store_t *store,
+/**
+ * The answer kept for the follow-up block @p msg of @p caller, or NULL; one
+ * reference is the caller's. A block out of turn is not served, since it is
+ * meant for a later answer that another agent keeps; nor is anything after
+ * the last block.
+ */
+pl_answer_t *pl_answer_store_take(pl_answer_store_t *store,
 				  const pl_addr_t *caller,
 				  const pl_coap_msg_t *msg);
 
--- a/src/agent/private/upload.h
+++ b/src/agent/private/upload.h
@@ -29,6 +29,8 @@
 	pl_request_t *request;
 	pl_list_t idle; /**< in order of the last block */
 	pl_ms_t last_block_at;
+	uint8_t token_len; /**< of the block that came last */
+	uint8_t token[PL_COAP_TOKEN_MAX];
 };
 
 typedef struct pl_upload_table pl_upload_table_t;
@@ -48,10 +50,19 @@
 pl_upload_t *pl_upload_find(pl_upload_table_t *table, const pl_addr_t *caller,
 			    const pl_coap_msg_t *msg);
 
+/**
+ * Whether @p msg belongs to this upload and not to a later one with the same
+ * key: it has blocks to come, or @p msg is its last one again.
+ */
+bool pl_upload_takes(const pl_upload_t *upload, const pl_coap_msg_t *msg);
+
 /** Adds the block @p msg to the body. */
 pl_block_verdict_t pl_upload_add(pl_upload_table_t *table, pl_upload_t *upload,
 				 const pl_coap_msg_t *msg, size_t body_max);
 
+/** No more blocks are taken in; late ones still find the request. */
+void pl_upload_settle(pl_upload_table_t *table, pl_upload_t *upload);
+
 /** Forgets the upload; its request stays. */
 void pl_upload_forget(pl_upload_table_t *table, pl_upload_t *upload);
 
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -41,10 +41,12 @@
 static void respond_answer_(pl_agent_t *agent, const pl_request_t *request,
 			    pl_exchange_t *exchange)
 {
-	if (pl_answer_is_blockwise(request->answer, exchange))
+	size_t size = pl_answer_block_size(exchange);
+
+	if (request->answer->body_len > size)
 		pl_answer_store_put(agent->answers, &request->flow.caller,
 				    request->method, request->path,
-				    request->query, request->answer,
+				    request->query, request->answer, size,
 				    pl_agent_policy(agent)->answer_keep_ms);
 	pl_answer_respond(request->answer, exchange);
 }
@@ -96,6 +98,8 @@
 		return;
 	pl_counter_add(PL_COUNTER_REFUSED, 1);
 	pl_scheduler_remove(&agent->scheduler, request);
+	if (request->upload)
+		pl_upload_settle(agent->uploads, request->upload);
 	request->refusal_code = code;
 	if (request->refusal_max_age_s == 0)
 		request->refusal_max_age_s =
--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -58,7 +58,7 @@
 static bool serve_kept_(pl_agent_t *agent, const pl_forward_t *forward,
 			const pl_coap_msg_t *msg)
 {
-	pl_answer_t *answer = pl_answer_store_find(agent->answers,
+	pl_answer_t *answer = pl_answer_store_take(agent->answers,
 						   &forward->flow.caller, msg);
 	pl_exchange_t *exchange;
 
@@ -67,6 +67,7 @@
 	exchange = pl_exchange_open(agent->exchanges, forward, msg);
 	if (exchange)
 		pl_answer_respond(answer, exchange);
+	pl_ref_put(&answer->ref);
 	return true;
 }
 
@@ -356,6 +357,28 @@
 	answer_unknown_(agent, forward, msg);
 }
 
+/* A block of an upload that is not here, or of another one with its key. */
+static void serve_stray_block_(pl_agent_t *agent, const pl_forward_t *forward,
+			       const pl_coap_msg_t *msg,
+			       const pl_upload_t *upload)
+{
+	bool alone;
+
+	if (pl_agent_forward_next(agent, forward))
+		return;
+	alone = pl_agent_was_last(agent, forward);
+	if (upload && upload->request->state != PL_REQUEST_REFUSED)
+		alone = false;
+	/* an upload without its last block has not run anywhere */
+	if (alone && (upload || msg->block1.more))
+		respond_code_(agent, forward, msg,
+			      upload ? upload->request->refusal_code :
+				       PL_COAP_INCOMPLETE,
+			      TEXT_BLOCK_MISSING);
+	else
+		answer_unknown_(agent, forward, msg);
+}
+
 /* A block after the first: known by its upload, not by a ticket. */
 static void serve_block_(pl_agent_t *agent, const pl_forward_t *forward,
 			 const pl_coap_msg_t *msg)
@@ -364,15 +387,8 @@
 		pl_upload_find(agent->uploads, &forward->flow.caller, msg);
 	pl_exchange_t *exchange;
 
-	if (!upload) {
-		if (pl_agent_forward_next(agent, forward))
-			return;
-		/* without its last block an upload has not run anywhere */
-		if (msg->block1.more && pl_agent_was_last(agent, forward))
-			respond_code_(agent, forward, msg, PL_COAP_INCOMPLETE,
-				      TEXT_BLOCK_MISSING);
-		else
-			answer_unknown_(agent, forward, msg);
+	if (!upload || !pl_upload_takes(upload, msg)) {
+		serve_stray_block_(agent, forward, msg, upload);
 		return;
 	}
 	exchange = pl_exchange_open(agent->exchanges, forward, msg);
--- a/src/agent/upload.c
+++ b/src/agent/upload.c
@@ -57,7 +57,7 @@
 	return g_byte_array_free_to_bytes(key);
 }
 
-static void settle_(pl_upload_table_t *table, pl_upload_t *upload)
+void pl_upload_settle(pl_upload_table_t *table, pl_upload_t *upload)
 {
 	if (pl_list_empty(&upload->idle))
 		return;
@@ -67,7 +67,7 @@
 
 void pl_upload_forget(pl_upload_table_t *table, pl_upload_t *upload)
 {
-	settle_(table, upload);
+	pl_upload_settle(table, upload);
 	g_hash_table_remove(table->by_key, upload->key);
 	upload->request->upload = NULL;
 	g_bytes_unref(upload->key);
@@ -103,6 +103,14 @@
 	return upload;
 }
 
+bool pl_upload_takes(const pl_upload_t *upload, const pl_coap_msg_t *msg)
+{
+	if (upload->request->state == PL_REQUEST_GATHERING)
+		return true;
+	return upload->token_len == msg->token_len &&
+	       memcmp(upload->token, msg->token, msg->token_len) == 0;
+}
+
 static pl_block_verdict_t append_(pl_upload_table_t *table, pl_upload_t *upload,
 				  const pl_coap_msg_t *msg)
 {
@@ -117,7 +125,7 @@
 	pl_list_append(&table->idle, &upload->idle);
 	if (msg->block1.more)
 		return PL_BLOCK_MORE;
-	settle_(table, upload);
+	pl_upload_settle(table, upload);
 	return PL_BLOCK_COMPLETE;
 }
 
@@ -129,6 +137,8 @@
 	size_t offset = (size_t)msg->block1.num * size;
 
 	assert(request->state == PL_REQUEST_GATHERING);
+	upload->token_len = msg->token_len;
+	memcpy(upload->token, msg->token, msg->token_len);
 	if (msg->block1.more && msg->payload_len != size)
 		return PL_BLOCK_BAD;
 	if (msg->payload_len > size)
--- a/test/agent/fixture.c
+++ b/test/agent/fixture.c
@@ -1,5 +1,6 @@
 #include "fixture.h"
 
+#include <pimentolift/counter.h>
 #include <string.h>
 
 #define SERVICE "permits"
@@ -64,6 +65,7 @@
 	backend_call_t *call = g_new0(backend_call_t, 1);
 
 	call->agent = node->index;
+	call->life = node->life;
 	call->id = request_id;
 	call->method = request->method;
 	call->path = g_strdup(request->path);
@@ -124,7 +126,7 @@
 	g_free(call);
 }
 
-static void start_node_(fixture_t *fixture, int index)
+static void start_node_(fixture_t *fixture, int index, uint64_t boot)
 {
 	node_t *node = &fixture->nodes[index];
 	pl_agent_params_t params = {
@@ -136,7 +138,8 @@
 	node->fixture = fixture;
 	node->index = index;
 	node->id = 0x0a00000200001000ULL + (uint64_t)index;
-	node->boot = 100 + (uint64_t)index;
+	node->boot = boot;
+	node->life++;
 	node->state = PL_ENDPOINT_SERVING;
 	params.self = node->id;
 	params.boot = node->boot;
@@ -169,13 +172,14 @@
 	};
 	pl_addr_parse("192.0.2.7:40000", &fixture->caller, NULL);
 	for (int i = 0; i < count; i++)
-		start_node_(fixture, i);
+		start_node_(fixture, i, 100 + (uint64_t)i);
 	fixture_route(fixture);
 	return fixture;
 }
 
 void fixture_delete(fixture_t *fixture)
 {
+	assert_int_equal(pl_counter_get(PL_COUNTER_INVARIANT_BROKEN), 0);
 	for (int i = 0; i < fixture->node_count; i++)
 		pl_agent_delete(fixture->nodes[i].agent);
 	pl_timer_service_delete(fixture->timers);
@@ -220,29 +224,47 @@
 	pl_timer_service_advance(fixture->timers, fixture->now);
 }
 
-void fixture_deliver(fixture_t *fixture, int to, const uint8_t *pdu, size_t len)
+void fixture_deliver_flow(fixture_t *fixture, int to, const pl_flow_t *flow,
+			  const uint8_t *pdu, size_t len)
 {
 	pl_forward_t forward = {
-		.flow.caller = fixture->caller,
-		.flow.service = pl_service_id(SERVICE),
+		.flow = *flow,
 		.entry = ENTRY,
 		.pdu = pdu,
 		.pdu_len = len,
 	};
 
+	forward.flow.service = pl_service_id(SERVICE);
 	pl_addr_parse("198.51.100.1:5683", &forward.flow.address, NULL);
 	pl_agent_datagram(fixture->nodes[to].agent, &forward);
 }
 
+void fixture_deliver(fixture_t *fixture, int to, const uint8_t *pdu, size_t len)
+{
+	pl_flow_t flow = { .caller = fixture->caller };
+
+	fixture_deliver_flow(fixture, to, &flow, pdu, len);
+}
+
+void fixture_restart(fixture_t *fixture, int index, uint64_t boot)
+{
+	pl_agent_delete(fixture->nodes[index].agent);
+	start_node_(fixture, index, boot);
+}
+
 size_t fixture_write(fixture_t *fixture, const ask_t *ask, uint8_t *buf)
 {
 	pl_coap_writer_t writer;
 	uint16_t mid = ask->mid ? (uint16_t)ask->mid : ++fixture->mid;
 	size_t len = ask->payload_len;
-
-	pl_coap_write_start(&writer, buf, PL_COAP_DATAGRAM_MAX, ask->type,
-			    ask->code, mid, &ask->token,
-			    pl_coap_is_request(ask->code) ? 1 : 0);
+	size_t token_len = ask->long_token ? 4 : 1;
+
+	if (!pl_coap_is_request(ask->code))
+		token_len = 0;
+	pl_coap_write_start(
+		&writer, buf, PL_COAP_DATAGRAM_MAX, ask->type, ask->code, mid,
+		ask->long_token ? (const void *)&ask->long_token : &ask->token,
+		token_len);
 	if (ask->observe)
 		pl_coap_write_uint(&writer, PL_COAP_OPT_OBSERVE,
 				   (uint32_t)ask->observe - 1);
@@ -302,10 +324,11 @@
 	return fixture->calls->len;
 }
 
-void fixture_end(fixture_t *fixture, size_t index, pl_backend_status_t status,
-		 const char *body, size_t body_len)
+void fixture_end_call(fixture_t *fixture, backend_call_t *call,
+		      pl_backend_status_t status, const char *body,
+		      size_t body_len)
 {
-	backend_call_t *call = fixture->calls->pdata[index];
+	node_t *node = &fixture->nodes[call->agent];
 	pl_backend_reply_t reply = {
 		.status = status,
 		.code = call->method == PL_COAP_GET ? PL_COAP_CONTENT :
@@ -318,9 +341,15 @@
 
 	assert_false(call->ended);
 	call->ended = true;
-	if (fixture->nodes[call->agent].agent)
-		pl_agent_backend_reply(fixture->nodes[call->agent].agent,
-				       call->id, &reply);
+	if (call->life == node->life)
+		pl_agent_backend_reply(node->agent, call->id, &reply);
+}
+
+void fixture_end(fixture_t *fixture, size_t index, pl_backend_status_t status,
+		 const char *body, size_t body_len)
+{
+	fixture_end_call(fixture, fixture->calls->pdata[index], status, body,
+			 body_len);
 }
 
 void fixture_ask_ticketed(fixture_t *fixture, int to, ask_t *ask,
--- a/test/agent/fixture.h
+++ b/test/agent/fixture.h
@@ -30,6 +30,7 @@
 /** A request at the backend server of an agent. */
 typedef struct {
 	int agent;
+	unsigned int life; /**< of the agent */
 	uint64_t id;
 	uint8_t method;
 	char *path;
@@ -45,6 +46,7 @@
 	int index;
 	pl_member_id_t id;
 	uint64_t boot;
+	unsigned int life;
 	pl_agent_t *agent;
 	pl_endpoint_state_t state;
 } node_t;
@@ -71,17 +73,25 @@
 /** Publishes a routing table with the nodes' present boots and states. */
 void fixture_route(fixture_t *fixture);
 
+/** Replaces agent @p index by a new one that knows nothing. */
+void fixture_restart(fixture_t *fixture, int index, uint64_t boot);
+
 void fixture_advance(fixture_t *fixture, pl_ms_t by_ms);
 
 /** Gives a datagram of the caller to agent @p to. */
 void fixture_deliver(fixture_t *fixture, int to, const uint8_t *pdu,
 		     size_t len);
 
+/** Gives a datagram of @p flow to agent @p to. */
+void fixture_deliver_flow(fixture_t *fixture, int to, const pl_flow_t *flow,
+			  const uint8_t *pdu, size_t len);
+
 /** Options of a request that a test writes. */
 typedef struct {
 	pl_coap_type_t type;
 	uint8_t code;
 	uint8_t token;
+	uint32_t long_token; /**< used in its place unless 0 */
 	const char *path;
 	const uint8_t *echo;
 	size_t echo_len;
@@ -109,6 +119,11 @@
 /** Takes the one datagram to the caller, which must have code @p code. */
 void fixture_expect(fixture_t *fixture, uint8_t code, pl_coap_msg_t *msg);
 
+/** Ends @p call with @p code; a call of an earlier life reaches nobody. */
+void fixture_end_call(fixture_t *fixture, backend_call_t *call,
+		      pl_backend_status_t status, const char *body,
+		      size_t body_len);
+
 /** Number of calls to backend servers so far. */
 size_t fixture_calls(const fixture_t *fixture);
 
--- a/test/agent/transfer_test.c
+++ b/test/agent/transfer_test.c
@@ -62,6 +62,43 @@
 	fixture_delete(f);
 }
 
+static void finished_transfer_does_not_answer_for_another(void **state)
+{
+	fixture_t *f = fixture_new(2, 1);
+	ask_t first = { .code = PL_COAP_POST, .path = "permits" };
+	ask_t second = first;
+	ask_t rest = { .code = PL_COAP_POST,
+		       .path = "permits",
+		       .token = 90,
+		       .block2 = { .present = true, .num = 1, .szx = 6 } };
+	uint8_t echo[PL_TICKET_BYTES];
+	char *body = body_(2000, 3);
+	pl_coap_msg_t msg;
+
+	(void)state;
+	/* an answer that was fetched from one agent */
+	first.payload = "a";
+	fixture_ask_ticketed(f, 0, &first, echo);
+	fixture_end(f, 0, PL_BACKEND_ANSWERED, body, 2000);
+	fixture_expect(f, PL_COAP_CHANGED, &msg);
+	fixture_ask(f, 0, &rest);
+	fixture_expect(f, PL_COAP_CHANGED, &msg);
+	assert_memory_equal(msg.payload, body + 1024, 2000 - 1024);
+	/* the next one's is at the other agent, whoever is asked for it */
+	second.payload = "b";
+	second.token = 20;
+	fixture_ask_ticketed(f, 1, &second, echo);
+	body[1024]++;
+	fixture_end(f, 1, PL_BACKEND_ANSWERED, body, 2000);
+	fixture_expect(f, PL_COAP_CHANGED, &msg);
+	rest.token++;
+	fixture_ask(f, 0, &rest);
+	fixture_expect(f, PL_COAP_CHANGED, &msg);
+	assert_memory_equal(msg.payload, body + 1024, 2000 - 1024);
+	g_free(body);
+	fixture_delete(f);
+}
+
 static void large_answer_of_a_post_is_whole_and_ran_once(void **state)
 {
 	fixture_t *f = fixture_new(1, 1);
@@ -83,6 +120,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(large_answer_is_whole),
+		cmocka_unit_test(finished_transfer_does_not_answer_for_another),
 		cmocka_unit_test(large_answer_of_a_post_is_whole_and_ran_once),
 	};
 
