--- a/src/daemon/agent_role.c
+++ b/src/daemon/agent_role.c
@@ -7,6 +7,7 @@
 #include "private/node.h"
 
 #include <pimentolift/agent.h>
+#include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 #include <pimentolift/fault.h>
 #include <pimentolift/udp.h>
--- a/src/daemon/backend.c
+++ b/src/daemon/backend.c
@@ -352,7 +352,7 @@
 		pl_timer_arm(timers_(backend), &backend->gone, now_(backend));
 }
 
-static bool is_request_(gpointer key, gpointer value, gpointer data)
+static gboolean is_request_(gpointer key, gpointer value, gpointer data)
 {
 	const exchange_t *exchange = value;
 
@@ -364,8 +364,8 @@
 {
 	exchange_t *exchange;
 
-	while ((exchange = g_hash_table_find(backend->by_token,
-					     (GHRFunc)is_request_, NULL)))
+	while ((exchange = g_hash_table_find(backend->by_token, is_request_,
+					     NULL)))
 		lose_(exchange);
 }
 
