Membership: cuts, returns and replacements under test

Cause: a small data centre was cut off before three of its members were suspect, so one was declared dead (red: cut_members_are_dead_in_the_end, cuts_one_after_another). A mass start at two seeds sent 4.5 KB in a second (red: restarted_datacentre_is_taken_back, bound 4,000). Conclusion: a death in another data centre is preceded by a sounding when nobody of it was heard for 1.5 s; a seed names 5 members rather than 12.

--- a/src/member/partition.c
+++ b/src/member/partition.c
@@ -20,6 +20,8 @@
 /** Time for their answers, and pause between soundings. */
 #define SOUND_MS 700
 #define SOUND_PAUSE_MS 2000
+/** Silence of a data centre after which a death in it is looked into. */
+#define SILENCE_MS 1500
 /** Silence of everybody after which this member takes itself as isolated. */
 #define ISOLATED_MS 3000
 /** Longest and shortest interval between probes of a cut data centre. */
@@ -157,6 +159,11 @@
 		pl_member_set_state_(table, member, PL_MEMBER_UNREACHABLE);
 		return true;
 	}
+	/* a small data centre is cut off before it has several suspects */
+	if (!dc->sounding && dc != table->self->dc && live_(dc) >= CUT_LEAST &&
+	    table->now - dc->last_heard > SILENCE_MS &&
+	    table->now >= dc->sound_again)
+		sound_(table, dc, PL_MEMBER_ALIVE);
 	/* a sounding is short; suspects of other data centres can wait */
 	return dc->sounding;
 }
@@ -165,7 +172,10 @@
 {
 	pl_member_dc_t *dc = member->dc;
 
-	if (!dc || !dc->cut || member->state > PL_MEMBER_UNREACHABLE)
+	if (!dc)
+		return;
+	dc->last_heard = table->now;
+	if (!dc->cut || member->state > PL_MEMBER_UNREACHABLE)
 		return;
 	pl_member_set_state_(table, member, PL_MEMBER_ALIVE);
 	if (dc->by_state[PL_MEMBER_UNREACHABLE] == 0)
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -43,6 +43,7 @@
 	size_t by_state[PL_MEMBER_STATE_COUNT];
 	uint32_t
 		buckets[PL_GOSSIP_BUCKETS]; /* XOR of the hashes of live ones */
+	pl_ms_t last_heard; /* a member of it, directly */
 	bool cut;
 	pl_ms_t cut_since;
 	pl_ms_t next_contact; /* probe of a cut data centre */
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -19,7 +19,7 @@
 #define BACKOFF_MIN_MS 1000
 #define BACKOFF_MAX_MS 10000
 /** Members named to a newcomer. */
-#define PEERS_COUNT 12
+#define PEERS_COUNT 5
 /** Records in one frame of a whole table. */
 #define CHUNK_RECORDS 1000
 /** Buckets compared at once; the next few follow after a pause. */
--- /dev/null
+++ b/test/member/partition_test.c
@@ -0,0 +1,287 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "fleet.h"
+
+#define MINUTE_MS 60000
+#define HOUR_MS (60 * MINUTE_MS)
+/** Bytes a second that a member may receive and send. */
+#define BUDGET PL_MEMBER_BUDGET_DEFAULT
+
+/* Cuts data centre @p dc off from all others. */
+static void cut_(fleet_t *fleet, unsigned int dc)
+{
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet->nodes[i].group = fleet->nodes[i].datacentre == dc;
+}
+
+static void mend_(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet->nodes[i].group = 0;
+}
+
+/* Pairs across the cut of which the first does not hold @p state. */
+static size_t across_not_(const fleet_t *fleet, pl_member_state_t state)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet->count; i++) {
+		for (size_t j = 0; j < fleet->count; j++) {
+			if (fleet->nodes[i].table &&
+			    fleet->nodes[i].group != fleet->nodes[j].group &&
+			    fleet_state(fleet, i, j) != state)
+				count++;
+		}
+	}
+	return count;
+}
+
+static void assert_budget_(const fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++) {
+		assert_in_range(fleet->nodes[i].worst_in, 0, BUDGET);
+		assert_in_range(fleet->nodes[i].worst_out, 0, BUDGET);
+	}
+}
+
+static uint64_t bytes_out_(const fleet_t *fleet, size_t at)
+{
+	pl_member_stats_t stats;
+
+	pl_member_stats(fleet->nodes[at].table, &stats);
+	return stats.bytes_out;
+}
+
+static uint64_t frame_bytes_(const fleet_t *fleet)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < fleet->count; i++)
+		sum += fleet->nodes[i].frame_bytes;
+	return sum;
+}
+
+static void an_hours_cut_costs_little_and_heals(void **state)
+{
+	fleet_t *fleet = fleet_new(21, 42, 3);
+	uint64_t before;
+	uint64_t frames;
+
+	(void)state;
+	fleet_start_all(fleet);
+	cut_(fleet, 1);
+	fleet_run(fleet, 30000);
+	assert_int_equal(across_not_(fleet, PL_MEMBER_UNREACHABLE), 0);
+	before = bytes_out_(fleet, 0);
+	fleet_run(fleet, HOUR_MS);
+	assert_in_range((bytes_out_(fleet, 0) - before) / 3600, 0, 250);
+	assert_int_equal(across_not_(fleet, PL_MEMBER_UNREACHABLE), 0);
+	frames = frame_bytes_(fleet);
+	fleet_reset_worst(fleet);
+	mend_(fleet);
+	fleet_run(fleet, 20000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	assert_budget_(fleet);
+	assert_in_range(frame_bytes_(fleet) - frames, 0, 42 * 2000);
+	fleet_delete(fleet);
+}
+
+/* What changed on either side meanwhile is known on the other afterwards. */
+static void both_sides_of_a_cut_change(void **state)
+{
+	fleet_t *fleet = fleet_new(22, 42, 3);
+	pl_member_attr_t attr = { .endpoint = PL_ENDPOINT_DRAINING,
+				  .service = 1 };
+	const size_t changed[] = { 0, 3, 1, 4 }; /* two on each side */
+
+	(void)state;
+	fleet_start_all(fleet);
+	cut_(fleet, 1);
+	fleet_run(fleet, MINUTE_MS);
+	for (size_t i = 0; i < G_N_ELEMENTS(changed); i++)
+		pl_member_set_attributes(fleet->nodes[changed[i]].table, &attr);
+	fleet_kill(fleet, 6);
+	fleet_kill(fleet, 7);
+	fleet_run(fleet, MINUTE_MS);
+	fleet_start(fleet, 7);
+	fleet_run(fleet, 10 * MINUTE_MS);
+	fleet_reset_worst(fleet);
+	mend_(fleet);
+	fleet_run(fleet, MINUTE_MS);
+	assert_budget_(fleet);
+	for (size_t i = 0; i < fleet->count; i++) {
+		const pl_member_t *member;
+
+		if (i == 6)
+			continue;
+		for (size_t j = 0; j < G_N_ELEMENTS(changed); j++) {
+			member = pl_member_find(fleet->nodes[i].table,
+						fleet->nodes[changed[j]].id);
+			assert_int_equal(pl_member_attr(member)->endpoint,
+					 PL_ENDPOINT_DRAINING);
+		}
+		assert_int_equal(fleet_state(fleet, i, 6), PL_MEMBER_DEAD);
+		member = pl_member_find(fleet->nodes[i].table,
+					fleet->nodes[7].id);
+		assert_int_equal(pl_member_boot(member), fleet->nodes[7].boot);
+	}
+	fleet_delete(fleet);
+}
+
+/* Half of a data centre's machines fail: they are dead, not cut off. */
+static void failed_rack_is_dead(void **state)
+{
+	fleet_t *fleet = fleet_new(23, 42, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	for (size_t i = 1; i < 16; i += 3)
+		fleet_kill(fleet, i);
+	fleet_run(fleet, 12000);
+	for (size_t i = 1; i < 16; i += 3)
+		assert_int_equal(fleet_others_not(fleet, i, PL_MEMBER_DEAD), 0);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	fleet_delete(fleet);
+}
+
+static void member_cut_from_everybody_buries_nobody(void **state)
+{
+	fleet_t *fleet = fleet_new(24, 30, 3);
+	size_t dead = 0;
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet->nodes[8].group = 1;
+	fleet_run(fleet, 5 * MINUTE_MS);
+	for (size_t i = 0; i < fleet->count; i++)
+		dead += fleet_state(fleet, 8, i) == PL_MEMBER_DEAD;
+	/* a few until it notices that it is alone */
+	assert_in_range(dead, 0, 3);
+	mend_(fleet);
+	fleet_run(fleet, 45000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	fleet_delete(fleet);
+}
+
+/* A data centre that lost its power comes back as new lives. */
+static void restarted_datacentre_is_taken_back(void **state)
+{
+	fleet_t *fleet = fleet_new(25, 42, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	for (size_t i = 1; i < fleet->count; i += 3)
+		fleet_kill(fleet, i);
+	fleet_run(fleet, 5 * MINUTE_MS);
+	assert_int_equal(fleet_others_not(fleet, 4, PL_MEMBER_UNREACHABLE), 0);
+	fleet_reset_worst(fleet);
+	for (size_t i = 1; i < fleet->count; i += 3)
+		fleet_start(fleet, i);
+	fleet_run(fleet, 30000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	assert_budget_(fleet);
+	fleet_delete(fleet);
+}
+
+static void cut_members_are_dead_in_the_end(void **state)
+{
+	fleet_t *fleet = fleet_new(26, 12, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	for (size_t i = 1; i < fleet->count; i += 3)
+		fleet_kill(fleet, i);
+	fleet_run(fleet, HOUR_MS);
+	assert_int_equal(fleet_others_not(fleet, 4, PL_MEMBER_UNREACHABLE), 0);
+	fleet_run(fleet, HOUR_MS + 2 * MINUTE_MS);
+	assert_int_equal(fleet_others_not(fleet, 4, PL_MEMBER_DEAD), 0);
+	fleet_delete(fleet);
+}
+
+static void all_of_one_role_replaced_within_a_minute(void **state)
+{
+	fleet_t *fleet = fleet_new(27, 60, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	/* every fifth node is an entry: nodes 0 to 55, both seeds' hosts too */
+	for (size_t i = 0; i < fleet->count; i += 5) {
+		pl_member_leave(fleet->nodes[i].table);
+		fleet_run(fleet, 1000);
+		fleet_kill(fleet, i);
+		fleet_run(fleet, 1000);
+		fleet_start(fleet, i);
+		fleet_run(fleet, 3000);
+	}
+	fleet_run(fleet, 5000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	assert_budget_(fleet);
+	fleet_delete(fleet);
+}
+
+/* A member that slept through a death must not bring the dead back. */
+static void stale_peer_cannot_revive_the_dead(void **state)
+{
+	fleet_t *fleet = fleet_new(28, 30, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet->nodes[12].paused = true;
+	fleet_kill(fleet, 13);
+	fleet_run(fleet, 20000);
+	fleet->nodes[12].paused = false;
+	for (int i = 0; i < 600; i++) {
+		fleet_run(fleet, 100);
+		for (size_t j = 0; j < fleet->count; j++) {
+			if (j != 12 && j != 13)
+				assert_int_equal(fleet_state(fleet, j, 13),
+						 PL_MEMBER_DEAD);
+		}
+	}
+	assert_int_equal(fleet_state(fleet, 12, 13), PL_MEMBER_DEAD);
+	fleet_delete(fleet);
+}
+
+/* Two cuts at once, one data centre cut twice, and a crash meanwhile. */
+static void cuts_one_after_another(void **state)
+{
+	fleet_t *fleet = fleet_new(29, 40, 4);
+
+	(void)state;
+	fleet_start_all(fleet);
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet->nodes[i].group = fleet->nodes[i].datacentre;
+	fleet_run(fleet, MINUTE_MS);
+	assert_int_equal(across_not_(fleet, PL_MEMBER_UNREACHABLE), 0);
+	mend_(fleet);
+	fleet_run(fleet, 8000);
+	cut_(fleet, 2);
+	fleet_kill(fleet, 5);
+	fleet_run(fleet, MINUTE_MS);
+	mend_(fleet);
+	fleet_run(fleet, MINUTE_MS);
+	assert_int_equal(fleet_others_not(fleet, 5, PL_MEMBER_DEAD), 0);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	fleet_delete(fleet);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_hours_cut_costs_little_and_heals),
+		cmocka_unit_test(both_sides_of_a_cut_change),
+		cmocka_unit_test(failed_rack_is_dead),
+		cmocka_unit_test(member_cut_from_everybody_buries_nobody),
+		cmocka_unit_test(restarted_datacentre_is_taken_back),
+		cmocka_unit_test(cut_members_are_dead_in_the_end),
+		cmocka_unit_test(all_of_one_role_replaced_within_a_minute),
+		cmocka_unit_test(stale_peer_cannot_revive_the_dead),
+		cmocka_unit_test(cuts_one_after_another),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
