--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -9,6 +9,7 @@
 #include <pimentolift/list.h>
 #include <pimentolift/ref.h>
 #include <pimentolift/view.h>
+#include <pimentolift/view_codec.h>
 
 /** Observe values have 24 bits (RFC 7641 section 3.4). */
 #define PL_VIEW_SEQUENCE_MASK 0xffffffu
@@ -16,18 +17,24 @@
 #define PL_VIEW_TICKS_PER_S 64
 /** Max-Age of an answer that names none (RFC 7252 section 5.10.5). */
 #define PL_VIEW_MAX_AGE_DEFAULT_S 60
+/**
+ * Advance of the Observe value when a view is handed over, in ticks: 256 s.
+ * What the former owner sends until it hears of the acceptance stays older.
+ */
+#define PL_VIEW_MOVE_STEP (1u << 14)
+/**
+ * Advance when a view is taken over without its owner's word: 68 minutes. An
+ * owner that is cut off may go on for that long and stays older.
+ */
+#define PL_VIEW_RECOVERY_STEP (1u << 18)
+/** Most records or places in one frame. */
+#define PL_VIEW_BATCH 200
 
 typedef struct pl_view_caller pl_view_caller_t;
 typedef struct pl_view_resource pl_view_resource_t;
 typedef struct pl_view pl_view_t;
-
-/** What names a view: the caller and its token. */
-typedef struct {
-	pl_addr_t caller;
-	uint8_t token_len;
-	uint8_t token[PL_COAP_TOKEN_MAX];
-	uint8_t zero; /**< fills the last byte; keys are compared as bytes */
-} pl_view_key_t;
+typedef struct pl_view_offer pl_view_offer_t;
+typedef struct pl_view_owner pl_view_owner_t;
 
 /** State of a resource, shared by the views that were sent it. */
 typedef struct {
@@ -103,6 +110,52 @@
 	pl_view_content_t *sent; /**< content last sent, or NULL */
 	pl_view_pending_t *pending; /**< NULL when answered */
 	pl_view_delivery_t *delivery; /**< NULL when none is in progress */
+	pl_view_offer_t *offer; /**< NULL when not offered */
+	pl_list_t move_link; /**< in the offer, or in the table's to_move */
+	pl_member_id_t replica; /**< agent that holds the copy, or 0 */
+	uint64_t replica_boot;
+	uint32_t copied; /**< Observe value in the copy */
+	pl_list_t copy_link; /**< in the table's to_copy */
+};
+
+/** A batch of views that another agent was asked to take. */
+struct pl_view_offer {
+	pl_view_table_t *table;
+	uint64_t id;
+	pl_member_id_t receiver;
+	unsigned int attempts;
+	pl_list_t link; /**< in the table's offers */
+	pl_list_t views;
+	pl_timer_t timer;
+};
+
+/** Where a view went that was here. */
+typedef struct {
+	pl_view_key_t key;
+	pl_view_caller_t *caller;
+	pl_list_t caller_link;
+	pl_list_t age_link; /**< in the table's tombstones by age */
+	pl_member_id_t next;
+	uint32_t sequence; /**< of the view when it went */
+	pl_ms_t expires;
+} pl_view_tombstone_t;
+
+/** Copy of a view that another agent serves. */
+typedef struct {
+	pl_view_key_t key;
+	pl_view_record_t record; /**< its text is interned */
+	uint64_t boot; /**< life of the owner */
+	pl_view_owner_t *owner;
+	pl_view_caller_t *caller;
+	pl_list_t owner_link;
+	pl_list_t caller_link;
+} pl_view_replica_t;
+
+/** An agent whose views have copies here. */
+struct pl_view_owner {
+	pl_member_id_t agent;
+	uint64_t boot; /**< life that the routing table shows; 0 unknown */
+	pl_list_t replicas;
 };
 
 /** What is known of one caller. */
@@ -112,6 +165,8 @@
 	pl_ms_t mid_at; /**< when it was used */
 	pl_list_t views;
 	pl_list_t deliveries;
+	pl_list_t tombstones; /**< latest last */
+	pl_list_t replicas;
 };
 
 struct pl_view_table {
@@ -128,6 +183,24 @@
 	GHashTable *views; /**< set of pl_view_t by key */
 	GHashTable *resources; /**< set of pl_view_resource_t */
 	GHashTable *subscriptions; /**< subscription to pl_view_resource_t */
+	uint64_t endpoints_hash; /**< of the service's endpoints */
+	/* hand-over */
+	pl_list_t to_move;
+	pl_list_t offers;
+	uint64_t next_offer;
+	pl_timer_t move_timer;
+	pl_ms_t move_backoff_ms;
+	GArray *holds; /**< agents that are not offered anything for a while */
+	/* where views are that are not here */
+	GHashTable *tombstones; /**< set of pl_view_tombstone_t by key */
+	pl_list_t tombstones_by_age;
+	pl_timer_t tombstone_timer;
+	GHashTable *outbox; /**< agent to GArray of pl_view_place_t */
+	/* copies */
+	pl_list_t to_copy;
+	pl_timer_t flush_timer;
+	GHashTable *replicas; /**< set of pl_view_replica_t by key */
+	GHashTable *owners; /**< set of pl_view_owner_t by agent */
 };
 
 /* view_table.c */
@@ -142,9 +215,8 @@
 guint pl_view_key_hash(gconstpointer key);
 gboolean pl_view_key_equal(gconstpointer a, gconstpointer b);
 
-/** Key of the view that a message belongs to. */
-void pl_view_key_set(pl_view_key_t *key, const pl_addr_t *caller,
-		     const uint8_t *token, size_t token_len);
+/** Hash of a number, for tables whose keys or elements begin with one. */
+guint pl_view_number_hash(gconstpointer number);
 
 /** The view @p key, or NULL. */
 pl_view_t *pl_view_lookup(pl_view_table_t *table, const pl_view_key_t *key);
@@ -153,6 +225,19 @@
 pl_view_t *pl_view_new(pl_view_table_t *table, const pl_view_key_t *key,
 		       const char *path, const char *query);
 
+/**
+ * Goes on with a view that another agent served. Its Observe value is
+ * @p step ahead of what the record and the clock say.
+ */
+pl_view_t *pl_view_restore(pl_view_table_t *table,
+			   const pl_view_record_t *record, uint32_t step);
+
+/** Fills @p record; its text is borrowed from the resource. */
+void pl_view_record_fill(const pl_view_t *view, pl_view_record_t *record);
+
+/** Ends a view for good: others who know of it are told. */
+void pl_view_close(pl_view_t *view);
+
 /** Takes @p view off every list and frees it. */
 void pl_view_delete(pl_view_t *view);
 
@@ -160,6 +245,11 @@
 pl_view_caller_t *pl_view_caller_find(const pl_view_table_t *table,
 				      const pl_addr_t *addr);
 
+/** The caller @p addr, made when new; freed when nothing is known of it. */
+pl_view_caller_t *pl_view_caller_get(pl_view_table_t *table,
+				     const pl_addr_t *addr);
+void pl_view_caller_put(pl_view_table_t *table, pl_view_caller_t *caller);
+
 /** Next Observe value of @p view. */
 uint32_t pl_view_sequence_next(pl_view_t *view);
 
@@ -169,6 +259,12 @@
 /** Observe value that the clock stands at. */
 uint32_t pl_view_sequence_clock(const pl_view_table_t *table);
 
+/** Observe value @p step after @p sequence. */
+static inline uint32_t pl_view_sequence_add(uint32_t sequence, uint32_t step)
+{
+	return (sequence + step) & PL_VIEW_SEQUENCE_MASK;
+}
+
 /** Next message ID for a message to @p caller; the highest bit is set. */
 uint16_t pl_view_mid_next(pl_view_table_t *table, pl_view_caller_t *caller);
 
@@ -213,6 +309,12 @@
 /** Sends the resource's state to @p view unless it is on its way. */
 void pl_view_update(pl_view_t *view);
 
+/**
+ * Sends the resource's state even when it went out before: what the caller
+ * saw last is not known. May free an ended view.
+ */
+void pl_view_resend(pl_view_t *view);
+
 /** Ends the pending registration with an error and the view with it. */
 void pl_view_refuse(pl_view_t *view, uint8_t code);
 
@@ -220,4 +322,102 @@
 void pl_view_delivery_end(pl_view_t *view);
 void pl_view_pending_end(pl_view_t *view);
 
+/* view_place.c */
+
+void pl_view_place_init(pl_view_table_t *table);
+void pl_view_place_finish(pl_view_table_t *table);
+
+/** Whether @p agent is another endpoint of the service and may be asked. */
+bool pl_view_reachable(const pl_view_table_t *table, pl_member_id_t agent);
+
+/** Tombstone of the view @p key, or NULL. */
+pl_view_tombstone_t *pl_view_tombstone(const pl_view_table_t *table,
+				       const pl_view_key_t *key);
+void pl_view_tombstone_remove(pl_view_table_t *table,
+			      pl_view_tombstone_t *tombstone);
+
+/** Agent that has views of @p caller, or 0. */
+pl_member_id_t pl_view_elsewhere(const pl_view_table_t *table,
+				 const pl_view_caller_t *caller);
+
+/**
+ * Whether the first of two claims to one view holds: the newer Observe
+ * value, and of two equal ones the lower agent.
+ */
+bool pl_view_claim_wins(uint32_t sequence, pl_member_id_t owner,
+			uint32_t other_sequence, pl_member_id_t other_owner);
+
+/**
+ * Settles where a view lives. When the claim in @p place is newer than what
+ * is known here, a view that is here goes there; when it is older, @p sender
+ * is told. Returns whether the claim holds.
+ */
+bool pl_view_settle(pl_view_table_t *table, pl_member_id_t sender,
+		    const pl_view_place_t *place);
+
+/** Tells @p peer where a view lives, with the next flush. */
+void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
+		  const pl_view_key_t *key, pl_member_id_t owner,
+		  uint32_t sequence);
+
+/** Sends what pl_view_tell() gathered. */
+void pl_view_tell_flush(pl_view_table_t *table);
+
+/* view_handover.c */
+
+void pl_view_handover_init(pl_view_table_t *table);
+void pl_view_handover_finish(pl_view_table_t *table);
+
+/** Marks @p view as one that has to go; pl_view_move_pump() offers it. */
+void pl_view_move_later(pl_view_t *view);
+
+/** Takes @p view out of the hand-over. */
+void pl_view_move_cancel(pl_view_t *view);
+
+/** Offers the views that have to go. */
+void pl_view_move_pump(pl_view_table_t *table);
+
+/** Gives up the offers to @p agent, which failed. */
+void pl_view_offers_abandon(pl_view_table_t *table, pl_member_id_t agent);
+
+void pl_view_take_offer(pl_view_table_t *table, pl_member_id_t peer,
+			const pl_view_message_t *message);
+void pl_view_take_accept(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message);
+void pl_view_offer_failed(pl_view_table_t *table, pl_member_id_t peer,
+			  const pl_view_message_t *message);
+
+/* view_copy.c */
+
+void pl_view_copy_init(pl_view_table_t *table);
+void pl_view_copy_finish(pl_view_table_t *table);
+
+/** Sends a copy of @p view with the next flush. */
+void pl_view_copy_later(pl_view_t *view);
+
+/** Arms the timer that sends copies and places. */
+void pl_view_flush_later(pl_view_table_t *table);
+
+/** Sends copies and places now. */
+void pl_view_flush(pl_view_table_t *table);
+
+/** The service's endpoints changed: copies follow the rank. */
+void pl_view_copy_reroute(pl_view_table_t *table);
+
+/** Copy of the view @p key that is kept here, or NULL. */
+pl_view_replica_t *pl_view_replica(const pl_view_table_t *table,
+				   const pl_view_key_t *key);
+void pl_view_replica_remove(pl_view_table_t *table, pl_view_replica_t *replica);
+
+void pl_view_take_copy(pl_view_table_t *table, pl_member_id_t peer,
+		       const pl_view_message_t *message);
+void pl_view_copy_failed(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message);
+
+/* view_frame.c */
+
+/** Sends @p message, whose boot and service are filled in. */
+void pl_view_send(pl_view_table_t *table, pl_member_id_t peer,
+		  pl_peer_type_t type, pl_view_message_t *message);
+
 #endif
--- /dev/null
+++ b/src/view/view_frame.c
@@ -0,0 +1,108 @@
+/**
+ * @file
+ * Frames about views, to and from other agents.
+ */
+#include "private/view_private.h"
+
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+
+void pl_view_send(pl_view_table_t *table, pl_member_id_t peer,
+		  pl_peer_type_t type, pl_view_message_t *message)
+{
+	pl_peer_frame_t frame = { .peer = peer, .type = type };
+	GByteArray *body;
+
+	message->boot = table->params.boot;
+	message->service = table->service_id;
+	body = pl_view_message_encode(message, type);
+	frame.body = body->data;
+	frame.body_len = body->len;
+	table->ops->send_frame(table->ctx, &frame);
+	g_byte_array_unref(body);
+}
+
+/* Whether a copy that is kept here is of no use after @p place. */
+static bool outdated_(const pl_view_replica_t *replica, pl_member_id_t peer,
+		      const pl_view_place_t *place)
+{
+	pl_member_id_t owner = replica->owner->agent;
+
+	/* the owner took another holder, or has the view no more */
+	if (owner == peer)
+		return true;
+	return place->owner != owner &&
+	       pl_view_claim_wins(place->sequence, place->owner,
+				  replica->record.sequence, owner);
+}
+
+static void take_forget_(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message)
+{
+	for (guint i = 0; i < message->places->len; i++) {
+		const pl_view_place_t *place =
+			&g_array_index(message->places, pl_view_place_t, i);
+		pl_view_replica_t *replica;
+
+		pl_view_settle(table, peer, place);
+		replica = pl_view_replica(table, &place->key);
+		if (replica && outdated_(replica, peer, place))
+			pl_view_replica_remove(table, replica);
+	}
+}
+
+static bool decode_(pl_view_message_t *message, const pl_peer_frame_t *frame)
+{
+	pl_result_t result = pl_view_message_decode(
+		message, frame->type, frame->body, frame->body_len);
+
+	if (result != PL_OK)
+		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
+	return result == PL_OK;
+}
+
+static void take_(pl_view_table_t *table, pl_member_id_t peer,
+		  pl_peer_type_t type, const pl_view_message_t *message)
+{
+	if (type == PL_PEER_VIEW_OFFER)
+		pl_view_take_offer(table, peer, message);
+	else if (type == PL_PEER_VIEW_ACCEPT)
+		pl_view_take_accept(table, peer, message);
+	else if (type == PL_PEER_VIEW_COPY)
+		pl_view_take_copy(table, peer, message);
+	else if (type == PL_PEER_VIEW_FORGET)
+		take_forget_(table, peer, message);
+}
+
+void pl_view_frame(pl_view_table_t *table, const pl_peer_frame_t *frame)
+{
+	pl_view_message_t message;
+
+	pl_view_message_init(&message);
+	if (decode_(&message, frame)) {
+		/* an offer of another service is answered: nothing is taken */
+		if (message.service == table->service_id ||
+		    frame->type == PL_PEER_VIEW_OFFER)
+			take_(table, frame->peer, frame->type, &message);
+		else
+			pl_counter_add(PL_COUNTER_DROP_MISMATCH, 1);
+	}
+	pl_view_message_finish(&message);
+	/* a leaver may end as soon as its last view is gone */
+	if (table->draining)
+		pl_view_flush(table);
+}
+
+void pl_view_frame_failed(pl_view_table_t *table, const pl_peer_frame_t *frame)
+{
+	pl_view_message_t message;
+
+	pl_view_message_init(&message);
+	if (decode_(&message, frame)) {
+		if (frame->type == PL_PEER_VIEW_OFFER)
+			pl_view_offer_failed(table, frame->peer, &message);
+		else if (frame->type == PL_PEER_VIEW_COPY)
+			pl_view_copy_failed(table, frame->peer, &message);
+	}
+	pl_view_message_finish(&message);
+}
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -1,15 +1,399 @@
-/** @file Hand-over of views at a drain. */
+/**
+ * @file
+ * Hand-over of views to the agents that will be their callers' homes.
+ *
+ * The leaver offers views in batches and serves them until the receiver says
+ * that it took them. An offer that is not answered is repeated, then given
+ * up: the leaver takes the lead again with a newer Observe value, since the
+ * receiver may have taken the views, and asks the next-ranked agent.
+ */
 #include "private/view_private.h"
 
-void pl_view_frame(pl_view_table_t *table, const pl_peer_frame_t *frame)
+#include <assert.h>
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+
+/** An offer is repeated after this time, so many times in all. */
+#define OFFER_TIMEOUT_MS 1000
+#define OFFER_ATTEMPTS 3
+/** An agent that refused or did not answer is left alone for this long. */
+#define HOLD_MS 1000
+/** Wait before views that nobody could take are offered again. */
+#define BACKOFF_MIN_MS 100
+#define BACKOFF_MAX_MS 2000
+/** Receivers looked at for one view. */
+#define RANKED 8
+
+typedef struct {
+	pl_member_id_t agent;
+	pl_ms_t until;
+} hold_t;
+
+static void move_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_move_pump(ctx);
+}
+
+void pl_view_handover_init(pl_view_table_t *table)
+{
+	pl_list_init(&table->to_move);
+	pl_list_init(&table->offers);
+	pl_timer_init(&table->move_timer, move_fire_, table);
+	table->move_backoff_ms = BACKOFF_MIN_MS;
+	table->holds = g_array_new(FALSE, FALSE, sizeof(hold_t));
+}
+
+static void offer_delete_(pl_view_offer_t *offer)
+{
+	assert(pl_list_empty(&offer->views));
+	pl_timer_cancel(offer->table->timers, &offer->timer);
+	pl_list_remove(&offer->link);
+	g_free(offer);
+}
+
+void pl_view_handover_finish(pl_view_table_t *table)
+{
+	pl_list_for_each_safe(node, &table->offers)
+		offer_delete_(PL_CONTAINER_OF(node, pl_view_offer_t, link));
+	pl_timer_cancel(table->timers, &table->move_timer);
+	g_array_free(table->holds, TRUE);
+}
+
+static void hold_(pl_view_table_t *table, pl_member_id_t agent)
+{
+	hold_t hold = { .agent = agent, .until = pl_view_now(table) + HOLD_MS };
+
+	g_array_append_val(table->holds, hold);
+}
+
+static bool held_(pl_view_table_t *table, pl_member_id_t agent)
+{
+	pl_ms_t now = pl_view_now(table);
+
+	for (guint i = table->holds->len; i-- > 0;) {
+		const hold_t *hold = &g_array_index(table->holds, hold_t, i);
+
+		if (hold->until <= now)
+			g_array_remove_index_fast(table->holds, i);
+		else if (hold->agent == agent)
+			return true;
+	}
+	return false;
+}
+
+void pl_view_move_cancel(pl_view_t *view)
+{
+	pl_list_remove(&view->move_link);
+	view->offer = NULL;
+}
+
+void pl_view_move_later(pl_view_t *view)
+{
+	pl_view_table_t *table = view->table;
+
+	pl_view_move_cancel(view);
+	pl_list_append(&table->to_move, &view->move_link);
+	if (!pl_timer_armed(&table->move_timer))
+		pl_timer_arm(table->timers, &table->move_timer,
+			     pl_view_now(table));
+}
+
+/* Best-ranked agent that may be offered @p view, or 0. */
+static pl_member_id_t receiver_(pl_view_table_t *table, const pl_view_t *view)
+{
+	const pl_route_service_t *service = pl_view_service(table);
+	const pl_endpoint_t *ranked[RANKED];
+	size_t count = 0;
+
+	if (service)
+		count = pl_placement_rank(service, &view->key.caller,
+					  PL_RANK_SERVING, table->params.self,
+					  ranked, RANKED);
+	for (size_t i = 0; i < count; i++) {
+		if (!held_(table, ranked[i]->agent))
+			return ranked[i]->agent;
+	}
+	return 0;
+}
+
+static void offer_send_(pl_view_offer_t *offer)
+{
+	pl_view_table_t *table = offer->table;
+	pl_view_message_t message;
+
+	offer->attempts++;
+	pl_timer_arm(table->timers, &offer->timer,
+		     pl_view_now(table) + OFFER_TIMEOUT_MS);
+	pl_view_message_init(&message);
+	message.offer = offer->id;
+	pl_list_for_each(node, &offer->views) {
+		pl_view_t *view = PL_CONTAINER_OF(node, pl_view_t, move_link);
+		pl_view_record_t record;
+
+		/* the receiver answers a registration by itself */
+		pl_view_pend_acknowledge(view);
+		pl_view_record_fill(view, &record);
+		g_array_append_val(message.records, record);
+	}
+	pl_view_send(table, offer->receiver, PL_PEER_VIEW_OFFER, &message);
+	pl_view_message_finish(&message);
+}
+
+/* Moves what is left of the offer back to the views that have to go. */
+static void offer_return_(pl_view_offer_t *offer, bool maybe_taken)
+{
+	pl_view_table_t *table = offer->table;
+	pl_list_t *first;
+
+	hold_(table, offer->receiver);
+	while ((first = pl_list_first(&offer->views))) {
+		pl_view_t *view = PL_CONTAINER_OF(first, pl_view_t, move_link);
+
+		pl_view_move_later(view);
+		if (!maybe_taken)
+			continue;
+		/* the caller may have heard of newer values from the receiver */
+		view->sequence = pl_view_sequence_add(view->sequence,
+						      2 * PL_VIEW_MOVE_STEP);
+		pl_view_resend(view);
+	}
+	offer_delete_(offer);
+}
+
+static void offer_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_offer_t *offer = ctx;
+
+	if (pl_list_empty(&offer->views))
+		offer_delete_(offer);
+	else if (offer->attempts < OFFER_ATTEMPTS)
+		offer_send_(offer);
+	else
+		offer_return_(offer, true);
+}
+
+static pl_view_offer_t *offer_new_(pl_view_table_t *table,
+				   pl_member_id_t receiver)
 {
+	pl_view_offer_t *offer = g_new0(pl_view_offer_t, 1);
+
+	offer->table = table;
+	offer->id = ++table->next_offer;
+	offer->receiver = receiver;
+	pl_list_init(&offer->views);
+	pl_timer_init(&offer->timer, offer_fire_, offer);
+	pl_list_append(&table->offers, &offer->link);
+	return offer;
+}
+
+/* Sorts the views that have to go into a list per receiver. */
+static GHashTable *by_receiver_(pl_view_table_t *table)
+{
+	GHashTable *groups =
+		g_hash_table_new(pl_view_number_hash, g_int64_equal);
+
+	pl_list_for_each_safe(node, &table->to_move) {
+		pl_view_t *view = PL_CONTAINER_OF(node, pl_view_t, move_link);
+		pl_member_id_t receiver = receiver_(table, view);
+		pl_view_offer_t *offer;
+		guint count = 0;
+
+		if (receiver == 0)
+			continue;
+		offer = g_hash_table_lookup(groups, &receiver);
+		if (offer)
+			count = offer->attempts;
+		if (!offer || count == PL_VIEW_BATCH) {
+			offer = offer_new_(table, receiver);
+			g_hash_table_replace(groups, &offer->receiver, offer);
+		}
+		/* counts the batch until it is sent */
+		offer->attempts++;
+		pl_list_remove(&view->move_link);
+		pl_list_append(&offer->views, &view->move_link);
+		view->offer = offer;
+	}
+	return groups;
 }
 
-void pl_view_frame_failed(pl_view_table_t *table, const pl_peer_frame_t *frame)
+void pl_view_move_pump(pl_view_table_t *table)
 {
+	pl_list_t *last = table->offers.prev;
+
+	if (pl_list_empty(&table->to_move))
+		return;
+	g_hash_table_destroy(by_receiver_(table));
+	if (last->next == &table->offers) {
+		table->move_backoff_ms *= 2;
+		if (table->move_backoff_ms > BACKOFF_MAX_MS)
+			table->move_backoff_ms = BACKOFF_MAX_MS;
+	} else {
+		table->move_backoff_ms = BACKOFF_MIN_MS;
+	}
+	for (pl_list_t *node = last->next; node != &table->offers;
+	     node = node->next) {
+		pl_view_offer_t *offer =
+			PL_CONTAINER_OF(node, pl_view_offer_t, link);
+
+		offer->attempts = 0;
+		offer_send_(offer);
+	}
+	if (!pl_list_empty(&table->to_move))
+		pl_timer_arm(table->timers, &table->move_timer,
+			     pl_view_now(table) + table->move_backoff_ms);
 }
 
 void pl_view_drain(pl_view_table_t *table)
 {
+	GHashTableIter iter;
+	gpointer view;
+
 	table->draining = true;
+	g_hash_table_iter_init(&iter, table->views);
+	while (g_hash_table_iter_next(&iter, &view, NULL)) {
+		if (!((pl_view_t *)view)->offer)
+			pl_view_move_later(view);
+	}
+	pl_view_move_pump(table);
+	pl_view_flush(table);
+}
+
+void pl_view_offers_abandon(pl_view_table_t *table, pl_member_id_t agent)
+{
+	pl_list_for_each_safe(node, &table->offers) {
+		pl_view_offer_t *offer =
+			PL_CONTAINER_OF(node, pl_view_offer_t, link);
+
+		if (offer->receiver == agent)
+			offer_return_(offer, true);
+	}
+}
+
+/* Offer @p id to @p receiver, or NULL. */
+static pl_view_offer_t *offer_find_(pl_view_table_t *table, uint64_t id,
+				    pl_member_id_t receiver)
+{
+	pl_list_for_each(node, &table->offers) {
+		pl_view_offer_t *offer =
+			PL_CONTAINER_OF(node, pl_view_offer_t, link);
+
+		if (offer->id == id && offer->receiver == receiver)
+			return offer;
+	}
+	return NULL;
+}
+
+void pl_view_offer_failed(pl_view_table_t *table, pl_member_id_t peer,
+			  const pl_view_message_t *message)
+{
+	pl_view_offer_t *offer = offer_find_(table, message->offer, peer);
+
+	if (!offer)
+		return;
+	/* this may be called from within the sending of the frame */
+	offer->attempts = OFFER_ATTEMPTS;
+	pl_timer_arm(table->timers, &offer->timer, pl_view_now(table));
+}
+
+void pl_view_take_accept(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message)
+{
+	pl_view_offer_t *offer;
+
+	for (guint i = 0; i < message->places->len; i++)
+		pl_view_settle(
+			table, peer,
+			&g_array_index(message->places, pl_view_place_t, i));
+	if (message->places->len > 0)
+		pl_event(PL_EVENT_VIEWS_MOVED, "%u views, %zu left",
+			 message->places->len, pl_view_count(table));
+	offer = offer_find_(table, message->offer, peer);
+	if (!offer)
+		return;
+	if (pl_list_empty(&offer->views))
+		offer_delete_(offer);
+	else
+		/* refused, so nobody but this agent speaks for them */
+		offer_return_(offer, false);
+	pl_view_move_pump(table);
+}
+
+/* Whether views of @p service may be taken here. */
+static bool can_take_(const pl_view_table_t *table, pl_service_id_t service)
+{
+	return !table->draining && table->backend_present && service != 0 &&
+	       service == table->service_id;
+}
+
+/* Takes the view over or says that it was; false when it is refused. */
+static bool take_record_(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_record_t *record, bool can_take,
+			 pl_view_place_t *place)
+{
+	pl_view_t *view = pl_view_lookup(table, &record->key);
+	pl_view_tombstone_t *tombstone = pl_view_tombstone(table, &record->key);
+	pl_view_replica_t *replica = pl_view_replica(table, &record->key);
+
+	place->key = record->key;
+	place->owner = table->params.self;
+	if (!view && tombstone &&
+	    pl_view_sequence_newer(tombstone->sequence, record->sequence) &&
+	    pl_view_reachable(table, tombstone->next)) {
+		/* taken before, and handed on since */
+		place->owner = tombstone->next;
+		place->sequence = tombstone->sequence;
+		return true;
+	}
+	if (!view && !can_take)
+		return false;
+	if (tombstone)
+		pl_view_tombstone_remove(table, tombstone);
+	if (replica)
+		pl_view_replica_remove(table, replica);
+	if (!view) {
+		view = pl_view_restore(table, record, PL_VIEW_MOVE_STEP);
+		pl_counter_add(PL_COUNTER_VIEWS_MOVED_IN, 1);
+		place->sequence = view->sequence;
+		pl_view_update(view);
+		return true;
+	}
+	if (!pl_view_sequence_newer(view->sequence, record->sequence)) {
+		view->sequence = pl_view_sequence_add(record->sequence,
+						      PL_VIEW_MOVE_STEP);
+		pl_view_copy_later(view);
+		place->sequence = view->sequence;
+		pl_view_resend(view);
+		return true;
+	}
+	place->sequence = view->sequence;
+	return true;
+}
+
+void pl_view_take_offer(pl_view_table_t *table, pl_member_id_t peer,
+			const pl_view_message_t *message)
+{
+	bool can_take = can_take_(table, message->service);
+	pl_view_message_t accept;
+
+	pl_view_message_init(&accept);
+	accept.offer = message->offer;
+	if (message->service != table->service_id && table->service_id != 0) {
+		pl_counter_add(PL_COUNTER_DROP_MISMATCH, 1);
+		pl_event(PL_EVENT_SERVICE_MISMATCH,
+			 "%u views of another service were offered",
+			 message->records->len);
+	} else {
+		for (guint i = 0; i < message->records->len; i++) {
+			const pl_view_record_t *record = &g_array_index(
+				message->records, pl_view_record_t, i);
+			pl_view_place_t place;
+
+			if (take_record_(table, peer, record, can_take, &place))
+				g_array_append_val(accept.places, place);
+		}
+	}
+	/* a copy is on its way before the leaver lets go */
+	pl_view_flush(table);
+	pl_view_send(table, peer, PL_PEER_VIEW_ACCEPT, &accept);
+	pl_view_message_finish(&accept);
 }
--- a/src/view/view_notify.c
+++ b/src/view/view_notify.c
@@ -182,7 +182,7 @@
 
 	if (delivery->attempts == MAX_RETRANSMIT) {
 		pl_counter_add(PL_COUNTER_VIEWS_LOST, 1);
-		pl_view_delete(view);
+		pl_view_close(view);
 		return;
 	}
 	delivery->attempts++;
@@ -231,7 +231,7 @@
 		send_(view, PL_COAP_NON,
 		      pl_view_mid_next(view->table, view->caller));
 	if (ended_(view))
-		pl_view_delete(view);
+		pl_view_close(view);
 }
 
 void pl_view_update(pl_view_t *view)
@@ -255,6 +255,16 @@
 	delivery_start_(view);
 }
 
+void pl_view_resend(pl_view_t *view)
+{
+	pl_view_delivery_end(view);
+	view->confirmed_etag = 0;
+	if (view->sent)
+		pl_view_content_put(view->sent);
+	view->sent = NULL;
+	pl_view_update(view);
+}
+
 void pl_view_pend_acknowledge(pl_view_t *view)
 {
 	pl_view_pending_t *pending = view->pending;
@@ -349,7 +359,7 @@
 	view->confirmed_etag = view->sent->etag;
 	pl_view_delivery_end(view);
 	if (ended_(view) && view->sent == view->resource->content)
-		pl_view_delete(view);
+		pl_view_close(view);
 	else
 		pl_view_update(view);
 }
@@ -363,11 +373,15 @@
 	pl_view_t *view = caller ? delivered_(caller, msg->mid) : NULL;
 
 	*next = 0;
+	if (!view && caller)
+		*next = pl_view_elsewhere(table, caller);
+	if (*next)
+		return PL_VIEW_MOVED;
 	if (!view)
 		return pl_view_find(table, &forward->flow.caller, next);
 	if (msg->type == PL_COAP_RST) {
 		pl_counter_add(PL_COUNTER_VIEWS_CLOSED, 1);
-		pl_view_delete(view);
+		pl_view_close(view);
 	} else {
 		acknowledged_(view, forward->entry);
 	}
--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -16,6 +16,10 @@
 #define MID_FLAG 0x8000
 #define MID_MASK 0x7fff
 #define MID_HALF 0x4000
+/** Observe values that a copy may lag behind: half a recovery's advance. */
+#define COPY_LAG_MAX (PL_VIEW_RECOVERY_STEP / 2)
+/** Message IDs left out when a view changes hands: 4 s of the clock. */
+#define MID_STEP 256
 /** A message ID is not used twice within this time (RFC 7252 section 4.8). */
 #define MID_LIFETIME_MS (247 * MS_PER_S)
 
@@ -51,21 +55,11 @@
 	return pl_addr_equal(a, b);
 }
 
-static guint number_hash_(gconstpointer number)
+guint pl_view_number_hash(gconstpointer number)
 {
 	return (guint)pl_hash(number, sizeof(uint64_t), 0);
 }
 
-void pl_view_key_set(pl_view_key_t *key, const pl_addr_t *caller,
-		     const uint8_t *token, size_t token_len)
-{
-	assert(token_len <= PL_COAP_TOKEN_MAX);
-	memset(key, 0, sizeof(*key));
-	key->caller = *caller;
-	key->token_len = (uint8_t)token_len;
-	memcpy(key->token, token, token_len);
-}
-
 pl_view_table_t *pl_view_table_new(const pl_agent_params_t *params,
 				   const pl_agent_ops_t *ops, void *ctx,
 				   pl_timer_service_t *timers)
@@ -80,7 +74,11 @@
 	table->views = g_hash_table_new(pl_view_key_hash, pl_view_key_equal);
 	table->resources =
 		g_hash_table_new(pl_view_resource_hash, pl_view_resource_equal);
-	table->subscriptions = g_hash_table_new(number_hash_, g_int64_equal);
+	table->subscriptions =
+		g_hash_table_new(pl_view_number_hash, g_int64_equal);
+	pl_view_place_init(table);
+	pl_view_handover_init(table);
+	pl_view_copy_init(table);
 	return table;
 }
 
@@ -97,6 +95,9 @@
 		pl_view_delete(view);
 		g_hash_table_iter_init(&iter, table->views);
 	}
+	pl_view_copy_finish(table);
+	pl_view_handover_finish(table);
+	pl_view_place_finish(table);
 	g_hash_table_destroy(table->subscriptions);
 	g_hash_table_destroy(table->resources);
 	g_hash_table_destroy(table->views);
@@ -104,11 +105,35 @@
 	g_free(table);
 }
 
+/* Hash of what decides over rank and reach. */
+static uint64_t endpoints_hash_(const pl_view_table_t *table)
+{
+	const pl_route_service_t *service = pl_view_service(table);
+	uint64_t hash = 0;
+
+	for (size_t i = 0; service && i < service->endpoint_count; i++) {
+		const pl_endpoint_t *endpoint = &service->endpoints[i];
+		const uint64_t fields[] = { endpoint->agent, endpoint->boot,
+					    endpoint->state, endpoint->weight };
+
+		hash = pl_hash(fields, sizeof(fields), hash);
+	}
+	return hash;
+}
+
 void pl_view_set_routing(pl_view_table_t *table, const pl_routing_t *routing,
 			 pl_service_id_t service)
 {
+	uint64_t hash;
+
 	table->routing = routing;
 	table->service_id = service;
+	hash = endpoints_hash_(table);
+	if (hash == table->endpoints_hash)
+		return;
+	table->endpoints_hash = hash;
+	pl_view_copy_reroute(table);
+	pl_view_move_pump(table);
 }
 
 pl_view_caller_t *pl_view_caller_find(const pl_view_table_t *table,
@@ -117,7 +142,7 @@
 	return g_hash_table_lookup(table->callers, addr);
 }
 
-static pl_view_caller_t *caller_get_(pl_view_table_t *table,
+pl_view_caller_t *pl_view_caller_get(pl_view_table_t *table,
 				     const pl_addr_t *addr)
 {
 	pl_view_caller_t *caller = pl_view_caller_find(table, addr);
@@ -128,13 +153,17 @@
 	caller->addr = *addr;
 	pl_list_init(&caller->views);
 	pl_list_init(&caller->deliveries);
+	pl_list_init(&caller->tombstones);
+	pl_list_init(&caller->replicas);
 	g_hash_table_add(table->callers, caller);
 	return caller;
 }
 
-static void caller_put_(pl_view_table_t *table, pl_view_caller_t *caller)
+void pl_view_caller_put(pl_view_table_t *table, pl_view_caller_t *caller)
 {
-	if (!pl_list_empty(&caller->views))
+	if (!pl_list_empty(&caller->views) ||
+	    !pl_list_empty(&caller->tombstones) ||
+	    !pl_list_empty(&caller->replicas))
 		return;
 	g_hash_table_remove(table->callers, caller);
 	g_free(caller);
@@ -155,26 +184,103 @@
 	view->accept = -1;
 	view->sequence =
 		(pl_view_sequence_clock(table) - 1) & PL_VIEW_SEQUENCE_MASK;
-	view->caller = caller_get_(table, &key->caller);
+	view->caller = pl_view_caller_get(table, &key->caller);
 	pl_list_append(&view->caller->views, &view->caller_link);
 	view->resource = pl_view_resource_get(table, path, query);
 	pl_list_append(&view->resource->views, &view->resource_link);
 	PL_INVARIANT(!pl_view_lookup(table, key), "two records of one view");
 	g_hash_table_add(table->views, view);
+	pl_list_init(&view->move_link);
+	pl_list_init(&view->copy_link);
+	pl_view_copy_later(view);
+	if (table->draining)
+		pl_view_move_later(view);
+	return view;
+}
+
+void pl_view_record_fill(const pl_view_t *view, pl_view_record_t *record)
+{
+	record->key = view->key;
+	record->address = view->address;
+	record->path = view->resource->path;
+	record->query = view->resource->query;
+	record->accept = view->accept;
+	record->sequence = view->sequence;
+	record->mid = view->caller->mid;
+	record->szx = view->szx;
+	record->pending = view->pending != NULL;
+	record->etag = view->delivery ? 0 : view->confirmed_etag;
+	record->entry = view->entry;
+}
+
+/* Message IDs that the former owner may have used stay unused. */
+static void raise_mid_(pl_view_t *view, uint16_t mid)
+{
+	pl_view_caller_t *caller = view->caller;
+	pl_ms_t now = pl_view_now(view->table);
+
+	/* a caller that is known already has a count of its own to go on */
+	if (caller->mid == 0) {
+		caller->mid = mid;
+		caller->mid_at = now;
+	}
+	pl_view_mid_next(view->table, caller);
+	caller->mid = ((caller->mid + MID_STEP) & MID_MASK) | MID_FLAG;
+}
+
+pl_view_t *pl_view_restore(pl_view_table_t *table,
+			   const pl_view_record_t *record, uint32_t step)
+{
+	pl_view_t *view =
+		pl_view_new(table, &record->key, record->path, record->query);
+	uint32_t base = record->sequence & PL_VIEW_SEQUENCE_MASK;
+
+	if (pl_view_sequence_newer(view->sequence, base))
+		base = view->sequence;
+	view->sequence = pl_view_sequence_add(base, step);
+	view->address = record->address;
+	view->accept = record->accept;
+	view->szx = record->szx;
+	view->confirmed_etag = record->etag;
+	view->entry = record->entry;
+	raise_mid_(view, record->mid);
+	if (record->pending) {
+		pl_view_pending_t *pending = pl_view_pending_start(view);
+
+		/* the former owner acknowledged the request */
+		pending->confirmable = true;
+		pending->acknowledged = true;
+	}
 	return view;
 }
 
+void pl_view_close(pl_view_t *view)
+{
+	pl_view_table_t *table = view->table;
+
+	if (view->replica)
+		pl_view_tell(table, view->replica, &view->key, 0,
+			     view->sequence);
+	if (view->offer)
+		pl_view_tell(table, view->offer->receiver, &view->key, 0,
+			     pl_view_sequence_add(view->sequence,
+						  2 * PL_VIEW_MOVE_STEP));
+	pl_view_delete(view);
+}
+
 void pl_view_delete(pl_view_t *view)
 {
 	pl_view_table_t *table = view->table;
 
 	pl_view_delivery_end(view);
 	pl_view_pending_end(view);
+	pl_view_move_cancel(view);
+	pl_list_remove(&view->copy_link);
 	g_hash_table_remove(table->views, view);
 	pl_list_remove(&view->resource_link);
 	pl_list_remove(&view->caller_link);
 	pl_view_resource_put(view->resource);
-	caller_put_(table, view->caller);
+	pl_view_caller_put(table, view->caller);
 	if (view->sent)
 		pl_view_content_put(view->sent);
 	g_free(view);
@@ -217,6 +323,12 @@
 			 "Observe value fell from %u to %u", view->sequence,
 			 next))
 		view->sequence = next;
+	/* whoever recovers the view starts one step above copy and clock */
+	if (pl_view_sequence_newer(next,
+				   pl_view_sequence_add(clock, COPY_LAG_MAX)) &&
+	    pl_view_sequence_newer(
+		    next, pl_view_sequence_add(view->copied, COPY_LAG_MAX)))
+		pl_view_copy_later(view);
 	return view->sequence;
 }
 
@@ -235,6 +347,51 @@
 	return caller->mid;
 }
 
+/*
+ * A new view takes the place of one that another agent has, or had: its
+ * Observe value starts above and the other is told.
+ */
+static void claim_(pl_view_t *view)
+{
+	pl_view_table_t *table = view->table;
+	pl_view_replica_t *replica = pl_view_replica(table, &view->key);
+	pl_view_tombstone_t *tombstone = pl_view_tombstone(table, &view->key);
+
+	if (replica) {
+		if (pl_view_sequence_newer(replica->record.sequence,
+					   view->sequence))
+			view->sequence = replica->record.sequence;
+		view->sequence = pl_view_sequence_add(view->sequence,
+						      PL_VIEW_RECOVERY_STEP);
+		pl_view_tell(table, replica->owner->agent, &view->key,
+			     table->params.self, view->sequence);
+		pl_view_replica_remove(table, replica);
+	}
+	if (tombstone) {
+		if (pl_view_sequence_newer(tombstone->sequence, view->sequence))
+			view->sequence = tombstone->sequence;
+		view->sequence =
+			pl_view_sequence_add(view->sequence, PL_VIEW_MOVE_STEP);
+		pl_view_tell(table, tombstone->next, &view->key,
+			     table->params.self, view->sequence);
+		pl_view_tombstone_remove(table, tombstone);
+	}
+}
+
+/* The token stands for another resource now; the Observe value goes on. */
+static pl_view_t *replace_(pl_view_t *view, const pl_coap_msg_t *msg)
+{
+	pl_view_table_t *table = view->table;
+	pl_view_key_t key = view->key;
+	uint32_t sequence =
+		pl_view_sequence_add(view->sequence, 2 * PL_VIEW_MOVE_STEP);
+
+	pl_view_close(view);
+	view = pl_view_new(table, &key, msg->path, msg->query);
+	view->sequence = sequence;
+	return view;
+}
+
 void pl_view_register(pl_view_table_t *table, const pl_forward_t *forward,
 		      const pl_coap_msg_t *msg)
 {
@@ -244,15 +401,13 @@
 	pl_view_key_set(&key, &forward->flow.caller, msg->token,
 			msg->token_len);
 	view = pl_view_lookup(table, &key);
-	if (view && (strcmp(view->resource->path, msg->path) != 0 ||
-		     strcmp(view->resource->query, msg->query) != 0)) {
-		/* the token stands for another resource now */
-		pl_view_delete(view);
-		view = NULL;
-	}
 	if (!view) {
 		view = pl_view_new(table, &key, msg->path, msg->query);
+		claim_(view);
 		pl_counter_add(PL_COUNTER_VIEWS_OPENED, 1);
+	} else if (strcmp(view->resource->path, msg->path) != 0 ||
+		   strcmp(view->resource->query, msg->query) != 0) {
+		view = replace_(view, msg);
 	}
 	view->address = forward->flow.address;
 	view->entry = forward->entry;
@@ -263,9 +418,15 @@
 pl_view_verdict_t pl_view_find(const pl_view_table_t *table,
 			       const pl_addr_t *caller, pl_member_id_t *next)
 {
+	const pl_view_caller_t *known = pl_view_caller_find(table, caller);
+
 	*next = 0;
-	return pl_view_caller_find(table, caller) ? PL_VIEW_HANDLED :
-						    PL_VIEW_UNKNOWN;
+	if (!known)
+		return PL_VIEW_UNKNOWN;
+	if (!pl_list_empty(&known->views))
+		return PL_VIEW_HANDLED;
+	*next = pl_view_elsewhere(table, known);
+	return *next ? PL_VIEW_MOVED : PL_VIEW_UNKNOWN;
 }
 
 pl_view_verdict_t pl_view_deregister(pl_view_table_t *table,
@@ -281,7 +442,8 @@
 	view = pl_view_lookup(table, &key);
 	if (!view)
 		return pl_view_find(table, &forward->flow.caller, next);
+	*next = 0;
 	pl_counter_add(PL_COUNTER_VIEWS_CLOSED, 1);
-	pl_view_delete(view);
+	pl_view_close(view);
 	return PL_VIEW_HANDLED;
 }
--- a/test/view/view_fake.c
+++ b/test/view/view_fake.c
@@ -188,7 +188,6 @@
 
 void fake_route(fake_t *fake)
 {
-	pl_routing_t *before = fake->routing;
 	pl_service_policy_t policy = { .deadline_ms = 5000 };
 	pl_routing_builder_t *builder = pl_routing_builder_new(1);
 
@@ -212,7 +211,8 @@
 			pl_view_set_routing(fake->agents[i].table,
 					    fake->routing, service_());
 	}
-	pl_routing_put(before);
+	/* an agent that is cut off goes on with an old one */
+	g_ptr_array_add(fake->routings, fake->routing);
 }
 
 void fake_start(fake_t *fake, unsigned int index)
@@ -262,6 +262,11 @@
 	}
 }
 
+static void routing_free_(gpointer routing)
+{
+	pl_routing_put(routing);
+}
+
 fake_t *fake_new(uint32_t seed, unsigned int agents, unsigned int started,
 		 unsigned int callers)
 {
@@ -272,6 +277,7 @@
 	fake->timers = pl_timer_service_new(1000);
 	fake->rand = g_rand_new_with_seed(seed);
 	g_queue_init(&fake->events);
+	fake->routings = g_ptr_array_new_with_free_func(routing_free_);
 	fake->agent_count = agents;
 	for (unsigned int i = 0; i < agents; i++) {
 		fake->agents[i].fake = fake;
@@ -308,7 +314,7 @@
 	g_assert_cmpuint(pl_counter_get(PL_COUNTER_INVARIANT_BROKEN), ==, 0);
 	/* a timer that outlives its table would be a fault */
 	g_assert_true(pl_timer_service_armed(fake->timers) == 0);
-	pl_routing_put(fake->routing);
+	g_ptr_array_free(fake->routings, TRUE);
 	pl_timer_service_delete(fake->timers);
 	g_rand_free(fake->rand);
 	g_free(fake->callers);
@@ -469,6 +475,22 @@
 		caller_takes_(caller, &msg);
 }
 
+/* Best-ranked agent besides @p self and the one it came from, or 0. */
+static pl_member_id_t next_ranked_(fake_t *fake, const event_t *event,
+				   pl_member_id_t self)
+{
+	const pl_endpoint_t *ranked[2];
+	size_t count = pl_placement_rank(
+		pl_routing_service_at(fake->routing, 0), &event->caller,
+		PL_RANK_REACHABLE, self, ranked, 2);
+
+	for (size_t i = 0; i < count; i++) {
+		if (ranked[i]->agent != event->from)
+			return ranked[i]->agent;
+	}
+	return 0;
+}
+
 /* What an agent core does with a datagram for a view. */
 static void deliver_to_agent_(fake_t *fake, const event_t *event)
 {
@@ -492,15 +514,16 @@
 		verdict =
 			pl_view_deregister(agent->table, &forward, &msg, &next);
 	} else {
-		verdict = pl_view_find(agent->table, &event->caller, &next);
-		if (verdict != PL_VIEW_MOVED)
-			pl_view_register(agent->table, &forward, &msg);
+		pl_view_register(agent->table, &forward, &msg);
 	}
-	if (verdict != PL_VIEW_MOVED || event->hops == PL_WIRE_HOPS_MAX)
+	if (verdict == PL_VIEW_UNKNOWN && msg.code == PL_COAP_EMPTY)
+		next = next_ranked_(fake, event, agent->id);
+	if (next == 0 || event->hops == PL_WIRE_HOPS_MAX)
 		return;
 	passed = push_(fake, EVENT_TO_AGENT, FRAME_DELAY_MS, event->body,
 		       event->len);
 	passed->caller = event->caller;
+	passed->from = agent->id;
 	passed->to = next;
 	passed->hops = event->hops + 1;
 }
--- a/test/view/view_fake.h
+++ b/test/view/view_fake.h
@@ -45,7 +45,8 @@
 
 struct fake {
 	pl_timer_service_t *timers;
-	pl_routing_t *routing;
+	pl_routing_t *routing; /**< the newest of @c routings */
+	GPtrArray *routings;
 	GRand *rand;
 	GQueue events;
 	uint64_t order;
--- /dev/null
+++ b/test/view/view_move_test.c
@@ -0,0 +1,337 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "view_fake.h"
+
+#include <pimentolift/counter.h>
+
+#define CALLERS 300
+#define SETTLE_MS 50
+#define COPY_MS 500
+#define OFFER_GIVE_UP_MS 10000
+
+static fake_t *opened_(uint32_t seed, unsigned int agents, unsigned int started)
+{
+	fake_t *fake = fake_new(seed, agents, started, CALLERS);
+
+	fake_open_all(fake);
+	fake_run(fake, COPY_MS);
+	assert_int_equal(fake_views(fake), CALLERS);
+	assert_int_equal(fake_behind(fake), 0);
+	return fake;
+}
+
+static void update_all_(fake_t *fake)
+{
+	for (unsigned int i = 0; i < FAKE_RESOURCES; i++)
+		fake_update(fake, i);
+}
+
+/* Every caller has one view, at its home, and hears of changes. */
+static void check_whole_(fake_t *fake)
+{
+	fake_run(fake, COPY_MS);
+	assert_int_equal(fake_views(fake), CALLERS);
+	update_all_(fake);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_behind(fake), 0);
+	assert_int_equal(pl_counter_get(PL_COUNTER_VIEWS_LOST), 0);
+}
+
+static bool lose_type_(fake_t *fake, const fake_agent_t *from,
+		       const pl_peer_frame_t *frame)
+{
+	return frame->type == (pl_peer_type_t)GPOINTER_TO_INT(fake->lose_ctx);
+}
+
+static size_t count_(fake_t *fake, unsigned int agent)
+{
+	return pl_view_count(fake->agents[agent].table);
+}
+
+static void drain_moves_every_view(void **state)
+{
+	fake_t *fake = opened_(1, 3, 3);
+	size_t before = count_(fake, 0);
+
+	assert_in_range(before, 60, 140);
+	fake_drain(fake, 0);
+	fake_route(fake);
+	for (unsigned int i = 0; i < 10; i++) {
+		update_all_(fake);
+		fake_run(fake, 1);
+	}
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	assert_int_equal(fake_behind(fake), 0);
+	fake_kill(fake, 0);
+	fake_declare_dead(fake, 0);
+	check_whole_(fake);
+	assert_int_equal(pl_counter_get(PL_COUNTER_VIEWS_RECOVERED), 0);
+	fake_delete(fake);
+}
+
+/* Nothing changed, so callers are not disturbed by the move. */
+static void drain_is_unseen(void **state)
+{
+	fake_t *fake = opened_(2, 3, 3);
+
+	fake->datagrams = 0;
+	fake_drain(fake, 0);
+	fake_route(fake);
+	fake_run(fake, OFFER_GIVE_UP_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	assert_int_equal(fake->datagrams, 0);
+	fake_delete(fake);
+}
+
+static void receiver_that_drains_refuses(void **state)
+{
+	fake_t *fake = opened_(3, 3, 3);
+
+	/* the table still shows both as serving when they are told */
+	fake_drain(fake, 0);
+	fake_drain(fake, 1);
+	update_all_(fake);
+	fake_run(fake, 5);
+	fake_route(fake);
+	fake_run(fake, OFFER_GIVE_UP_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	assert_int_equal(count_(fake, 1), 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+static void views_stay_while_nobody_can_take_them(void **state)
+{
+	fake_t *fake = opened_(4, 2, 1);
+
+	fake_drain(fake, 0);
+	fake_route(fake);
+	fake_run(fake, OFFER_GIVE_UP_MS);
+	assert_int_equal(count_(fake, 0), CALLERS);
+	fake_start(fake, 1);
+	fake_route(fake);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+/* The receiver serves, the leaver does not know and serves as well. */
+static void lost_accept_is_settled(void **state)
+{
+	fake_t *fake = opened_(5, 3, 3);
+
+	fake->lose = lose_type_;
+	fake->lose_ctx = GINT_TO_POINTER(PL_PEER_VIEW_ACCEPT);
+	fake_drain(fake, 0);
+	fake_route(fake);
+	for (unsigned int i = 0; i < 8; i++) {
+		update_all_(fake);
+		fake_run(fake, 100);
+		assert_int_equal(fake_behind(fake), 0);
+	}
+	fake->lose = NULL;
+	fake_run(fake, OFFER_GIVE_UP_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+/* Every offer gets lost: the leaver serves until somebody hears it. */
+static void lost_offers_are_repeated(void **state)
+{
+	fake_t *fake = opened_(6, 3, 3);
+
+	fake->lose = lose_type_;
+	fake->lose_ctx = GINT_TO_POINTER(PL_PEER_VIEW_OFFER);
+	fake_drain(fake, 0);
+	fake_route(fake);
+	for (unsigned int i = 0; i < 100; i++) {
+		update_all_(fake);
+		fake_run(fake, 100);
+		assert_int_equal(fake_behind(fake), 0);
+	}
+	assert_true(count_(fake, 0) > 0);
+	fake->lose = NULL;
+	fake_run(fake, OFFER_GIVE_UP_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+/* The receiver takes the views, notifies, and dies before it says so. */
+static void receiver_dies_in_the_offer(void **state)
+{
+	fake_t *fake = opened_(7, 3, 3);
+
+	fake->lose = lose_type_;
+	fake->lose_ctx = GINT_TO_POINTER(PL_PEER_VIEW_ACCEPT);
+	fake_drain(fake, 0);
+	fake_route(fake);
+	fake_run(fake, 5);
+	update_all_(fake);
+	fake_run(fake, 10);
+	fake_kill(fake, 1);
+	fake->lose = NULL;
+	update_all_(fake);
+	fake_run(fake, 500);
+	fake_declare_dead(fake, 1);
+	fake_run(fake, OFFER_GIVE_UP_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	assert_int_equal(fake_behind(fake), 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+static void pending_registration_is_handed_over(void **state)
+{
+	fake_t *fake = fake_new(8, 2, 2, CALLERS);
+
+	fake->agents[0].refuses = true;
+	fake->agents[1].refuses = false;
+	fake_open_all(fake);
+	fake_run(fake, 20);
+	fake_drain(fake, 0);
+	fake_route(fake);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(count_(fake, 0), 0);
+	assert_int_equal(fake_behind(fake), 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+static void crash_is_recovered_from_copies(void **state)
+{
+	fake_t *fake = opened_(9, 3, 3);
+
+	fake_kill(fake, 0);
+	update_all_(fake);
+	fake_run(fake, 1000);
+	assert_true(fake_behind(fake) > 0);
+	fake_declare_dead(fake, 0);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_behind(fake), 0);
+	check_whole_(fake);
+	/* and again: the copies of the recovered views are elsewhere */
+	fake_kill(fake, 1);
+	fake_run(fake, 1000);
+	fake_declare_dead(fake, 1);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+/* A restart that nobody noticed as a death shows in the routing table. */
+static void restart_is_recovered_from_copies(void **state)
+{
+	fake_t *fake = opened_(10, 3, 3);
+
+	fake_kill(fake, 0);
+	fake_run(fake, 100);
+	fake_start(fake, 0);
+	fake_route(fake);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+static void closed_view_is_not_recovered(void **state)
+{
+	fake_t *fake = opened_(11, 2, 2);
+	unsigned int home = fake_home(fake, &fake->callers[0]);
+
+	fake_close(fake, &fake->callers[0]);
+	fake_run(fake, COPY_MS);
+	fake_kill(fake, home);
+	fake_declare_dead(fake, home);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_views(fake), CALLERS - 1);
+	fake_delete(fake);
+}
+
+/* An owner that was cut off is back after its views were taken over. */
+static void cut_off_owner_gives_up_its_views(void **state)
+{
+	fake_t *fake = opened_(12, 3, 3);
+	pl_view_table_t *lost = fake->agents[0].table;
+	size_t views = count_(fake, 0);
+
+	fake->agents[0].table = NULL;
+	fake_run(fake, 1000);
+	fake_declare_dead(fake, 0);
+	update_all_(fake);
+	fake_run(fake, COPY_MS);
+	assert_int_equal(fake_views(fake), CALLERS);
+
+	fake->agents[0].table = lost;
+	fake->agents[0].boot++;
+	fake->agents[0].state = PL_ENDPOINT_SERVING;
+	assert_int_equal(count_(fake, 0), views);
+	pl_view_rejoin(lost, fake->agents[0].boot);
+	fake_route(fake);
+	check_whole_(fake);
+	assert_int_equal(fake_views(fake), CALLERS);
+	fake_delete(fake);
+}
+
+/* A new home does not pull the views, but finds them for a caller. */
+static void new_home_knows_where_views_are(void **state)
+{
+	fake_t *fake = opened_(13, 3, 2);
+	unsigned int moved = 0;
+
+	fake_start(fake, 2);
+	fake_route(fake);
+	check_whole_(fake);
+	assert_int_equal(count_(fake, 2), 0);
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		pl_member_id_t next = 0;
+
+		if (fake_home(fake, &fake->callers[i]) != 2)
+			continue;
+		moved++;
+		assert_int_equal(pl_view_find(fake->agents[2].table,
+					      &fake->callers[i].addr, &next),
+				 PL_VIEW_MOVED);
+	}
+	assert_true(moved > 50);
+	fake_kill(fake, 0);
+	fake_run(fake, 1000);
+	fake_declare_dead(fake, 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
+static int reset_(void **state)
+{
+	pl_counter_reset();
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup(drain_moves_every_view, reset_),
+		cmocka_unit_test_setup(drain_is_unseen, reset_),
+		cmocka_unit_test_setup(receiver_that_drains_refuses, reset_),
+		cmocka_unit_test_setup(views_stay_while_nobody_can_take_them,
+				       reset_),
+		cmocka_unit_test_setup(lost_accept_is_settled, reset_),
+		cmocka_unit_test_setup(lost_offers_are_repeated, reset_),
+		cmocka_unit_test_setup(receiver_dies_in_the_offer, reset_),
+		cmocka_unit_test_setup(pending_registration_is_handed_over,
+				       reset_),
+		cmocka_unit_test_setup(crash_is_recovered_from_copies, reset_),
+		cmocka_unit_test_setup(restart_is_recovered_from_copies,
+				       reset_),
+		cmocka_unit_test_setup(closed_view_is_not_recovered, reset_),
+		cmocka_unit_test_setup(cut_off_owner_gives_up_its_views,
+				       reset_),
+		cmocka_unit_test_setup(new_home_knows_where_views_are, reset_),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
