--- a/test/standin/caller/caller.c
+++ b/test/standin/caller/caller.c
@@ -259,7 +259,9 @@
 	{ "record", 'r', "FILE", 0,
 	  "Append to FILE what the caller of each operation was told", 0 },
 	{ "ack-timeout-ms", 't', "MS", 0,
-	  "ACK_TIMEOUT of RFC 7252 section 4.8, 2000 unless given", 0 },
+	  "ACK_TIMEOUT of RFC 7252 section 4.8, 2000 unless given, "
+	  "1000 at least",
+	  0 },
 	{ 0 },
 };
 
