--- a/include/pimentolift/agent.h
+++ b/include/pimentolift/agent.h
@@ -96,6 +96,7 @@
 	size_t requests_running;
 	size_t uploads;
 	size_t answers_kept;
+	size_t messages; /**< message IDs remembered */
 	size_t body_bytes;
 	uint32_t load_ms; /**< expected wait for a slot */
 } pl_agent_stats_t;
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -397,6 +397,7 @@
 	stats->requests_running = pl_scheduler_running(&agent->scheduler);
 	stats->uploads = pl_upload_count(agent->uploads);
 	stats->answers_kept = pl_answer_store_count(agent->answers);
+	stats->messages = pl_exchange_count(agent->exchanges);
 	stats->body_bytes = agent->budget.used;
 	stats->load_ms = pl_scheduler_load_ms(&agent->scheduler);
 }
--- a/test/agent/fixture.c
+++ b/test/agent/fixture.c
@@ -182,6 +182,7 @@
 	assert_int_equal(pl_counter_get(PL_COUNTER_INVARIANT_BROKEN), 0);
 	for (int i = 0; i < fixture->node_count; i++)
 		pl_agent_delete(fixture->nodes[i].agent);
+	pl_routing_put(fixture->routing);
 	pl_timer_service_delete(fixture->timers);
 	pl_coap_parser_delete(fixture->parser);
 	g_rand_free(fixture->rand);
@@ -215,7 +216,9 @@
 		if (fixture->nodes[i].agent)
 			pl_agent_set_routing(fixture->nodes[i].agent, routing);
 	}
-	pl_routing_put(routing);
+	if (fixture->routing)
+		pl_routing_put(fixture->routing);
+	fixture->routing = routing;
 }
 
 void fixture_advance(fixture_t *fixture, pl_ms_t by_ms)
--- a/test/agent/fixture.h
+++ b/test/agent/fixture.h
@@ -58,6 +58,7 @@
 	node_t nodes[FIXTURE_AGENTS];
 	int node_count;
 	pl_service_policy_t policy;
+	pl_routing_t *routing; /**< last published */
 	GPtrArray *sent; /**< sent_t, oldest first */
 	GPtrArray *calls; /**< backend_call_t */
 	pl_coap_parser_t *parser;
--- a/test/agent/random_test.c
+++ b/test/agent/random_test.c
@@ -125,7 +125,7 @@
 {
 	memset(op->payload, (int)op->block, sizeof(op->payload));
 	g_snprintf(op->payload, sizeof(op->payload), "%u",
-		 op->last_token / 256);
+		   op->last_token / 256);
 	op->ask.payload = op->payload;
 	op->ask.payload_len = BLOCK;
 	if (!op->upload)
@@ -295,8 +295,7 @@
 {
 	if (sent->from < 0) {
 		fixture_deliver_flow(w->f, (int)sent->to - 1,
-				     &sent->forward.flow, sent->pdu,
-				     sent->len);
+				     &sent->forward.flow, sent->pdu, sent->len);
 	} else if (sent->to != 0) {
 		sent->forward.pdu = sent->pdu;
 		sent->forward.pdu_len = sent->len;
@@ -516,8 +515,8 @@
 
 	if (argc > 1) {
 		first_seed_ = (uint32_t)g_ascii_strtoull(argv[1], NULL, 10);
-		last_seed_ = argc > 2 ? (uint32_t)g_ascii_strtoull(
-						argv[2], NULL, 10) :
+		last_seed_ = argc > 2 ? (uint32_t)g_ascii_strtoull(argv[2],
+								   NULL, 10) :
 					first_seed_;
 	}
 	return cmocka_run_group_tests(tests, NULL, NULL);
