Admission: long work is found by what is typical and may wait longer

A service that is slow throughout was taken for long work after one answer, because the guess of 50 ms served as the measure; and an upload that takes longer than the deadline of short work was refused whenever no slot was idle.

Weighed: the arithmetic mean of short work as the measure (a single straggler moves it, and then hides the next), the smallest path mean (one cheap path makes all others long), the geometric mean. The last one holds for both.

Conclusion: a path is long when its mean exceeds 4 times the geometric mean of short work and 250 ms; long work has 10 times the deadline.

--- a/src/agent/admission.c
+++ b/src/agent/admission.c
@@ -6,6 +6,7 @@
 #include "private/admission.h"
 
 #include <assert.h>
+#include <math.h>
 #include <pimentolift/hash.h>
 #include <string.h>
 
@@ -65,11 +66,19 @@
 		return PL_WORK_LONG;
 	if (!mean || *mean < PL_LONG_SERVICE_MS)
 		return PL_WORK_SHORT;
-	return *mean > PL_LONG_FACTOR * scheduler->service_ms[PL_WORK_SHORT] ?
+	return *mean > PL_LONG_FACTOR * expm1(scheduler->typical_log) ?
 		       PL_WORK_LONG :
 		       PL_WORK_SHORT;
 }
 
+uint32_t pl_scheduler_deadline_ms(const pl_service_policy_t *policy,
+				  pl_work_class_t work)
+{
+	if (work == PL_WORK_LONG)
+		return policy->deadline_ms * PL_LONG_DEADLINE_FACTOR;
+	return policy->deadline_ms;
+}
+
 bool pl_scheduler_admit(const pl_scheduler_t *scheduler,
 			const pl_request_t *request, uint32_t time_left_ms)
 {
@@ -119,6 +128,26 @@
 	*mean += (value - *mean) * EWMA_WEIGHT;
 }
 
+/*
+ * The geometric mean tells what is typical: a few stragglers hardly move it,
+ * while a service that is slow throughout has no long work.
+ */
+static void learn_class_(pl_scheduler_t *scheduler, pl_work_class_t work,
+			 double value)
+{
+	bool first = !scheduler->measured[work];
+
+	scheduler->measured[work] = true;
+	if (first)
+		scheduler->service_ms[work] = value;
+	average_(&scheduler->service_ms[work], value);
+	if (work != PL_WORK_SHORT)
+		return;
+	if (first)
+		scheduler->typical_log = log1p(value);
+	average_(&scheduler->typical_log, log1p(value));
+}
+
 static void learn_path_(pl_scheduler_t *scheduler, uint64_t key, double value)
 {
 	double *mean = g_hash_table_lookup(scheduler->paths, &key);
@@ -139,7 +168,7 @@
 		       uint64_t service_ms)
 {
 	pl_scheduler_release(scheduler, request);
-	average_(&scheduler->service_ms[request->work], (double)service_ms);
+	learn_class_(scheduler, request->work, (double)service_ms);
 	learn_path_(scheduler, path_key_(request->method, request->path),
 		    (double)service_ms);
 }
--- a/src/agent/private/admission.h
+++ b/src/agent/private/admission.h
@@ -12,8 +12,10 @@
 #define PL_LONG_BODY_BYTES 16384
 /** Service time from which a path can be long work, in milliseconds. */
 #define PL_LONG_SERVICE_MS 250
-/** A path is long when it takes this many times the mean of short work. */
+/** A path is long when it takes this many times what is typical. */
 #define PL_LONG_FACTOR 4
+/** Long work may take this many times the deadline of short work. */
+#define PL_LONG_DEADLINE_FACTOR 10
 /** Short requests that may start while a long one could have. */
 #define PL_SHORT_STREAK_MAX 8
 /** Paths whose service time is remembered. */
@@ -51,6 +53,8 @@
 	size_t queued[PL_WORK_CLASS_COUNT];
 	size_t running[PL_WORK_CLASS_COUNT];
 	double service_ms[PL_WORK_CLASS_COUNT]; /**< moving averages */
+	bool measured[PL_WORK_CLASS_COUNT]; /**< service_ms is no guess */
+	double typical_log; /**< moving average of ln(1 + ms), short work */
 	unsigned int short_streak;
 	GHashTable *paths;
 };
@@ -68,6 +72,10 @@
 				      uint8_t method, const char *path,
 				      size_t body_len);
 
+/** Time from acceptance to the deadline of a class, in milliseconds. */
+uint32_t pl_scheduler_deadline_ms(const pl_service_policy_t *policy,
+				  pl_work_class_t work);
+
 /** Whether the policy lets @p request wait. */
 bool pl_scheduler_admit(const pl_scheduler_t *scheduler,
 			const pl_request_t *request, uint32_t time_left_ms);
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -148,10 +148,11 @@
 	const pl_service_policy_t *policy = pl_agent_policy(agent);
 
 	request->accepted_at = now_(agent);
-	request->deadline_at = request->accepted_at + policy->deadline_ms;
 	request->work =
 		pl_scheduler_classify(&agent->scheduler, request->method,
 				      request->path, request->body->len);
+	request->deadline_at = request->accepted_at +
+			       pl_scheduler_deadline_ms(policy, request->work);
 	if (!agent->present ||
 	    !pl_scheduler_admit(&agent->scheduler, request,
 				time_left_ms_(agent, request))) {
--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -14,6 +14,18 @@
 #define TEXT_BLOCK_MISSING "a block is missing"
 #define TEXT_CANCELLED "cancelled"
 
+/* Class of the work that @p msg asks for. */
+static pl_work_class_t work_of_(const pl_agent_t *agent,
+				const pl_coap_msg_t *msg)
+{
+	size_t body_len = msg->payload_len;
+
+	if (msg->size1 > 0)
+		body_len = (size_t)msg->size1;
+	return pl_scheduler_classify(&agent->scheduler, msg->code, msg->path,
+				     body_len);
+}
+
 static void respond_busy_(pl_agent_t *agent, const pl_forward_t *forward,
 			  const pl_coap_msg_t *msg)
 {
@@ -24,7 +36,8 @@
 		return;
 	pl_counter_add(PL_COUNTER_REFUSED, 1);
 	pl_exchange_respond(exchange, PL_COAP_UNAVAILABLE,
-			    pl_run_max_age_s(agent, PL_WORK_SHORT), TEXT_BUSY);
+			    pl_run_max_age_s(agent, work_of_(agent, msg)),
+			    TEXT_BUSY);
 }
 
 static void respond_code_(pl_agent_t *agent, const pl_forward_t *forward,
@@ -91,12 +104,10 @@
 {
 	pl_request_t probe = { 0 };
 
-	probe.method = msg->code;
-	probe.work = pl_scheduler_classify(
-		&agent->scheduler, msg->code, msg->path,
-		msg->size1 > 0 ? (size_t)msg->size1 : msg->payload_len);
-	return !pl_scheduler_admit(&agent->scheduler, &probe,
-				   pl_agent_policy(agent)->deadline_ms);
+	probe.work = work_of_(agent, msg);
+	return !pl_scheduler_admit(
+		&agent->scheduler, &probe,
+		pl_scheduler_deadline_ms(pl_agent_policy(agent), probe.work));
 }
 
 static void run_get_(pl_agent_t *agent, const pl_forward_t *forward,
