--- /dev/null
+++ b/test/obs/catalog_test.c
@@ -0,0 +1,108 @@
+/**
+ * @file
+ * The tables of docs/EVENTS.md and docs/RESULTS.md against the code.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <pimentolift/event.h>
+#include <pimentolift/result.h>
+
+typedef struct {
+	int number;
+	const char *name;
+	const char *second; /* severity, or NULL */
+	const char *meaning;
+} row_t;
+
+static const row_t events_[] = {
+#define ROW_(id, number, name, severity, meaning)                              \
+	{ number, name, #severity, meaning },
+	PL_EVENT_TABLE(ROW_)
+#undef ROW_
+};
+
+static const row_t results_[] = {
+#define ROW_(id, number, name, meaning) { number, name, NULL, meaning },
+	PL_RESULT_TABLE(ROW_)
+#undef ROW_
+};
+
+static char *line_(const row_t *row)
+{
+	char *severity;
+	char *line;
+
+	if (!row->second)
+		return g_strdup_printf("| %d | `%s` | %s |", row->number,
+				       row->name, row->meaning);
+	severity = g_ascii_strdown(row->second, -1);
+	line = g_strdup_printf("| %d | `%s` | %s | %s |", row->number,
+			       row->name, severity, row->meaning);
+	g_free(severity);
+	return line;
+}
+
+/* Every row stands in the page, and the page has no row more. */
+static void compare_(const char *page, const row_t *rows, size_t count)
+{
+	char *path = g_build_filename(PL_DOCS, page, NULL);
+	char *text = NULL;
+	size_t found = 0;
+	char **lines;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (size_t i = 0; i < count; i++) {
+		char *wanted = line_(&rows[i]);
+
+		if (!g_strv_contains((const char *const *)lines, wanted))
+			print_error("missing in %s: %s\n", page, wanted);
+		assert_true(
+			g_strv_contains((const char *const *)lines, wanted));
+		g_free(wanted);
+	}
+	for (char **line = lines; *line; line++)
+		found += g_regex_match_simple("^\\| \\d+ \\|", *line, 0, 0);
+	assert_int_equal(found, count);
+	g_strfreev(lines);
+	g_free(text);
+	g_free(path);
+}
+
+static void events_are_catalogued(void **state)
+{
+	(void)state;
+	compare_("EVENTS.md", events_, G_N_ELEMENTS(events_));
+}
+
+static void results_are_catalogued(void **state)
+{
+	(void)state;
+	compare_("RESULTS.md", results_, G_N_ELEMENTS(results_));
+}
+
+static void event_numbers_are_unique(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(events_); i++) {
+		for (size_t k = 0; k < i; k++)
+			assert_int_not_equal(events_[i].number,
+					     events_[k].number);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(events_are_catalogued),
+		cmocka_unit_test(results_are_catalogued),
+		cmocka_unit_test(event_numbers_are_unique),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
