--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -63,10 +63,8 @@
 	pl_upload_t *idle = pl_upload_idle(agent->uploads);
 
 	while (idle) {
-		pl_request_t *request = idle->request;
-
-		pl_upload_forget(agent->uploads, idle);
-		pl_run_refuse(agent, request, PL_COAP_INCOMPLETE,
+		pl_upload_settle(agent->uploads, idle);
+		pl_run_refuse(agent, idle->request, PL_COAP_INCOMPLETE,
 			      PL_CAUSE_AGENT);
 		idle = pl_upload_idle(agent->uploads);
 	}
@@ -399,6 +397,7 @@
 	stats->requests_running = pl_scheduler_running(&agent->scheduler);
 	stats->uploads = pl_upload_count(agent->uploads);
 	stats->answers_kept = pl_answer_store_count(agent->answers);
+	stats->messages = pl_exchange_count(agent->exchanges);
 	stats->body_bytes = agent->budget.used;
 	stats->load_ms = pl_scheduler_load_ms(&agent->scheduler);
 }
