--- a/src/view/view_copy.c
+++ b/src/view/view_copy.c
@@ -89,6 +89,18 @@
 	g_free(replica);
 }
 
+void pl_view_replica_supersede(pl_view_table_t *table,
+			       pl_view_replica_t *replica, pl_member_id_t peer,
+			       const pl_view_place_t *place)
+{
+	pl_member_id_t owner = replica->owner->agent;
+
+	if (owner != peer && pl_view_reachable(table, owner))
+		pl_view_tell(table, owner, &place->key, place->owner,
+			     place->sequence);
+	pl_view_replica_remove(table, replica);
+}
+
 static void replica_add_(pl_view_table_t *table, pl_member_id_t agent,
 			 uint64_t boot, const pl_view_record_t *record)
 {
@@ -253,7 +265,7 @@
 			continue;
 		}
 		if (replica)
-			pl_view_replica_remove(table, replica);
+			pl_view_replica_supersede(table, replica, peer, &place);
 		replica_add_(table, peer, message->boot, record);
 	}
 }
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -348,12 +348,12 @@
 		return false;
 	if (tombstone)
 		pl_view_tombstone_remove(table, tombstone);
-	if (replica)
-		pl_view_replica_remove(table, replica);
 	if (!view) {
 		view = pl_view_restore(table, record, PL_VIEW_MOVE_STEP);
 		pl_counter_add(PL_COUNTER_VIEWS_MOVED_IN, 1);
 		place->sequence = view->sequence;
+		if (replica)
+			pl_view_replica_supersede(table, replica, peer, place);
 		pl_view_update(view);
 		return true;
 	}
--- a/test/view/view_fake.h
+++ b/test/view/view_fake.h
@@ -16,6 +16,13 @@
 
 typedef struct fake fake_t;
 
+/** What becomes of a frame. */
+typedef enum {
+	FAKE_DELIVERED,
+	FAKE_LOST, /**< without a notice to the sender */
+	FAKE_FAILED, /**< the sender is told */
+} fake_fate_t;
+
 /** An agent with its backend server. */
 typedef struct {
 	fake_t *fake;
@@ -58,10 +65,9 @@
 	size_t body_len; /**< padding of contents */
 	/** Share of datagrams to callers that is lost. */
 	unsigned int loss_percent;
-	/** Frames for which this is true get lost without a notice. */
-	bool (*lose)(fake_t *fake, const fake_agent_t *from,
-		     const pl_peer_frame_t *frame);
-	void *lose_ctx;
+	/** Decides over each frame; NULL delivers all. */
+	fake_fate_t (*fate)(fake_t *fake, const pl_peer_frame_t *frame);
+	pl_peer_type_t lost_type; /**< for @c fate */
 	unsigned int frames;
 	size_t frame_bytes;
 	unsigned int datagrams;
@@ -107,4 +113,5 @@
 void fake_send_empty(fake_t *fake, const fake_caller_t *caller,
 		     pl_coap_type_t type, uint16_t mid);
 
+void fake_print_odd(fake_t *fake);
 #endif
--- a/test/view/view_move_test.c
+++ b/test/view/view_move_test.c
@@ -41,10 +41,9 @@
 	assert_int_equal(pl_counter_get(PL_COUNTER_VIEWS_LOST), 0);
 }
 
-static bool lose_type_(fake_t *fake, const fake_agent_t *from,
-		       const pl_peer_frame_t *frame)
+static fake_fate_t lose_type_(fake_t *fake, const pl_peer_frame_t *frame)
 {
-	return frame->type == (pl_peer_type_t)GPOINTER_TO_INT(fake->lose_ctx);
+	return frame->type == fake->lost_type ? FAKE_LOST : FAKE_DELIVERED;
 }
 
 static size_t count_(fake_t *fake, unsigned int agent)
@@ -126,8 +125,8 @@
 {
 	fake_t *fake = opened_(5, 3, 3);
 
-	fake->lose = lose_type_;
-	fake->lose_ctx = GINT_TO_POINTER(PL_PEER_VIEW_ACCEPT);
+	fake->fate = lose_type_;
+	fake->lost_type = PL_PEER_VIEW_ACCEPT;
 	fake_drain(fake, 0);
 	fake_route(fake);
 	for (unsigned int i = 0; i < 8; i++) {
@@ -135,7 +134,7 @@
 		fake_run(fake, 100);
 		assert_int_equal(fake_behind(fake), 0);
 	}
-	fake->lose = NULL;
+	fake->fate = NULL;
 	fake_run(fake, OFFER_GIVE_UP_MS);
 	assert_int_equal(count_(fake, 0), 0);
 	check_whole_(fake);
@@ -147,8 +146,8 @@
 {
 	fake_t *fake = opened_(6, 3, 3);
 
-	fake->lose = lose_type_;
-	fake->lose_ctx = GINT_TO_POINTER(PL_PEER_VIEW_OFFER);
+	fake->fate = lose_type_;
+	fake->lost_type = PL_PEER_VIEW_OFFER;
 	fake_drain(fake, 0);
 	fake_route(fake);
 	for (unsigned int i = 0; i < 100; i++) {
@@ -157,7 +156,7 @@
 		assert_int_equal(fake_behind(fake), 0);
 	}
 	assert_true(count_(fake, 0) > 0);
-	fake->lose = NULL;
+	fake->fate = NULL;
 	fake_run(fake, OFFER_GIVE_UP_MS);
 	assert_int_equal(count_(fake, 0), 0);
 	check_whole_(fake);
@@ -169,15 +168,15 @@
 {
 	fake_t *fake = opened_(7, 3, 3);
 
-	fake->lose = lose_type_;
-	fake->lose_ctx = GINT_TO_POINTER(PL_PEER_VIEW_ACCEPT);
+	fake->fate = lose_type_;
+	fake->lost_type = PL_PEER_VIEW_ACCEPT;
 	fake_drain(fake, 0);
 	fake_route(fake);
 	fake_run(fake, 5);
 	update_all_(fake);
 	fake_run(fake, 10);
 	fake_kill(fake, 1);
-	fake->lose = NULL;
+	fake->fate = NULL;
 	update_all_(fake);
 	fake_run(fake, 500);
 	fake_declare_dead(fake, 1);
