--- a/src/view/view_frame.c
+++ b/src/view/view_frame.c
@@ -103,6 +103,8 @@
 			pl_view_offer_failed(table, frame->peer, &message);
 		else if (frame->type == PL_PEER_VIEW_COPY)
 			pl_view_copy_failed(table, frame->peer, &message);
+		else if (frame->type == PL_PEER_VIEW_FORGET)
+			pl_view_tell_failed(table, frame->peer, &message);
 	}
 	pl_view_message_finish(&message);
 }
