--- a/test/standin/backend/backend.c
+++ b/test/standin/backend/backend.c
@@ -7,6 +7,7 @@
 
 #include <argp.h>
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -197,9 +198,9 @@
 {
 	const backend_t *backend = ctx;
 
-	pl_line_print("ok registered=%d busy=%zu",
+	pl_line_print("ok registered=%d busy=%zu last_ms=%" PRIu64,
 		      announce_registered(backend->announce),
-		      work_busy(backend->work));
+		      work_busy(backend->work), work_last_ms(backend->work));
 }
 
 static const pl_line_command_t commands_[] = {
--- a/test/standin/backend/backend.h
+++ b/test/standin/backend/backend.h
@@ -48,6 +48,8 @@
 /** Prints "ok runs=N refused=N busy=N id,id,...". */
 void work_print_runs(const work_t *work);
 size_t work_busy(const work_t *work);
+/** When a request last took a slot, or 0. */
+uint64_t work_last_ms(const work_t *work);
 
 /** Resource-directory registration at the agent (RFC 9176). */
 announce_t *announce_new(coap_context_t *coap, const backend_options_t *options,
--- a/test/standin/backend/work.c
+++ b/test/standin/backend/work.c
@@ -48,6 +48,7 @@
 	GString *runs;
 	size_t run_count;
 	size_t refused;
+	uint64_t last_ms;
 	FILE *record;
 };
 
@@ -255,7 +256,8 @@
 	}
 	coap_delete_string(query);
 	job = g_new0(job_t, 1);
-	job->due_ms = pl_now_ms() + service_ms_(work);
+	work->last_ms = pl_now_ms();
+	job->due_ms = work->last_ms + service_ms_(work);
 	job->session = coap_session_reference(session);
 	job->request = (coap_pdu_t *)request;
 	if (coap_pdu_get_code(request) == COAP_REQUEST_CODE_POST)
@@ -322,3 +324,8 @@
 {
 	return work->jobs.length;
 }
+
+uint64_t work_last_ms(const work_t *work)
+{
+	return work->last_ms;
+}
--- a/test/standin/caller/caller.c
+++ b/test/standin/caller/caller.c
@@ -115,6 +115,12 @@
 	pl_line_print("ok");
 }
 
+static void command_finish_(void *ctx, char **words, int count)
+{
+	operations_finish(ctx);
+	pl_line_print("ok");
+}
+
 /* Operations in progress, open views left out. */
 static size_t pending_(const caller_t *caller)
 {
@@ -252,6 +258,8 @@
 	{ "views", 4, command_views_ },
 	{ "stale", 4, command_stale_ },
 	{ "report", 1, command_report_ },
+	{ "stop", 1, command_stop_ },
+	{ "finish", 1, command_finish_ },
 	{ NULL, 0, NULL },
 };
 
--- a/test/standin/caller/caller.h
+++ b/test/standin/caller/caller.h
@@ -100,6 +100,9 @@
 /** Ends operations that the library forgot. */
 void operations_expire(caller_t *caller);
 
+/** Ends every operation in progress; open views stay. */
+void operations_finish(caller_t *caller);
+
 /** Releases operations that ended. */
 void operations_release(caller_t *caller);
 
--- a/test/standin/caller/request.c
+++ b/test/standin/caller/request.c
@@ -25,6 +25,22 @@
 G_STATIC_ASSERT(G_N_ELEMENTS(kind_names) == KIND_COUNT);
 G_STATIC_ASSERT(G_N_ELEMENTS(told_names) == TOLD_COUNT);
 
+/* KIND ID TOLD CODE SERVICE PATH STARTED_MS ENDED_MS */
+static void record_(const operation_t *operation)
+{
+	FILE *record = operation->caller->record;
+
+	if (!record)
+		return;
+	fprintf(record, "%s %s %s %d.%02d %s %s %" PRIu64 " %" PRIu64 "\n",
+		kind_names[operation->kind],
+		operation->id ? operation->id : "-",
+		told_names[operation->told], operation->code >> 5,
+		operation->code & 0x1f, operation->service->name,
+		operation->path, operation->started_ms, operation->ended_ms);
+	fflush(record);
+}
+
 static void end_(operation_t *operation, told_t told, coap_pdu_code_t code)
 {
 	caller_t *caller = operation->caller;
@@ -40,13 +56,7 @@
 	if (operation->kind != KIND_VIEW)
 		caller->longest_ms[operation->kind] =
 			MAX(caller->longest_ms[operation->kind], took_ms);
-	if (caller->record)
-		fprintf(caller->record, "%s %s %s %d.%02d %s %" PRIu64 "\n",
-			kind_names[operation->kind],
-			operation->id ? operation->id : "-", told_names[told],
-			code >> 5, code & 0x1f, operation->path, took_ms);
-	if (caller->record)
-		fflush(caller->record);
+	record_(operation);
 	g_hash_table_remove(caller->open, operation);
 	g_queue_push_tail(&caller->ended, operation);
 }
@@ -329,6 +339,19 @@
 	g_list_free(all);
 }
 
+void operations_finish(caller_t *caller)
+{
+	GList *all = g_hash_table_get_keys(caller->open);
+
+	for (GList *node = all; node; node = node->next) {
+		operation_t *operation = node->data;
+
+		if (!(operation->kind == KIND_VIEW && operation->observed))
+			end_(operation, TOLD_NOTHING, 0);
+	}
+	g_list_free(all);
+}
+
 void operations_release(caller_t *caller)
 {
 	operation_t *operation;
