--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -360,6 +360,10 @@
 		  const pl_view_key_t *key, pl_member_id_t owner,
 		  uint32_t sequence);
 
+/** Tells @p peer again what it did not hear. */
+void pl_view_tell_failed(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message);
+
 /** Sends what pl_view_tell() gathered. */
 void pl_view_tell_flush(pl_view_table_t *table);
 
@@ -409,6 +413,14 @@
 				   const pl_view_key_t *key);
 void pl_view_replica_remove(pl_view_table_t *table, pl_view_replica_t *replica);
 
+/**
+ * Removes a copy after @p peer 's claim in @p place won over its owner, who
+ * is told.
+ */
+void pl_view_replica_supersede(pl_view_table_t *table,
+			       pl_view_replica_t *replica, pl_member_id_t peer,
+			       const pl_view_place_t *place);
+
 void pl_view_take_copy(pl_view_table_t *table, pl_member_id_t peer,
 		       const pl_view_message_t *message);
 void pl_view_copy_failed(pl_view_table_t *table, pl_member_id_t peer,
--- a/src/view/view_place.c
+++ b/src/view/view_place.c
@@ -256,3 +256,18 @@
 		g_hash_table_iter_remove(&iter);
 	}
 }
+
+void pl_view_tell_failed(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message)
+{
+	/* what a failed agent knew went with it */
+	if (!pl_view_reachable(table, peer))
+		return;
+	for (guint i = 0; i < message->places->len; i++) {
+		const pl_view_place_t *place =
+			&g_array_index(message->places, pl_view_place_t, i);
+
+		pl_view_tell(table, peer, &place->key, place->owner,
+			     place->sequence);
+	}
+}
