Agent: the outcome of a stray block is unknown, whichever block it is

Earlier blocks were thought to prove that the last one had not been accepted.

Weighed: 4.08 when every other agent was asked lets the caller start anew, but an agent that has ended cannot be asked. 5.04 is true in every case.

Conclusion: 4.08 is said only by the agent that holds the upload.

--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -11,7 +11,7 @@
 /** Diagnostic payloads of refusals. */
 #define TEXT_BUSY "busy"
 #define TEXT_TOO_LARGE "too large"
-#define TEXT_BLOCK_MISSING "a block is missing"
+#define TEXT_NOT_RUN "not run"
 #define TEXT_CANCELLED "cancelled"
 
 /* Class of the work that @p msg asks for. */
@@ -368,24 +368,22 @@
 	answer_unknown_(agent, forward, msg);
 }
 
-/* A block of an upload that is not here, or of another one with its key. */
+/*
+ * A block of an upload that is not here, or of another one with its key. The
+ * last block may have reached an agent that is gone, even when this one is
+ * an earlier block that comes late, so the outcome is unknown; but an upload
+ * that was refused here and that nobody else has did not run.
+ */
 static void serve_stray_block_(pl_agent_t *agent, const pl_forward_t *forward,
 			       const pl_coap_msg_t *msg,
 			       const pl_upload_t *upload)
 {
-	bool alone;
-
 	if (pl_agent_forward_next(agent, forward))
 		return;
-	alone = pl_agent_was_last(agent, forward);
-	if (upload && upload->request->state != PL_REQUEST_REFUSED)
-		alone = false;
-	/* an upload without its last block has not run anywhere */
-	if (alone && (upload || msg->block1.more))
+	if (upload && upload->request->state == PL_REQUEST_REFUSED &&
+	    pl_agent_was_last(agent, forward))
 		respond_code_(agent, forward, msg,
-			      upload ? upload->request->refusal_code :
-				       PL_COAP_INCOMPLETE,
-			      TEXT_BLOCK_MISSING);
+			      upload->request->refusal_code, TEXT_NOT_RUN);
 	else
 		answer_unknown_(agent, forward, msg);
 }
