Agent: each block of an answer carries a ticket for the next one

Weighed: the ETag shows the mixture, but a libcoap client then sends the POST again from its first block, which would be a second operation. So each block but the last brings a ticket that names the answer; the entry routes by it, and it lets nothing run, since its digest is of another kind than that of a request. The last block brings none: a libcoap client would return it with its next POST and then not follow the 4.01.

Conclusion: a drain waits for transfers in which a block was sent within 10 s. Clients that return no Echo are served by caller and path as before.

--- a/include/pimentolift/ticket.h
+++ b/include/pimentolift/ticket.h
@@ -60,6 +60,14 @@
 /** Digest of what a ticket is bound to besides caller and service. */
 uint64_t pl_ticket_digest(const pl_coap_msg_t *msg);
 
+/**
+ * Digest of a ticket for the rest of an answer, which goes out with each
+ * block but the last and comes back with the request for the next one
+ * (RFC 9175 section 2.3). It lets nothing run.
+ */
+uint64_t pl_ticket_rest_digest(uint8_t method, const char *path,
+			       const char *query);
+
 /**
  * Nonce for the request @p msg: the same datagram gives the same nonce, so a
  * retransmission gets the ticket that the first copy got.
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -82,6 +82,7 @@
 
 	assert(params && ops && timers);
 	agent->params = *params;
+	agent->birth = params->boot;
 	agent->ops = ops;
 	agent->ctx = ctx;
 	agent->timers = timers;
@@ -387,6 +388,7 @@
 	return agent->draining && now > agent->drain_at + PL_DRAIN_TICKET_MS &&
 	       pl_request_open_count(agent->requests) == 0 &&
 	       pl_exchange_pending(agent->exchanges) == 0 &&
+	       !pl_answer_store_in_use(agent->answers, PL_DRAIN_TRANSFER_MS) &&
 	       pl_view_count(agent->views) == 0;
 }
 
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -15,8 +15,10 @@
 /** An answer in the store. */
 typedef struct {
 	pl_list_t age;
+	uint64_t id; /**< of the request */
 	GBytes *key; /**< caller, method, path and query */
 	pl_ms_t expires_at;
+	pl_ms_t used_at; /**< last block sent */
 	size_t next_offset; /**< end of what was asked for */
 	pl_answer_t *answer;
 } kept_t;
@@ -24,7 +26,8 @@
 struct pl_answer_store {
 	pl_timer_service_t *timers;
 	pl_body_budget_t *budget;
-	GHashTable *kept;
+	GHashTable *by_id; /* owns the elements */
+	GHashTable *by_key; /* the latest of each key */
 	pl_list_t ages;
 };
 
@@ -87,7 +90,8 @@
 				   (uint32_t)answer->max_age_s);
 }
 
-void pl_answer_respond(const pl_answer_t *answer, pl_exchange_t *exchange)
+void pl_answer_respond(const pl_answer_t *answer, pl_exchange_t *exchange,
+		       const uint8_t *echo)
 {
 	uint8_t buf[PL_COAP_DATAGRAM_MAX];
 	pl_coap_writer_t writer;
@@ -118,6 +122,9 @@
 	if (block.more && block.num == 0)
 		pl_coap_write_uint(&writer, PL_COAP_OPT_SIZE2,
 				   (uint32_t)answer->body_len);
+	if (block.more && echo)
+		pl_coap_write_option(&writer, PL_COAP_OPT_ECHO, echo,
+				     PL_TICKET_BYTES);
 	if (len > 0)
 		pl_coap_write_payload(&writer, answer->body + offset, len);
 	pl_exchange_send(exchange, &writer);
@@ -152,8 +159,9 @@
 
 	store->timers = timers;
 	store->budget = budget;
-	store->kept = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL,
-					    free_kept_);
+	store->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     free_kept_);
+	store->by_key = g_hash_table_new(g_bytes_hash, g_bytes_equal);
 	pl_list_init(&store->ages);
 	return store;
 }
@@ -162,60 +170,92 @@
 {
 	if (!store)
 		return;
-	g_hash_table_destroy(store->kept);
+	g_hash_table_destroy(store->by_key);
+	g_hash_table_destroy(store->by_id);
 	g_free(store);
 }
 
+static void drop_(pl_answer_store_t *store, kept_t *kept)
+{
+	if (g_hash_table_lookup(store->by_key, kept->key) == kept)
+		g_hash_table_remove(store->by_key, kept->key);
+	g_hash_table_remove(store->by_id, &kept->id);
+}
+
 static bool drop_oldest_(pl_answer_store_t *store)
 {
 	pl_list_t *oldest = pl_list_first(&store->ages);
 
 	if (!oldest)
 		return false;
-	g_hash_table_remove(store->kept,
-			    PL_CONTAINER_OF(oldest, kept_t, age)->key);
+	drop_(store, PL_CONTAINER_OF(oldest, kept_t, age));
 	return true;
 }
 
-void pl_answer_store_put(pl_answer_store_t *store, const pl_addr_t *caller,
-			 uint8_t method, const char *path, const char *query,
+void pl_answer_store_put(pl_answer_store_t *store, uint64_t id,
+			 const pl_addr_t *caller, uint8_t method,
+			 const char *path, const char *query,
 			 pl_answer_t *answer, size_t first_block,
 			 uint32_t keep_ms)
 {
-	kept_t *kept = g_new0(kept_t, 1);
+	kept_t *kept = g_hash_table_lookup(store->by_id, &id);
 
+	if (kept)
+		drop_(store, kept);
+	if (g_hash_table_size(store->by_id) >= PL_ANSWER_MAX)
+		drop_oldest_(store);
+	kept = g_new0(kept_t, 1);
+	kept->id = id;
 	kept->key = key_(caller, method, path, query);
 	kept->expires_at = pl_timer_service_now(store->timers) + keep_ms;
+	kept->used_at = pl_timer_service_now(store->timers);
 	kept->next_offset = first_block;
 	kept->answer = answer;
 	pl_ref_get(&answer->ref);
-	g_hash_table_remove(store->kept, kept->key);
-	if (g_hash_table_size(store->kept) >= PL_ANSWER_MAX)
-		drop_oldest_(store);
 	pl_list_append(&store->ages, &kept->age);
-	g_hash_table_insert(store->kept, kept->key, kept);
+	g_hash_table_insert(store->by_id, &kept->id, kept);
+	/* the key goes with the element, so an older one's is replaced too */
+	g_hash_table_replace(store->by_key, kept->key, kept);
+}
+
+/* Takes a reference for the block @p msg, and drops what was the last one. */
+static pl_answer_t *take_(pl_answer_store_t *store, kept_t *kept,
+			  const pl_coap_msg_t *msg)
+{
+	size_t size = 16U << msg->block2.szx;
+	size_t end = (msg->block2.num + (size_t)1) * size;
+	pl_answer_t *answer = kept->answer;
+
+	pl_ref_get(&answer->ref);
+	kept->used_at = pl_timer_service_now(store->timers);
+	if (end >= answer->body_len)
+		drop_(store, kept);
+	else if (end > kept->next_offset)
+		kept->next_offset = end;
+	return answer;
 }
 
 pl_answer_t *pl_answer_store_take(pl_answer_store_t *store,
 				  const pl_addr_t *caller,
-				  const pl_coap_msg_t *msg)
+				  const pl_coap_msg_t *msg, uint64_t *id)
 {
 	GBytes *key = key_(caller, msg->code, msg->path, msg->query);
-	kept_t *kept = g_hash_table_lookup(store->kept, key);
-	size_t size = 16U << msg->block2.szx;
-	size_t offset = (size_t)msg->block2.num * size;
-	pl_answer_t *answer;
+	kept_t *kept = g_hash_table_lookup(store->by_key, key);
+	size_t offset = msg->block2.num * ((size_t)16 << msg->block2.szx);
 
 	g_bytes_unref(key);
 	if (!kept || offset > kept->next_offset)
 		return NULL;
-	answer = kept->answer;
-	pl_ref_get(&answer->ref);
-	if (offset + size >= answer->body_len)
-		g_hash_table_remove(store->kept, kept->key);
-	else if (offset + size > kept->next_offset)
-		kept->next_offset = offset + size;
-	return answer;
+	*id = kept->id;
+	return take_(store, kept, msg);
+}
+
+pl_answer_t *pl_answer_store_take_id(pl_answer_store_t *store, uint64_t id,
+				     const pl_coap_msg_t *msg)
+{
+	kept_t *kept = g_hash_table_lookup(store->by_id, &id);
+
+	return kept ? take_(store, kept, msg) : NULL;
 }
 
 bool pl_answer_store_reclaim(pl_answer_store_t *store, size_t need)
@@ -229,6 +269,18 @@
 	return true;
 }
 
+bool pl_answer_store_in_use(const pl_answer_store_t *store, uint32_t within_ms)
+{
+	pl_ms_t now = pl_timer_service_now(store->timers);
+
+	pl_list_for_each(node, &store->ages) {
+		if (PL_CONTAINER_OF(node, kept_t, age)->used_at + within_ms >
+		    now)
+			return true;
+	}
+	return false;
+}
+
 void pl_answer_store_sweep(pl_answer_store_t *store)
 {
 	pl_ms_t now = pl_timer_service_now(store->timers);
@@ -243,5 +295,5 @@
 
 size_t pl_answer_store_count(const pl_answer_store_t *store)
 {
-	return g_hash_table_size(store->kept);
+	return g_hash_table_size(store->by_id);
 }
--- a/src/agent/private/agent_private.h
+++ b/src/agent/private/agent_private.h
@@ -13,6 +13,8 @@
 #define PL_SWEEP_MS 1000
 /** After the start of a drain, unused tickets are honoured for this long. */
 #define PL_DRAIN_TICKET_MS 2000
+/** A drain waits for transfers whose last block is not older than this. */
+#define PL_DRAIN_TRANSFER_MS 10000
 /** Largest stock of the retry budget, in requests. */
 #define PL_RETRY_STOCK_MAX 10
 /** Least time between two log lines about a service mismatch. */
@@ -36,6 +38,7 @@
 	bool present; /**< the backend server is there */
 	bool draining;
 	bool scheduling; /**< a loop over free slots is on the stack */
+	uint64_t birth; /**< boot of the process's first life */
 	pl_ms_t drain_at;
 	pl_ms_t ticket_at; /**< last issue of a ticket */
 	uint32_t revoked_s; /**< unused tickets up to this time are void */
@@ -76,6 +79,11 @@
 /** Passes unstarted work on to the other one of the caller's best two. */
 bool pl_agent_forward_other(pl_agent_t *agent, const pl_forward_t *forward);
 
+/** Issues the ticket for the rest of the answer of the request @p id. */
+void pl_serve_rest_ticket(pl_agent_t *agent, uint64_t id, const pl_flow_t *flow,
+			  uint8_t method, const char *path, const char *query,
+			  uint8_t echo[PL_TICKET_BYTES]);
+
 /** Serves a request that carries no view. */
 void pl_serve_get(pl_agent_t *agent, const pl_forward_t *forward,
 		  const pl_coap_msg_t *msg);
--- a/src/agent/private/answer.h
+++ b/src/agent/private/answer.h
@@ -8,6 +8,7 @@
 
 #include "private/exchange.h"
 #include <pimentolift/ref.h>
+#include <pimentolift/ticket.h>
 
 /** Answers kept at once for follow-up block requests. */
 #define PL_ANSWER_MAX 4096
@@ -35,8 +36,12 @@
 pl_answer_t *pl_answer_new(pl_body_budget_t *budget,
 			   const pl_backend_reply_t *reply);
 
-/** Sends the block of @p answer that @p exchange asks for. */
-void pl_answer_respond(const pl_answer_t *answer, pl_exchange_t *exchange);
+/**
+ * Sends the block of @p answer that @p exchange asks for, with @p echo
+ * (PL_TICKET_BYTES, or NULL) when more blocks follow.
+ */
+void pl_answer_respond(const pl_answer_t *answer, pl_exchange_t *exchange,
+		       const uint8_t *echo);
 
 /** Size of the blocks that @p exchange asks for, in bytes. */
 size_t pl_answer_block_size(const pl_exchange_t *exchange);
@@ -48,27 +53,36 @@
 void pl_answer_store_delete(pl_answer_store_t *store);
 
 /**
- * Keeps @p answer under {caller, method, path, query} for @p keep_ms, of
- * which the caller gets @p first_block bytes now.
+ * Keeps @p answer under @p id, never used twice, and under {caller, method, path, query}
+ * for @p keep_ms; the caller gets @p first_block bytes now.
  */
-void pl_answer_store_put(pl_answer_store_t *store, const pl_addr_t *caller,
-			 uint8_t method, const char *path, const char *query,
+void pl_answer_store_put(pl_answer_store_t *store, uint64_t id,
+			 const pl_addr_t *caller, uint8_t method,
+			 const char *path, const char *query,
 			 pl_answer_t *answer, size_t first_block,
 			 uint32_t keep_ms);
 
 /**
- * The answer kept for the follow-up block @p msg of @p caller, or NULL; one
- * reference is the caller's. A block out of turn is not served, since it is
+ * The answer kept for the follow-up block @p msg of @p caller, which names
+ * no request, and the request in @p id; or NULL. One reference is the
+ * caller's. A block out of turn is not served, since it is
  * meant for a later answer that another agent keeps; nor is anything after
  * the last block.
  */
 pl_answer_t *pl_answer_store_take(pl_answer_store_t *store,
 				  const pl_addr_t *caller,
-				  const pl_coap_msg_t *msg);
+				  const pl_coap_msg_t *msg, uint64_t *id);
+
+/** The answer of the request @p id for the follow-up block @p msg, or NULL. */
+pl_answer_t *pl_answer_store_take_id(pl_answer_store_t *store, uint64_t id,
+				     const pl_coap_msg_t *msg);
 
 /** Drops the oldest kept answers until the budget has @p need bytes left. */
 bool pl_answer_store_reclaim(pl_answer_store_t *store, size_t need);
 
+/** Whether a caller fetched a block, not the last, within @p within_ms. */
+bool pl_answer_store_in_use(const pl_answer_store_t *store, uint32_t within_ms);
+
 /** Drops answers whose time is over. */
 void pl_answer_store_sweep(pl_answer_store_t *store);
 
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -42,13 +42,20 @@
 			    pl_exchange_t *exchange)
 {
 	size_t size = pl_answer_block_size(exchange);
+	uint8_t echo[PL_TICKET_BYTES];
 
-	if (request->answer->body_len > size)
-		pl_answer_store_put(agent->answers, &request->flow.caller,
-				    request->method, request->path,
-				    request->query, request->answer, size,
-				    pl_agent_policy(agent)->answer_keep_ms);
-	pl_answer_respond(request->answer, exchange);
+	if (request->answer->body_len <= size) {
+		pl_answer_respond(request->answer, exchange, NULL);
+		return;
+	}
+	pl_answer_store_put(agent->answers, agent->birth + request->id,
+			    &request->flow.caller, request->method,
+			    request->path, request->query, request->answer,
+			    size, pl_agent_policy(agent)->answer_keep_ms);
+	pl_serve_rest_ticket(agent, agent->birth + request->id, &request->flow,
+			     request->method, request->path, request->query,
+			     echo);
+	pl_answer_respond(request->answer, exchange, echo);
 }
 
 void pl_run_respond(pl_agent_t *agent, const pl_request_t *request,
--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -67,20 +67,99 @@
 	       !msg->block1.present;
 }
 
-/* Serves a follow-up block from a kept answer. */
-static bool serve_kept_(pl_agent_t *agent, const pl_forward_t *forward,
+void pl_serve_rest_ticket(pl_agent_t *agent, uint64_t id, const pl_flow_t *flow,
+			  uint8_t method, const char *path, const char *query,
+			  uint8_t echo[PL_TICKET_BYTES])
+{
+	pl_ticket_t ticket = {
+		.agent = agent->params.self,
+		.boot = agent->params.boot,
+		.nonce = id,
+		.issued_s = pl_agent_now_s(agent),
+	};
+
+	pl_ticket_issue(&agent->params.ticket_key, &ticket, flow,
+			pl_ticket_rest_digest(method, path, query), echo);
+}
+
+static pl_ticket_verdict_t check_(const pl_agent_t *agent,
+				  const pl_forward_t *forward,
+				  const pl_coap_msg_t *msg, uint64_t digest,
+				  pl_ticket_t *ticket)
+{
+	pl_ticket_t own = {
+		.agent = agent->params.self,
+		.boot = agent->params.boot,
+		.issued_s = pl_agent_now_s(agent),
+	};
+
+	return pl_ticket_check(&agent->params.ticket_key, &own, &forward->flow,
+			       digest, msg->echo, msg->echo_len, ticket);
+}
+
+/* Passes a datagram on to the agent of @p ticket while that life lasts. */
+static bool forward_to_issuer_(pl_agent_t *agent, const pl_forward_t *forward,
+			       const pl_ticket_t *ticket)
+{
+	const pl_endpoint_t *issuer = NULL;
+
+	if (agent->routing)
+		issuer = pl_routing_endpoint(agent->routing, ticket->agent);
+	return issuer && issuer->boot == ticket->boot &&
+	       issuer->service == forward->flow.service &&
+	       pl_agent_forward_to(agent, forward, ticket->agent);
+}
+
+/* Sends one more block of a kept answer. */
+static void send_rest_(pl_agent_t *agent, const pl_forward_t *forward,
+		       const pl_coap_msg_t *msg, pl_answer_t *answer,
+		       uint64_t id)
+{
+	pl_exchange_t *exchange =
+		pl_exchange_open(agent->exchanges, forward, msg);
+	uint8_t echo[PL_TICKET_BYTES];
+
+	pl_serve_rest_ticket(agent, id, &forward->flow, msg->code, msg->path,
+			     msg->query, echo);
+	if (exchange)
+		pl_answer_respond(answer, exchange, echo);
+	pl_ref_put(&answer->ref);
+}
+
+/*
+ * Serves a follow-up block. The ticket that came with the block before it
+ * names the answer; without one, the caller and the path have to do.
+ */
+static bool serve_rest_(pl_agent_t *agent, const pl_forward_t *forward,
 			const pl_coap_msg_t *msg)
 {
-	pl_answer_t *answer = pl_answer_store_take(agent->answers,
-						   &forward->flow.caller, msg);
-	pl_exchange_t *exchange;
+	uint64_t digest =
+		pl_ticket_rest_digest(msg->code, msg->path, msg->query);
+	pl_answer_t *answer = NULL;
+	pl_ticket_t ticket;
 
+	switch (check_(agent, forward, msg, digest, &ticket)) {
+	case PL_TICKET_VALID:
+	case PL_TICKET_EXPIRED:
+	case PL_TICKET_FOREIGN_BOOT:
+		answer = pl_answer_store_take_id(agent->answers, ticket.nonce,
+						 msg);
+		break;
+	case PL_TICKET_FOREIGN_AGENT:
+		return forward_to_issuer_(agent, forward, &ticket);
+	default:
+		answer = pl_answer_store_take(agent->answers,
+					      &forward->flow.caller, msg,
+					      &ticket.nonce);
+		if (!answer && pl_view_block(agent->views, forward, msg) ==
+				       PL_VIEW_HANDLED)
+			return true;
+		if (!answer)
+			return pl_agent_forward_next(agent, forward);
+	}
 	if (!answer)
 		return false;
-	exchange = pl_exchange_open(agent->exchanges, forward, msg);
-	if (exchange)
-		pl_answer_respond(answer, exchange);
-	pl_ref_put(&answer->ref);
+	send_rest_(agent, forward, msg, answer, ticket.nonce);
 	return true;
 }
 
@@ -141,11 +220,7 @@
 	if (pl_exchange_duplicate(agent->exchanges, forward, msg))
 		return;
 	if (wants_rest_(msg)) {
-		if (serve_kept_(agent, forward, msg) ||
-		    pl_view_block(agent->views, forward, msg) ==
-			    PL_VIEW_HANDLED ||
-		    (forward->hops == 0 &&
-		     pl_agent_forward_next(agent, forward)))
+		if (serve_rest_(agent, forward, msg))
 			return;
 	} else if (agent->draining && pl_agent_forward_home(agent, forward)) {
 		return;
@@ -357,15 +432,8 @@
 static void serve_foreign_(pl_agent_t *agent, const pl_forward_t *forward,
 			   const pl_coap_msg_t *msg, const pl_ticket_t *ticket)
 {
-	const pl_endpoint_t *issuer = NULL;
-
-	if (agent->routing)
-		issuer = pl_routing_endpoint(agent->routing, ticket->agent);
-	if (issuer && issuer->boot == ticket->boot &&
-	    issuer->service == forward->flow.service &&
-	    pl_agent_forward_to(agent, forward, ticket->agent))
-		return;
-	answer_unknown_(agent, forward, msg);
+	if (!forward_to_issuer_(agent, forward, ticket))
+		answer_unknown_(agent, forward, msg);
 }
 
 /*
@@ -413,15 +481,8 @@
 			     const pl_coap_msg_t *msg)
 {
 	pl_ticket_t ticket;
-	pl_ticket_t own = {
-		.agent = agent->params.self,
-		.boot = agent->params.boot,
-		.issued_s = pl_agent_now_s(agent),
-	};
 
-	switch (pl_ticket_check(&agent->params.ticket_key, &own, &forward->flow,
-				pl_ticket_digest(msg), msg->echo, msg->echo_len,
-				&ticket)) {
+	switch (check_(agent, forward, msg, pl_ticket_digest(msg), &ticket)) {
 	case PL_TICKET_VALID:
 		serve_ticketed_(agent, forward, msg, &ticket);
 		break;
@@ -451,8 +512,7 @@
 	if (pl_exchange_duplicate(agent->exchanges, forward, msg))
 		return;
 	if (wants_rest_(msg)) {
-		if (!serve_kept_(agent, forward, msg) &&
-		    !pl_agent_forward_next(agent, forward))
+		if (!serve_rest_(agent, forward, msg))
 			answer_unknown_(agent, forward, msg);
 		return;
 	}
--- a/src/agent/ticket.c
+++ b/src/agent/ticket.c
@@ -12,6 +12,8 @@
 #define NONCE_AT 17
 #define ISSUED_AT 25
 #define MAC_AT 29
+/** Keeps the digests of requests and of answers apart. */
+#define REST_SEED 0x72657374
 
 const char *const pl_ticket_verdict_names[] = {
 	"valid", "expired", "foreign-boot", "foreign-agent", "forged",
@@ -95,6 +97,15 @@
 	return digest;
 }
 
+uint64_t pl_ticket_rest_digest(uint8_t method, const char *path,
+			       const char *query)
+{
+	uint64_t digest = pl_hash(&method, sizeof(method), REST_SEED);
+
+	digest = pl_hash(path, strlen(path) + 1, digest);
+	return pl_hash(query, strlen(query) + 1, digest);
+}
+
 uint64_t pl_ticket_nonce(const pl_key_t *key, const pl_flow_t *flow,
 			 uint64_t boot, const pl_coap_msg_t *msg)
 {
--- a/test/agent/random_test.c
+++ b/test/agent/random_test.c
@@ -204,7 +204,11 @@
 		w->whole++;
 		return;
 	}
-	op->ask.echo = NULL;
+	/* like libcoap, the caller returns the Echo of a response */
+	op->ask.echo = msg->echo_len > 0 ? op->echo : NULL;
+	op->ask.echo_len = msg->echo_len;
+	if (msg->echo_len > 0)
+		memcpy(op->echo, msg->echo, msg->echo_len);
 	op->ask.block1.present = false;
 	op->ask.block2 = (pl_coap_block_t){ .present = true,
 					    .num = msg->block2.num + 1,
--- a/test/agent/transfer_test.c
+++ b/test/agent/transfer_test.c
@@ -116,11 +116,54 @@
 	fixture_delete(f);
 }
 
+static void transfer_in_progress_holds_up_the_end_of_a_drain(void **state)
+{
+	fixture_t *f = fixture_new(2, 1);
+	ask_t ask = { .code = PL_COAP_GET, .path = "permits" };
+	char *body = body_(3000, 3);
+	uint8_t echo[PL_TICKET_BYTES];
+	pl_coap_msg_t msg;
+
+	(void)state;
+	fixture_ask(f, 0, &ask);
+	fixture_end(f, 0, PL_BACKEND_ANSWERED, body, 3000);
+	fixture_expect(f, PL_COAP_CONTENT, &msg);
+	pl_agent_drain(f->nodes[0].agent);
+	f->nodes[0].state = PL_ENDPOINT_DRAINING;
+	fixture_route(f);
+	/* also over a new life of the process */
+	pl_agent_rejoin(f->nodes[0].agent, 4711);
+	f->nodes[0].boot = 4711;
+	fixture_route(f);
+	for (uint32_t num = 1; num < 3; num++) {
+		assert_int_equal(msg.echo_len, sizeof(echo));
+		memcpy(echo, msg.echo, sizeof(echo));
+		fixture_advance(f, 4000);
+		assert_false(pl_agent_drained(f->nodes[0].agent));
+		ask.block2 = (pl_coap_block_t){ .present = true,
+						.num = num,
+						.szx = 6 };
+		ask.echo = echo;
+		ask.echo_len = sizeof(echo);
+		fixture_ask(f, 0, &ask);
+		fixture_expect(f, PL_COAP_CONTENT, &msg);
+		assert_memory_equal(msg.payload, body + (size_t)num * 1024,
+				    msg.payload_len);
+	}
+	assert_int_equal(msg.echo_len, 0);
+	assert_true(pl_agent_drained(f->nodes[0].agent));
+	assert_int_equal(fixture_calls(f), 1);
+	g_free(body);
+	fixture_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(large_answer_is_whole),
 		cmocka_unit_test(finished_transfer_does_not_answer_for_another),
+		cmocka_unit_test(
+			transfer_in_progress_holds_up_the_end_of_a_drain),
 		cmocka_unit_test(large_answer_of_a_post_is_whole_and_ran_once),
 	};
 
