Agent: each 2.31 carries a ticket that names the upload to the next block

Cause: upload_test.c was red: with two uploads of one caller under one Request-Tag at two agents, a block that reached the wrong one was taken into the wrong body; and a block whose agent had gone was passed from hand to hand before it was answered.

Caller, Request-Tag and path remain for clients that return no Echo.

Conclusion: blocks of uploads now have a file of their own.

--- a/src/agent/private/agent_private.h
+++ b/src/agent/private/agent_private.h
@@ -79,11 +79,43 @@
 /** Passes unstarted work on to the other one of the caller's best two. */
 bool pl_agent_forward_other(pl_agent_t *agent, const pl_forward_t *forward);
 
-/** Issues the ticket for the rest of the answer of the request @p id. */
-void pl_serve_rest_ticket(pl_agent_t *agent, uint64_t id, const pl_flow_t *flow,
-			  uint8_t method, const char *path, const char *query,
+/**
+ * Issues the ticket that names @p request to the next message of a
+ * block-wise transfer; it lets nothing run.
+ */
+void pl_serve_rest_ticket(pl_agent_t *agent, const pl_request_t *request,
 			  uint8_t echo[PL_TICKET_BYTES]);
 
+/** Checks the ticket in @p msg against @p digest. */
+pl_ticket_verdict_t pl_serve_check(const pl_agent_t *agent,
+				   const pl_forward_t *forward,
+				   const pl_coap_msg_t *msg, uint64_t digest,
+				   pl_ticket_t *ticket);
+
+/** Passes a datagram on to the agent of @p ticket while that life lasts. */
+bool pl_serve_forward_to_issuer(pl_agent_t *agent, const pl_forward_t *forward,
+				const pl_ticket_t *ticket);
+
+/** Answers @p msg with a code and a diagnostic text. */
+void pl_serve_respond(pl_agent_t *agent, const pl_forward_t *forward,
+		      const pl_coap_msg_t *msg, uint8_t code, const char *text);
+
+/** Answers @p msg that the outcome is unknown. */
+void pl_serve_unknown(pl_agent_t *agent, const pl_forward_t *forward,
+		      const pl_coap_msg_t *msg);
+
+/** Lets @p exchange wait for a request that is known, or answers it. */
+void pl_serve_attach(pl_agent_t *agent, pl_request_t *request,
+		     pl_exchange_t *exchange);
+
+/** Starts an upload with its first block @p msg. */
+void pl_serve_upload(pl_agent_t *agent, pl_request_t *request,
+		     const pl_coap_msg_t *msg, pl_exchange_t *exchange);
+
+/** Serves a block after the first. */
+void pl_serve_block(pl_agent_t *agent, const pl_forward_t *forward,
+		    const pl_coap_msg_t *msg);
+
 /** Serves a request that carries no view. */
 void pl_serve_get(pl_agent_t *agent, const pl_forward_t *forward,
 		  const pl_coap_msg_t *msg);
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -52,9 +52,7 @@
 			    &request->flow.caller, request->method,
 			    request->path, request->query, request->answer,
 			    size, pl_agent_policy(agent)->answer_keep_ms);
-	pl_serve_rest_ticket(agent, agent->birth + request->id, &request->flow,
-			     request->method, request->path, request->query,
-			     echo);
+	pl_serve_rest_ticket(agent, request, echo);
 	pl_answer_respond(request->answer, exchange, echo);
 }
 
--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -11,7 +11,6 @@
 /** Diagnostic payloads of refusals. */
 #define TEXT_BUSY "busy"
 #define TEXT_TOO_LARGE "too large"
-#define TEXT_NOT_RUN "not run"
 #define TEXT_CANCELLED "cancelled"
 
 /* Class of the work that @p msg asks for. */
@@ -40,9 +39,8 @@
 			    TEXT_BUSY);
 }
 
-static void respond_code_(pl_agent_t *agent, const pl_forward_t *forward,
-			  const pl_coap_msg_t *msg, uint8_t code,
-			  const char *text)
+void pl_serve_respond(pl_agent_t *agent, const pl_forward_t *forward,
+		      const pl_coap_msg_t *msg, uint8_t code, const char *text)
 {
 	pl_exchange_t *exchange =
 		pl_exchange_open(agent->exchanges, forward, msg);
@@ -51,8 +49,8 @@
 		pl_exchange_respond(exchange, code, -1, text);
 }
 
-static void answer_unknown_(pl_agent_t *agent, const pl_forward_t *forward,
-			    const pl_coap_msg_t *msg)
+void pl_serve_unknown(pl_agent_t *agent, const pl_forward_t *forward,
+		      const pl_coap_msg_t *msg)
 {
 	pl_exchange_t *exchange =
 		pl_exchange_open(agent->exchanges, forward, msg);
@@ -67,9 +65,8 @@
 	       !msg->block1.present;
 }
 
-void pl_serve_rest_ticket(pl_agent_t *agent, uint64_t id, const pl_flow_t *flow,
-			  uint8_t method, const char *path, const char *query,
-			  uint8_t echo[PL_TICKET_BYTES])
+static void next_ticket_(pl_agent_t *agent, uint64_t id, const pl_flow_t *flow,
+			 uint64_t digest, uint8_t echo[PL_TICKET_BYTES])
 {
 	pl_ticket_t ticket = {
 		.agent = agent->params.self,
@@ -78,14 +75,23 @@
 		.issued_s = pl_agent_now_s(agent),
 	};
 
-	pl_ticket_issue(&agent->params.ticket_key, &ticket, flow,
-			pl_ticket_rest_digest(method, path, query), echo);
+	pl_ticket_issue(&agent->params.ticket_key, &ticket, flow, digest, echo);
 }
 
-static pl_ticket_verdict_t check_(const pl_agent_t *agent,
-				  const pl_forward_t *forward,
-				  const pl_coap_msg_t *msg, uint64_t digest,
-				  pl_ticket_t *ticket)
+void pl_serve_rest_ticket(pl_agent_t *agent, const pl_request_t *request,
+			  uint8_t echo[PL_TICKET_BYTES])
+{
+	uint64_t digest = pl_ticket_rest_digest(request->method, request->path,
+						request->query);
+
+	next_ticket_(agent, agent->birth + request->id, &request->flow, digest,
+		     echo);
+}
+
+pl_ticket_verdict_t pl_serve_check(const pl_agent_t *agent,
+				   const pl_forward_t *forward,
+				   const pl_coap_msg_t *msg, uint64_t digest,
+				   pl_ticket_t *ticket)
 {
 	pl_ticket_t own = {
 		.agent = agent->params.self,
@@ -98,8 +104,8 @@
 }
 
 /* Passes a datagram on to the agent of @p ticket while that life lasts. */
-static bool forward_to_issuer_(pl_agent_t *agent, const pl_forward_t *forward,
-			       const pl_ticket_t *ticket)
+bool pl_serve_forward_to_issuer(pl_agent_t *agent, const pl_forward_t *forward,
+				const pl_ticket_t *ticket)
 {
 	const pl_endpoint_t *issuer = NULL;
 
@@ -119,8 +125,9 @@
 		pl_exchange_open(agent->exchanges, forward, msg);
 	uint8_t echo[PL_TICKET_BYTES];
 
-	pl_serve_rest_ticket(agent, id, &forward->flow, msg->code, msg->path,
-			     msg->query, echo);
+	next_ticket_(agent, id, &forward->flow,
+		     pl_ticket_rest_digest(msg->code, msg->path, msg->query),
+		     echo);
 	if (exchange)
 		pl_answer_respond(answer, exchange, echo);
 	pl_ref_put(&answer->ref);
@@ -138,7 +145,7 @@
 	pl_answer_t *answer = NULL;
 	pl_ticket_t ticket;
 
-	switch (check_(agent, forward, msg, digest, &ticket)) {
+	switch (pl_serve_check(agent, forward, msg, digest, &ticket)) {
 	case PL_TICKET_VALID:
 	case PL_TICKET_EXPIRED:
 	case PL_TICKET_FOREIGN_BOOT:
@@ -146,7 +153,7 @@
 						 msg);
 		break;
 	case PL_TICKET_FOREIGN_AGENT:
-		return forward_to_issuer_(agent, forward, &ticket);
+		return pl_serve_forward_to_issuer(agent, forward, &ticket);
 	default:
 		answer = pl_answer_store_take(agent->answers,
 					      &forward->flow.caller, msg,
@@ -277,8 +284,8 @@
 			      const pl_coap_msg_t *msg)
 {
 	if (too_large_(agent, msg)) {
-		respond_code_(agent, forward, msg, PL_COAP_TOO_LARGE,
-			      TEXT_TOO_LARGE);
+		pl_serve_respond(agent, forward, msg, PL_COAP_TOO_LARGE,
+				 TEXT_TOO_LARGE);
 		return;
 	}
 	if ((agent->draining || !agent->present) &&
@@ -289,71 +296,6 @@
 	challenge_(agent, forward, msg);
 }
 
-/* A message for a request that is known here. */
-static void attach_(pl_agent_t *agent, pl_request_t *request,
-		    pl_exchange_t *exchange)
-{
-	bool refused = request->state == PL_REQUEST_REFUSED;
-
-	if (exchange->block1.present && exchange->block1.more && !refused) {
-		pl_exchange_respond(exchange, PL_COAP_CONTINUE, -1, NULL);
-		return;
-	}
-	if (!pl_request_ended(request)) {
-		pl_request_wait(request, exchange);
-		return;
-	}
-	pl_counter_add(PL_COUNTER_REPLAYED, 1);
-	pl_run_respond(agent, request, exchange);
-}
-
-/* Takes in a block; @p exchange is answered or waits afterwards. */
-static void add_block_(pl_agent_t *agent, pl_upload_t *upload,
-		       const pl_coap_msg_t *msg, pl_exchange_t *exchange)
-{
-	pl_request_t *request = upload->request;
-	size_t body_max = pl_agent_policy(agent)->upload_max_bytes;
-	pl_block_verdict_t verdict;
-
-	pl_answer_store_reclaim(agent->answers, msg->payload_len);
-	verdict = pl_upload_add(agent->uploads, upload, msg, body_max);
-	if (verdict == PL_BLOCK_MORE) {
-		pl_exchange_respond(exchange, PL_COAP_CONTINUE, -1, NULL);
-		return;
-	}
-	pl_request_wait(request, exchange);
-	switch (verdict) {
-	case PL_BLOCK_COMPLETE:
-		pl_run_submit(agent, request);
-		break;
-	case PL_BLOCK_TOO_LARGE:
-		pl_run_refuse(agent, request, PL_COAP_TOO_LARGE,
-			      PL_CAUSE_AGENT);
-		break;
-	case PL_BLOCK_NO_MEMORY:
-		pl_run_refuse(agent, request, PL_COAP_UNAVAILABLE,
-			      PL_CAUSE_AGENT);
-		break;
-	default:
-		pl_run_refuse(agent, request, PL_COAP_INCOMPLETE,
-			      PL_CAUSE_AGENT);
-		break;
-	}
-}
-
-static void start_upload_(pl_agent_t *agent, pl_request_t *request,
-			  const pl_coap_msg_t *msg, pl_exchange_t *exchange)
-{
-	pl_request_t *detached = pl_upload_start(agent->uploads, request, msg);
-
-	/* its remaining blocks cannot be told from the new ones */
-	if (detached && detached->state == PL_REQUEST_GATHERING)
-		pl_run_refuse(agent, detached, PL_COAP_INCOMPLETE,
-			      PL_CAUSE_AGENT);
-	pl_counter_add(PL_COUNTER_UPLOADS, 1);
-	add_block_(agent, request->upload, msg, exchange);
-}
-
 /* Runs a request under a ticket that was not used before. */
 static void run_ticketed_(pl_agent_t *agent, const pl_forward_t *forward,
 			  const pl_coap_msg_t *msg, const pl_ticket_t *ticket,
@@ -381,7 +323,7 @@
 		return;
 	}
 	if (msg->block1.present) {
-		start_upload_(agent, request, msg, exchange);
+		pl_serve_upload(agent, request, msg, exchange);
 		return;
 	}
 	if (msg->payload_len > 0)
@@ -406,7 +348,7 @@
 	if (!exchange)
 		return;
 	if (request)
-		attach_(agent, request, exchange);
+		pl_serve_attach(agent, request, exchange);
 	else
 		run_ticketed_(agent, forward, msg, ticket, exchange);
 }
@@ -425,56 +367,15 @@
 				      pl_agent_now_s(agent)))
 		serve_ticketless_(agent, forward, msg);
 	else
-		answer_unknown_(agent, forward, msg);
+		pl_serve_unknown(agent, forward, msg);
 }
 
 /* A ticket of another agent: only that one knows whether it was used. */
 static void serve_foreign_(pl_agent_t *agent, const pl_forward_t *forward,
 			   const pl_coap_msg_t *msg, const pl_ticket_t *ticket)
 {
-	if (!forward_to_issuer_(agent, forward, ticket))
-		answer_unknown_(agent, forward, msg);
-}
-
-/*
- * A block of an upload that is not here, or of another one with its key. The
- * last block may have reached an agent that is gone, even when this one is
- * an earlier block that comes late, so the outcome is unknown; but an upload
- * that was refused here and that nobody else has did not run.
- */
-static void serve_stray_block_(pl_agent_t *agent, const pl_forward_t *forward,
-			       const pl_coap_msg_t *msg,
-			       const pl_upload_t *upload)
-{
-	if (pl_agent_forward_next(agent, forward))
-		return;
-	if (upload && upload->request->state == PL_REQUEST_REFUSED &&
-	    pl_agent_was_last(agent, forward))
-		respond_code_(agent, forward, msg,
-			      upload->request->refusal_code, TEXT_NOT_RUN);
-	else
-		answer_unknown_(agent, forward, msg);
-}
-
-/* A block after the first: known by its upload, not by a ticket. */
-static void serve_block_(pl_agent_t *agent, const pl_forward_t *forward,
-			 const pl_coap_msg_t *msg)
-{
-	pl_upload_t *upload =
-		pl_upload_find(agent->uploads, &forward->flow.caller, msg);
-	pl_exchange_t *exchange;
-
-	if (!upload || !pl_upload_takes(upload, msg)) {
-		serve_stray_block_(agent, forward, msg, upload);
-		return;
-	}
-	exchange = pl_exchange_open(agent->exchanges, forward, msg);
-	if (!exchange)
-		return;
-	if (upload->request->state == PL_REQUEST_GATHERING)
-		add_block_(agent, upload, msg, exchange);
-	else
-		attach_(agent, upload->request, exchange);
+	if (!pl_serve_forward_to_issuer(agent, forward, ticket))
+		pl_serve_unknown(agent, forward, msg);
 }
 
 static void serve_by_ticket_(pl_agent_t *agent, const pl_forward_t *forward,
@@ -482,7 +383,8 @@
 {
 	pl_ticket_t ticket;
 
-	switch (check_(agent, forward, msg, pl_ticket_digest(msg), &ticket)) {
+	switch (pl_serve_check(agent, forward, msg, pl_ticket_digest(msg),
+			       &ticket)) {
 	case PL_TICKET_VALID:
 		serve_ticketed_(agent, forward, msg, &ticket);
 		break;
@@ -494,7 +396,7 @@
 		if (pl_request_by_ticket(agent->requests, &ticket))
 			serve_ticketed_(agent, forward, msg, &ticket);
 		else
-			answer_unknown_(agent, forward, msg);
+			pl_serve_unknown(agent, forward, msg);
 		break;
 	case PL_TICKET_FOREIGN_AGENT:
 		serve_foreign_(agent, forward, msg, &ticket);
@@ -513,11 +415,11 @@
 		return;
 	if (wants_rest_(msg)) {
 		if (!serve_rest_(agent, forward, msg))
-			answer_unknown_(agent, forward, msg);
+			pl_serve_unknown(agent, forward, msg);
 		return;
 	}
 	if (msg->block1.present && msg->block1.num > 0)
-		serve_block_(agent, forward, msg);
+		pl_serve_block(agent, forward, msg);
 	else if (msg->echo_len > 0)
 		serve_by_ticket_(agent, forward, msg);
 	else
--- a/test/agent/random_test.c
+++ b/test/agent/random_test.c
@@ -177,6 +177,18 @@
 	g_snprintf(text, ANSWER_BYTES, "%u", op);
 }
 
+/* Most callers return the Echo of a response, as libcoap does. */
+static void keep_echo_(op_t *op, const pl_coap_msg_t *msg)
+{
+	op->ask.echo = NULL;
+	if (op->caller == 0 || msg->echo_len == 0)
+		return;
+	assert_int_equal(msg->echo_len, PL_TICKET_BYTES);
+	memcpy(op->echo, msg->echo, PL_TICKET_BYTES);
+	op->ask.echo = op->echo;
+	op->ask.echo_len = PL_TICKET_BYTES;
+}
+
 /* A block of the answer; the whole must be that of this operation. */
 static void take_answer_(world_t *w, op_t *op, const pl_coap_msg_t *msg)
 {
@@ -191,6 +203,7 @@
 	if (msg->block2.num > 0 &&
 	    memcmp(op->etag, msg->etag, sizeof(op->etag)) != 0) {
 		w->mixed++;
+		assert_int_equal(op->caller, 0);
 		return;
 	}
 	assert_int_equal(msg->etag_len, sizeof(op->etag));
@@ -204,11 +217,7 @@
 		w->whole++;
 		return;
 	}
-	/* like libcoap, the caller returns the Echo of a response */
-	op->ask.echo = msg->echo_len > 0 ? op->echo : NULL;
-	op->ask.echo_len = msg->echo_len;
-	if (msg->echo_len > 0)
-		memcpy(op->echo, msg->echo, msg->echo_len);
+	keep_echo_(op, msg);
 	op->ask.block1.present = false;
 	op->ask.block2 = (pl_coap_block_t){ .present = true,
 					    .num = msg->block2.num + 1,
@@ -244,7 +253,7 @@
 			break;
 		assert_true(op->block + 1 < BLOCKS);
 		op->block++;
-		op->ask.echo = NULL;
+		keep_echo_(op, msg);
 		set_block_(op);
 		send_request_(w, op);
 		break;
--- a/test/agent/upload_test.c
+++ b/test/agent/upload_test.c
@@ -182,6 +182,47 @@
 	fixture_delete(f);
 }
 
+static void ticket_of_a_block_finds_the_upload(void **state)
+{
+	fixture_t *f = fixture_new(3, 1);
+	uint8_t echo[PL_TICKET_BYTES];
+	ask_t ask = block_(0, true, "r1");
+	ask_t last = block_(1, false, "r1");
+	pl_coap_msg_t msg;
+
+	(void)state;
+	/* two operations under one tag at two agents */
+	start_(f, 0, "r1", 0);
+	ask.token = 90;
+	fixture_ask(f, 1, &ask);
+	fixture_expect(f, PL_COAP_UNAUTHORIZED, &msg);
+	memcpy(echo, msg.echo, sizeof(echo));
+	ask.echo = echo;
+	ask.echo_len = sizeof(echo);
+	ask.token++;
+	fixture_ask(f, 1, &ask);
+	fixture_expect(f, PL_COAP_CONTINUE, &msg);
+	assert_int_equal(msg.echo_len, sizeof(echo));
+	memcpy(echo, msg.echo, sizeof(echo));
+	/* the other agent would take the block if it went by the tag */
+	last.echo = echo;
+	last.echo_len = sizeof(echo);
+	fixture_ask(f, 0, &last);
+	assert_int_equal(fixture_calls(f), 1);
+	assert_int_equal(((backend_call_t *)f->calls->pdata[0])->agent, 1);
+	fixture_end(f, 0, PL_BACKEND_ANSWERED, "ok", 2);
+	fixture_expect(f, PL_COAP_CHANGED, &msg);
+	assert_int_equal(msg.echo_len, 0);
+	/* its agent is gone: nobody can know */
+	f->nodes[1].boot = 999;
+	fixture_route(f);
+	last.token++;
+	last.mid = 0;
+	fixture_ask(f, 2, &last);
+	expect_block_(f, PL_COAP_GATEWAY_TIMEOUT, 1);
+	fixture_delete(f);
+}
+
 static void limits_refuse_for_good(void **state)
 {
 	fixture_t *f = fixture_new(1, 1);
@@ -253,6 +294,7 @@
 		cmocka_unit_test(unknown_blocks_are_answered_honestly),
 		cmocka_unit_test(same_tag_with_a_new_ticket_is_a_new_operation),
 		cmocka_unit_test(finished_upload_does_not_answer_for_another),
+		cmocka_unit_test(ticket_of_a_block_finds_the_upload),
 		cmocka_unit_test(limits_refuse_for_good),
 		cmocka_unit_test(silent_upload_is_given_up),
 		cmocka_unit_test(
