Configuration spreads section by section and only moves forward

A core without sockets or clock. Two members of each data centre, picked by hash, watch the platform; the rest hear of a revision from peers and pull what changed since theirs. A section's revision is the one at which it last changed; a member that skipped revisions may date it too early, which the hash over the whole document finds, and then everything is pulled. Weighed: only hearing of a revision in gossip (about ln 6050 / ln 3 = 8 seconds at one exchange a second, beyond the 4 s asked for), so a member also sends a new revision to four others at once. A floor for forgotten removals was tried and taken out: the hash finds them too.

A newcomer asks three peers, and the platform as well when it knows fewer; it takes the newest. Older revisions are ignored, whoever offers them.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -63,6 +63,8 @@
 	  "a configuration document was not valid and is not in force")       \
 	X(PL_EVENT_CONFIG_OLDER, 402, "config-older", WARNING,                \
 	  "a peer or the platform offered an older revision; it was ignored") \
+	X(PL_EVENT_CONFIG_DIVERGED, 403, "config-diverged", ERROR,            \
+	  "a member holds another document under the revision in force")      \
 	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,              \
 	  "the platform's key-value service does not answer")                 \
 	X(PL_EVENT_PLATFORM_UP, 411, "platform-up", INFO,                     \
--- /dev/null
+++ b/src/proto/config_codec.c
@@ -0,0 +1,188 @@
+/**
+ * @file
+ * msgpack codec of the configuration frames.
+ */
+#include <pimentolift/config_codec.h>
+
+#include <msgpack.h>
+#include <string.h>
+
+#define PULL_FIELDS 1
+#define PUSH_FIELDS 6
+#define PAIR_FIELDS 2
+
+static int append_(void *data, const char *bytes, size_t len)
+{
+	g_byte_array_append(data, (const guint8 *)bytes, (guint)len);
+	return 0;
+}
+
+void pl_config_encode_pull(uint64_t have, GByteArray *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, append_);
+	msgpack_pack_array(&packer, PULL_FIELDS);
+	msgpack_pack_uint64(&packer, have);
+}
+
+void pl_config_encode_push(const pl_config_push_t *push, GByteArray *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, append_);
+	msgpack_pack_array(&packer, PUSH_FIELDS);
+	msgpack_pack_uint8(&packer, (uint8_t)push->kind);
+	msgpack_pack_uint64(&packer, push->revision);
+	msgpack_pack_uint64(&packer, push->base);
+	msgpack_pack_uint64(&packer, push->hash);
+	msgpack_pack_array(&packer, push->part_count);
+	for (size_t i = 0; i < push->part_count; i++) {
+		const pl_config_part_t *part = &push->parts[i];
+
+		msgpack_pack_array(&packer, PAIR_FIELDS);
+		msgpack_pack_uint64(&packer, part->changed_at);
+		msgpack_pack_bin(&packer, part->len);
+		msgpack_pack_bin_body(&packer, part->bytes, part->len);
+	}
+	msgpack_pack_array(&packer, push->removal_count);
+	for (size_t i = 0; i < push->removal_count; i++) {
+		const pl_config_removal_t *removal = &push->removals[i];
+		size_t len = strlen(removal->name);
+
+		msgpack_pack_array(&packer, PAIR_FIELDS);
+		msgpack_pack_str(&packer, len);
+		msgpack_pack_str_body(&packer, removal->name, len);
+		msgpack_pack_uint64(&packer, removal->removed_at);
+	}
+}
+
+/* Elements of an array with at least @p min of them, or NULL. */
+static const msgpack_object *elements_(const msgpack_object *object, size_t min)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size < min)
+		return NULL;
+	return object->via.array.ptr;
+}
+
+static bool number_(const msgpack_object *object, uint64_t *number)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return false;
+	*number = object->via.u64;
+	return true;
+}
+
+static bool read_pull_(const msgpack_object *root, uint64_t *have)
+{
+	const msgpack_object *at = elements_(root, PULL_FIELDS);
+
+	return at && number_(&at[0], have);
+}
+
+static bool read_part_(const msgpack_object *object, pl_config_part_t *part)
+{
+	const msgpack_object *at = elements_(object, PAIR_FIELDS);
+
+	if (!at || !number_(&at[0], &part->changed_at) ||
+	    at[1].type != MSGPACK_OBJECT_BIN)
+		return false;
+	part->bytes = (const uint8_t *)at[1].via.bin.ptr;
+	part->len = at[1].via.bin.size;
+	return true;
+}
+
+static bool read_removal_(const msgpack_object *object,
+			  pl_config_removal_t *removal)
+{
+	const msgpack_object *at = elements_(object, PAIR_FIELDS);
+
+	if (!at || at[0].type != MSGPACK_OBJECT_STR ||
+	    at[0].via.str.size >= PL_NAME_MAX)
+		return false;
+	memcpy(removal->name, at[0].via.str.ptr, at[0].via.str.size);
+	return number_(&at[1], &removal->removed_at);
+}
+
+static bool read_parts_(const msgpack_object *object, pl_config_push_t *push)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	push->part_count = object->via.array.size;
+	push->parts = g_new0(pl_config_part_t, push->part_count);
+	for (size_t i = 0; i < push->part_count; i++) {
+		if (!read_part_(&object->via.array.ptr[i], &push->parts[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool read_removals_(const msgpack_object *object, pl_config_push_t *push)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	push->removal_count = object->via.array.size;
+	push->removals = g_new0(pl_config_removal_t, push->removal_count);
+	for (size_t i = 0; i < push->removal_count; i++) {
+		if (!read_removal_(&object->via.array.ptr[i],
+				   &push->removals[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool read_push_(const msgpack_object *root, pl_config_push_t *push)
+{
+	const msgpack_object *at = elements_(root, PUSH_FIELDS);
+	uint64_t kind;
+
+	if (!at || !number_(&at[0], &kind) || kind > PL_CONFIG_PUSH_SECTIONS)
+		return false;
+	push->kind = (pl_config_push_kind_t)kind;
+	return number_(&at[1], &push->revision) &&
+	       number_(&at[2], &push->base) && number_(&at[3], &push->hash) &&
+	       read_parts_(&at[4], push) && read_removals_(&at[5], push);
+}
+
+pl_result_t pl_config_decode_pull(const uint8_t *body, size_t len,
+				  uint64_t *have)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	bool valid;
+
+	msgpack_unpacked_init(&unpacked);
+	valid = msgpack_unpack_next(&unpacked, (const char *)body, len,
+				    &offset) == MSGPACK_UNPACK_SUCCESS &&
+		read_pull_(&unpacked.data, have);
+	msgpack_unpacked_destroy(&unpacked);
+	return valid ? PL_OK : PL_ERR_MALFORMED;
+}
+
+pl_result_t pl_config_decode_push(const uint8_t *body, size_t len,
+				  pl_config_push_t *push)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	bool valid;
+
+	memset(push, 0, sizeof(*push));
+	msgpack_unpacked_init(&unpacked);
+	valid = msgpack_unpack_next(&unpacked, (const char *)body, len,
+				    &offset) == MSGPACK_UNPACK_SUCCESS &&
+		read_push_(&unpacked.data, push);
+	msgpack_unpacked_destroy(&unpacked);
+	if (valid)
+		return PL_OK;
+	pl_config_push_finish(push);
+	return PL_ERR_MALFORMED;
+}
+
+void pl_config_push_finish(pl_config_push_t *push)
+{
+	g_clear_pointer(&push->parts, g_free);
+	g_clear_pointer(&push->removals, g_free);
+	push->part_count = 0;
+	push->removal_count = 0;
+}
--- /dev/null
+++ b/test/config/sync_fake.c
@@ -0,0 +1,379 @@
+#include "sync_fake.h"
+
+#include <pimentolift/envelope.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DELAY_MS 20
+#define PLATFORM_DELAY_MS 2
+#define GOSSIP_MS 1000
+#define STEP_MS 10
+#define DEADLINE_MIN_MS 100
+
+/* Something on its way: a frame, a frame that failed, or a platform's reply. */
+typedef enum {
+	ON_FRAME,
+	ON_FAILED,
+	ON_READ,
+	ON_WATCH,
+} delivery_type_t;
+
+typedef struct {
+	pl_timer_t timer;
+	delivery_type_t type;
+	node_t *node;
+	unsigned int life;
+	unsigned int serial;
+	pl_peer_frame_t frame;
+	uint8_t *body;
+} delivery_t;
+
+static void reply_(const node_t *node, pl_platform_reply_t *reply)
+{
+	const fake_t *fake = node->fake;
+	const char *value = fake->frozen ? fake->frozen : fake->value;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->message = "";
+	reply->watch_index = fake->frozen ? fake->frozen_index : fake->index;
+	reply->modify_index = reply->watch_index;
+	reply->result = fake->down || node->cut_off ? PL_ERR_UNAVAILABLE :
+			value			    ? PL_OK :
+						      PL_ERR_NOT_FOUND;
+	if (reply->result == PL_OK) {
+		reply->value = value;
+		reply->value_len = strlen(value);
+	}
+}
+
+static void on_delivery_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	delivery_t *delivery = ctx;
+	node_t *node = delivery->node;
+	pl_platform_reply_t reply;
+
+	(void)timer;
+	(void)now;
+	reply_(node, &reply);
+	if (node->sync && node->life == delivery->life) {
+		if (delivery->type == ON_FRAME)
+			pl_config_sync_frame(node->sync, &delivery->frame);
+		else if (delivery->type == ON_FAILED)
+			pl_config_sync_frame_failed(node->sync,
+						    &delivery->frame);
+		else if (delivery->type == ON_READ)
+			pl_config_sync_read_done(node->sync, &reply);
+		else if (delivery->serial == node->watch_serial) {
+			node->watching = false;
+			pl_config_sync_watch_done(node->sync, &reply);
+		}
+	}
+	g_free(delivery->body);
+	g_free(delivery);
+}
+
+static delivery_t *deliver_(node_t *node, delivery_type_t type, pl_ms_t delay)
+{
+	delivery_t *delivery = g_new0(delivery_t, 1);
+	pl_timer_service_t *timers = node->fake->timers;
+
+	delivery->type = type;
+	delivery->node = node;
+	delivery->life = node->life;
+	delivery->serial = node->watch_serial;
+	pl_timer_init(&delivery->timer, on_delivery_, delivery);
+	pl_timer_arm(timers, &delivery->timer,
+		     pl_timer_service_now(timers) + delay);
+	return delivery;
+}
+
+static void in_force_(void *ctx, pl_document_t *document)
+{
+	node_t *node = ctx;
+
+	if (pl_document_revision(document) <= node->revision)
+		node->reverts++;
+	node->revision = pl_document_revision(document);
+	node->in_force_at = pl_timer_service_now(node->fake->timers);
+}
+
+static void send_(void *ctx, const pl_peer_frame_t *frame)
+{
+	node_t *node = ctx;
+	fake_t *fake = node->fake;
+	node_t *to = &fake->nodes[frame->peer - 1];
+	bool reached = to->sync && to->group == node->group;
+	delivery_t *delivery =
+		deliver_(reached ? to : node, reached ? ON_FRAME : ON_FAILED,
+			 (pl_ms_t)g_rand_int_range(fake->rand, 1, DELAY_MS));
+
+	delivery->frame = *frame;
+	delivery->frame.peer = reached ? node->id : frame->peer;
+	delivery->body = g_memdup2(frame->body, frame->body_len);
+	delivery->frame.body = delivery->body;
+	node->frame_bytes_out += frame->body_len;
+}
+
+static void read_(void *ctx)
+{
+	node_t *node = ctx;
+
+	node->reads++;
+	deliver_(node, ON_READ, PLATFORM_DELAY_MS);
+}
+
+static void watch_(void *ctx, uint64_t index)
+{
+	node_t *node = ctx;
+	fake_t *fake = node->fake;
+	uint64_t present = fake->frozen ? fake->frozen_index : fake->index;
+	bool at_once = fake->down || node->cut_off || index != present;
+
+	node->watches++;
+	node->watching = true;
+	node->watch_index = index;
+	node->watch_serial++;
+	deliver_(node, ON_WATCH,
+		 at_once ? PLATFORM_DELAY_MS : PL_PLATFORM_WAIT_MS);
+}
+
+static void unwatch_(void *ctx)
+{
+	node_t *node = ctx;
+
+	node->watching = false;
+	node->watch_serial++;
+}
+
+static uint64_t random_(void *ctx)
+{
+	node_t *node = ctx;
+
+	return (uint64_t)g_rand_int(node->fake->rand) << 32 |
+	       g_rand_int(node->fake->rand);
+}
+
+static const pl_config_sync_ops_t ops_ = {
+	.in_force = in_force_,
+	.send = send_,
+	.read = read_,
+	.watch = watch_,
+	.unwatch = unwatch_,
+	.random = random_,
+};
+
+/* Every member hears the revision of one random other member. */
+static void on_gossip_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	fake_t *fake = ctx;
+
+	for (size_t i = 0; i < fake->count; i++) {
+		node_t *node = &fake->nodes[i];
+		size_t step = (size_t)g_rand_int_range(fake->rand, 1,
+						       (gint32)fake->count);
+		node_t *other = &fake->nodes[(i + step) % fake->count];
+
+		if (node->sync && other->sync && node->group == other->group)
+			pl_config_sync_heard(node->sync, other->id,
+					     other->revision);
+	}
+	pl_timer_arm(fake->timers, timer, now + GOSSIP_MS);
+}
+
+fake_t *fake_new(uint32_t seed, size_t nodes, size_t datacentres)
+{
+	fake_t *fake = g_new0(fake_t, 1);
+
+	fake->timers = pl_timer_service_new(1);
+	fake->now = 1;
+	fake->rand = g_rand_new_with_seed(seed);
+	fake->nodes = g_new0(node_t, nodes);
+	fake->count = nodes;
+	fake->index = 1;
+	for (size_t i = 0; i < nodes; i++) {
+		fake->nodes[i].fake = fake;
+		fake->nodes[i].id = i + 1;
+		fake->nodes[i].datacentre = 100 + i % datacentres;
+	}
+	pl_timer_init(&fake->gossip, on_gossip_, fake);
+	pl_timer_arm(fake->timers, &fake->gossip, GOSSIP_MS);
+	return fake;
+}
+
+void fake_delete(fake_t *fake)
+{
+	for (size_t i = 0; i < fake->count; i++) {
+		if (fake->nodes[i].sync)
+			fake_stop(fake, i);
+	}
+	/* lets what is on its way arrive nowhere, which frees it */
+	pl_timer_cancel(fake->timers, &fake->gossip);
+	fake_run(fake, PL_PLATFORM_WAIT_MS + GOSSIP_MS);
+	pl_timer_service_delete(fake->timers);
+	g_rand_free(fake->rand);
+	g_free(fake->nodes);
+	g_free(fake->value);
+	g_free(fake->previous);
+	g_free(fake->frozen);
+	g_free(fake);
+}
+
+void fake_start(fake_t *fake, size_t index)
+{
+	node_t *node = &fake->nodes[index];
+
+	node->life++;
+	node->revision = 0;
+	node->sync = pl_config_sync_new(node->id, node->datacentre, &ops_, node,
+					fake->timers);
+	for (size_t i = 0; i < fake->count; i++) {
+		node_t *other = &fake->nodes[i];
+
+		if (i == index || !other->sync || other->group != node->group)
+			continue;
+		pl_config_sync_peer_up(node->sync, other->id,
+				       other->datacentre);
+		pl_config_sync_peer_up(other->sync, node->id, node->datacentre);
+	}
+	pl_config_sync_start(node->sync);
+}
+
+void fake_stop(fake_t *fake, size_t index)
+{
+	node_t *node = &fake->nodes[index];
+
+	pl_config_sync_delete(node->sync);
+	node->sync = NULL;
+	for (size_t i = 0; i < fake->count; i++) {
+		if (fake->nodes[i].sync)
+			pl_config_sync_peer_down(fake->nodes[i].sync, node->id);
+	}
+}
+
+/* Answers every open watch. */
+static void wake_watches_(fake_t *fake)
+{
+	for (size_t i = 0; i < fake->count; i++) {
+		node_t *node = &fake->nodes[i];
+
+		if (!node->sync || !node->watching)
+			continue;
+		node->watch_serial++;
+		deliver_(node, ON_WATCH, PLATFORM_DELAY_MS);
+	}
+}
+
+void fake_apply(fake_t *fake, const char *text)
+{
+	pl_envelope_t previous = { .revision = fake->revision };
+	pl_envelope_t next;
+
+	pl_envelope_init(&next, &previous, "test", text, strlen(text));
+	g_free(fake->previous);
+	fake->previous = fake->value;
+	fake->value = pl_envelope_encode(&next);
+	fake->revision = next.revision;
+	fake->index++;
+	pl_envelope_finish(&next);
+	if (!fake->frozen)
+		wake_watches_(fake);
+}
+
+void fake_freeze(fake_t *fake, bool frozen)
+{
+	g_clear_pointer(&fake->frozen, g_free);
+	if (frozen) {
+		fake->frozen = g_strdup(fake->value);
+		fake->frozen_index = fake->index;
+	}
+	wake_watches_(fake);
+}
+
+void fake_serve_previous(fake_t *fake)
+{
+	g_free(fake->frozen);
+	fake->frozen = g_strdup(fake->previous);
+	fake->frozen_index = fake->index - 1;
+	wake_watches_(fake);
+}
+
+void fake_cut_off(fake_t *fake, size_t node, bool cut_off)
+{
+	fake->nodes[node].cut_off = cut_off;
+	wake_watches_(fake);
+}
+
+void fake_set_down(fake_t *fake, bool down)
+{
+	fake->down = down;
+	if (down)
+		wake_watches_(fake);
+}
+
+void fake_run(fake_t *fake, pl_ms_t duration)
+{
+	pl_ms_t end = fake->now + duration;
+
+	while (fake->now < end) {
+		fake->now += STEP_MS;
+		pl_timer_service_advance(fake->timers, fake->now);
+	}
+}
+
+bool fake_all_at(const fake_t *fake, uint64_t revision)
+{
+	for (size_t i = 0; i < fake->count; i++) {
+		const node_t *node = &fake->nodes[i];
+
+		if (node->sync &&
+		    pl_config_sync_revision(node->sync) != revision)
+			return false;
+	}
+	return true;
+}
+
+void model_init(model_t *model, size_t services, size_t addresses)
+{
+	model->services = services;
+	model->addresses = addresses;
+	for (size_t i = 0; i < services; i++)
+		model->deadline[i] = DEADLINE_MIN_MS;
+}
+
+void model_edit(model_t *model, GRand *rand)
+{
+	size_t edits = (size_t)g_rand_int_range(rand, 1, 4);
+
+	while (edits-- > 0) {
+		size_t service = (size_t)g_rand_int_range(
+			rand, 0, (gint32)model->services);
+
+		/* few values, so that changes back happen often */
+		model->deadline[service] =
+			g_rand_int_range(rand, 0, 5) == 0 ?
+				0 :
+				DEADLINE_MIN_MS +
+					(unsigned int)g_rand_int_range(rand, 0,
+								       3);
+	}
+}
+
+char *model_text(const model_t *model)
+{
+	GString *text = g_string_new("format = 1\n");
+
+	for (size_t i = 0; i < model->services; i++) {
+		if (model->deadline[i] == 0)
+			continue;
+		g_string_append_printf(text,
+				       "[[service]]\nname = \"service-%zu\"\n"
+				       "deadline_ms = %u\naddresses = [",
+				       i, model->deadline[i]);
+		for (size_t j = 0; j < model->addresses; j++)
+			g_string_append_printf(
+				text, "%s\"10.%zu.%zu.%zu:5683\"",
+				j ? ", " : "", i, j / 250, j % 250 + 1);
+		g_string_append(text, "]\n");
+	}
+	return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/test/config/sync_test.c
@@ -0,0 +1,499 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "sync_fake.h"
+
+#include <private/holding.h>
+#include <string.h>
+
+#define IN_FORCE_MS 4000
+#define SEEDS 12
+
+static void apply_model_(fake_t *fake, const model_t *model)
+{
+	char *text = model_text(model);
+
+	fake_apply(fake, text);
+	g_free(text);
+}
+
+static fake_t *running_(uint32_t seed, size_t nodes, model_t *model)
+{
+	fake_t *fake = fake_new(seed, nodes, 3);
+
+	model_init(model, 20, 2);
+	apply_model_(fake, model);
+	for (size_t i = 0; i < nodes; i++)
+		fake_start(fake, i);
+	fake_run(fake, 6000);
+	assert_true(fake_all_at(fake, 1));
+	return fake;
+}
+
+static unsigned int watchers_(const fake_t *fake)
+{
+	unsigned int count = 0;
+
+	for (size_t i = 0; i < fake->count; i++) {
+		pl_config_sync_stats_t stats;
+
+		if (!fake->nodes[i].sync)
+			continue;
+		pl_config_sync_stats(fake->nodes[i].sync, &stats);
+		count += stats.watcher;
+	}
+	return count;
+}
+
+static unsigned int platform_calls_(const fake_t *fake)
+{
+	unsigned int calls = 0;
+
+	for (size_t i = 0; i < fake->count; i++)
+		calls += fake->nodes[i].reads + fake->nodes[i].watches;
+	return calls;
+}
+
+static void a_change_is_everywhere_within_seconds(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(1, 60, &model);
+	unsigned int calls = platform_calls_(fake);
+
+	(void)state;
+	assert_int_equal(watchers_(fake), 3 * PL_CONFIG_WATCHERS);
+	for (uint64_t revision = 2; revision < 12; revision++) {
+		model.deadline[revision] += 7;
+		apply_model_(fake, &model);
+		fake_run(fake, IN_FORCE_MS);
+		assert_true(fake_all_at(fake, revision));
+	}
+	/* only watchers call: one call a change, and one each wait */
+	assert_true(platform_calls_(fake) - calls <= 6 * (10 + 3));
+	for (size_t i = 0; i < fake->count; i++) {
+		pl_config_sync_stats_t stats;
+
+		pl_config_sync_stats(fake->nodes[i].sync, &stats);
+		assert_true(stats.full_pulls <= 1);
+	}
+	fake_delete(fake);
+}
+
+static void outage_costs_few_calls_and_delays_nobody(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(2, 30, &model);
+	unsigned int calls = platform_calls_(fake);
+
+	(void)state;
+	fake_set_down(fake, true);
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, 60000);
+	assert_true(fake_all_at(fake, 1));
+	/* six watchers, one call in three seconds each, and the first few */
+	assert_true(platform_calls_(fake) - calls <= 6 * (60 / 3 + 6));
+	fake_stop(fake, 4);
+	fake_start(fake, 4);
+	fake_run(fake, 2000);
+	assert_true(fake_all_at(fake, 1));
+	fake_set_down(fake, false);
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 2));
+	fake_delete(fake);
+}
+
+static void newcomer_takes_the_newest_that_is_offered(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(3, 4, &model);
+
+	(void)state;
+	/* member 0 misses revision 2 and is the only peer of member 3 */
+	fake_stop(fake, 3);
+	fake->nodes[0].group = 1;
+	fake->nodes[3].group = 1;
+	fake_cut_off(fake, 0, true);
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, IN_FORCE_MS);
+	assert_int_equal(fake->nodes[0].revision, 1);
+	fake_start(fake, 3);
+	fake_run(fake, 200);
+	assert_int_equal(fake->nodes[3].revision, 2);
+	assert_int_equal(fake->nodes[3].reverts, 0);
+
+	/* the platform gives an older answer than the only peer holds */
+	fake_stop(fake, 3);
+	fake_run(fake, IN_FORCE_MS);
+	assert_int_equal(fake->nodes[0].revision, 2);
+	fake_serve_previous(fake);
+	fake_start(fake, 3);
+	fake_run(fake, 200);
+	assert_int_equal(fake->nodes[3].revision, 2);
+	assert_int_equal(fake->nodes[3].reverts, 0);
+	fake_delete(fake);
+}
+
+static void change_back_that_a_peer_skipped_is_pulled_whole(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(9, 2, &model);
+	pl_config_sync_stats_t stats;
+
+	(void)state;
+	/* member 1 skips revision 2; revision 3 takes its change back */
+	fake->nodes[1].group = 1;
+	fake_cut_off(fake, 1, true);
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, IN_FORCE_MS);
+	fake_cut_off(fake, 0, true);
+	model.deadline[0]--;
+	apply_model_(fake, &model);
+	fake_cut_off(fake, 1, false);
+	fake_run(fake, IN_FORCE_MS);
+	assert_int_equal(fake->nodes[0].revision, 2);
+	assert_int_equal(fake->nodes[1].revision, 3);
+	fake->nodes[1].group = 0;
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 3));
+	pl_config_sync_stats(fake->nodes[0].sync, &stats);
+	assert_int_equal(stats.full_pulls, 1);
+	fake_delete(fake);
+}
+
+static void older_platform_reverts_nobody(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(4, 6, &model);
+
+	(void)state;
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 2));
+	fake_serve_previous(fake);
+	fake_set_down(fake, true);
+	fake_set_down(fake, false);
+	fake_run(fake, 10000);
+	assert_true(fake_all_at(fake, 2));
+	/* restarted members ask their peers, whatever the platform says */
+	for (size_t i = 0; i < 6; i++) {
+		fake_stop(fake, i);
+		fake_start(fake, i);
+		fake_run(fake, 2000);
+		assert_int_equal(fake->nodes[i].revision, 2);
+		assert_int_equal(fake->nodes[i].reverts, 0);
+	}
+	/* one that knows no peer has only the platform's word */
+	fake_stop(fake, 5);
+	fake->nodes[5].group = 9;
+	fake_start(fake, 5);
+	fake_run(fake, 2000);
+	assert_int_equal(fake->nodes[5].revision, 1);
+	/* and moves on once it hears of others */
+	fake->nodes[5].group = 0;
+	pl_config_sync_peer_up(fake->nodes[5].sync, 1,
+			       fake->nodes[0].datacentre);
+	fake_run(fake, 20000);
+	assert_true(fake_all_at(fake, 2));
+	fake_delete(fake);
+}
+
+static void older_frame_is_ignored(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(10, 3, &model);
+	pl_holding_t *older = pl_holding_new();
+	GByteArray *body = g_byte_array_new();
+	pl_peer_frame_t push = { .peer = 2, .type = PL_PEER_CONFIG_PUSH };
+
+	(void)state;
+	pl_holding_take(older, pl_config_sync_document(fake->nodes[0].sync));
+	pl_holding_encode(older, 0, body);
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, IN_FORCE_MS);
+	push.body = body->data;
+	push.body_len = body->len;
+	pl_config_sync_frame(fake->nodes[0].sync, &push);
+	assert_int_equal(pl_config_sync_revision(fake->nodes[0].sync), 2);
+	assert_int_equal(fake->nodes[0].reverts, 0);
+	pl_holding_delete(older);
+	g_byte_array_free(body, TRUE);
+	fake_delete(fake);
+}
+
+static void invalid_document_is_not_put_in_force(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(5, 6, &model);
+
+	(void)state;
+	fake_apply(fake, "format = 1\n[[service]]\nname = \"x\"\n");
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 1));
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 3));
+	fake_delete(fake);
+}
+
+/* One random step of the run below. */
+static void step_(fake_t *fake, model_t *model)
+{
+	size_t node =
+		(size_t)g_rand_int_range(fake->rand, 0, (gint32)fake->count);
+
+	switch (g_rand_int_range(fake->rand, 0, 7)) {
+	case 0:
+	case 1:
+		model_edit(model, fake->rand);
+		apply_model_(fake, model);
+		break;
+	case 2:
+		fake_freeze(fake, !fake->frozen);
+		break;
+	case 3:
+		fake_set_down(fake, !fake->down);
+		break;
+	case 4:
+		fake->nodes[node].group = !fake->nodes[node].group;
+		break;
+	default:
+		if (fake->nodes[node].sync)
+			fake_stop(fake, node);
+		else
+			fake_start(fake, node);
+	}
+	fake_run(fake, (pl_ms_t)g_rand_int_range(fake->rand, 10, 3000));
+}
+
+/* Everybody up, in one group, knowing all others. */
+static void heal_(fake_t *fake)
+{
+	fake_freeze(fake, false);
+	fake_set_down(fake, false);
+	for (size_t i = 0; i < fake->count; i++)
+		fake->nodes[i].group = 0;
+	for (size_t i = 0; i < fake->count; i++) {
+		if (fake->nodes[i].sync)
+			fake_stop(fake, i);
+		fake_start(fake, i);
+		fake_run(fake, 100);
+	}
+}
+
+static void random_interleavings_never_revert(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		model_t model;
+		fake_t *fake = running_(seed, 9, &model);
+		pl_problems_t *problems = pl_problems_new("d");
+		pl_document_t *wanted = NULL;
+		char *text;
+
+		for (int i = 0; i < 80; i++)
+			step_(fake, &model);
+		heal_(fake);
+		model.deadline[0] += 1000;
+		apply_model_(fake, &model);
+		fake_run(fake, IN_FORCE_MS);
+		text = model_text(&model);
+		assert_int_equal(pl_document_parse(text, strlen(text), 1,
+						   &wanted, problems),
+				 PL_OK);
+		for (size_t i = 0; i < fake->count; i++) {
+			node_t *node = &fake->nodes[i];
+
+			if (node->revision != fake->revision || node->reverts)
+				fail_msg("seed %u: member %zu at %d of %d",
+					 seed, i, (int)node->revision,
+					 (int)fake->revision);
+			assert_int_equal(
+				pl_document_hash(
+					pl_config_sync_document(node->sync)),
+				pl_document_hash(wanted));
+		}
+		g_free(text);
+		pl_document_put(wanted);
+		pl_problems_delete(problems);
+		fake_delete(fake);
+	}
+}
+
+static void pulls_of_one_member_are_bounded(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(6, 40, &model);
+	GByteArray *body = g_byte_array_new();
+	pl_config_sync_stats_t stats;
+	pl_peer_frame_t pull = { .type = PL_PEER_CONFIG_PULL };
+	size_t before = fake->nodes[0].frame_bytes_out;
+
+	(void)state;
+	pl_config_encode_pull(0, body);
+	pull.body = body->data;
+	pull.body_len = body->len;
+	for (int i = 0; i < 100000; i++) {
+		pull.peer = 2 + (pl_member_id_t)i % 39;
+		pl_config_sync_frame(fake->nodes[0].sync, &pull);
+		if (i % 100 == 0)
+			fake_run(fake, 10);
+	}
+	pl_config_sync_stats(fake->nodes[0].sync, &stats);
+	assert_true(stats.served > 0 && stats.busy > stats.served);
+	/* the burst, ten seconds' share, and short refusals */
+	assert_true(fake->nodes[0].frame_bytes_out - before <
+		    512 * 1024 + 10 * 4000 + 100000 * 50);
+	g_byte_array_free(body, TRUE);
+	fake_delete(fake);
+}
+
+static pl_document_t *parse_model_(const model_t *model, uint64_t revision)
+{
+	pl_problems_t *problems = pl_problems_new("d");
+	pl_document_t *document = NULL;
+	char *text = model_text(model);
+
+	assert_int_equal(pl_document_parse(text, strlen(text), revision,
+					   &document, problems),
+			 PL_OK);
+	pl_problems_delete(problems);
+	g_free(text);
+	return document;
+}
+
+/* Brings @p to up to @p from; returns whether the sections were enough. */
+static bool transfer_(const pl_holding_t *from, pl_holding_t *to)
+{
+	uint64_t have = pl_holding_revision(to);
+	GByteArray *body = g_byte_array_new();
+	pl_config_push_t push;
+	pl_result_t result;
+	bool enough;
+
+	pl_holding_encode(from, have, body);
+	assert_int_equal(pl_config_decode_push(body->data, body->len, &push),
+			 PL_OK);
+	result = pl_holding_apply(to, &push, NULL);
+	pl_config_push_finish(&push);
+	enough = result == PL_OK;
+	if (!enough) {
+		assert_int_equal(result, PL_ERR_CONFLICT);
+		assert_int_equal(pl_holding_revision(to), have);
+		g_byte_array_set_size(body, 0);
+		pl_holding_encode(from, 0, body);
+		pl_config_decode_push(body->data, body->len, &push);
+		assert_int_equal(pl_holding_apply(to, &push, NULL), PL_OK);
+		pl_config_push_finish(&push);
+	}
+	g_byte_array_free(body, TRUE);
+	return enough;
+}
+
+static void sections_make_up_the_whole_document(void **state)
+{
+	enum { HOLDERS = 5 };
+	GRand *rand = g_rand_new_with_seed(7);
+	pl_holding_t *holders[HOLDERS];
+	unsigned int by_sections = 0;
+	unsigned int whole = 0;
+	model_t model;
+
+	(void)state;
+	model_init(&model, 12, 3);
+	for (int i = 0; i < HOLDERS; i++)
+		holders[i] = pl_holding_new();
+	for (uint64_t revision = 1; revision < 2000; revision++) {
+		pl_document_t *document;
+		pl_holding_t *to;
+
+		model_edit(&model, rand);
+		document = parse_model_(&model, revision);
+		/* some holder reads the platform, another one pulls from it */
+		int reader = g_rand_int_range(rand, 0, HOLDERS);
+
+		pl_holding_take(holders[reader], document);
+		to = holders[(reader + g_rand_int_range(rand, 1, HOLDERS)) %
+			     HOLDERS];
+		if (transfer_(holders[reader], to))
+			by_sections++;
+		else
+			whole++;
+		assert_int_equal(pl_holding_revision(to), revision);
+		assert_int_equal(pl_document_hash(pl_holding_document(to)),
+				 pl_document_hash(document));
+		pl_document_put(document);
+	}
+	/* a change back that one skipped is found by the hash */
+	assert_true(by_sections > 5 * whole);
+	assert_true(whole > 0);
+	for (int i = 0; i < HOLDERS; i++)
+		pl_holding_delete(holders[i]);
+	g_rand_free(rand);
+}
+
+static void mutated_frames_are_refused(void **state)
+{
+	model_t model;
+	fake_t *fake = running_(8, 3, &model);
+	pl_holding_t *holding = pl_holding_new();
+	GByteArray *body = g_byte_array_new();
+	pl_document_t *document;
+
+	(void)state;
+	model.deadline[0] = 0;
+	model.deadline[1]++;
+	document = parse_model_(&model, 2);
+	pl_holding_take(holding, pl_config_sync_document(fake->nodes[0].sync));
+	pl_holding_take(holding, document);
+	pl_holding_encode(holding, 1, body);
+	for (int i = 0; i < 20000; i++) {
+		guint8 *bytes = g_memdup2(body->data, body->len);
+		guint at = (guint)g_rand_int_range(fake->rand, 0,
+						   (gint32)body->len);
+		const pl_peer_frame_t frame = {
+			.peer = 2,
+			.type = i % 8 ? PL_PEER_CONFIG_PUSH :
+					PL_PEER_CONFIG_PULL,
+			.body = bytes,
+			.body_len = i % 4 ? body->len : at,
+		};
+
+		bytes[at] ^= (guint8)(1 << g_rand_int_range(fake->rand, 0, 8));
+		pl_config_sync_frame(fake->nodes[0].sync, &frame);
+		g_free(bytes);
+	}
+	assert_int_equal(fake->nodes[0].reverts, 0);
+	pl_document_put(document);
+	pl_holding_delete(holding);
+	g_byte_array_free(body, TRUE);
+	fake_delete(fake);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_change_is_everywhere_within_seconds),
+		cmocka_unit_test(outage_costs_few_calls_and_delays_nobody),
+		cmocka_unit_test(newcomer_takes_the_newest_that_is_offered),
+		cmocka_unit_test(
+			change_back_that_a_peer_skipped_is_pulled_whole),
+		cmocka_unit_test(older_platform_reverts_nobody),
+		cmocka_unit_test(older_frame_is_ignored),
+		cmocka_unit_test(invalid_document_is_not_put_in_force),
+		cmocka_unit_test(random_interleavings_never_revert),
+		cmocka_unit_test(pulls_of_one_member_are_bounded),
+		cmocka_unit_test(sections_make_up_the_whole_document),
+		cmocka_unit_test(mutated_frames_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
