Node: configuration through the spreading core instead of a plain watch

Only the members picked by hash watch the platform; the rest hear of a revision in gossip and pull the changed sections from the peer that told them.

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -279,7 +279,7 @@
 	    pl_member_id(member) != node->self)
 		note_agent_(node, member);
 	if (node->config)
-		pl_node_config_members_changed(node->config);
+		pl_node_config_member(node->config, member);
 	rebuild_soon_(node);
 }
 
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -1,27 +1,28 @@
 /**
  * @file
- * Reads the document from the platform.
+ * Configuration of a node.
  */
 #include "private/node_config.h"
 
-#include <pimentolift/event.h>
+#include <pimentolift/config_sync.h>
 #include <pimentolift/platform.h>
 
-#include <string.h>
-
+/** The platform client is polled this often while a call is open. */
 #define POLL_MS 20
-#define RETRY_MS 500
+/** A newcomer that found no peer by now asks the platform alone. */
+#define JOIN_WAIT_MS 1500
 
 struct pl_node_config {
 	pl_node_t *node;
 	pl_node_config_changed_t changed;
 	void *ctx;
 	pl_platform_t *platform;
-	pl_document_t *document;
+	pl_config_sync_t *sync;
 	char *key;
-	uint64_t index;
+	pl_platform_call_t *watch;
 	pl_timer_t poll;
-	pl_timer_t next;
+	pl_ms_t start_by;
+	bool started;
 };
 
 static pl_timer_service_t *timers_(pl_node_config_t *config)
@@ -29,60 +30,85 @@
 	return pl_loop_timers(pl_node_loop(config->node));
 }
 
-static void take_(pl_node_config_t *config, const char *text)
-{
-	struct json_object *envelope = json_tokener_parse(text);
-	struct json_object *revision;
-	struct json_object *toml;
-	pl_problems_t *problems = pl_problems_new("document");
-	pl_document_t *document = NULL;
-
-	if (envelope &&
-	    json_object_object_get_ex(envelope, "revision", &revision) &&
-	    json_object_object_get_ex(envelope, "document", &toml) &&
-	    (uint64_t)json_object_get_int64(revision) >
-		    pl_node_config_revision(config) &&
-	    pl_document_parse(json_object_get_string(toml),
-			      (size_t)json_object_get_string_len(toml),
-			      (uint64_t)json_object_get_int64(revision),
-			      &document, problems) == PL_OK) {
-		if (config->document)
-			pl_document_put(config->document);
-		config->document = document;
-		pl_event(PL_EVENT_CONFIG_IN_FORCE,
-			 "revision %" G_GUINT64_FORMAT,
-			 (guint64)pl_document_revision(document));
-		config->changed(config->ctx);
-	}
-	pl_problems_delete(problems);
-	json_object_put(envelope);
+static void in_force_(void *ctx, pl_document_t *document)
+{
+	pl_node_config_t *config = ctx;
+
+	config->changed(config->ctx);
 }
 
-static void done_(void *ctx, const pl_platform_reply_t *reply)
+static void send_(void *ctx, const pl_peer_frame_t *frame)
+{
+	pl_node_config_t *config = ctx;
+
+	pl_node_send_frame(config->node, frame);
+}
+
+static void read_done_(void *ctx, const pl_platform_reply_t *reply)
+{
+	pl_node_config_t *config = ctx;
+
+	pl_config_sync_read_done(config->sync, reply);
+}
+
+static void read_(void *ctx)
+{
+	pl_node_config_t *config = ctx;
+
+	pl_platform_get(config->platform, config->key, read_done_, config);
+}
+
+static void watch_done_(void *ctx, const pl_platform_reply_t *reply)
+{
+	pl_node_config_t *config = ctx;
+
+	config->watch = NULL;
+	pl_config_sync_watch_done(config->sync, reply);
+}
+
+static void watch_(void *ctx, uint64_t index)
 {
 	pl_node_config_t *config = ctx;
-	pl_ms_t now = pl_timer_service_now(timers_(config));
 
-	if (reply->result == PL_OK)
-		take_(config, reply->value);
-	config->index = reply->result == PL_OK ? reply->watch_index : 0;
-	pl_timer_arm(timers_(config), &config->next,
-		     now + (reply->result == PL_OK ? 0 : RETRY_MS));
+	config->watch = pl_platform_watch(config->platform, config->key, index,
+					  watch_done_, config);
 }
 
-static void next_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+static void unwatch_(void *ctx)
 {
 	pl_node_config_t *config = ctx;
 
-	pl_platform_watch(config->platform, config->key, config->index, done_,
-			  config);
+	if (config->watch)
+		pl_platform_cancel(config->watch);
+	config->watch = NULL;
+}
+
+static uint64_t random_(void *ctx)
+{
+	return pl_random_identity();
 }
 
+static const pl_config_sync_ops_t ops_ = {
+	.in_force = in_force_,
+	.send = send_,
+	.read = read_,
+	.watch = watch_,
+	.unwatch = unwatch_,
+	.random = random_,
+};
+
 static void poll_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_node_config_t *config = ctx;
 
-	pl_platform_poll(config->platform);
+	if (!config->started &&
+	    (pl_member_joined(pl_node_members(config->node)) ||
+	     now >= config->start_by)) {
+		config->started = true;
+		pl_config_sync_start(config->sync);
+	}
+	if (pl_platform_pending(config->platform) > 0)
+		pl_platform_poll(config->platform);
 	pl_timer_arm(timers_(config), timer, now + POLL_MS);
 }
 
@@ -95,12 +121,14 @@
 	config->node = node;
 	config->changed = changed;
 	config->ctx = ctx;
-	config->platform = pl_platform_new(settings->platform.url,
-					   settings->platform.timeout_ms);
 	config->key = g_strdup_printf("pimentolift/%s/document",
 				      settings->environment);
+	config->platform = pl_platform_new(settings->platform.url,
+					   settings->platform.timeout_ms);
+	config->sync = pl_config_sync_new(pl_node_self(node),
+					  pl_hash_text(settings->datacentre),
+					  &ops_, config, timers_(config));
 	pl_timer_init(&config->poll, poll_, config);
-	pl_timer_init(&config->next, next_, config);
 	return config;
 }
 
@@ -109,10 +137,8 @@
 	if (!config)
 		return;
 	pl_timer_cancel(timers_(config), &config->poll);
-	pl_timer_cancel(timers_(config), &config->next);
+	pl_config_sync_delete(config->sync);
 	pl_platform_delete(config->platform);
-	if (config->document)
-		pl_document_put(config->document);
 	g_free(config->key);
 	g_free(config);
 }
@@ -121,37 +147,48 @@
 {
 	pl_ms_t now = pl_timer_service_now(timers_(config));
 
-	pl_timer_arm(timers_(config), &config->next, now);
+	config->start_by = now + JOIN_WAIT_MS;
 	pl_timer_arm(timers_(config), &config->poll, now);
 }
 
 const pl_document_t *pl_node_config_document(const pl_node_config_t *config)
 {
-	return config->document;
+	return pl_config_sync_document(config->sync);
 }
 
 uint64_t pl_node_config_revision(const pl_node_config_t *config)
 {
-	return config && config->document ?
-		       pl_document_revision(config->document) :
-		       0;
+	return pl_config_sync_revision(config->sync);
 }
 
-void pl_node_config_members_changed(pl_node_config_t *config)
+void pl_node_config_member(pl_node_config_t *config, const pl_member_t *member)
 {
+	pl_member_state_t state = pl_member_state(member);
+	pl_member_id_t id = pl_member_id(member);
+
+	if (id == pl_node_self(config->node))
+		return;
+	if (state == PL_MEMBER_ALIVE || state == PL_MEMBER_SUSPECT)
+		pl_config_sync_peer_up(config->sync, id,
+				       pl_member_datacentre(member));
+	else
+		pl_config_sync_peer_down(config->sync, id);
 }
 
 void pl_node_config_heard(pl_node_config_t *config, pl_member_id_t from,
 			  uint64_t revision)
 {
+	pl_config_sync_heard(config->sync, from, revision);
 }
 
 void pl_node_config_frame(pl_node_config_t *config,
 			  const pl_peer_frame_t *frame)
 {
+	pl_config_sync_frame(config->sync, frame);
 }
 
 void pl_node_config_frame_failed(pl_node_config_t *config,
 				 const pl_peer_frame_t *frame)
 {
+	pl_config_sync_frame_failed(config->sync, frame);
 }
--- a/src/daemon/private/node_config.h
+++ b/src/daemon/private/node_config.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Configuration of a node: the document in force and where it comes from.
+ * Configuration of a node: joins the spreading of the document to the
+ * platform, to the membership and to the frames.
  */
 #ifndef PIMENTOLIFT_DAEMON_NODE_CONFIG_H
 #define PIMENTOLIFT_DAEMON_NODE_CONFIG_H
@@ -19,7 +20,7 @@
 				     void *ctx);
 void pl_node_config_delete(pl_node_config_t *config);
 
-/** Starts to look for a document. */
+/** Starts to look for a document once the membership is joined. */
 void pl_node_config_start(pl_node_config_t *config);
 
 /** Document in force, or NULL. */
@@ -28,8 +29,8 @@
 /** Its revision, or 0. */
 uint64_t pl_node_config_revision(const pl_node_config_t *config);
 
-/** The membership changed, and with it perhaps who watches the platform. */
-void pl_node_config_members_changed(pl_node_config_t *config);
+/** The state of @p member changed. */
+void pl_node_config_member(pl_node_config_t *config, const pl_member_t *member);
 
 /** The member @p from holds @p revision. */
 void pl_node_config_heard(pl_node_config_t *config, pl_member_id_t from,
