--- a/include/pimentolift/view_codec.h
+++ b/include/pimentolift/view_codec.h
@@ -59,6 +59,7 @@
 	pl_view_key_t key;
 	pl_member_id_t owner; /**< 0 when the view is closed */
 	uint32_t sequence;
+	bool release; /**< the receiver need not keep its copy */
 } pl_view_place_t;
 
 /** Body of a frame; the records' text belongs to @c text. */
--- a/src/proto/view_codec.c
+++ b/src/proto/view_codec.c
@@ -10,7 +10,7 @@
 
 #define BODY_FIELDS 5
 #define RECORD_FIELDS 12
-#define PLACE_FIELDS 4
+#define PLACE_FIELDS 5
 #define ADDR_IPV4_BYTES 6
 #define ADDR_IPV6_BYTES 18
 #define TEXT_CHUNK_BYTES 1024
@@ -100,6 +100,7 @@
 	pack_key_(packer, &place->key);
 	msgpack_pack_uint64(packer, place->owner);
 	msgpack_pack_uint32(packer, place->sequence);
+	msgpack_pack_uint8(packer, place->release);
 }
 
 static bool carries_records_(pl_peer_type_t type)
@@ -239,14 +240,17 @@
 	const msgpack_object *fields = item->via.array.ptr;
 	pl_view_place_t place;
 	uint64_t sequence;
+	uint64_t release;
 
 	if (item->type != MSGPACK_OBJECT_ARRAY ||
 	    item->via.array.size < PLACE_FIELDS ||
 	    !get_key_(fields, &place.key) ||
 	    !get_uint_(&fields[2], UINT64_MAX, &place.owner) ||
-	    !get_uint_(&fields[3], UINT32_MAX, &sequence))
+	    !get_uint_(&fields[3], UINT32_MAX, &sequence) ||
+	    !get_uint_(&fields[4], 1, &release))
 		return false;
 	place.sequence = (uint32_t)sequence;
+	place.release = release != 0;
 	g_array_append_val(message->places, place);
 	return true;
 }
--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -115,6 +115,8 @@
 	pl_member_id_t replica; /**< agent that holds the copy, or 0 */
 	uint64_t replica_boot;
 	uint32_t copied; /**< Observe value in the copy */
+	pl_member_id_t origin; /**< agent that handed it over, while it lives */
+	uint32_t taken; /**< Observe value when it was handed over */
 	pl_list_t copy_link; /**< in the table's to_copy */
 };
 
@@ -199,6 +201,7 @@
 	/* copies */
 	pl_list_t to_copy;
 	pl_timer_t flush_timer;
+	pl_timer_t nudge_timer;
 	GHashTable *replicas; /**< set of pl_view_replica_t by key */
 	GHashTable *owners; /**< set of pl_view_owner_t by agent */
 };
@@ -315,6 +318,14 @@
  */
 void pl_view_resend(pl_view_t *view);
 
+/**
+ * The way of acknowledgements changed: sends what is unacknowledged once
+ * more, soon, beside its retransmissions.
+ */
+void pl_view_nudge_later(pl_view_table_t *table);
+void pl_view_notify_init(pl_view_table_t *table);
+void pl_view_notify_finish(pl_view_table_t *table);
+
 /** Ends the pending registration with an error and the view with it. */
 void pl_view_refuse(pl_view_t *view, uint8_t code);
 
@@ -360,6 +371,9 @@
 		  const pl_view_key_t *key, pl_member_id_t owner,
 		  uint32_t sequence);
 
+/** Tells the holder of the copy of @p view that it need not keep it. */
+void pl_view_release(const pl_view_t *view);
+
 /** Tells @p peer again what it did not hear. */
 void pl_view_tell_failed(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message);
--- a/src/view/view_copy.c
+++ b/src/view/view_copy.c
@@ -186,8 +186,7 @@
 	pl_member_id_t agent = holder ? holder->agent : 0;
 
 	if (view->replica && view->replica != agent)
-		pl_view_tell(table, view->replica, &view->key,
-			     table->params.self, view->sequence);
+		pl_view_release(view);
 	view->replica = agent;
 	view->replica_boot = holder ? holder->boot : 0;
 	view->copied = view->sequence;
@@ -323,9 +322,26 @@
 	g_ptr_array_free(failed, TRUE);
 }
 
-/* Gives the copies that @p agent held to the next-ranked agents. */
-static void rehouse_(pl_view_table_t *table, pl_member_id_t agent)
+/*
+ * The agent that handed @p view over is gone. It may have taken the lead
+ * again after it missed the acceptance: what was sent from here since then
+ * was old to the caller.
+ */
+static void lead_(pl_view_t *view)
+{
+	bool sent = view->sequence != view->taken;
+
+	view->origin = 0;
+	view->sequence =
+		pl_view_sequence_add(view->sequence, 4 * PL_VIEW_MOVE_STEP);
+	if (sent)
+		pl_view_resend(view);
+}
+
+/* Looks through the views for what depended on @p agent. */
+static void without_(pl_view_table_t *table, pl_member_id_t agent)
 {
+	GPtrArray *handed_over = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer key;
 
@@ -333,18 +349,24 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		pl_view_t *view = key;
 
+		if (view->origin == agent)
+			g_ptr_array_add(handed_over, view);
 		if (view->replica != agent)
 			continue;
 		view->replica = 0;
 		pl_view_copy_later(view);
 	}
+	/* a view may end with what is sent */
+	for (guint i = 0; i < handed_over->len; i++)
+		lead_(g_ptr_array_index(handed_over, i));
+	g_ptr_array_free(handed_over, TRUE);
 }
 
 void pl_view_peer_dead(pl_view_table_t *table, pl_member_id_t agent,
 		       uint64_t boot)
 {
 	pl_view_offers_abandon(table, agent);
-	rehouse_(table, agent);
+	without_(table, agent);
 	recover_all_(table, agent, boot);
 	pl_view_move_pump(table);
 }
--- a/src/view/view_frame.c
+++ b/src/view/view_frame.c
@@ -30,7 +30,7 @@
 
 	/* the owner took another holder, or has the view no more */
 	if (owner == peer)
-		return true;
+		return place->release || place->owner != owner;
 	return place->owner != owner &&
 	       pl_view_claim_wins(place->sequence, place->owner,
 				  replica->record.sequence, owner);
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -334,7 +334,6 @@
 	pl_view_tombstone_t *tombstone = pl_view_tombstone(table, &record->key);
 	pl_view_replica_t *replica = pl_view_replica(table, &record->key);
 
-	place->key = record->key;
 	place->owner = table->params.self;
 	if (!view && tombstone &&
 	    pl_view_sequence_newer(tombstone->sequence, record->sequence) &&
@@ -352,6 +351,8 @@
 		view = pl_view_restore(table, record, PL_VIEW_MOVE_STEP);
 		pl_counter_add(PL_COUNTER_VIEWS_MOVED_IN, 1);
 		place->sequence = view->sequence;
+		view->origin = peer;
+		view->taken = view->sequence;
 		if (replica)
 			pl_view_replica_supersede(table, replica, peer, place);
 		pl_view_update(view);
@@ -386,7 +387,7 @@
 		for (guint i = 0; i < message->records->len; i++) {
 			const pl_view_record_t *record = &g_array_index(
 				message->records, pl_view_record_t, i);
-			pl_view_place_t place;
+			pl_view_place_t place = { .key = record->key };
 
 			if (take_record_(table, peer, record, can_take, &place))
 				g_array_append_val(accept.places, place);
--- a/src/view/view_notify.c
+++ b/src/view/view_notify.c
@@ -20,6 +20,8 @@
 #define ACK_TIMEOUT_MS 2000
 #define ACK_RANDOM_MS 1000
 #define MAX_RETRANSMIT 4
+/** Time until acknowledgements take their new way after a change. */
+#define NUDGE_MS 1000
 /** A registration is acknowledged by itself when its answer takes longer. */
 #define PIGGYBACK_WAIT_MS 300
 /** Deadline of a registration when the service names none. */
@@ -194,6 +196,38 @@
 		send_(view, PL_COAP_CON, delivery->mid);
 }
 
+static void nudge_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_table_t *table = ctx;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, table->views);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		pl_view_t *view = key;
+
+		if (view->delivery)
+			send_(view, PL_COAP_CON, view->delivery->mid);
+	}
+}
+
+void pl_view_notify_init(pl_view_table_t *table)
+{
+	pl_timer_init(&table->nudge_timer, nudge_fire_, table);
+}
+
+void pl_view_notify_finish(pl_view_table_t *table)
+{
+	pl_timer_cancel(table->timers, &table->nudge_timer);
+}
+
+void pl_view_nudge_later(pl_view_table_t *table)
+{
+	if (!pl_timer_armed(&table->nudge_timer))
+		pl_timer_arm(table->timers, &table->nudge_timer,
+			     pl_view_now(table) + NUDGE_MS);
+}
+
 static void delivery_start_(pl_view_t *view)
 {
 	pl_view_table_t *table = view->table;
--- a/src/view/view_place.c
+++ b/src/view/view_place.c
@@ -202,16 +202,19 @@
 	if (place->owner != 0)
 		pl_view_tell(table, sender, &place->key, table->params.self,
 			     view->sequence);
+	/* the one that claims it may not be the one that says so */
+	if (place->owner != sender && pl_view_reachable(table, place->owner))
+		pl_view_tell(table, place->owner, &place->key,
+			     table->params.self, view->sequence);
+	/* a holder that believed another claim has not kept the copy */
+	if (sender == view->replica)
+		pl_view_copy_later(view);
 	return false;
 }
 
-void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
-		  const pl_view_key_t *key, pl_member_id_t owner,
-		  uint32_t sequence)
+static void outbox_add_(pl_view_table_t *table, pl_member_id_t peer,
+			const pl_view_place_t *place)
 {
-	pl_view_place_t place = { .key = *key,
-				  .owner = owner,
-				  .sequence = sequence };
 	GArray *places = g_hash_table_lookup(table->outbox, &peer);
 
 	assert(peer != 0);
@@ -221,13 +224,34 @@
 		pl_member_id_t *id = g_new(pl_member_id_t, 1);
 
 		*id = peer;
-		places = g_array_new(FALSE, FALSE, sizeof(place));
+		places = g_array_new(FALSE, FALSE, sizeof(*place));
 		g_hash_table_insert(table->outbox, id, places);
 	}
-	g_array_append_val(places, place);
+	g_array_append_vals(places, place, 1);
 	pl_view_flush_later(table);
 }
 
+void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
+		  const pl_view_key_t *key, pl_member_id_t owner,
+		  uint32_t sequence)
+{
+	pl_view_place_t place = { .key = *key,
+				  .owner = owner,
+				  .sequence = sequence };
+
+	outbox_add_(table, peer, &place);
+}
+
+void pl_view_release(const pl_view_t *view)
+{
+	pl_view_place_t place = { .key = view->key,
+				  .owner = view->table->params.self,
+				  .sequence = view->sequence,
+				  .release = true };
+
+	outbox_add_(view->table, view->replica, &place);
+}
+
 static void send_places_(pl_view_table_t *table, pl_member_id_t peer,
 			 const GArray *places)
 {
@@ -266,8 +290,11 @@
 	for (guint i = 0; i < message->places->len; i++) {
 		const pl_view_place_t *place =
 			&g_array_index(message->places, pl_view_place_t, i);
+		const pl_view_t *view = pl_view_lookup(table, &place->key);
 
-		pl_view_tell(table, peer, &place->key, place->owner,
-			     place->sequence);
+		/* the copy is wanted there again */
+		if (view && view->replica == peer)
+			continue;
+		outbox_add_(table, peer, place);
 	}
 }
