--- a/test/standin/caller/caller.c
+++ b/test/standin/caller/caller.c
@@ -115,6 +115,12 @@
 	pl_line_print("ok");
 }
 
+static void command_finish_(void *ctx, char **words, int count)
+{
+	operations_finish(ctx);
+	pl_line_print("ok");
+}
+
 /* Operations in progress, open views left out. */
 static size_t pending_(const caller_t *caller)
 {
@@ -252,6 +258,8 @@
 	{ "views", 4, command_views_ },
 	{ "stale", 4, command_stale_ },
 	{ "report", 1, command_report_ },
+	{ "stop", 1, command_stop_ },
+	{ "finish", 1, command_finish_ },
 	{ NULL, 0, NULL },
 };
 
@@ -259,7 +267,9 @@
 	{ "record", 'r', "FILE", 0,
 	  "Append to FILE what the caller of each operation was told", 0 },
 	{ "ack-timeout-ms", 't', "MS", 0,
-	  "ACK_TIMEOUT of RFC 7252 section 4.8, 2000 unless given", 0 },
+	  "ACK_TIMEOUT of RFC 7252 section 4.8, 2000 unless given, "
+	  "1000 at least",
+	  0 },
 	{ 0 },
 };
 
--- /dev/null
+++ b/test/view/view_random_test.c
@@ -0,0 +1,196 @@
+/*
+ * Randomised runs with fixed seeds: drains, restarts, deaths, updates and
+ * lost frames in any order. PL_VIEW_SEED and PL_VIEW_RUNS choose others.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "view_fake.h"
+
+#include <pimentolift/counter.h>
+#include <stdlib.h>
+
+#define AGENTS 4
+#define CALLERS 60
+#define CHANGES 100
+#define RUNS 5
+#define SETTLE_MS 20000
+#define DETECT_MAX_MS 5000
+
+static unsigned int from_environment_(const char *name, unsigned int fallback)
+{
+	const char *text = getenv(name);
+
+	return text ? (unsigned int)strtoul(text, NULL, 10) : fallback;
+}
+
+static unsigned int draw_(fake_t *fake, unsigned int below)
+{
+	return (unsigned int)g_rand_int_range(fake->rand, 0, (gint32)below);
+}
+
+/* Offers and acceptances vanish; copies fail with a notice. */
+static fake_fate_t lossy_(fake_t *fake, const pl_peer_frame_t *frame)
+{
+	unsigned int chance = draw_(fake, 100);
+
+	if (frame->type == PL_PEER_VIEW_OFFER ||
+	    frame->type == PL_PEER_VIEW_ACCEPT)
+		return chance < 20 ? FAKE_LOST :
+		       chance < 30 ? FAKE_FAILED :
+				     FAKE_DELIVERED;
+	return chance < 10 ? FAKE_FAILED : FAKE_DELIVERED;
+}
+
+static unsigned int serving_(const fake_t *fake)
+{
+	unsigned int serving = 0;
+
+	for (unsigned int i = 0; i < AGENTS; i++)
+		serving += fake->agents[i].table &&
+			   fake->agents[i].state == PL_ENDPOINT_SERVING;
+	return serving;
+}
+
+/* A drained agent ends and is replaced by one with a new identity. */
+static void replace_drained_(fake_t *fake)
+{
+	for (unsigned int i = 0; i < AGENTS; i++) {
+		fake_agent_t *agent = &fake->agents[i];
+
+		if (!agent->table || agent->state != PL_ENDPOINT_DRAINING ||
+		    pl_view_count(agent->table) > 0)
+			continue;
+		fake_kill(fake, i);
+		fake_declare_dead(fake, i);
+		fake_run(fake, draw_(fake, 100));
+		fake_start(fake, i);
+		fake_route(fake);
+	}
+}
+
+static void planned_change_(fake_t *fake)
+{
+	unsigned int index = draw_(fake, AGENTS);
+	fake_agent_t *agent = &fake->agents[index];
+
+	if (!agent->table)
+		return;
+	if (agent->state == PL_ENDPOINT_SERVING && serving_(fake) > 1 &&
+	    draw_(fake, 3) > 0) {
+		fake_drain(fake, index);
+		/* others hear of it a little later */
+		fake_run(fake, draw_(fake, 20));
+		fake_route(fake);
+	} else {
+		/* the backend server is replaced */
+		pl_view_backend(agent->table, false);
+		fake_run(fake, draw_(fake, 200));
+		pl_view_backend(agent->table, true);
+	}
+}
+
+static void work_(fake_t *fake)
+{
+	for (unsigned int i = draw_(fake, 5); i > 0; i--) {
+		fake_update(fake, draw_(fake, FAKE_RESOURCES));
+		fake_run(fake, draw_(fake, 30));
+	}
+	/* a caller may renew its registration at any time */
+	if (draw_(fake, 4) == 0)
+		fake_open(fake, &fake->callers[draw_(fake, CALLERS)]);
+}
+
+static void crash_(fake_t *fake)
+{
+	unsigned int index = draw_(fake, AGENTS);
+
+	if (!fake->agents[index].table || serving_(fake) < 3)
+		return;
+	/* copies of the last change are under way */
+	fake_run(fake, 3000);
+	if (!fake->agents[index].table)
+		return;
+	fake_kill(fake, index);
+	fake_run(fake, draw_(fake, DETECT_MAX_MS));
+	work_(fake);
+	fake_declare_dead(fake, index);
+	fake_run(fake, 2000);
+	fake_start(fake, index);
+	fake_route(fake);
+}
+
+static void settle_(fake_t *fake, unsigned int seed, unsigned int step)
+{
+	unsigned int loss = fake->loss_percent;
+
+	for (unsigned int i = 0; i < SETTLE_MS / 100; i++) {
+		fake_run(fake, 100);
+		replace_drained_(fake);
+		if (fake_behind(fake) == 0 && fake_views(fake) == CALLERS &&
+		    serving_(fake) == AGENTS)
+			break;
+	}
+	fake->loss_percent = loss;
+	if (fake_behind(fake) != 0 || fake_views(fake) != CALLERS)
+		fake_print_odd(fake),
+		print_error("seed %u step %u: %u behind, %zu views\n", seed,
+			    step, fake_behind(fake), fake_views(fake));
+	assert_int_equal(fake_behind(fake), 0);
+	assert_int_equal(fake_views(fake), CALLERS);
+}
+
+static void run_(unsigned int seed, bool crashes)
+{
+	fake_t *fake = fake_new(seed, AGENTS, AGENTS, CALLERS);
+
+	pl_counter_reset();
+	fake_open_all(fake);
+	fake_run(fake, 1000);
+	fake->fate = lossy_;
+	fake->loss_percent = 2;
+	for (unsigned int step = 0; step < CHANGES; step++) {
+		planned_change_(fake);
+		work_(fake);
+		if (crashes && draw_(fake, 4) == 0)
+			crash_(fake);
+		replace_drained_(fake);
+		if (draw_(fake, 5) == 0)
+			settle_(fake, seed, step);
+	}
+	settle_(fake, seed, CHANGES);
+	assert_int_equal(pl_counter_get(PL_COUNTER_VIEWS_LOST), 0);
+	assert_int_equal(pl_counter_get(PL_COUNTER_VIEWS_CLOSED), 0);
+	fake_delete(fake);
+}
+
+static void planned_changes_lose_no_view(void **state)
+{
+	unsigned int first = from_environment_("PL_VIEW_SEED", 1);
+	unsigned int runs = from_environment_("PL_VIEW_RUNS", RUNS);
+
+	for (unsigned int seed = first; seed < first + runs; seed++)
+		run_(seed, false);
+}
+
+static void crashes_lose_no_view(void **state)
+{
+	unsigned int first = from_environment_("PL_VIEW_SEED", 1);
+	unsigned int runs = from_environment_("PL_VIEW_RUNS", RUNS);
+
+	for (unsigned int seed = first; seed < first + runs; seed++)
+		run_(seed, true);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(planned_changes_lose_no_view),
+		cmocka_unit_test(crashes_lose_no_view),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
