Gossip codec under test; container lengths are checked before unpacking

Weighed: a memory limit for the process (not the product's to set); the streaming unpacker (allocates in the same way). Conclusion: a walk over the headers refuses containers longer than the bytes left. The other decoders of the inner protocol can use it too.

--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -21,7 +21,7 @@
 		.role = member->role,
 		.whole = whole && member->dc && !member->stale,
 	};
-	if (!record->whole)
+	if (!member->dc || !record->whole)
 		return;
 	record->boot = member->boot;
 	record->datacentre = member->dc->id;
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -198,6 +198,8 @@
 	message->records = batch.records;
 	message->record_count = batch.count;
 	len = pl_gossip_encode(&table->key, message, buf, sizeof(buf));
+	message->records = NULL;
+	message->record_count = 0;
 	if (len == 0)
 		return;
 	table->tokens = MAX(table->tokens - (int64_t)len * MILLI,
--- a/src/proto/gossip.c
+++ b/src/proto/gossip.c
@@ -1,6 +1,8 @@
 /** @file Codec of the membership's datagrams and frames. */
 #include <pimentolift/gossip.h>
 
+#include "private/limit_private.h"
+
 #include <assert.h>
 #include <glib.h>
 #include <msgpack.h>
@@ -315,10 +317,10 @@
 static bool read_records_(pl_gossip_decoder_t *decoder,
 			  const msgpack_object *object)
 {
-	const msgpack_object *at = elements_(object, 0);
+	const msgpack_object *at = object->via.array.ptr;
 
 	g_array_set_size(decoder->records, 0);
-	if (!at && object->type != MSGPACK_OBJECT_ARRAY)
+	if (object->type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	for (uint32_t i = 0; i < object->via.array.size; i++) {
 		pl_gossip_record_t record;
@@ -374,6 +376,8 @@
 	size_t offset = 0;
 	uint64_t version;
 
+	if (!pl_limit_check_(buf, len))
+		return PL_ERR_MALFORMED;
 	if (msgpack_unpack_next(&decoder->unpacked, (const char *)buf, len,
 				&offset) != MSGPACK_UNPACK_SUCCESS ||
 	    offset != len)
