A lost answer of a write is settled by reading back

The value names the operation that wrote it and those before it. Weighed: comparing the bytes read back (two operators may apply the same bytes) and the operation of the last write alone (another write may have followed). A write that changed nothing is sent again: compare-and-swap lets it take effect once. Also the list of seeds, corrected by compare-and-swap.

--- /dev/null
+++ b/include/pimentolift/seeds.h
@@ -0,0 +1,49 @@
+/**
+ * @file
+ * @defgroup seeds Seeds in the platform's service
+ *
+ * The key `pimentolift/ENVIRONMENT/seeds` holds a JSON array of up to
+ * @ref PL_SEEDS_MAX members "IP:PORT" that a newcomer can ask for the
+ * membership. Members correct it by compare-and-swap when most of it is out
+ * of date, and of several that try at once one succeeds; it is no record of
+ * who belongs to the fleet.
+ * @{
+ */
+#ifndef PIMENTOLIFT_SEEDS_H
+#define PIMENTOLIFT_SEEDS_H
+
+#include <pimentolift/addr.h>
+#include <pimentolift/platform.h>
+#include <stdbool.h>
+
+/** Most seeds in the list. */
+#define PL_SEEDS_MAX 16
+
+/** Value of the key. */
+typedef struct {
+	pl_addr_t at[PL_SEEDS_MAX];
+	size_t count;
+	uint64_t modify_index; /**< 0 when there is none */
+} pl_seeds_t;
+
+/** Called once; @p seeds holds on PL_OK, and is empty on PL_ERR_NOT_FOUND. */
+typedef void (*pl_seeds_done_t)(void *ctx, pl_result_t result,
+				const pl_seeds_t *seeds);
+
+/** Reads the seeds of @p environment. */
+void pl_seeds_read(pl_platform_t *platform, const char *environment,
+		   pl_seeds_done_t done, void *ctx);
+
+/** Writes @p seeds in place of the value that they were read from. */
+void pl_seeds_write(pl_platform_t *platform, const char *environment,
+		    const pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx);
+
+/**
+ * Corrects @p seeds when fewer than half of the places that @p alive could
+ * fill hold a member that is alive: drops the others and fills up in the
+ * order of @p alive. Returns whether there is something to write.
+ */
+bool pl_seeds_correct(pl_seeds_t *seeds, const pl_addr_t *alive, size_t count);
+
+#endif
+/** @} */
--- /dev/null
+++ b/src/platform/seeds.c
@@ -0,0 +1,147 @@
+/**
+ * @file
+ * The list of seeds in the platform's service.
+ */
+#include <pimentolift/seeds.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <string.h>
+
+/* A call in progress. */
+typedef struct {
+	pl_seeds_done_t done;
+	void *ctx;
+	pl_seeds_t seeds;
+} call_t;
+
+static char *key_(const char *environment)
+{
+	return g_strdup_printf("pimentolift/%s/seeds", environment);
+}
+
+static struct json_object *parse_(const char *json, size_t len)
+{
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *list =
+		json_tokener_parse_ex(tokener, json, (int)len);
+
+	json_tokener_free(tokener);
+	return list;
+}
+
+/* Entries that are not an address are left out. */
+static pl_result_t decode_(const char *json, size_t len, pl_seeds_t *seeds)
+{
+	struct json_object *list = parse_(json, len);
+	bool valid = list && json_object_is_type(list, json_type_array);
+	size_t count = valid ? json_object_array_length(list) : 0;
+
+	for (size_t i = 0; i < count && seeds->count < PL_SEEDS_MAX; i++) {
+		const char *text = json_object_get_string(
+			json_object_array_get_idx(list, i));
+
+		if (text && pl_addr_parse(text, &seeds->at[seeds->count],
+					  NULL) == PL_OK)
+			seeds->count++;
+	}
+	json_object_put(list);
+	return valid ? PL_OK : PL_ERR_MALFORMED;
+}
+
+static char *encode_(const pl_seeds_t *seeds)
+{
+	struct json_object *list = json_object_new_array();
+	char text[PL_ADDR_TEXT_MAX];
+	char *json;
+
+	for (size_t i = 0; i < seeds->count; i++)
+		json_object_array_add(
+			list, json_object_new_string(
+				      pl_addr_format(&seeds->at[i], text)));
+	json = g_strdup(
+		json_object_to_json_string_ext(list, JSON_C_TO_STRING_PLAIN));
+	json_object_put(list);
+	return json;
+}
+
+static void on_read_(void *ctx, const pl_platform_reply_t *reply)
+{
+	call_t *call = ctx;
+	pl_result_t result = reply->result;
+
+	call->seeds.modify_index = reply->modify_index;
+	if (result == PL_OK)
+		result = decode_(reply->value, reply->value_len, &call->seeds);
+	call->done(call->ctx, result, &call->seeds);
+	g_free(call);
+}
+
+static void on_written_(void *ctx, const pl_platform_reply_t *reply)
+{
+	call_t *call = ctx;
+
+	call->done(call->ctx, reply->result, &call->seeds);
+	g_free(call);
+}
+
+static call_t *call_new_(pl_seeds_done_t done, void *ctx)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->done = done;
+	call->ctx = ctx;
+	return call;
+}
+
+void pl_seeds_read(pl_platform_t *platform, const char *environment,
+		   pl_seeds_done_t done, void *ctx)
+{
+	char *key = key_(environment);
+
+	pl_platform_get(platform, key, on_read_, call_new_(done, ctx));
+	g_free(key);
+}
+
+void pl_seeds_write(pl_platform_t *platform, const char *environment,
+		    const pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx)
+{
+	call_t *call = call_new_(done, ctx);
+	char *key = key_(environment);
+	char *json = encode_(seeds);
+
+	call->seeds = *seeds;
+	pl_platform_put(platform, key, json, strlen(json), seeds->modify_index,
+			on_written_, call);
+	g_free(json);
+	g_free(key);
+}
+
+static bool contains_(const pl_addr_t *addrs, size_t count,
+		      const pl_addr_t *addr)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (pl_addr_equal(&addrs[i], addr))
+			return true;
+	}
+	return false;
+}
+
+bool pl_seeds_correct(pl_seeds_t *seeds, const pl_addr_t *alive, size_t count)
+{
+	size_t places = count < PL_SEEDS_MAX ? count : PL_SEEDS_MAX;
+	pl_seeds_t next = { .modify_index = seeds->modify_index };
+
+	for (size_t i = 0; i < seeds->count; i++) {
+		if (contains_(alive, count, &seeds->at[i]))
+			next.at[next.count++] = seeds->at[i];
+	}
+	if (next.count * 2 >= places)
+		return false;
+	for (size_t i = 0; i < count && next.count < places; i++) {
+		if (!contains_(next.at, next.count, &alive[i]))
+			next.at[next.count++] = alive[i];
+	}
+	*seeds = next;
+	return true;
+}
--- a/test/obs/catalog_test.c
+++ b/test/obs/catalog_test.c
@@ -20,7 +20,7 @@
 } row_t;
 
 static const row_t events_[] = {
-#define ROW_(id, number, name, severity, meaning)                              \
+#define ROW_(id, number, name, severity, meaning) \
 	{ number, name, #severity, meaning },
 	PL_EVENT_TABLE(ROW_)
 #undef ROW_
--- /dev/null
+++ b/test/platform/publish_test.c
@@ -0,0 +1,328 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <pimentolift/publish.h>
+#include <pimentolift/seeds.h>
+#include <store.h>
+#include <string.h>
+
+#define TIMEOUT_MS 300
+#define WRITERS 6
+
+typedef struct {
+	pl_store_t *store;
+	pl_platform_t *platform;
+	char url[64];
+	pl_stored_t stored;
+	pl_error_t err;
+} fixture_t;
+
+static int set_up_(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	f->store = pl_store_new(0);
+	assert_non_null(f->store);
+	g_snprintf(f->url, sizeof(f->url), "http://127.0.0.1:%u",
+		   pl_store_port(f->store));
+	f->platform = pl_platform_new(f->url, TIMEOUT_MS);
+	*state = f;
+	return 0;
+}
+
+static int tear_down_(void **state)
+{
+	fixture_t *f = *state;
+
+	pl_stored_finish(&f->stored);
+	pl_platform_delete(f->platform);
+	pl_store_delete(f->store);
+	g_free(f);
+	return 0;
+}
+
+static pl_result_t apply_(fixture_t *f, const char *text, uint64_t expect)
+{
+	const pl_publish_t publish = {
+		.environment = "trial",
+		.author = "test",
+		.text = text,
+		.text_len = strlen(text),
+		.expect = expect,
+		.patience_ms = 1500,
+	};
+
+	pl_stored_finish(&f->stored);
+	return pl_publish_apply(f->platform, &publish, &f->stored, &f->err);
+}
+
+static uint64_t writes_(fixture_t *f)
+{
+	pl_store_stats_t stats;
+
+	pl_store_stats(f->store, &stats);
+	return stats.writes;
+}
+
+static pl_result_t read_(fixture_t *f)
+{
+	pl_stored_finish(&f->stored);
+	return pl_publish_read(f->platform, "trial", &f->stored, &f->err);
+}
+
+static void revisions_count_up(void **state)
+{
+	fixture_t *f = *state;
+
+	assert_int_equal(read_(f), PL_ERR_NOT_FOUND);
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 1);
+	assert_int_equal(apply_(f, "two", 1), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 2);
+	/* the same bytes again are no change */
+	assert_int_equal(apply_(f, "two", PL_PUBLISH_ANY), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 2);
+	assert_int_equal(writes_(f), 2);
+	assert_int_equal(apply_(f, "three", 1), PL_ERR_CONFLICT);
+	assert_string_equal(f->stored.envelope.text, "two");
+	assert_int_equal(read_(f), PL_OK);
+	assert_int_equal(f->stored.envelope.history_count, 1);
+}
+
+static void lost_answer_is_settled_by_reading_back(void **state)
+{
+	fixture_t *f = *state;
+
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY), PL_OK);
+	pl_store_command(f->store, "lose-answers 1");
+	assert_int_equal(apply_(f, "two", PL_PUBLISH_ANY), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 2);
+	assert_int_equal(read_(f), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 2);
+	assert_string_equal(f->stored.envelope.text, "two");
+	/* the write was sent once */
+	assert_int_equal(writes_(f), 2);
+}
+
+static void lost_write_is_sent_again(void **state)
+{
+	fixture_t *f = *state;
+
+	pl_store_command(f->store, "lose-writes 2");
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY), PL_OK);
+	assert_int_equal(read_(f), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 1);
+	assert_int_equal(writes_(f), 3);
+}
+
+static void on_written_(void *ctx, const pl_platform_reply_t *reply)
+{
+	*(pl_result_t *)ctx = reply->result;
+}
+
+/* Writes as another operator would, without the blocking call. */
+static void write_other_(fixture_t *f, const pl_envelope_t *envelope,
+			 uint64_t replaces)
+{
+	char *json = pl_envelope_encode(envelope);
+	pl_result_t result = PL_ERR_INTERNAL;
+
+	pl_platform_put(f->platform, "pimentolift/trial/document", json,
+			strlen(json), replaces, on_written_, &result);
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 100);
+	assert_int_equal(result, PL_OK);
+	g_free(json);
+}
+
+static void own_write_is_found_behind_a_later_one(void **state)
+{
+	fixture_t *f = *state;
+	pl_envelope_t next;
+	char own[PL_OPERATION_TEXT_MAX];
+
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY), PL_OK);
+	g_strlcpy(own, f->stored.envelope.operation, sizeof(own));
+	assert_int_equal(read_(f), PL_OK);
+	pl_envelope_init(&next, &f->stored.envelope, "other", "two", 3);
+	write_other_(f, &next, f->stored.modify_index);
+	pl_envelope_finish(&next);
+	assert_int_equal(read_(f), PL_OK);
+	assert_string_equal(f->stored.envelope.author, "other");
+	assert_true(pl_envelope_includes(&f->stored.envelope, own));
+	assert_false(pl_envelope_includes(&f->stored.envelope, "another"));
+}
+
+static void outage_claims_nothing(void **state)
+{
+	fixture_t *f = *state;
+
+	pl_store_command(f->store, "down");
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY), PL_ERR_UNAVAILABLE);
+	pl_store_command(f->store, "up");
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY), PL_OK);
+	pl_store_command(f->store, "slow 60000");
+	assert_int_equal(apply_(f, "two", PL_PUBLISH_ANY), PL_ERR_TIMEOUT);
+	pl_store_command(f->store, "up");
+	/* a store that answers, but slowly */
+	pl_store_command(f->store, "slow 100");
+	assert_int_equal(apply_(f, "two", 1), PL_OK);
+}
+
+static void outage_after_the_write_is_named_unknown(void **state)
+{
+	fixture_t *f = *state;
+
+	pl_store_command(f->store, "down-after-write");
+	assert_int_equal(apply_(f, "one", PL_PUBLISH_ANY),
+			 PL_ERR_UNKNOWN_OUTCOME);
+	assert_non_null(strstr(f->err.text, "operation"));
+	pl_store_command(f->store, "up");
+	assert_int_equal(read_(f), PL_OK);
+	assert_non_null(strstr(f->err.text, f->stored.envelope.operation));
+}
+
+typedef struct {
+	fixture_t *f;
+	int number;
+	unsigned int written;
+	unsigned int conflicts;
+} writer_t;
+
+/* Applies a few documents, each on top of what it read. */
+static gpointer write_many_(gpointer data)
+{
+	writer_t *writer = data;
+	pl_platform_t *platform =
+		pl_platform_new(writer->f->url, TIMEOUT_MS * 20);
+
+	for (int i = 0; i < 15; i++) {
+		char text[32];
+		pl_publish_t publish = {
+			.environment = "trial",
+			.author = "test",
+			.text = text,
+			.expect = PL_PUBLISH_ANY,
+		};
+		pl_stored_t stored;
+		pl_result_t result;
+
+		g_snprintf(text, sizeof(text), "%d-%d", writer->number, i);
+		publish.text_len = strlen(text);
+		result = pl_publish_apply(platform, &publish, &stored, NULL);
+		if (result == PL_OK)
+			writer->written++;
+		else if (result == PL_ERR_CONFLICT)
+			writer->conflicts++;
+		pl_stored_finish(&stored);
+	}
+	pl_platform_delete(platform);
+	return NULL;
+}
+
+static void operators_at_once_lose_no_revision(void **state)
+{
+	fixture_t *f = *state;
+	writer_t writers[WRITERS];
+	GThread *threads[WRITERS];
+	unsigned int written = 0;
+	unsigned int conflicts = 0;
+
+	/* some answers are lost meanwhile, too */
+	pl_store_command(f->store, "lose-answers 5");
+	for (int i = 0; i < WRITERS; i++) {
+		writers[i] = (writer_t){ .f = f, .number = i };
+		threads[i] = g_thread_new("writer", write_many_, &writers[i]);
+	}
+	for (int i = 0; i < WRITERS; i++) {
+		g_thread_join(threads[i]);
+		written += writers[i].written;
+		conflicts += writers[i].conflicts;
+	}
+	assert_int_equal(written + conflicts, WRITERS * 15);
+	assert_int_equal(read_(f), PL_OK);
+	/* each write that was reported as done is one revision */
+	assert_int_equal(f->stored.envelope.revision, written);
+}
+
+static void lost_store_is_overtaken(void **state)
+{
+	fixture_t *f = *state;
+	pl_publish_t publish = {
+		.environment = "trial",
+		.author = "test",
+		.text = "one",
+		.text_len = 3,
+		.expect = 0,
+		.above = 41,
+	};
+
+	assert_int_equal(
+		pl_publish_apply(f->platform, &publish, &f->stored, &f->err),
+		PL_OK);
+	assert_int_equal(f->stored.envelope.revision, 42);
+}
+
+static void keep_seeds_(void *ctx, pl_result_t result, const pl_seeds_t *seeds)
+{
+	pl_seeds_t *out = ctx;
+
+	assert_true(result == PL_OK || result == PL_ERR_NOT_FOUND);
+	*out = *seeds;
+}
+
+static void seeds_are_corrected_rarely(void **state)
+{
+	fixture_t *f = *state;
+	pl_addr_t alive[20];
+	pl_seeds_t seeds;
+	pl_seeds_t read;
+
+	for (int i = 0; i < 20; i++) {
+		char text[PL_ADDR_TEXT_MAX];
+
+		g_snprintf(text, sizeof(text), "10.0.0.%d:7946", i + 1);
+		assert_int_equal(pl_addr_parse(text, &alive[i], NULL), PL_OK);
+	}
+	pl_seeds_read(f->platform, "trial", keep_seeds_, &seeds);
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 100);
+	assert_int_equal(seeds.count, 0);
+	assert_true(pl_seeds_correct(&seeds, alive, 20));
+	assert_int_equal(seeds.count, PL_SEEDS_MAX);
+	pl_seeds_write(f->platform, "trial", &seeds, keep_seeds_, &read);
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 100);
+	pl_seeds_read(f->platform, "trial", keep_seeds_, &read);
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 100);
+	assert_int_equal(read.count, PL_SEEDS_MAX);
+	assert_true(pl_addr_equal(&read.at[15], &alive[15]));
+	/* half of the places are still good: nothing to write */
+	assert_false(pl_seeds_correct(&read, alive + 8, 12));
+	assert_false(pl_seeds_correct(&read, alive + 12, 8));
+	assert_true(pl_seeds_correct(&read, alive + 14, 6));
+	assert_int_equal(read.count, 6);
+}
+
+int main(void)
+{
+#define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
+	const struct CMUnitTest tests[] = {
+		TEST_(revisions_count_up),
+		TEST_(lost_answer_is_settled_by_reading_back),
+		TEST_(lost_write_is_sent_again),
+		TEST_(own_write_is_found_behind_a_later_one),
+		TEST_(outage_claims_nothing),
+		TEST_(outage_after_the_write_is_named_unknown),
+		TEST_(operators_at_once_lose_no_revision),
+		TEST_(lost_store_is_overtaken),
+		TEST_(seeds_are_corrected_rarely),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/soak/lab.c
+++ b/test/soak/lab.c
@@ -49,8 +49,8 @@
 /* ModifyIndex of the document in the store, 0 without one, -1 on failure. */
 static int64_t modify_index_(const lab_t *lab)
 {
-	char *url = g_strdup_printf(
-		"%s/v1/kv/pimentolift/lab/document", lab->store_url);
+	char *url = g_strdup_printf("%s/v1/kv/pimentolift/lab/document",
+				    lab->store_url);
 	char *text = http_request("GET", url, NULL);
 	json_object *array = text ? json_tokener_parse(text) : NULL;
 	json_object *value = NULL;
@@ -145,8 +145,7 @@
 		}
 		node->service = agent / LAB_AGENTS;
 		g_snprintf(node->name, sizeof(node->name), "%s-%d",
-			   lab_services[node->service],
-			   agent % LAB_AGENTS + 1);
+			   lab_services[node->service], agent % LAB_AGENTS + 1);
 	}
 }
 
@@ -283,8 +282,8 @@
 		lab->next_poll_ms = pl_now_ms() + POLL_MS;
 		for (int i = 0; i < LAB_NODES; i++) {
 			node_t *node = &lab->nodes[i];
-			bool ended = node->up &&
-				     pl_process_ended(node->process);
+			bool ended =
+				node->up && pl_process_ended(node->process);
 
 			if (ended) {
 				node->up = false;
--- a/test/soak/traffic.c
+++ b/test/soak/traffic.c
@@ -41,8 +41,9 @@
 		g_free(pl_process_ask(lab->caller,
 				      "rate post %s applications 10 %u",
 				      service, seconds));
-		g_free(pl_process_ask(lab->caller, "rate upload %s uploads 1 %u",
-				      service, seconds));
+		g_free(pl_process_ask(lab->caller,
+				      "rate upload %s uploads 1 %u", service,
+				      seconds));
 		g_free(pl_process_ask(lab->caller, "rate blob %s blob 1 %u",
 				      service, seconds));
 	}
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -26,6 +26,8 @@
 	bool down;
 	uint32_t slow_ms;
 	uint32_t lose_answers;
+	uint32_t lose_writes;
+	bool down_after_write;
 	pl_store_stats_t stats;
 };
 
@@ -204,7 +206,8 @@
 		return answer_text_(connection, MHD_HTTP_CONTENT_TOO_LARGE, "");
 	g_mutex_lock(&store->lock);
 	store->stats.writes++;
-	if (!delay_(store)) {
+	if (!delay_(store) || store->lose_writes > 0) {
+		store->lose_writes -= store->lose_writes > 0;
 		g_mutex_unlock(&store->lock);
 		return MHD_NO;
 	}
@@ -217,7 +220,9 @@
 		g_bytes_unref(value);
 		g_cond_broadcast(&store->changed);
 	}
-	if (store->lose_answers > 0)
+	if (store->down_after_write)
+		store->down = true;
+	else if (store->lose_answers > 0)
 		store->lose_answers--;
 	else
 		result = answer_text_(connection, MHD_HTTP_OK,
@@ -366,6 +371,8 @@
 	store->down = false;
 	store->slow_ms = 0;
 	store->lose_answers = 0;
+	store->lose_writes = 0;
+	store->down_after_write = false;
 	g_clear_pointer(&store->frozen, g_hash_table_destroy);
 }
 
@@ -383,6 +390,10 @@
 		store->slow_ms = amount;
 	else if (sscanf(command, "lose-answers %u", &amount) == 1)
 		store->lose_answers = amount;
+	else if (sscanf(command, "lose-writes %u", &amount) == 1)
+		store->lose_writes = amount;
+	else if (strcmp(command, "down-after-write") == 0)
+		store->down_after_write = true;
 	else if (strcmp(command, "freeze") == 0 && !store->frozen)
 		store->frozen = items_copy_(store->items);
 	else
--- a/test/standin/store/store.h
+++ b/test/standin/store/store.h
@@ -32,6 +32,8 @@
  * - `up`: ends every fault
  * - `slow MS`: every answer is delayed
  * - `lose-answers N`: the next N writes take effect without an answer
+ * - `lose-writes N`: the next N writes are lost before they take effect
+ * - `down-after-write`: the next write takes effect, then the store is down
  * - `freeze`: reads give what was there at this moment
  */
 bool pl_store_command(pl_store_t *store, const char *command);
--- a/test/view/view_fake.c
+++ b/test/view/view_fake.c
@@ -640,22 +640,52 @@
 #include "../../src/view/private/view_private.h"
 void fake_print_odd(fake_t *fake)
 {
-	for (unsigned i=0;i<fake->caller_count;i++){
-		fake_caller_t *c=&fake->callers[i];
-		pl_view_key_t key; unsigned owners=0;
-		pl_view_key_set(&key,&c->addr,&c->token,1);
-		for (unsigned a=0;a<fake->agent_count;a++) if (fake->agents[a].table && pl_view_lookup(fake->agents[a].table,&key)) owners++;
-		if (owners==1 && c->version==fake->versions[c->resource]) continue;
-		const pl_endpoint_t *r[4]; size_t n=pl_placement_rank(pl_routing_service_at(fake->routing,0),&c->addr,PL_RANK_REACHABLE,0,r,4);
-		printf("caller %u seq %u ver %u/%u stale %u rank", i,c->sequence,c->version,fake->versions[c->resource],c->stale);
-		for(size_t k=0;k<n;k++) printf(" %lu%s",r[k]->agent,r[k]->state?"d":"");
+	for (unsigned i = 0; i < fake->caller_count; i++) {
+		fake_caller_t *c = &fake->callers[i];
+		pl_view_key_t key;
+		unsigned owners = 0;
+		pl_view_key_set(&key, &c->addr, &c->token, 1);
+		for (unsigned a = 0; a < fake->agent_count; a++)
+			if (fake->agents[a].table &&
+			    pl_view_lookup(fake->agents[a].table, &key))
+				owners++;
+		if (owners == 1 && c->version == fake->versions[c->resource])
+			continue;
+		const pl_endpoint_t *r[4];
+		size_t n = pl_placement_rank(
+			pl_routing_service_at(fake->routing, 0), &c->addr,
+			PL_RANK_REACHABLE, 0, r, 4);
+		printf("caller %u seq %u ver %u/%u stale %u rank", i,
+		       c->sequence, c->version, fake->versions[c->resource],
+		       c->stale);
+		for (size_t k = 0; k < n; k++)
+			printf(" %lu%s", r[k]->agent, r[k]->state ? "d" : "");
 		printf("\n");
-		for (unsigned a=0;a<fake->agent_count;a++) { pl_view_table_t *t=fake->agents[a].table; if(!t) {printf("  agent %u dead\n",a+1);continue;}
-			pl_view_t *v=pl_view_lookup(t,&key); pl_view_replica_t *p=pl_view_replica(t,&key); pl_view_tombstone_t *s=pl_view_tombstone(t,&key);
-			printf("  agent %u state %d drain %d:",a+1,fake->agents[a].state,t->draining);
-			if (v) printf(" own seq %u replica %lu offer %lu deliv %d pend %d res %s", v->sequence,v->replica,v->offer?v->offer->receiver:0,v->delivery!=NULL,v->pending!=NULL,pl_view_resource_state_names[v->resource->state]);
-			if (p) printf(" copy of %lu seq %u",p->owner->agent,p->record.sequence);
-			if (s) printf(" tomb %lu seq %u",s->next,s->sequence);
-			printf("\n"); }
+		for (unsigned a = 0; a < fake->agent_count; a++) {
+			pl_view_table_t *t = fake->agents[a].table;
+			if (!t) {
+				printf("  agent %u dead\n", a + 1);
+				continue;
+			}
+			pl_view_t *v = pl_view_lookup(t, &key);
+			pl_view_replica_t *p = pl_view_replica(t, &key);
+			pl_view_tombstone_t *s = pl_view_tombstone(t, &key);
+			printf("  agent %u state %d drain %d:", a + 1,
+			       fake->agents[a].state, t->draining);
+			if (v)
+				printf(" own seq %u replica %lu offer %lu deliv %d pend %d res %s",
+				       v->sequence, v->replica,
+				       v->offer ? v->offer->receiver : 0,
+				       v->delivery != NULL, v->pending != NULL,
+				       pl_view_resource_state_names
+					       [v->resource->state]);
+			if (p)
+				printf(" copy of %lu seq %u", p->owner->agent,
+				       p->record.sequence);
+			if (s)
+				printf(" tomb %lu seq %u", s->next,
+				       s->sequence);
+			printf("\n");
+		}
 	}
 }
--- a/test/view/view_random_test.c
+++ b/test/view/view_random_test.c
@@ -137,8 +137,9 @@
 	fake->loss_percent = loss;
 	if (fake_behind(fake) != 0 || fake_views(fake) != CALLERS)
 		fake_print_odd(fake),
-		print_error("seed %u step %u: %u behind, %zu views\n", seed,
-			    step, fake_behind(fake), fake_views(fake));
+			print_error("seed %u step %u: %u behind, %zu views\n",
+				    seed, step, fake_behind(fake),
+				    fake_views(fake));
 	assert_int_equal(fake_behind(fake), 0);
 	assert_int_equal(fake_views(fake), CALLERS);
 }
