Membership: a cold start forms one group

Cause: nine processes started together, each with the earlier ones as seeds, ended in up to three groups for 8 s and more. A newcomer that another newcomer had pinged first pulled its table from that one instead of a seed, and both took themselves for the whole. Ruled out: lost frames (the seeds' counters showed no pull at all). It now pulls only after a seed was heard, or after one round in which none answered; and its table is compared three times soon after it arrived, since it lacks those that joined meanwhile.

--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -173,14 +173,19 @@
 	/* sync.c */
 	GArray *seeds;
 	pl_join_state_t join;
+	bool seed_heard; /* a seed sent something in this life */
 	size_t seed_at;
 	pl_ms_t next_join;
 	pl_ms_t join_backoff;
 	pl_member_id_t pull_from;
 	pl_ms_t next_sync;
+	unsigned int young_syncs; /* quick comparisons still to be made */
 	unsigned int frame_mark;
 };
 
+/* sync.c */
+void pl_member_note_seed_(pl_member_table_t *table, pl_member_id_t sender);
+
 /* table.c */
 uint64_t pl_member_random_below_(pl_member_table_t *table, uint64_t limit);
 pl_member_t *pl_member_lookup_(const pl_member_table_t *table,
--- a/src/member/receive.c
+++ b/src/member/receive.c
@@ -302,6 +302,7 @@
 	pl_gossip_message_t update = { .type = PL_GOSSIP_UPDATE };
 
 	table->last_heard = table->now;
+	pl_member_note_seed_(table, message->sender);
 	table->correct = NULL;
 	for (size_t i = 0; i < message->record_count; i++)
 		pl_member_apply_(table, &message->records[i], message->sender);
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -25,6 +25,9 @@
 /** Buckets compared at once; the next few follow after a pause. */
 #define BUCKETS_PER_PULL 4
 #define PULL_PAUSE_MS 2000
+/** Comparisons soon after a newcomer has its table, and their pause. */
+#define YOUNG_SYNCS 3
+#define YOUNG_SYNC_MS 700
 /** Data centres whose buckets go into one datagram. */
 #define BUCKET_DIGESTS_MAX 2
 
@@ -122,13 +125,33 @@
 	send_frame_(table, from->id, PL_PEER_TABLE_PULL, &pull);
 }
 
+void pl_member_note_seed_(pl_member_table_t *table, pl_member_id_t sender)
+{
+	if (table->seed_heard)
+		return;
+	for (guint i = 0; i < table->seeds->len; i++) {
+		if (g_array_index(table->seeds, pl_member_id_t, i) == sender)
+			table->seed_heard = true;
+	}
+}
+
+/* Whether a table may be pulled from whoever is known. Another newcomer may
+ * have made itself known first; two that pulled from each other would take
+ * themselves for the whole. Once no seed answered, anybody is good. */
+static bool may_pull_(const pl_member_table_t *table)
+{
+	return table->seeds->len == 0 || table->seed_heard ||
+	       table->join_backoff > 0;
+}
+
 static void join_beat_(pl_member_table_t *table)
 {
-	const pl_member_t *from;
+	const pl_member_t *from = NULL;
 
 	if (table->join == PL_JOIN_DONE || table->now < table->next_join)
 		return;
-	from = pl_member_pick_(table, NULL);
+	if (may_pull_(table))
+		from = pl_member_pick_(table, NULL);
 	if (from &&
 	    !(table->join == PL_JOIN_PULL && from->id == table->pull_from &&
 	      pl_member_others_(table) > 1)) {
@@ -162,6 +185,18 @@
 		pl_member_probe_(table, PL_PROBE_CONTACT, member->id);
 }
 
+/* A newcomer's table may lack those that joined while it was on its way, so
+ * it is compared more often at first. */
+static pl_ms_t sync_pause_(pl_member_table_t *table)
+{
+	if (table->young_syncs > 0) {
+		table->young_syncs--;
+		return YOUNG_SYNC_MS;
+	}
+	return PL_MEMBER_SYNC_MS / 2 +
+	       pl_member_random_below_(table, PL_MEMBER_SYNC_MS);
+}
+
 void pl_member_sync_beat_(pl_member_table_t *table)
 {
 	const pl_member_t *peer;
@@ -169,8 +204,7 @@
 	join_beat_(table);
 	if (table->now < table->next_sync)
 		return;
-	table->next_sync = table->now + PL_MEMBER_SYNC_MS / 2 +
-			   pl_member_random_below_(table, PL_MEMBER_SYNC_MS);
+	table->next_sync = table->now + sync_pause_(table);
 	contact_lost_(table);
 	peer = pl_member_pick_(table, NULL);
 	if (peer)
@@ -443,6 +477,9 @@
 	table->next_join = table->now + PULL_ANSWER_MS;
 	if (push->last) {
 		table->join = PL_JOIN_DONE;
+		table->young_syncs = YOUNG_SYNCS;
+		table->next_sync =
+			MIN(table->next_sync, table->now + YOUNG_SYNC_MS);
 		pl_member_partition_adopt_(table);
 	}
 }
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -21,6 +21,31 @@
 	fleet_delete(fleet);
 }
 
+/* Newcomers whose seeds are newcomers too must not end as separate groups that
+ * each believe they have joined. */
+static void cold_start_forms_one_group(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 30; seed++) {
+		fleet_t *fleet = fleet_new(seed, 9, 1);
+
+		for (size_t i = 0; i < fleet->count; i++) {
+			fleet_start(fleet, i);
+			for (size_t k = 2; k < i; k++) {
+				pl_addr_t addr = pl_member_id_to_addr(
+					fleet->nodes[k].id);
+
+				pl_member_add_seed(fleet->nodes[i].table,
+						   &addr);
+			}
+			fleet_run(fleet, 10);
+		}
+		fleet_run(fleet, 3000);
+		assert_int_equal(fleet_wrong_pairs(fleet), 0);
+		fleet_delete(fleet);
+	}
+}
+
 /* A newcomer has names from the table that it pulls. */
 static void newcomer_learns_names(void **state)
 {
@@ -243,6 +268,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(all_join_through_one_seed),
+		cmocka_unit_test(cold_start_forms_one_group),
 		cmocka_unit_test(newcomer_learns_names),
 		cmocka_unit_test(waits_for_a_seed_that_is_down),
 		cmocka_unit_test(crash_is_declared_everywhere),
