--- a/include/pimentolift/view_codec.h
+++ b/include/pimentolift/view_codec.h
@@ -11,7 +11,8 @@
  * - offer: the sender hands these views over; it serves them until accepted
  * - accept: the sender serves these views now, of the offer with this number
  * - copy: the sender serves these views; keep their records in case it fails
- * - forget: these views live at the place named, or nowhere
+ * - forget: these views live at the place named, or nowhere; with the number
+ *   of an offer, the sender heard that it was accepted
  * @{
  */
 #ifndef PIMENTOLIFT_VIEW_CODEC_H
@@ -66,7 +67,7 @@
 typedef struct {
 	uint64_t boot; /**< life of the sender */
 	pl_service_id_t service;
-	uint64_t offer; /**< number of the offer; 0 in copy and forget */
+	uint64_t offer; /**< number of the offer, or 0 */
 	GArray *records; /**< pl_view_record_t: offer and copy */
 	GArray *places; /**< pl_view_place_t: accept and forget */
 	GStringChunk *text;
--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -115,7 +115,8 @@
 	pl_member_id_t replica; /**< agent that holds the copy, or 0 */
 	uint64_t replica_boot;
 	uint32_t copied; /**< Observe value in the copy */
-	pl_member_id_t origin; /**< agent that handed it over, while it lives */
+	pl_member_id_t origin; /**< who handed it over, until confirmed */
+	uint64_t origin_offer;
 	uint32_t taken; /**< Observe value when it was handed over */
 	pl_list_t copy_link; /**< in the table's to_copy */
 };
@@ -361,10 +362,12 @@
 /**
  * Settles where a view lives. When the claim in @p place is newer than what
  * is known here, a view that is here goes there; when it is older, @p sender
- * is told. Returns whether the claim holds.
+ * is told. A place that names this agent says that another owner gave way.
+ * Unless the claim was @p agreed, by a hand-over from here, an owner that
+ * gives way tells the other. Returns whether the claim holds.
  */
 bool pl_view_settle(pl_view_table_t *table, pl_member_id_t sender,
-		    const pl_view_place_t *place);
+		    const pl_view_place_t *place, bool agreed);
 
 /** Tells @p peer where a view lives, with the next flush. */
 void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
@@ -402,6 +405,9 @@
 			const pl_view_message_t *message);
 void pl_view_take_accept(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message);
+/** The acceptance of @p offer arrived at @p peer. */
+void pl_view_take_confirm(pl_view_table_t *table, pl_member_id_t peer,
+			  uint64_t offer);
 void pl_view_offer_failed(pl_view_table_t *table, pl_member_id_t peer,
 			  const pl_view_message_t *message);
 
--- a/src/view/view_copy.c
+++ b/src/view/view_copy.c
@@ -250,7 +250,7 @@
 					  .owner = peer,
 					  .sequence = record->sequence };
 
-		if (!pl_view_settle(table, peer, &place) ||
+		if (!pl_view_settle(table, peer, &place, false) ||
 		    pl_view_lookup(table, &record->key))
 			continue;
 		replica = pl_view_replica(table, &record->key);
@@ -323,9 +323,9 @@
 }
 
 /*
- * The agent that handed @p view over is gone. It may have taken the lead
- * again after it missed the acceptance: what was sent from here since then
- * was old to the caller.
+ * The agent that handed @p view over is gone and did not confirm that it
+ * heard of the acceptance. It may have taken the lead again: what was sent
+ * from here since then was old to the caller.
  */
 static void lead_(pl_view_t *view)
 {
@@ -333,7 +333,7 @@
 
 	view->origin = 0;
 	view->sequence =
-		pl_view_sequence_add(view->sequence, 4 * PL_VIEW_MOVE_STEP);
+		pl_view_sequence_add(view->sequence, PL_VIEW_RECOVERY_STEP);
 	if (sent)
 		pl_view_resend(view);
 }
--- a/src/view/view_frame.c
+++ b/src/view/view_frame.c
@@ -22,32 +22,38 @@
 	g_byte_array_unref(body);
 }
 
-/* Whether a copy that is kept here is of no use after @p place. */
-static bool outdated_(const pl_view_replica_t *replica, pl_member_id_t peer,
-		      const pl_view_place_t *place)
+/* Drops the copy that is kept here when it is of no use after @p place. */
+static void review_replica_(pl_view_table_t *table, pl_member_id_t peer,
+			    const pl_view_place_t *place)
 {
-	pl_member_id_t owner = replica->owner->agent;
+	pl_view_replica_t *replica = pl_view_replica(table, &place->key);
+	pl_member_id_t owner = replica ? replica->owner->agent : 0;
 
-	/* the owner took another holder, or has the view no more */
-	if (owner == peer)
-		return place->release || place->owner != owner;
-	return place->owner != owner &&
-	       pl_view_claim_wins(place->sequence, place->owner,
-				  replica->record.sequence, owner);
+	if (!replica)
+		return;
+	if (owner == peer) {
+		/* it took another holder, or has the view no more */
+		if (place->release || place->owner != owner)
+			pl_view_replica_remove(table, replica);
+		return;
+	}
+	if (place->owner != owner &&
+	    pl_view_claim_wins(place->sequence, place->owner,
+			       replica->record.sequence, owner))
+		pl_view_replica_supersede(table, replica, peer, place);
 }
 
 static void take_forget_(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message)
 {
+	if (message->offer != 0)
+		pl_view_take_confirm(table, peer, message->offer);
 	for (guint i = 0; i < message->places->len; i++) {
 		const pl_view_place_t *place =
 			&g_array_index(message->places, pl_view_place_t, i);
-		pl_view_replica_t *replica;
 
-		pl_view_settle(table, peer, place);
-		replica = pl_view_replica(table, &place->key);
-		if (replica && outdated_(replica, peer, place))
-			pl_view_replica_remove(table, replica);
+		pl_view_settle(table, peer, place, false);
+		review_replica_(table, peer, place);
 	}
 }
 
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -16,8 +16,12 @@
 /** An offer is repeated after this time, so many times in all. */
 #define OFFER_TIMEOUT_MS 1000
 #define OFFER_ATTEMPTS 3
-/** An agent that refused or did not answer is left alone for this long. */
-#define HOLD_MS 1000
+/**
+ * An agent that refused is left alone for the shorter time, one that did not
+ * answer for twice as long each time.
+ */
+#define HOLD_MIN_MS 1000
+#define HOLD_MAX_MS 60000
 /** Wait before views that nobody could take are offered again. */
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 2000
@@ -27,6 +31,7 @@
 typedef struct {
 	pl_member_id_t agent;
 	pl_ms_t until;
+	pl_ms_t wait_ms; /**< of this hold; the next one is longer */
 } hold_t;
 
 static void move_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
@@ -59,26 +64,40 @@
 	g_array_free(table->holds, TRUE);
 }
 
-static void hold_(pl_view_table_t *table, pl_member_id_t agent)
+/* Hold on @p agent, over or not, or NULL. */
+static hold_t *hold_find_(pl_view_table_t *table, pl_member_id_t agent)
 {
-	hold_t hold = { .agent = agent, .until = pl_view_now(table) + HOLD_MS };
+	for (guint i = 0; i < table->holds->len; i++) {
+		hold_t *hold = &g_array_index(table->holds, hold_t, i);
 
-	g_array_append_val(table->holds, hold);
+		if (hold->agent == agent)
+			return hold;
+	}
+	return NULL;
 }
 
-static bool held_(pl_view_table_t *table, pl_member_id_t agent)
+static void hold_(pl_view_table_t *table, pl_member_id_t agent, bool answered)
 {
-	pl_ms_t now = pl_view_now(table);
+	hold_t *hold = hold_find_(table, agent);
 
-	for (guint i = table->holds->len; i-- > 0;) {
-		const hold_t *hold = &g_array_index(table->holds, hold_t, i);
+	if (!hold) {
+		hold_t new_hold = { .agent = agent, .wait_ms = HOLD_MIN_MS };
 
-		if (hold->until <= now)
-			g_array_remove_index_fast(table->holds, i);
-		else if (hold->agent == agent)
-			return true;
+		g_array_append_val(table->holds, new_hold);
+		hold = hold_find_(table, agent);
+	} else if (answered) {
+		hold->wait_ms = HOLD_MIN_MS;
+	} else {
+		hold->wait_ms = MIN(2 * hold->wait_ms, HOLD_MAX_MS);
 	}
-	return false;
+	hold->until = pl_view_now(table) + hold->wait_ms;
+}
+
+static bool held_(pl_view_table_t *table, pl_member_id_t agent)
+{
+	const hold_t *hold = hold_find_(table, agent);
+
+	return hold && hold->until > pl_view_now(table);
 }
 
 void pl_view_move_cancel(pl_view_t *view)
@@ -145,7 +164,7 @@
 	pl_view_table_t *table = offer->table;
 	pl_list_t *first;
 
-	hold_(table, offer->receiver);
+	hold_(table, offer->receiver, !maybe_taken);
 	while ((first = pl_list_first(&offer->views))) {
 		pl_view_t *view = PL_CONTAINER_OF(first, pl_view_t, move_link);
 
@@ -260,6 +279,8 @@
 
 void pl_view_offers_abandon(pl_view_table_t *table, pl_member_id_t agent)
 {
+	hold_t *hold;
+
 	pl_list_for_each_safe(node, &table->offers) {
 		pl_view_offer_t *offer =
 			PL_CONTAINER_OF(node, pl_view_offer_t, link);
@@ -267,6 +288,10 @@
 		if (offer->receiver == agent)
 			offer_return_(offer, true);
 	}
+	/* its next life may be asked at once */
+	hold = hold_find_(table, agent);
+	if (hold)
+		hold->until = 0;
 }
 
 /* Offer @p id to @p receiver, or NULL. */
@@ -295,6 +320,32 @@
 	pl_timer_arm(table->timers, &offer->timer, pl_view_now(table));
 }
 
+/* Tells the receiver that its acceptance arrived. */
+static void confirm_(pl_view_table_t *table, pl_member_id_t peer, uint64_t id)
+{
+	pl_view_message_t message;
+
+	pl_view_message_init(&message);
+	message.offer = id;
+	pl_view_send(table, peer, PL_PEER_VIEW_FORGET, &message);
+	pl_view_message_finish(&message);
+}
+
+void pl_view_take_confirm(pl_view_table_t *table, pl_member_id_t peer,
+			  uint64_t offer)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, table->views);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		pl_view_t *view = key;
+
+		if (view->origin == peer && view->origin_offer == offer)
+			view->origin = 0;
+	}
+}
+
 void pl_view_take_accept(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message)
 {
@@ -303,13 +354,15 @@
 	for (guint i = 0; i < message->places->len; i++)
 		pl_view_settle(
 			table, peer,
-			&g_array_index(message->places, pl_view_place_t, i));
+			&g_array_index(message->places, pl_view_place_t, i),
+			true);
 	if (message->places->len > 0)
 		pl_event(PL_EVENT_VIEWS_MOVED, "%u views, %zu left",
 			 message->places->len, pl_view_count(table));
 	offer = offer_find_(table, message->offer, peer);
 	if (!offer)
 		return;
+	confirm_(table, peer, message->offer);
 	if (pl_list_empty(&offer->views))
 		offer_delete_(offer);
 	else
@@ -327,8 +380,8 @@
 
 /* Takes the view over or says that it was; false when it is refused. */
 static bool take_record_(pl_view_table_t *table, pl_member_id_t peer,
-			 const pl_view_record_t *record, bool can_take,
-			 pl_view_place_t *place)
+			 uint64_t offer, const pl_view_record_t *record,
+			 bool can_take, pl_view_place_t *place)
 {
 	pl_view_t *view = pl_view_lookup(table, &record->key);
 	pl_view_tombstone_t *tombstone = pl_view_tombstone(table, &record->key);
@@ -352,12 +405,14 @@
 		pl_counter_add(PL_COUNTER_VIEWS_MOVED_IN, 1);
 		place->sequence = view->sequence;
 		view->origin = peer;
+		view->origin_offer = offer;
 		view->taken = view->sequence;
 		if (replica)
 			pl_view_replica_supersede(table, replica, peer, place);
 		pl_view_update(view);
 		return true;
 	}
+	place->sequence = view->sequence;
 	if (!pl_view_sequence_newer(view->sequence, record->sequence)) {
 		view->sequence = pl_view_sequence_add(record->sequence,
 						      PL_VIEW_MOVE_STEP);
@@ -366,7 +421,9 @@
 		pl_view_resend(view);
 		return true;
 	}
-	place->sequence = view->sequence;
+	/* not a repeated offer: the caller may have heard from both */
+	if (view->origin != peer)
+		pl_view_resend(view);
 	return true;
 }
 
@@ -389,7 +446,8 @@
 				message->records, pl_view_record_t, i);
 			pl_view_place_t place = { .key = record->key };
 
-			if (take_record_(table, peer, record, can_take, &place))
+			if (take_record_(table, peer, message->offer, record,
+					 can_take, &place))
 				g_array_append_val(accept.places, place);
 		}
 	}
--- a/src/view/view_place.c
+++ b/src/view/view_place.c
@@ -143,7 +143,7 @@
 }
 
 /* The view goes to the owner that @p place names, or is closed. */
-static void give_up_(pl_view_t *view, const pl_view_place_t *place)
+static void give_up_(pl_view_t *view, const pl_view_place_t *place, bool agreed)
 {
 	pl_view_table_t *table = view->table;
 
@@ -158,6 +158,10 @@
 	if (view->replica && view->replica != place->owner)
 		pl_view_tell(table, view->replica, &view->key, place->owner,
 			     place->sequence);
+	/* the caller may have heard from both */
+	if (!agreed)
+		pl_view_tell(table, place->owner, &view->key, place->owner,
+			     view->sequence);
 	tombstone_set_(table, place);
 	pl_counter_add(PL_COUNTER_VIEWS_MOVED_OUT, 1);
 	pl_view_delete(view);
@@ -185,18 +189,28 @@
 	return false;
 }
 
+/* Another owner gave way; what it sent last may have hidden what this did. */
+static void yielded_(pl_view_t *view, const pl_view_place_t *place)
+{
+	if (pl_view_sequence_newer(place->sequence, view->sequence))
+		view->sequence = place->sequence;
+	pl_view_resend(view);
+}
+
 bool pl_view_settle(pl_view_table_t *table, pl_member_id_t sender,
-		    const pl_view_place_t *place)
+		    const pl_view_place_t *place, bool agreed)
 {
 	pl_view_t *view = pl_view_lookup(table, &place->key);
 
 	if (!view)
 		return settle_absent_(table, sender, place);
-	if (place->owner == table->params.self)
+	if (place->owner == table->params.self) {
+		yielded_(view, place);
 		return true;
+	}
 	if (pl_view_claim_wins(place->sequence, place->owner, view->sequence,
 			       table->params.self)) {
-		give_up_(view, place);
+		give_up_(view, place, agreed);
 		return true;
 	}
 	if (place->owner != 0)
@@ -293,7 +307,8 @@
 		const pl_view_t *view = pl_view_lookup(table, &place->key);
 
 		/* the copy is wanted there again */
-		if (view && view->replica == peer)
+		if (view && view->replica == peer &&
+		    (place->release || place->owner != table->params.self))
 			continue;
 		outbox_add_(table, peer, place);
 	}
