--- a/test/view/view_fake.c
+++ b/test/view/view_fake.c
@@ -586,7 +586,6 @@
 
 static void deliver_(fake_t *fake, const event_t *event)
 {
-	trace_(fake, event);
 	switch (event->type) {
 	case EVENT_FRAME:
 	case EVENT_FRAME_FAILED:
