--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -11,9 +11,21 @@
 /** Diagnostic payloads of refusals. */
 #define TEXT_BUSY "busy"
 #define TEXT_TOO_LARGE "too large"
-#define TEXT_BLOCK_MISSING "a block is missing"
+#define TEXT_NOT_RUN "not run"
 #define TEXT_CANCELLED "cancelled"
 
+/* Class of the work that @p msg asks for. */
+static pl_work_class_t work_of_(const pl_agent_t *agent,
+				const pl_coap_msg_t *msg)
+{
+	size_t body_len = msg->payload_len;
+
+	if (msg->size1 > 0)
+		body_len = (size_t)msg->size1;
+	return pl_scheduler_classify(&agent->scheduler, msg->code, msg->path,
+				     body_len);
+}
+
 static void respond_busy_(pl_agent_t *agent, const pl_forward_t *forward,
 			  const pl_coap_msg_t *msg)
 {
@@ -24,7 +36,8 @@
 		return;
 	pl_counter_add(PL_COUNTER_REFUSED, 1);
 	pl_exchange_respond(exchange, PL_COAP_UNAVAILABLE,
-			    pl_run_max_age_s(agent, PL_WORK_SHORT), TEXT_BUSY);
+			    pl_run_max_age_s(agent, work_of_(agent, msg)),
+			    TEXT_BUSY);
 }
 
 static void respond_code_(pl_agent_t *agent, const pl_forward_t *forward,
@@ -58,7 +71,7 @@
 static bool serve_kept_(pl_agent_t *agent, const pl_forward_t *forward,
 			const pl_coap_msg_t *msg)
 {
-	pl_answer_t *answer = pl_answer_store_find(agent->answers,
+	pl_answer_t *answer = pl_answer_store_take(agent->answers,
 						   &forward->flow.caller, msg);
 	pl_exchange_t *exchange;
 
@@ -67,6 +80,7 @@
 	exchange = pl_exchange_open(agent->exchanges, forward, msg);
 	if (exchange)
 		pl_answer_respond(answer, exchange);
+	pl_ref_put(&answer->ref);
 	return true;
 }
 
@@ -90,12 +104,10 @@
 {
 	pl_request_t probe = { 0 };
 
-	probe.method = msg->code;
-	probe.work = pl_scheduler_classify(
-		&agent->scheduler, msg->code, msg->path,
-		msg->size1 > 0 ? (size_t)msg->size1 : msg->payload_len);
-	return !pl_scheduler_admit(&agent->scheduler, &probe,
-				   pl_agent_policy(agent)->deadline_ms);
+	probe.work = work_of_(agent, msg);
+	return !pl_scheduler_admit(
+		&agent->scheduler, &probe,
+		pl_scheduler_deadline_ms(pl_agent_policy(agent), probe.work));
 }
 
 static void run_get_(pl_agent_t *agent, const pl_forward_t *forward,
@@ -356,6 +368,26 @@
 	answer_unknown_(agent, forward, msg);
 }
 
+/*
+ * A block of an upload that is not here, or of another one with its key. The
+ * last block may have reached an agent that is gone, even when this one is
+ * an earlier block that comes late, so the outcome is unknown; but an upload
+ * that was refused here and that nobody else has did not run.
+ */
+static void serve_stray_block_(pl_agent_t *agent, const pl_forward_t *forward,
+			       const pl_coap_msg_t *msg,
+			       const pl_upload_t *upload)
+{
+	if (pl_agent_forward_next(agent, forward))
+		return;
+	if (upload && upload->request->state == PL_REQUEST_REFUSED &&
+	    pl_agent_was_last(agent, forward))
+		respond_code_(agent, forward, msg,
+			      upload->request->refusal_code, TEXT_NOT_RUN);
+	else
+		answer_unknown_(agent, forward, msg);
+}
+
 /* A block after the first: known by its upload, not by a ticket. */
 static void serve_block_(pl_agent_t *agent, const pl_forward_t *forward,
 			 const pl_coap_msg_t *msg)
@@ -364,15 +396,8 @@
 		pl_upload_find(agent->uploads, &forward->flow.caller, msg);
 	pl_exchange_t *exchange;
 
-	if (!upload) {
-		if (pl_agent_forward_next(agent, forward))
-			return;
-		/* without its last block an upload has not run anywhere */
-		if (msg->block1.more && pl_agent_was_last(agent, forward))
-			respond_code_(agent, forward, msg, PL_COAP_INCOMPLETE,
-				      TEXT_BLOCK_MISSING);
-		else
-			answer_unknown_(agent, forward, msg);
+	if (!upload || !pl_upload_takes(upload, msg)) {
+		serve_stray_block_(agent, forward, msg, upload);
 		return;
 	}
 	exchange = pl_exchange_open(agent->exchanges, forward, msg);
