pimentoctl: check, apply, promote, show, diff, and questions to daemons

One file per group of commands; the exit code is the number of the result. Weighed: one argp for all commands (every option would be taken everywhere) and a parser per command (the same code eight times); a table of commands with their own options does.

--- /dev/null
+++ b/src/ctl/cmd_node.c
@@ -0,0 +1,282 @@
+/**
+ * @file
+ * Commands that ask running daemons: status, endpoints, drain, metrics,
+ * explain.
+ */
+#include "private/ctl.h"
+#include "private/table.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define KEY_SERVICE 's'
+#define KEY_CALLER 'l'
+
+static const pl_column_t status_columns_[] = {
+	{ "NAME", "name" },
+	{ "ROLE", "role" },
+	{ "DATACENTRE", "datacentre" },
+	{ "REVISION", "revision" },
+	{ "DRAINING", "draining" },
+	{ "ALIVE", "members.alive" },
+	{ "SUSPECT", "members.suspect" },
+	{ "UNREACHABLE", "members.unreachable" },
+	{ "DEAD", "members.dead" },
+	{ "INNER", "inner" },
+	{ 0 },
+};
+
+static const pl_column_t endpoint_columns_[] = {
+	{ "SERVICE", "service" },
+	{ "NAME", "name" },
+	{ "DATACENTRE", "datacentre" },
+	{ "STATE", "state" },
+	{ "WEIGHT", "weight" },
+	{ "SLOTS", "slots" },
+	{ "MEMBER", "member" },
+	{ "AGENT", "agent" },
+	{ 0 },
+};
+
+static pl_result_t need_admin_(const pl_ctl_t *ctl, pl_error_t *err)
+{
+	if (ctl->admins->len > 0)
+		return PL_OK;
+	return pl_error_set(err, PL_ERR_USAGE, "needs --admin=IP:PORT");
+}
+
+/* Calls one daemon and parses its JSON answer, freed by json_object_put(). */
+static pl_result_t ask_(const pl_ctl_t *ctl, const char *admin,
+			const char *method, const char *path,
+			struct json_object **answer, pl_error_t *err)
+{
+	char *body = NULL;
+	pl_result_t result = pl_ctl_call(ctl, admin, method, path, &body, err);
+
+	*answer = result == PL_OK ? json_tokener_parse(body) : NULL;
+	if (result == PL_OK && !*answer)
+		result = pl_error_set(err, PL_ERR_MALFORMED,
+				      "%s: the answer is not JSON", admin);
+	g_free(body);
+	return result;
+}
+
+/* Asks the daemons one after another until one answers. */
+static pl_result_t ask_any_(const pl_ctl_t *ctl, const char *path,
+			    struct json_object **answer, pl_error_t *err)
+{
+	pl_result_t result = need_admin_(ctl, err);
+
+	for (guint i = 0; i < ctl->admins->len; i++) {
+		result = ask_(ctl, g_ptr_array_index(ctl->admins, i), "GET",
+			      path, answer, err);
+		if (result != PL_ERR_UNAVAILABLE)
+			return result;
+	}
+	return result;
+}
+
+/* Every daemon that answers gives a row; the others are named. */
+static pl_result_t status_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	struct json_object *rows = json_object_new_array();
+	pl_result_t result = need_admin_(ctl, err);
+
+	for (guint i = 0; i < ctl->admins->len; i++) {
+		struct json_object *row = NULL;
+		pl_result_t one = ask_(ctl, g_ptr_array_index(ctl->admins, i),
+				       "GET", "/status", &row, err);
+
+		if (one == PL_OK) {
+			json_object_array_add(rows, row);
+			continue;
+		}
+		fprintf(stderr, "pimentoctl: %s\n", err->text);
+		*err->text = '\0';
+		result = one;
+	}
+	if (ctl->json) {
+		pl_ctl_print_json(rows);
+		return result;
+	}
+	if (json_object_array_length(rows) > 0)
+		pl_table_print(rows, status_columns_);
+	json_object_put(rows);
+	return result;
+}
+
+static pl_result_t endpoints_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	struct json_object *rows = NULL;
+	pl_result_t result = ask_any_(ctl, "/endpoints", &rows, err);
+
+	if (result != PL_OK)
+		return result;
+	if (ctl->json) {
+		pl_ctl_print_json(rows);
+		return PL_OK;
+	}
+	pl_table_print(rows, endpoint_columns_);
+	json_object_put(rows);
+	return PL_OK;
+}
+
+static pl_result_t drain_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	struct json_object *answer = NULL;
+	const char *admin;
+	pl_result_t result;
+
+	if (ctl->admins->len != 1)
+		return pl_error_set(err, PL_ERR_USAGE,
+				    "drains one daemon at a time; needs one "
+				    "--admin=IP:PORT");
+	admin = g_ptr_array_index(ctl->admins, 0);
+	result = ask_(ctl, admin, "POST", "/drain", &answer, err);
+	if (result != PL_OK)
+		return result;
+	if (ctl->json) {
+		pl_ctl_print_json(answer);
+		return PL_OK;
+	}
+	printf("%s: takes no new work; `pimentoctl status --admin=%s` tells "
+	       "what is left\n",
+	       admin, admin);
+	json_object_put(answer);
+	return PL_OK;
+}
+
+/* Prints the lines that have @p name in them. */
+static void print_lines_(const char *text, const char *name)
+{
+	char **lines = g_strsplit(text, "\n", 0);
+
+	for (char **line = lines; *line; line++) {
+		if (**line && strstr(*line, name))
+			puts(*line);
+	}
+	g_strfreev(lines);
+}
+
+/* Turns "name value" lines into one object. */
+static struct json_object *metrics_object_(const char *text, const char *name)
+{
+	struct json_object *object = json_object_new_object();
+	char **lines = g_strsplit(text, "\n", 0);
+
+	for (char **line = lines; *line; line++) {
+		char *space = strrchr(*line, ' ');
+
+		if (!space || **line == '#' || !strstr(*line, name))
+			continue;
+		*space = '\0';
+		json_object_object_add(object, *line,
+				       json_object_new_double(g_ascii_strtod(
+					       space + 1, NULL)));
+	}
+	g_strfreev(lines);
+	return object;
+}
+
+static pl_result_t metrics_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	const char *name = ctl->arg_count > 0 ? ctl->args[0] : "";
+	struct json_object *all = json_object_new_object();
+	pl_result_t result = need_admin_(ctl, err);
+
+	for (guint i = 0; result == PL_OK && i < ctl->admins->len; i++) {
+		const char *admin = g_ptr_array_index(ctl->admins, i);
+		char *text = NULL;
+
+		result = pl_ctl_call(ctl, admin, "GET", "/metrics", &text, err);
+		if (result == PL_OK && ctl->json) {
+			json_object_object_add(all, admin,
+					       metrics_object_(text, name));
+		} else if (result == PL_OK) {
+			if (ctl->admins->len > 1)
+				printf("# %s\n", admin);
+			print_lines_(text, name);
+		}
+		g_free(text);
+	}
+	if (result == PL_OK && ctl->json)
+		pl_ctl_print_json(all);
+	else
+		json_object_put(all);
+	return result;
+}
+
+static const char *text_of_(struct json_object *object, const char *key)
+{
+	struct json_object *value = NULL;
+
+	json_object_object_get_ex(object, key, &value);
+	return value ? json_object_get_string(value) : "-";
+}
+
+static void print_explained_(struct json_object *answer)
+{
+	struct json_object *rank = NULL;
+
+	printf("service %s, caller %s, revision %s\n%s\n",
+	       text_of_(answer, "service"), text_of_(answer, "caller"),
+	       text_of_(answer, "revision"), text_of_(answer, "why"));
+	if (json_object_object_get_ex(answer, "rank", &rank) &&
+	    json_object_is_type(rank, json_type_array))
+		pl_table_print(rank, endpoint_columns_);
+}
+
+static pl_result_t explain_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	const char *service = pl_ctl_value(ctl, KEY_SERVICE, NULL);
+	const char *caller = pl_ctl_value(ctl, KEY_CALLER, NULL);
+	struct json_object *answer = NULL;
+	pl_result_t result;
+	char *path;
+
+	if (!service || !caller)
+		return pl_error_set(err, PL_ERR_USAGE,
+				    "needs --service=NAME and "
+				    "--caller=IP:PORT");
+	path = g_strdup_printf("/explain?service=%s&caller=%s", service,
+			       caller);
+	result = ask_any_(ctl, path, &answer, err);
+	g_free(path);
+	if (result != PL_OK)
+		return result;
+	if (ctl->json) {
+		pl_ctl_print_json(answer);
+		return PL_OK;
+	}
+	print_explained_(answer);
+	json_object_put(answer);
+	return PL_OK;
+}
+
+static const struct argp_option explain_options_[] = {
+	{ "service", KEY_SERVICE, "NAME", 0, "Service that is called", 0 },
+	{ "caller", KEY_CALLER, "IP:PORT", 0, "Address of the caller", 0 },
+	{ 0 },
+};
+
+const pl_ctl_command_t pl_ctl_node_commands[] = {
+	{ "status", "", 0, 0,
+	  "Prints one line for each daemon: its state, the revision in force "
+	  "and the members that it knows.",
+	  NULL, status_ },
+	{ "endpoints", "", 0, 0,
+	  "Prints the backend servers as one daemon sees them.", NULL,
+	  endpoints_ },
+	{ "drain", "", 0, 0,
+	  "Lets a daemon hand over its views, finish its requests and take no "
+	  "new work.",
+	  NULL, drain_ },
+	{ "metrics", "[NAME]", 0, 1,
+	  "Prints counters and histograms, those with NAME in them if it is "
+	  "given.",
+	  NULL, metrics_ },
+	{ "explain", "", 0, 0,
+	  "Tells which endpoints a caller's datagrams go to, and why.",
+	  explain_options_, explain_ },
+	{ 0 },
+};
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,261 @@
+/**
+ * @file
+ * pimentoctl: finds the command, reads its options and runs it. The exit
+ * code is the number of the result.
+ */
+#include "private/ctl.h"
+
+#include <pimentolift/tool_settings.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_DEFAULT_MS 5000
+#define DECIMAL 10
+
+const char *argp_program_version = "pimentoctl " PL_VERSION;
+
+static const char doc_[] =
+	"Checks, applies and promotes configuration documents, and asks "
+	"running daemons."
+	"\vCommands:\n"
+	"  check FILE       say everything that is wrong with a document\n"
+	"  apply FILE       put a document in force in an environment\n"
+	"  promote          carry the document of one environment to another\n"
+	"  show             print the document of an environment\n"
+	"  diff FILE [FILE] tell what changes\n"
+	"  status           a daemon's state, revision and members\n"
+	"  endpoints        backend servers as a daemon sees them\n"
+	"  drain            let a daemon finish its work and take no more\n"
+	"  metrics [NAME]   counters and histograms\n"
+	"  explain          where a caller's datagrams go, and why\n\n"
+	"`pimentoctl COMMAND --help` tells the options of a command. Exit "
+	"codes: 0 ok, 1 wrong command line, 2 document not valid, 3 somebody "
+	"else changed it first, 4 platform or daemon down, 5 outcome unknown; "
+	"docs/RESULTS.md lists all.";
+
+static const struct argp_option shared_options_[] = {
+	{ "platform", 'p', "URL", 0, "Base URL of the key-value service", 1 },
+	{ "environment", 'e', "NAME", 0, "Environment that is meant", 1 },
+	{ "admin", 'a', "IP:PORT", 0,
+	  "Admin port of a daemon; may be given several times", 1 },
+	{ "config", 'c', "FILE", 0,
+	  "TOML file with platform, environment, admin and timeout_ms "
+	  "(default: $PIMENTOCTL_CONFIG)",
+	  1 },
+	{ "timeout", 't', "MS", 0, "Time for one call, in milliseconds", 1 },
+	{ "json", 'j', NULL, 0, "Print JSON", 1 },
+	{ 0 },
+};
+
+static void set_text_(char **text, const char *value)
+{
+	g_free(*text);
+	*text = g_strdup(value);
+}
+
+static error_t parse_shared_(int key, char *arg, struct argp_state *state)
+{
+	pl_ctl_t *ctl = state->input;
+
+	switch (key) {
+	case 'p':
+		set_text_(&ctl->platform, arg);
+		return 0;
+	case 'e':
+		set_text_(&ctl->environment, arg);
+		return 0;
+	case 'a':
+		g_ptr_array_add(ctl->admins, g_strdup(arg));
+		return 0;
+	case 'c':
+		set_text_(&ctl->config, arg);
+		return 0;
+	case 't':
+		ctl->timeout_ms = (uint32_t)strtoul(arg, NULL, DECIMAL);
+		if (ctl->timeout_ms == 0)
+			argp_error(state, "\"%s\" is no time", arg);
+		return 0;
+	case 'j':
+		ctl->json = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp shared_argp_ = {
+	shared_options_, parse_shared_, NULL, NULL, NULL, NULL, NULL
+};
+
+static bool is_option_(const pl_ctl_command_t *command, int key)
+{
+	const struct argp_option *option = command->options;
+
+	while (option && option->name) {
+		if (option->key == key)
+			return true;
+		option++;
+	}
+	return false;
+}
+
+static error_t parse_command_(int key, char *arg, struct argp_state *state)
+{
+	pl_ctl_t *ctl = state->input;
+
+	switch (key) {
+	case ARGP_KEY_INIT:
+		state->child_inputs[0] = ctl;
+		return 0;
+	case ARGP_KEY_ARG:
+		if (ctl->arg_count == ctl->command->args_max)
+			argp_error(state, "unexpected argument \"%s\"", arg);
+		else
+			ctl->args[ctl->arg_count++] = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (ctl->arg_count < ctl->command->args_min)
+			argp_error(state, "needs %s", ctl->command->args);
+		return 0;
+	default:
+		if (!is_option_(ctl->command, key))
+			return ARGP_ERR_UNKNOWN;
+		ctl->values[key] = arg ? arg : "";
+		return 0;
+	}
+}
+
+static const pl_ctl_command_t *find_in_(const pl_ctl_command_t *commands,
+					const char *name)
+{
+	for (; commands->name; commands++) {
+		if (strcmp(commands->name, name) == 0)
+			return commands;
+	}
+	return NULL;
+}
+
+static const pl_ctl_command_t *find_(const char *name)
+{
+	const pl_ctl_command_t *const groups[] = {
+		pl_ctl_document_commands,
+		pl_ctl_publish_commands,
+		pl_ctl_node_commands,
+	};
+	const pl_ctl_command_t *command = NULL;
+
+	for (size_t i = 0; !command && i < G_N_ELEMENTS(groups); i++)
+		command = find_in_(groups[i], name);
+	return command;
+}
+
+/* The first word that is no option is the command; the rest is its own. */
+static error_t parse_main_(int key, char *arg, struct argp_state *state)
+{
+	int *command = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		*command = state->next - 1;
+		state->next = state->argc;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_error(state, "needs a command");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Takes from the file what the command line left open. */
+static pl_result_t read_config_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	const char *path =
+		ctl->config ? ctl->config : g_getenv("PIMENTOCTL_CONFIG");
+	pl_tool_settings_t settings = { 0 };
+	char text[PL_ADDR_TEXT_MAX];
+	pl_problems_t *problems;
+	pl_result_t result;
+
+	if (!path)
+		return PL_OK;
+	problems = pl_problems_new(path);
+	result = pl_tool_settings_load(path, &settings, problems);
+	if (result != PL_OK)
+		pl_error_set(err, result, "%s", pl_problems_at(problems, 0));
+	pl_problems_delete(problems);
+	if (!ctl->platform)
+		ctl->platform = g_strdup(settings.platform);
+	if (!ctl->environment && *settings.environment)
+		ctl->environment = g_strdup(settings.environment);
+	if (ctl->timeout_ms == 0)
+		ctl->timeout_ms = settings.timeout_ms;
+	if (ctl->admins->len == 0) {
+		for (size_t i = 0; i < settings.admin.count; i++)
+			g_ptr_array_add(ctl->admins,
+					g_strdup(pl_addr_format(
+						&settings.admin.at[i], text)));
+	}
+	pl_tool_settings_finish(&settings);
+	return result;
+}
+
+static pl_result_t run_(const pl_ctl_command_t *command, int argc, char **argv)
+{
+	const struct argp_child children[] = {
+		{ &shared_argp_, 0, "Options of all commands:", 2 },
+		{ 0 },
+	};
+	const struct argp argp = {
+		command->options, parse_command_, command->args, command->doc,
+		children,	  NULL,		  NULL
+	};
+	pl_ctl_t ctl = {
+		.command = command,
+		.admins = g_ptr_array_new_with_free_func(g_free),
+	};
+	pl_error_t err = PL_ERROR_INIT;
+	pl_result_t result;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &ctl);
+	result = read_config_(&ctl, &err);
+	if (ctl.timeout_ms == 0)
+		ctl.timeout_ms = TIMEOUT_DEFAULT_MS;
+	if (result == PL_OK)
+		result = command->run(&ctl, &err);
+	if (result != PL_OK && *err.text)
+		fprintf(stderr, "pimentoctl: %s\n", err.text);
+	g_ptr_array_free(ctl.admins, TRUE);
+	g_free(ctl.platform);
+	g_free(ctl.environment);
+	g_free(ctl.config);
+	return result;
+}
+
+int main(int argc, char **argv)
+{
+	const struct argp argp = { NULL, parse_main_, "COMMAND [OPTION...]",
+				   doc_, NULL,	      NULL,
+				   NULL };
+	const pl_ctl_command_t *command;
+	pl_result_t result;
+	int index = 0;
+	char *name;
+
+	argp_err_exit_status = PL_ERR_USAGE;
+	argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &index);
+	command = find_(argv[index]);
+	if (!command) {
+		fprintf(stderr,
+			"pimentoctl: no command \"%s\"; see pimentoctl "
+			"--help\n",
+			argv[index]);
+		return PL_ERR_USAGE;
+	}
+	name = g_strdup_printf("pimentoctl %s", command->name);
+	argv[index] = name;
+	result = run_(command, argc - index, argv + index);
+	g_free(name);
+	return (int)result;
+}
--- /dev/null
+++ b/src/ctl/table.c
@@ -0,0 +1,65 @@
+/**
+ * @file
+ * Tables with columns as wide as their cells.
+ */
+#include "private/table.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define GAP 2
+
+/* The member "a.b" of @p row as text; "-" when absent. */
+static const char *cell_(struct json_object *row, const char *member)
+{
+	char **parts = g_strsplit(member, ".", 0);
+	struct json_object *value = row;
+
+	for (char **part = parts; *part && value; part++) {
+		if (!json_object_object_get_ex(value, *part, &value))
+			value = NULL;
+	}
+	g_strfreev(parts);
+	return value ? json_object_get_string(value) : "-";
+}
+
+static int width_(struct json_object *rows, const pl_column_t *column)
+{
+	size_t width = strlen(column->title);
+
+	for (size_t i = 0; i < json_object_array_length(rows); i++) {
+		const char *text = cell_(json_object_array_get_idx(rows, i),
+					 column->member);
+
+		if (strlen(text) > width)
+			width = strlen(text);
+	}
+	return (int)width;
+}
+
+static void print_cell_(const char *text, int width, int last)
+{
+	if (last)
+		printf("%s\n", text);
+	else
+		printf("%-*s", width + GAP, text);
+}
+
+void pl_table_print(struct json_object *rows, const pl_column_t *columns)
+{
+	int widths[16] = { 0 };
+	size_t count = 0;
+
+	for (; columns[count].title && count < G_N_ELEMENTS(widths); count++)
+		widths[count] = width_(rows, &columns[count]);
+	for (size_t c = 0; c < count; c++)
+		print_cell_(columns[c].title, widths[c], c + 1 == count);
+	for (size_t i = 0; i < json_object_array_length(rows); i++) {
+		struct json_object *row = json_object_array_get_idx(rows, i);
+
+		for (size_t c = 0; c < count; c++)
+			print_cell_(cell_(row, columns[c].member), widths[c],
+				    c + 1 == count);
+	}
+}
