--- a/include/pimentolift/document.h
+++ b/include/pimentolift/document.h
@@ -24,7 +24,7 @@
 /** Format of the document that this release reads. */
 #define PL_DOCUMENT_FORMAT 1
 /** Most services of a document. */
-#define PL_DOCUMENT_SERVICES_MAX 1024
+#define PL_DOCUMENT_SERVICES_MAX 4096
 /** Most addresses of a service. */
 #define PL_DOCUMENT_ADDRESSES_MAX 4096
 /** Most data centres with a weight, and most objectives, of a service. */
--- a/test/config/sync_fake.c
+++ b/test/config/sync_fake.c
@@ -112,6 +112,7 @@
 	delivery->body = g_memdup2(frame->body, frame->body_len);
 	delivery->frame.body = delivery->body;
 	node->frame_bytes_out += frame->body_len;
+	node->frames_out++;
 }
 
 static void read_(void *ctx)
@@ -336,6 +337,7 @@
 {
 	model->services = services;
 	model->addresses = addresses;
+	model->objectives = false;
 	for (size_t i = 0; i < services; i++)
 		model->deadline[i] = DEADLINE_MIN_MS;
 }
@@ -372,8 +374,12 @@
 		for (size_t j = 0; j < model->addresses; j++)
 			g_string_append_printf(
 				text, "%s\"10.%zu.%zu.%zu:5683\"",
-				j ? ", " : "", i, j / 250, j % 250 + 1);
+				j ? ", " : "", i / 256, i % 256, j + 1);
 		g_string_append(text, "]\n");
+		if (model->objectives)
+			g_string_append(text, "[[service.objective]]\n"
+					      "kind = \"availability\"\n"
+					      "target = 0.999\n");
 	}
 	return g_string_free(text, FALSE);
 }
--- a/test/config/sync_fake.h
+++ b/test/config/sync_fake.h
@@ -11,6 +11,10 @@
 
 typedef struct fake fake_t;
 
+/** Most services of a model, and most addresses of each. */
+#define MODEL_SERVICES_MAX 2048
+#define MODEL_ADDRESSES_MAX 250
+
 /** One member. */
 typedef struct {
 	fake_t *fake;
@@ -29,6 +33,7 @@
 	unsigned int reads;
 	unsigned int watches;
 	size_t frame_bytes_out;
+	size_t frames_out;
 } node_t;
 
 struct fake {
@@ -75,9 +80,11 @@
 
 /** Document of @p services services; @p edits change some by @p rand. */
 typedef struct {
-	unsigned int deadline[64]; /**< 0: the service is absent */
+	unsigned int
+		deadline[MODEL_SERVICES_MAX]; /**< 0: the service is absent */
 	size_t services;
 	size_t addresses; /**< of each service */
+	bool objectives; /**< each service has one */
 } model_t;
 
 void model_init(model_t *model, size_t services, size_t addresses);
