--- a/test/soak/lab.h
+++ b/test/soak/lab.h
@@ -92,6 +92,8 @@
 	uint64_t next_poll_ms;
 	uint64_t next_check_ms;
 	GQueue updates;
+	long long
+		stale[LAB_SERVICES]; /**< views that a breach was counted for */
 	change_t change;
 	uint32_t change_count;
 	GPtrArray *episodes; /**< of episode_t */
@@ -101,6 +103,7 @@
 	GPtrArray *breach_texts;
 	uint64_t view_delay_max_ms;
 	uint64_t change_delay_max_ms;
+	bool lossy; /**< the fabric loses datagrams, or did */
 	bool verbose;
 } lab_t;
 
