Agent: a backend server of another service gets nothing that waited

When the backend server announced itself for another service, requests that waited for the old one would have run at the new one. An agent without backend server refused GETs that another agent could serve, unless the retry budget allowed it.

Weighed: dropping what waits (callers would time out) or refusing it, which is true and quick. Work that cannot be served here goes to the home among the others without touching the retry budget, which is for retries.

Conclusion: the service of a request is asserted where it is handed to the backend server. No-Response (RFC 7967) does not suppress 2.31 and 4.01.

--- a/src/agent/admission.c
+++ b/src/agent/admission.c
@@ -241,6 +241,13 @@
 	return first ? PL_CONTAINER_OF(first, pl_request_t, queue) : NULL;
 }
 
+pl_request_t *pl_scheduler_first(const pl_scheduler_t *scheduler)
+{
+	pl_request_t *request = head_(scheduler, PL_WORK_SHORT);
+
+	return request ? request : head_(scheduler, PL_WORK_LONG);
+}
+
 /* Short work first, but long work that may run gets its turn. */
 static pl_request_t *deadline_next_(pl_scheduler_t *scheduler)
 {
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -167,6 +167,9 @@
 void pl_agent_set_backend(pl_agent_t *agent, pl_service_id_t service,
 			  uint32_t slots)
 {
+	/* what waits for another service must not run at this one */
+	if (service != 0 && service != agent->service)
+		pl_run_refuse_waiting(agent);
 	agent->present = service != 0;
 	if (service != 0) {
 		agent->service = service;
--- a/src/agent/exchange.c
+++ b/src/agent/exchange.c
@@ -282,6 +282,9 @@
 {
 	unsigned int code_class = code >> 5;
 
+	/* without these the transfer could not go on */
+	if (code == PL_COAP_CONTINUE || code == PL_COAP_UNAUTHORIZED)
+		return false;
 	return code_class >= 2 &&
 	       (exchange->no_response & (1U << (code_class - 1))) != 0;
 }
--- a/src/agent/forward.c
+++ b/src/agent/forward.c
@@ -65,10 +65,16 @@
 		     ranked) <= forward->hops;
 }
 
+bool pl_agent_leaves_work(const pl_agent_t *agent)
+{
+	return agent->draining || !agent->present;
+}
+
 bool pl_agent_forward_home(pl_agent_t *agent, const pl_forward_t *forward)
 {
 	const pl_endpoint_t *ranked[RANKED];
-	pl_member_id_t exclude = agent->draining ? agent->params.self : 0;
+	pl_member_id_t exclude =
+		pl_agent_leaves_work(agent) ? agent->params.self : 0;
 	size_t count = rank_(agent, forward, PL_RANK_SERVING, exclude, ranked);
 
 	if (count == 0 || ranked[0]->agent == agent->params.self)
--- a/src/agent/private/admission.h
+++ b/src/agent/private/admission.h
@@ -92,6 +92,9 @@
 /** Takes the request for the next free slot, or returns NULL. */
 pl_request_t *pl_scheduler_take(pl_scheduler_t *scheduler);
 
+/** A request that is queued, or NULL. */
+pl_request_t *pl_scheduler_first(const pl_scheduler_t *scheduler);
+
 /** Takes a queued request out of its queue. */
 void pl_scheduler_remove(pl_scheduler_t *scheduler, pl_request_t *request);
 
--- a/src/agent/private/agent_private.h
+++ b/src/agent/private/agent_private.h
@@ -40,7 +40,6 @@
 	bool scheduling; /**< a loop over free slots is on the stack */
 	uint64_t birth; /**< boot of the process's first life */
 	pl_ms_t drain_at;
-	pl_ms_t ticket_at; /**< last issue of a ticket */
 	uint32_t revoked_s; /**< unused tickets up to this time are void */
 	double retry_stock; /**< retries allowed now */
 	pl_ms_t mismatch_logged_at;
@@ -73,6 +72,9 @@
 /** Whether every other reachable agent was asked before this one. */
 bool pl_agent_was_last(const pl_agent_t *agent, const pl_forward_t *forward);
 
+/** Whether new work goes to others: a drain, or no backend server. */
+bool pl_agent_leaves_work(const pl_agent_t *agent);
+
 /** Passes a datagram on to the caller's home, unless that is here. */
 bool pl_agent_forward_home(pl_agent_t *agent, const pl_forward_t *forward);
 
@@ -139,6 +141,9 @@
 /** Refuses a request whose deadline passed in the queue. */
 void pl_run_expire(pl_agent_t *agent, pl_request_t *request);
 
+/** Refuses all that waits or is being gathered. */
+void pl_run_refuse_waiting(pl_agent_t *agent);
+
 /** Gives up a plain request that nobody waits for. */
 void pl_run_cancel(pl_agent_t *agent, pl_request_t *request);
 
--- a/src/agent/private/upload.h
+++ b/src/agent/private/upload.h
@@ -66,6 +66,9 @@
 /** Forgets the upload; its request stays. */
 void pl_upload_forget(pl_upload_table_t *table, pl_upload_t *upload);
 
+/** An unfinished upload, or NULL. */
+pl_upload_t *pl_upload_first(const pl_upload_table_t *table);
+
 /** An unfinished upload that is silent for too long, or NULL. */
 pl_upload_t *pl_upload_idle(pl_upload_table_t *table);
 
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -117,6 +117,21 @@
 	conclude_(agent, request);
 }
 
+void pl_run_refuse_waiting(pl_agent_t *agent)
+{
+	pl_request_t *request = pl_scheduler_first(&agent->scheduler);
+	pl_upload_t *upload = pl_upload_first(agent->uploads);
+
+	for (; request; request = pl_scheduler_first(&agent->scheduler))
+		pl_run_refuse(agent, request, PL_COAP_UNAVAILABLE,
+			      PL_CAUSE_AGENT);
+	for (; upload; upload = pl_upload_first(agent->uploads)) {
+		pl_upload_settle(agent->uploads, upload);
+		pl_run_refuse(agent, upload->request, PL_COAP_UNAVAILABLE,
+			      PL_CAUSE_AGENT);
+	}
+}
+
 void pl_run_cancel(pl_agent_t *agent, pl_request_t *request)
 {
 	bool running = request->state == PL_REQUEST_DISPATCHED;
@@ -201,6 +216,20 @@
 	agent->ops->dispatch(agent->ctx, request->id, &out);
 }
 
+/* Starts a request that was taken from the queue. */
+static void start_(pl_agent_t *agent, pl_request_t *request)
+{
+	if (!PL_INVARIANT(request->flow.service == agent->service,
+			  "request of another service in the queue")) {
+		pl_scheduler_release(&agent->scheduler, request);
+		pl_run_refuse(agent, request, PL_COAP_UNAVAILABLE,
+			      PL_CAUSE_AGENT);
+		return;
+	}
+	if (pl_request_move(request, PL_REQUEST_DISPATCHED, PL_CAUSE_AGENT))
+		dispatch_(agent, request);
+}
+
 void pl_run_fill_slots(pl_agent_t *agent)
 {
 	pl_request_t *request;
@@ -211,9 +240,7 @@
 	agent->scheduling = true;
 	request = pl_scheduler_take(&agent->scheduler);
 	while (request) {
-		if (pl_request_move(request, PL_REQUEST_DISPATCHED,
-				    PL_CAUSE_AGENT))
-			dispatch_(agent, request);
+		start_(agent, request);
 		request = pl_scheduler_take(&agent->scheduler);
 	}
 	agent->scheduling = false;
@@ -236,7 +263,9 @@
 static void lost_(pl_agent_t *agent, pl_request_t *request)
 {
 	bool again = !request->ticketed && request->retries < RETRIES_MAX &&
-		     agent->present && time_left_ms_(agent, request) > 0 &&
+		     agent->present &&
+		     request->flow.service == agent->service &&
+		     time_left_ms_(agent, request) > 0 &&
 		     pl_agent_spend_retry(agent);
 
 	if (again &&
--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -229,7 +229,8 @@
 	if (wants_rest_(msg)) {
 		if (serve_rest_(agent, forward, msg))
 			return;
-	} else if (agent->draining && pl_agent_forward_home(agent, forward)) {
+	} else if (pl_agent_leaves_work(agent) &&
+		   pl_agent_forward_home(agent, forward)) {
 		return;
 	}
 	run_get_(agent, forward, msg);
@@ -263,7 +264,6 @@
 	pl_ticket_issue(&agent->params.ticket_key, &ticket, &forward->flow,
 			pl_ticket_digest(msg), echo);
 	pl_counter_add(PL_COUNTER_TICKETS_ISSUED, 1);
-	agent->ticket_at = pl_timer_service_now(agent->timers);
 	pl_exchange_write_start(exchange, &writer, buf, sizeof(buf),
 				PL_COAP_UNAUTHORIZED);
 	pl_coap_write_option(&writer, PL_COAP_OPT_ECHO, echo, sizeof(echo));
@@ -288,7 +288,7 @@
 				 TEXT_TOO_LARGE);
 		return;
 	}
-	if ((agent->draining || !agent->present) &&
+	if (pl_agent_leaves_work(agent) &&
 	    pl_agent_forward_home(agent, forward))
 		return;
 	if (overloaded_(agent, msg) && pl_agent_forward_other(agent, forward))
--- a/src/agent/upload.c
+++ b/src/agent/upload.c
@@ -154,14 +154,19 @@
 	return append_(table, upload, msg);
 }
 
-pl_upload_t *pl_upload_idle(pl_upload_table_t *table)
+pl_upload_t *pl_upload_first(const pl_upload_table_t *table)
 {
 	pl_list_t *first = pl_list_first(&table->idle);
-	pl_upload_t *upload;
 
-	if (!first)
+	return first ? PL_CONTAINER_OF(first, pl_upload_t, idle) : NULL;
+}
+
+pl_upload_t *pl_upload_idle(pl_upload_table_t *table)
+{
+	pl_upload_t *upload = pl_upload_first(table);
+
+	if (!upload)
 		return NULL;
-	upload = PL_CONTAINER_OF(first, pl_upload_t, idle);
 	if (upload->last_block_at + PL_UPLOAD_IDLE_MS >
 	    pl_timer_service_now(table->timers))
 		return NULL;
--- a/test/agent/honesty_test.c
+++ b/test/agent/honesty_test.c
@@ -322,6 +322,44 @@
 	fixture_delete(f);
 }
 
+static void backend_of_another_service_gets_nothing_old(void **state)
+{
+	fixture_t *f = fixture_new(1, 1);
+	uint8_t echo[PL_TICKET_BYTES];
+	ask_t post = post_();
+	ask_t block = post_();
+	pl_coap_msg_t msg;
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		ask_t get = { .code = PL_COAP_GET, .path = "permits" };
+
+		fixture_ask(f, 0, &get);
+	}
+	fixture_ask_ticketed(f, 0, &post, echo);
+	block.token = 60;
+	block.payload_len = 64;
+	block.payload =
+		"a photo of a water meter that is long enough for one block 0123";
+	block.block1 =
+		(pl_coap_block_t){ .present = true, .more = true, .szx = 2 };
+	fixture_ask_ticketed(f, 0, &block, echo);
+	fixture_expect(f, PL_COAP_CONTINUE, &msg);
+	assert_int_equal(fixture_calls(f), 2);
+	/* what waits and what is being gathered did not run and never will */
+	pl_agent_set_backend(f->nodes[0].agent, pl_service_id("meters"), 2);
+	fixture_expect(f, PL_COAP_UNAVAILABLE, &msg);
+	fixture_end(f, 0, PL_BACKEND_LOST, NULL, 0);
+	fixture_end(f, 1, PL_BACKEND_LOST, NULL, 0);
+	assert_int_equal(fixture_calls(f), 2);
+	pl_agent_set_backend(f->nodes[0].agent, pl_service_id("permits"), 2);
+	g_ptr_array_set_size(f->sent, 0);
+	repeat_(f, 0, &block);
+	fixture_expect(f, PL_COAP_UNAVAILABLE, &msg);
+	assert_int_equal(fixture_calls(f), 2);
+	fixture_delete(f);
+}
+
 static void full_table_refuses_and_revokes(void **state)
 {
 	fixture_t *f = fixture_new(1, 1);
@@ -381,6 +419,7 @@
 		cmocka_unit_test(refusal_of_the_backend_is_final),
 		cmocka_unit_test(draining_agent_finishes_what_it_promised),
 		cmocka_unit_test(other_service_is_dropped),
+		cmocka_unit_test(backend_of_another_service_gets_nothing_old),
 		cmocka_unit_test(full_table_refuses_and_revokes),
 	};
 
--- a/test/agent/routing_test.c
+++ b/test/agent/routing_test.c
@@ -61,6 +61,23 @@
 	fixture_delete(f);
 }
 
+static void agent_without_a_backend_server_passes_work_on(void **state)
+{
+	fixture_t *f = fixture_new(2, 1);
+	ask_t get = { .code = PL_COAP_GET, .path = "permits" };
+	ask_t post = { .code = PL_COAP_POST, .path = "permits" };
+	uint8_t echo[PL_TICKET_BYTES];
+	int home = home_(f);
+
+	(void)state;
+	pl_agent_set_backend(f->nodes[home].agent, 0, 0);
+	fixture_ask(f, home, &get);
+	assert_int_equal(fixture_calls(f), 1);
+	fixture_ask_ticketed(f, home, &post, echo);
+	assert_int_equal(fixture_calls(f), 2);
+	fixture_delete(f);
+}
+
 static void unknown_ack_is_passed_on_at_most_twice(void **state)
 {
 	fixture_t *f = fixture_new(3, 1);
@@ -197,6 +214,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(view_is_opened_at_the_home),
 		cmocka_unit_test(lonely_leaver_opens_no_view),
+		cmocka_unit_test(agent_without_a_backend_server_passes_work_on),
 		cmocka_unit_test(unknown_ack_is_passed_on_at_most_twice),
 		cmocka_unit_test(
 			separate_answer_is_acknowledged_at_another_agent),
