--- a/test/soak/lab.c
+++ b/test/soak/lab.c
@@ -5,7 +5,9 @@
 #include "lab.h"
 
 #include <glib/gstdio.h>
+#include <pimentolift/envelope.h>
 #include <stdarg.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define TICK_MS 10
@@ -35,6 +37,8 @@
 static char *document_(const lab_t *lab)
 {
 	GString *text = g_string_new("format = 1\n");
+	pl_envelope_t envelope;
+	char *whole;
 
 	for (int s = 0; s < LAB_SERVICES; s++)
 		g_string_append_printf(text,
@@ -43,15 +47,10 @@
 				       "deadline_ms = %u\n",
 				       lab_services[s], addresses_[s],
 				       3000 + lab->change_count % 1000);
-	json_object *envelope = json_object_new_object();
-	char *whole;
-
-	json_object_object_add(envelope, "revision",
-			       json_object_new_uint64(lab->change_count));
-	json_object_object_add(envelope, "document",
-			       json_object_new_string(text->str));
-	whole = g_strdup(json_object_to_json_string(envelope));
-	json_object_put(envelope);
+	pl_envelope_init(&envelope, NULL, "lab", text->str, text->len);
+	envelope.revision = (uint64_t)lab->change_count;
+	whole = pl_envelope_encode(&envelope);
+	pl_envelope_finish(&envelope);
 	g_string_free(text, TRUE);
 	return whole;
 }
@@ -98,7 +97,7 @@
 			  (int)lab->change.revision);
 	}
 	g_free(answer);
-	g_free(text);
+	free(text);
 	g_free(url);
 	return accepted;
 }
