--- a/test/agent/random_test.c
+++ b/test/agent/random_test.c
@@ -410,7 +410,7 @@
 	pl_service_id_t service = pl_service_id("permits");
 	uint64_t boot = g_rand_int(w->f->rand) + 1000ULL;
 
-	switch (below_(w, 5)) {
+	switch (below_(w, 7)) {
 	case 0:
 		fixture_restart(w->f, index, boot);
 		break;
@@ -425,6 +425,9 @@
 	case 3:
 		pl_agent_set_backend(node->agent, 0, 0);
 		break;
+	case 4:
+		pl_agent_set_backend(node->agent, pl_service_id("meters"), 2);
+		break;
 	default:
 		pl_agent_set_backend(node->agent, service, 2);
 	}
