Views: silent callers, a limit, blocks, errors; frames are bounded

- a caller that was not heard for an hour is sent the state once more (RFC 7641 section 4.5 asks for once a day), so views of callers that are gone end although their resource never changes
- an endpoint keeps at most 20,000 views; further registrations are refused with 5.03, since a registration carries no ticket
- tests for block-wise bodies, an error that ends a view, a failing backend server that does not

--- a/include/pimentolift/view.h
+++ b/include/pimentolift/view.h
@@ -10,6 +10,8 @@
  * endpoint, which takes over when the owner fails.
  *
  * Like the agent core that owns it, the table has no socket and no clock.
+ * Its messages have IDs with the highest bit set; the core's own have it
+ * clear, so an acknowledgement belongs to one of the two.
  * @{
  */
 #ifndef PIMENTOLIFT_VIEW_H
--- a/src/proto/view_codec.c
+++ b/src/proto/view_codec.c
@@ -2,6 +2,8 @@
  * @file
  * msgpack codec of the frames about open views.
  */
+#include "private/bounded.h"
+
 #include <pimentolift/view_codec.h>
 
 #include <assert.h>
@@ -293,6 +295,8 @@
 	pl_result_t result = PL_ERR_MALFORMED;
 	size_t offset = 0;
 
+	if (!pl_msgpack_bounded(body, len))
+		return PL_ERR_MALFORMED;
 	msgpack_unpacked_init(&unpacked);
 	if (msgpack_unpack_next(&unpacked, (const char *)body, len, &offset) ==
 		    MSGPACK_UNPACK_SUCCESS &&
--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -27,6 +27,8 @@
  * owner that is cut off may go on for that long and stays older.
  */
 #define PL_VIEW_RECOVERY_STEP (1u << 18)
+/** Most views at one endpoint; further registrations are refused. */
+#define PL_VIEW_MAX 20000
 /** Most records or places in one frame. */
 #define PL_VIEW_BATCH 200
 
@@ -106,6 +108,7 @@
 	pl_list_t caller_link;
 	pl_list_t resource_link;
 	pl_member_id_t entry; /**< through which the caller was last heard */
+	pl_ms_t heard; /**< when the caller was last heard */
 	uint64_t confirmed_etag; /**< content that the caller has; 0 unknown */
 	pl_view_content_t *sent; /**< content last sent, or NULL */
 	pl_view_pending_t *pending; /**< NULL when answered */
@@ -203,6 +206,7 @@
 	pl_list_t to_copy;
 	pl_timer_t flush_timer;
 	pl_timer_t nudge_timer;
+	pl_timer_t check_timer;
 	GHashTable *replicas; /**< set of pl_view_replica_t by key */
 	GHashTable *owners; /**< set of pl_view_owner_t by agent */
 };
@@ -236,6 +240,9 @@
 pl_view_t *pl_view_restore(pl_view_table_t *table,
 			   const pl_view_record_t *record, uint32_t step);
 
+/** Notes that the caller was heard through @p entry. */
+void pl_view_heard(pl_view_t *view, pl_member_id_t entry);
+
 /** Fills @p record; its text is borrowed from the resource. */
 void pl_view_record_fill(const pl_view_t *view, pl_view_record_t *record);
 
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -375,6 +375,7 @@
 static bool can_take_(const pl_view_table_t *table, pl_service_id_t service)
 {
 	return !table->draining && table->backend_present && service != 0 &&
+	       pl_view_count(table) < PL_VIEW_MAX &&
 	       service == table->service_id;
 }
 
--- a/src/view/view_notify.c
+++ b/src/view/view_notify.c
@@ -22,6 +22,13 @@
 #define MAX_RETRANSMIT 4
 /** Time until acknowledgements take their new way after a change. */
 #define NUDGE_MS 1000
+/**
+ * A caller that was not heard for this long is sent the state once more, at
+ * most so many each time; RFC 7641 section 4.5 asks for once a day.
+ */
+#define SILENT_MS (3600 * MS_PER_S)
+#define CHECK_MS (60 * MS_PER_S)
+#define CHECK_MAX 200
 /** A registration is acknowledged by itself when its answer takes longer. */
 #define PIGGYBACK_WAIT_MS 300
 /** Deadline of a registration when the service names none. */
@@ -211,14 +218,52 @@
 	}
 }
 
+/* Finds out which callers are still there. */
+static void check_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_table_t *table = ctx;
+	GPtrArray *silent = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, table->views);
+	while (silent->len < CHECK_MAX &&
+	       g_hash_table_iter_next(&iter, &key, NULL)) {
+		const pl_view_t *view = key;
+
+		if (!view->delivery && !view->pending &&
+		    now - view->heard > SILENT_MS)
+			g_ptr_array_add(silent, key);
+	}
+	/* a view may end with what is sent */
+	for (guint i = 0; i < silent->len; i++)
+		pl_view_resend(g_ptr_array_index(silent, i));
+	g_ptr_array_free(silent, TRUE);
+	if (pl_view_count(table) > 0)
+		pl_timer_arm(table->timers, timer, now + CHECK_MS);
+}
+
 void pl_view_notify_init(pl_view_table_t *table)
 {
 	pl_timer_init(&table->nudge_timer, nudge_fire_, table);
+	pl_timer_init(&table->check_timer, check_fire_, table);
+}
+
+void pl_view_heard(pl_view_t *view, pl_member_id_t entry)
+{
+	pl_view_table_t *table = view->table;
+
+	view->entry = entry;
+	view->heard = pl_view_now(table);
+	if (!pl_timer_armed(&table->check_timer))
+		pl_timer_arm(table->timers, &table->check_timer,
+			     view->heard + CHECK_MS);
 }
 
 void pl_view_notify_finish(pl_view_table_t *table)
 {
 	pl_timer_cancel(table->timers, &table->nudge_timer);
+	pl_timer_cancel(table->timers, &table->check_timer);
 }
 
 void pl_view_nudge_later(pl_view_table_t *table)
@@ -389,7 +434,7 @@
 
 static void acknowledged_(pl_view_t *view, pl_member_id_t entry)
 {
-	view->entry = entry;
+	pl_view_heard(view, entry);
 	view->confirmed_etag = view->sent->etag;
 	pl_view_delivery_end(view);
 	if (ended_(view) && view->sent == view->resource->content)
@@ -452,7 +497,7 @@
 	if (!view || !view->sent || msg->block2.num == 0 ||
 	    msg->block2.szx > SZX_MAX)
 		return PL_VIEW_UNKNOWN;
-	view->entry = forward->entry;
+	pl_view_heard(view, forward->entry);
 	view->szx = msg->block2.szx;
 	if ((size_t)msg->block2.num * block_size_(view) >= view->sent->len)
 		return PL_VIEW_UNKNOWN;
--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -246,7 +246,7 @@
 	view->accept = record->accept;
 	view->szx = record->szx;
 	view->confirmed_etag = record->etag;
-	view->entry = record->entry;
+	pl_view_heard(view, record->entry);
 	raise_mid_(view, record->mid);
 	if (record->pending) {
 		pl_view_pending_t *pending = pl_view_pending_start(view);
@@ -401,11 +401,13 @@
 {
 	pl_view_key_t key;
 	pl_view_t *view;
+	bool full = false;
 
 	pl_view_key_set(&key, &forward->flow.caller, msg->token,
 			msg->token_len);
 	view = pl_view_lookup(table, &key);
 	if (!view) {
+		full = pl_view_count(table) >= PL_VIEW_MAX;
 		view = pl_view_new(table, &key, msg->path, msg->query);
 		claim_(view);
 		pl_counter_add(PL_COUNTER_VIEWS_OPENED, 1);
@@ -414,8 +416,10 @@
 		view = replace_(view, msg);
 	}
 	view->address = forward->flow.address;
-	view->entry = forward->entry;
+	pl_view_heard(view, forward->entry);
 	view->accept = msg->accept;
+	if (full)
+		pl_view_resource_detach(view, PL_COAP_UNAVAILABLE);
 	pl_view_pend(view, msg);
 }
 
--- a/test/view/view_fake.c
+++ b/test/view/view_fake.c
@@ -10,6 +10,8 @@
 #define BACKEND_DELAY_MS 2
 #define CALLER_DELAY_MS 3
 #define START_UNIX_S 1700000000u
+/** Token of a caller's block-wise fetch. */
+#define FETCH_TOKEN 0xfe
 #define PDU_TYPE_MASK 0x30
 #define PDU_ACK 0x20
 #define SEQUENCE_HALF (1u << 23)
@@ -278,6 +280,22 @@
 	pl_routing_put(routing);
 }
 
+static void callers_init_(fake_t *fake, unsigned int count)
+{
+	fake->callers = g_new0(fake_caller_t, count);
+	fake->caller_count = count;
+	for (unsigned int i = 0; i < count; i++) {
+		fake_caller_t *caller = &fake->callers[i];
+
+		caller->addr.family = PL_ADDR_IPV4;
+		caller->addr.ip[2] = (uint8_t)(i >> 8);
+		caller->addr.ip[3] = (uint8_t)i;
+		caller->addr.port = 5000;
+		caller->token = (uint8_t)(i * 7 % FETCH_TOKEN);
+		caller->resource = i % FAKE_RESOURCES;
+	}
+}
+
 fake_t *fake_new(uint32_t seed, unsigned int agents, unsigned int started,
 		 unsigned int callers)
 {
@@ -296,18 +314,7 @@
 		if (i < started)
 			fake_start(fake, i);
 	}
-	fake->callers = g_new0(fake_caller_t, callers);
-	fake->caller_count = callers;
-	for (unsigned int i = 0; i < callers; i++) {
-		fake_caller_t *caller = &fake->callers[i];
-
-		caller->addr.family = PL_ADDR_IPV4;
-		caller->addr.ip[2] = (uint8_t)(i >> 8);
-		caller->addr.ip[3] = (uint8_t)i;
-		caller->addr.port = 5000;
-		caller->token = (uint8_t)(i * 7 + 1);
-		caller->resource = i % FAKE_RESOURCES;
-	}
+	callers_init_(fake, callers);
 	fake_route(fake);
 	return fake;
 }
@@ -386,17 +393,28 @@
 	to_agent_(fake, caller, &writer);
 }
 
+static void write_path_(pl_coap_writer_t *writer, const fake_caller_t *caller)
+{
+	char path[] = "view/0";
+
+	path[sizeof(path) - 2] = (char)('0' + caller->resource);
+	pl_coap_write_segments(writer, PL_COAP_OPT_URI_PATH, path, '/');
+}
+
+static char letter_(unsigned int version)
+{
+	return (char)('a' + version % 26);
+}
+
 static void send_get_(fake_t *fake, fake_caller_t *caller, uint32_t observe)
 {
 	uint8_t buf[128];
-	char path[] = "view/0";
 	pl_coap_writer_t writer;
 
-	path[sizeof(path) - 2] = (char)('0' + caller->resource);
 	pl_coap_write_start(&writer, buf, sizeof(buf), PL_COAP_CON, PL_COAP_GET,
 			    ++caller->last_mid, &caller->token, 1);
 	pl_coap_write_uint(&writer, PL_COAP_OPT_OBSERVE, observe);
-	pl_coap_write_segments(&writer, PL_COAP_OPT_URI_PATH, path, '/');
+	write_path_(&writer, caller);
 	to_agent_(fake, caller, &writer);
 }
 
@@ -445,7 +463,48 @@
 	       (last > now && last - now > SEQUENCE_HALF);
 }
 
-static void caller_takes_(fake_caller_t *caller, const pl_coap_msg_t *msg)
+static void send_fetch_(fake_t *fake, fake_caller_t *caller,
+			const pl_coap_block_t *last)
+{
+	uint8_t buf[128];
+	uint8_t token = FETCH_TOKEN;
+	pl_coap_block_t next = { .num = last->num + 1, .szx = last->szx };
+	pl_coap_writer_t writer;
+
+	pl_coap_write_start(&writer, buf, sizeof(buf), PL_COAP_CON, PL_COAP_GET,
+			    ++caller->last_mid, &token, 1);
+	write_path_(&writer, caller);
+	pl_coap_write_block(&writer, PL_COAP_OPT_BLOCK2, &next);
+	to_agent_(fake, caller, &writer);
+}
+
+/* Gathers one block; all of a body have its ETag and its letter. */
+static void take_block_(fake_t *fake, fake_caller_t *caller,
+			const pl_coap_msg_t *msg)
+{
+	size_t size = (size_t)16 << msg->block2.szx;
+	uint64_t etag = 0;
+
+	g_assert_cmpuint(msg->etag_len, ==, sizeof(etag));
+	memcpy(&etag, msg->etag, sizeof(etag));
+	if (msg->block2.num == 0) {
+		caller->etag = etag;
+		caller->got = 0;
+	}
+	/* a block of an older body that is no longer wanted */
+	if (etag != caller->etag || caller->got != msg->block2.num * size)
+		return;
+	g_assert_cmpint(msg->payload[msg->payload_len - 1], ==,
+			letter_(caller->version));
+	caller->got += msg->payload_len;
+	if (msg->block2.more)
+		send_fetch_(fake, caller, &msg->block2);
+	else if (caller->got == fake->body_len)
+		caller->whole++;
+}
+
+static void caller_takes_(fake_t *fake, fake_caller_t *caller,
+			  const pl_coap_msg_t *msg)
 {
 	char text[16] = "";
 	unsigned int version = 0;
@@ -463,6 +522,8 @@
 	caller->sequence = msg->observe;
 	caller->version = version;
 	caller->notified++;
+	if (msg->block2.present)
+		take_block_(fake, caller, msg);
 }
 
 static void deliver_to_caller_(fake_t *fake, const event_t *event)
@@ -475,6 +536,10 @@
 		      PL_OK);
 	if (msg.code == PL_COAP_EMPTY || caller->deaf)
 		return;
+	if (msg.token_len == 1 && msg.token[0] == FETCH_TOKEN) {
+		take_block_(fake, caller, &msg);
+		return;
+	}
 	mine = msg.token_len == 1 && msg.token[0] == caller->token &&
 	       !caller->closed;
 	caller->code = msg.code;
@@ -484,7 +549,7 @@
 				msg.mid);
 	}
 	if (mine && msg.code == PL_COAP_CONTENT)
-		caller_takes_(caller, &msg);
+		caller_takes_(fake, caller, &msg);
 }
 
 /* Best-ranked agent besides @p self and the one it came from, or 0. */
@@ -522,6 +587,8 @@
 		      PL_OK);
 	if (msg.code == PL_COAP_EMPTY) {
 		verdict = pl_view_ack(agent->table, &forward, &msg, &next);
+	} else if (!msg.has_observe) {
+		pl_view_block(agent->table, &forward, &msg);
 	} else if (msg.observe == 1) {
 		verdict =
 			pl_view_deregister(agent->table, &forward, &msg, &next);
@@ -543,7 +610,7 @@
 static void deliver_backend_(fake_t *fake, const event_t *event)
 {
 	fake_agent_t *agent = agent_(fake, event->to);
-	char body[BODY_MAX] = "";
+	char body[BODY_MAX];
 	pl_backend_reply_t reply = { .status = PL_BACKEND_ANSWERED,
 				     .code = PL_COAP_CONTENT,
 				     .content_format = 0,
@@ -552,9 +619,13 @@
 
 	if (!agent->table || agent->boot != event->boot)
 		return;
-	snprintf(body, sizeof(body), "v%u ", event->version);
 	reply.body_len =
-		fake->body_len > strlen(body) ? fake->body_len : strlen(body);
+		(size_t)snprintf(body, sizeof(body), "v%u ", event->version);
+	if (fake->body_len > reply.body_len) {
+		memset(body + reply.body_len, letter_(event->version),
+		       sizeof(body) - reply.body_len);
+		reply.body_len = fake->body_len;
+	}
 	pl_view_notify(agent->table, event->subscription, &reply);
 }
 
--- a/test/view/view_fake.h
+++ b/test/view/view_fake.h
@@ -47,6 +47,9 @@
 	unsigned int stale; /**< ignored by the freshness rule */
 	uint16_t last_mid;
 	bool deaf; /**< does not acknowledge */
+	uint64_t etag; /**< of the body that is fetched block by block */
+	size_t got; /**< bytes of it */
+	unsigned int whole; /**< bodies fetched to their end */
 	bool closed;
 } fake_caller_t;
 
--- a/test/view/view_test.c
+++ b/test/view/view_test.c
@@ -143,6 +143,77 @@
 	fake_delete(fake);
 }
 
+/* A body is fetched to its end although the resource changes meanwhile. */
+static void large_body_is_fetched_whole(void **state)
+{
+	fake_t *fake = fake_new(8, 1, 1, CALLERS);
+
+	fake->body_len = 3500;
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	for (unsigned int i = 0; i < CALLERS; i++)
+		assert_int_equal(fake->callers[i].whole, 1);
+	fake_update(fake, 0);
+	/* the second change falls between the first and the second block */
+	fake_run(fake, 7);
+	fake_update(fake, 0);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_behind(fake), 0);
+	assert_true(fake->callers[0].whole >= 2);
+	assert_int_equal(fake->callers[0].got, fake->body_len);
+	fake_delete(fake);
+}
+
+/* A caller that is gone is found out though its resource never changes. */
+static void silent_resource_is_checked(void **state)
+{
+	fake_t *fake = fake_new(9, 1, 1, 2);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	fake->callers[0].deaf = true;
+	fake_run(fake, 3800 * 1000);
+	assert_int_equal(fake_views(fake), 1);
+	assert_int_equal(fake->callers[1].notified, 2);
+	fake_delete(fake);
+}
+
+static void error_ends_the_view(void **state)
+{
+	fake_t *fake = fake_new(10, 1, 1, 2);
+	pl_backend_reply_t gone = { .status = PL_BACKEND_ANSWERED,
+				    .code = PL_COAP_NOT_FOUND,
+				    .content_format = -1,
+				    .max_age_s = -1 };
+	pl_backend_reply_t busy = { .status = PL_BACKEND_REFUSED,
+				    .code = PL_COAP_UNAVAILABLE };
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	/* a failure of the backend server does not */
+	pl_view_notify(fake->agents[0].table, 1, &busy);
+	fake_run(fake, 500);
+	assert_int_equal(fake_views(fake), 2);
+	assert_int_equal(fake->callers[1].code, PL_COAP_CONTENT);
+	pl_view_notify(fake->agents[0].table, 2, &gone);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake->callers[1].code, PL_COAP_NOT_FOUND);
+	assert_int_equal(fake_views(fake), 1);
+	fake_delete(fake);
+}
+
+static void full_table_refuses(void **state)
+{
+	fake_t *fake = fake_new(11, 1, 1, 20001);
+
+	fake_open_all(fake);
+	fake_run(fake, SETTLE_MS);
+	assert_int_equal(fake_views(fake), 20000);
+	assert_int_equal(fake->callers[19999].code, PL_COAP_CONTENT);
+	assert_int_equal(fake->callers[20000].code, PL_COAP_UNAVAILABLE);
+	fake_delete(fake);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -153,6 +224,10 @@
 		cmocka_unit_test(reset_and_deregistration_close),
 		cmocka_unit_test(registration_ends_at_its_deadline),
 		cmocka_unit_test(backend_restart_is_unseen),
+		cmocka_unit_test(large_body_is_fetched_whole),
+		cmocka_unit_test(silent_resource_is_checked),
+		cmocka_unit_test(error_ends_the_view),
+		cmocka_unit_test(full_table_refuses),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
