Views return to their homes after a change, a few at a time

A drain gives the leaver's views to others and its successor starts with none: after a roll of three endpoints the last one served nothing, whatever the placement says. Test first: views_return_to_their_homes was red.

Now each owner hands ten views a second to their homes once the endpoints have stayed the same for 10 s, by the hand-over that a drain uses, unseen by callers.

--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -207,6 +207,7 @@
 	pl_timer_t flush_timer;
 	pl_timer_t nudge_timer;
 	pl_timer_t check_timer;
+	pl_timer_t balance_timer;
 	GHashTable *replicas; /**< set of pl_view_replica_t by key */
 	GHashTable *owners; /**< set of pl_view_owner_t by agent */
 };
@@ -453,6 +454,14 @@
 void pl_view_copy_failed(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message);
 
+/* view_balance.c */
+
+void pl_view_balance_init(pl_view_table_t *table);
+void pl_view_balance_finish(pl_view_table_t *table);
+
+/** The endpoints changed: views follow their homes when it is quiet. */
+void pl_view_balance_later(pl_view_table_t *table);
+
 /* view_frame.c */
 
 /** Sends @p message, whose boot and service are filled in. */
--- /dev/null
+++ b/src/view/view_balance.c
@@ -0,0 +1,67 @@
+/**
+ * @file
+ * Moves views to their callers' homes after the endpoints changed.
+ *
+ * A drain gives the leaver's views to others, and its successor starts with
+ * none. Once the endpoints have stayed the same for a while, every owner
+ * hands a few views a second to their homes, so that a roll-out does not
+ * leave the work on some endpoints, and no change moves many views at once.
+ */
+#include "private/view_private.h"
+
+/** The endpoints stayed the same for this long. */
+#define SETTLED_MS 10000
+/** So many views are handed over each time. */
+#define INTERVAL_MS 1000
+#define VIEWS_PER_INTERVAL 10
+
+/* Whether @p view belongs to another agent that serves. */
+static bool strange_(const pl_view_t *view, const pl_route_service_t *service)
+{
+	const pl_endpoint_t *home =
+		pl_placement_home(service, &view->key.caller);
+
+	return home && home->agent != view->table->params.self;
+}
+
+static void fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_table_t *table = ctx;
+	const pl_route_service_t *service = pl_view_service(table);
+	GHashTableIter iter;
+	gpointer key;
+	unsigned int moved = 0;
+
+	if (!service || table->draining)
+		return;
+	g_hash_table_iter_init(&iter, table->views);
+	while (moved < VIEWS_PER_INTERVAL &&
+	       g_hash_table_iter_next(&iter, &key, NULL)) {
+		pl_view_t *view = key;
+
+		if (view->pending || !pl_list_empty(&view->move_link) ||
+		    !strange_(view, service))
+			continue;
+		pl_view_move_later(view);
+		moved++;
+	}
+	/* nothing is left to do until the endpoints change */
+	if (moved > 0)
+		pl_timer_arm(table->timers, timer, now + INTERVAL_MS);
+}
+
+void pl_view_balance_init(pl_view_table_t *table)
+{
+	pl_timer_init(&table->balance_timer, fire_, table);
+}
+
+void pl_view_balance_finish(pl_view_table_t *table)
+{
+	pl_timer_cancel(table->timers, &table->balance_timer);
+}
+
+void pl_view_balance_later(pl_view_table_t *table)
+{
+	pl_timer_arm(table->timers, &table->balance_timer,
+		     pl_view_now(table) + SETTLED_MS);
+}
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -117,7 +117,10 @@
 			     pl_view_now(table));
 }
 
-/* Best-ranked agent that may be offered @p view, or 0. */
+/*
+ * Best-ranked agent that may be offered @p view, or 0. A leaver asks the
+ * next one when the best refused; others would rather keep the view.
+ */
 static pl_member_id_t receiver_(pl_view_table_t *table, const pl_view_t *view)
 {
 	const pl_route_service_t *service = pl_view_service(table);
@@ -127,7 +130,7 @@
 	if (service)
 		count = pl_placement_rank(service, &view->key.caller,
 					  PL_RANK_SERVING, table->params.self,
-					  ranked, RANKED);
+					  ranked, table->draining ? RANKED : 1);
 	for (size_t i = 0; i < count; i++) {
 		if (!held_(table, ranked[i]->agent))
 			return ranked[i]->agent;
@@ -168,12 +171,18 @@
 	while ((first = pl_list_first(&offer->views))) {
 		pl_view_t *view = PL_CONTAINER_OF(first, pl_view_t, move_link);
 
-		pl_view_move_later(view);
+		if (table->draining)
+			pl_view_move_later(view);
+		else
+			pl_view_move_cancel(view);
 		if (!maybe_taken)
 			continue;
 		/* the caller may have heard of newer values from the receiver */
 		view->sequence = pl_view_sequence_add(view->sequence,
 						      2 * PL_VIEW_MOVE_STEP);
+		/* the receiver, which holds the copy, gives way to it */
+		if (!table->draining)
+			pl_view_copy_later(view);
 		pl_view_resend(view);
 	}
 	offer_delete_(offer);
@@ -217,8 +226,11 @@
 		pl_view_offer_t *offer;
 		guint count = 0;
 
-		if (receiver == 0)
+		if (receiver == 0) {
+			if (!table->draining)
+				pl_view_move_cancel(view);
 			continue;
+		}
 		offer = g_hash_table_lookup(groups, &receiver);
 		if (offer)
 			count = offer->attempts;
@@ -452,8 +464,8 @@
 				g_array_append_val(accept.places, place);
 		}
 	}
-	/* a copy is on its way before the leaver lets go */
-	pl_view_flush(table);
 	pl_view_send(table, peer, PL_PEER_VIEW_ACCEPT, &accept);
 	pl_view_message_finish(&accept);
+	/* the leaver lets go now; it may hold the copy next */
+	pl_view_flush(table);
 }
--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -77,6 +77,7 @@
 	table->subscriptions =
 		g_hash_table_new(pl_view_number_hash, g_int64_equal);
 	pl_view_notify_init(table);
+	pl_view_balance_init(table);
 	pl_view_place_init(table);
 	pl_view_handover_init(table);
 	pl_view_copy_init(table);
@@ -99,6 +100,7 @@
 	pl_view_copy_finish(table);
 	pl_view_handover_finish(table);
 	pl_view_place_finish(table);
+	pl_view_balance_finish(table);
 	pl_view_notify_finish(table);
 	g_hash_table_destroy(table->subscriptions);
 	g_hash_table_destroy(table->resources);
@@ -136,6 +138,7 @@
 	if (table->endpoints_hash != 0)
 		pl_view_nudge_later(table);
 	table->endpoints_hash = hash;
+	pl_view_balance_later(table);
 	pl_view_copy_reroute(table);
 	pl_view_move_pump(table);
 }
--- a/test/view/view_fake.c
+++ b/test/view/view_fake.c
@@ -245,7 +245,6 @@
 
 void fake_kill(fake_t *fake, unsigned int index)
 {
-	printf("%lu kill %u\n", pl_timer_service_now(fake->timers), index + 1);
 	fake_agent_t *agent = &fake->agents[index];
 
 	pl_view_table_delete(agent->table);
@@ -256,14 +255,12 @@
 
 void fake_drain(fake_t *fake, unsigned int index)
 {
-	printf("%lu drain %u\n", pl_timer_service_now(fake->timers), index + 1);
 	fake->agents[index].state = PL_ENDPOINT_DRAINING;
 	pl_view_drain(fake->agents[index].table);
 }
 
 void fake_declare_dead(fake_t *fake, unsigned int index)
 {
-	printf("%lu dead %u\n", pl_timer_service_now(fake->timers), index + 1);
 	fake_agent_t *dead = &fake->agents[index];
 
 	dead->state = PL_ENDPOINT_UNREACHABLE;
--- a/test/view/view_move_test.c
+++ b/test/view/view_move_test.c
@@ -304,6 +304,37 @@
 	fake_delete(fake);
 }
 
+/* A roll of all endpoints leaves no one with the work of others. */
+static void views_return_to_their_homes(void **state)
+{
+	fake_t *fake = opened_(14, 3, 3);
+
+	for (unsigned int i = 0; i < 3; i++) {
+		fake_drain(fake, i);
+		fake_route(fake);
+		fake_run(fake, SETTLE_MS);
+		assert_int_equal(count_(fake, i), 0);
+		fake_kill(fake, i);
+		fake_declare_dead(fake, i);
+		fake_start(fake, i);
+		fake_route(fake);
+		fake_run(fake, COPY_MS);
+	}
+	assert_int_equal(count_(fake, 2), 0);
+	fake->datagrams = 0;
+	fake_run(fake, 9000);
+	assert_int_equal(count_(fake, 2), 0);
+	fake_run(fake, 2000);
+	/* a few at a time */
+	assert_in_range(count_(fake, 2), 1, 40);
+	fake_run(fake, 30000);
+	for (unsigned int i = 0; i < 3; i++)
+		assert_in_range(count_(fake, i), 60, 140);
+	assert_int_equal(fake->datagrams, 0);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
 static int reset_(void **state)
 {
 	pl_counter_reset();
@@ -330,6 +361,7 @@
 		cmocka_unit_test_setup(cut_off_owner_gives_up_its_views,
 				       reset_),
 		cmocka_unit_test_setup(new_home_knows_where_views_are, reset_),
+		cmocka_unit_test_setup(views_return_to_their_homes, reset_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
