--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -22,6 +22,8 @@
 /** The bucket holds what the budget gives in this time. */
 #define BUCKET_MS 250
 #define MILLI 1000
+/** Time from a shortage of the budget to a comparison of tables. */
+#define SHORTAGE_SYNC_MS 10000
 /** Changes fill a datagram up to here: small ones even out what each gets. */
 #define FILL_MAX 500
 
@@ -41,14 +43,29 @@
 	table->updates_queued--;
 }
 
+/* Work must stop going to those that are gone or draining: they go first. */
+static bool urgent_(const pl_member_t *member)
+{
+	return member->state != PL_MEMBER_ALIVE ||
+	       member->attr.endpoint == PL_ENDPOINT_DRAINING;
+}
+
+/* Queues by the number of sendings, of which urgent ones get twice as many. */
+static void put_(pl_member_table_t *table, pl_member_t *member)
+{
+	unsigned int rank = urgent_(member) ? member->sent / 2U : member->sent;
+
+	pl_list_append(&table->updates[rank], &member->update_link);
+	table->updates_queued++;
+}
+
 void pl_member_queue_(pl_member_table_t *table, pl_member_t *member)
 {
 	pl_member_unqueue_(table, member);
 	if (table->quiet && member != table->self)
 		return;
 	member->sent = 0;
-	pl_list_append(&table->updates[0], &member->update_link);
-	table->updates_queued++;
+	put_(table, member);
 }
 
 /* Counts a sending; true when @p member is still queued. */
@@ -61,8 +78,7 @@
 	if (sent >= limit)
 		return false;
 	member->sent = (uint8_t)sent;
-	pl_list_append(&table->updates[sent], &member->update_link);
-	table->updates_queued++;
+	put_(table, member);
 	return true;
 }
 
@@ -229,6 +245,10 @@
 	if (table->now < table->next_gossip)
 		return;
 	table->next_gossip = table->now + PL_MEMBER_GOSSIP_MS;
+	/* what the budget holds back now is found by a comparison soon */
+	if (table->updates_queued > 0 && !pl_member_may_send_(table))
+		table->next_sync =
+			MIN(table->next_sync, table->now + SHORTAGE_SYNC_MS);
 	if (table->updates_queued == 0 && table->revision_rounds == 0)
 		return;
 	if (table->revision_rounds > 0)
--- a/test/member/fleet.c
+++ b/test/member/fleet.c
@@ -17,13 +17,22 @@
 	GBytes *body;
 } mail_t;
 
+/* Addresses are 10.0.x.y:7000 where x.y is the place of the node. */
+static pl_member_id_t id_of_(size_t at)
+{
+	pl_addr_t addr = { .ip = { 10, 0, (uint8_t)(at >> 8), (uint8_t)at },
+			   .port = 7000,
+			   .family = PL_ADDR_IPV4 };
+
+	return pl_member_id_from_addr(&addr);
+}
+
 static node_t *node_by_id_(fleet_t *fleet, pl_member_id_t id)
 {
-	for (size_t i = 0; i < fleet->count; i++) {
-		if (fleet->nodes[i].id == id)
-			return &fleet->nodes[i];
-	}
-	return NULL;
+	pl_addr_t addr = pl_member_id_to_addr(id);
+	size_t at = (size_t)addr.ip[2] << 8 | addr.ip[3];
+
+	return at < fleet->count ? &fleet->nodes[at] : NULL;
 }
 
 static gint by_due_(gconstpointer a, gconstpointer b, gpointer data)
@@ -141,13 +150,9 @@
 		      &fleet->key);
 	for (size_t i = 0; i < count; i++) {
 		node_t *node = &fleet->nodes[i];
-		pl_addr_t addr = { .ip = { 10, 0, (uint8_t)(i >> 8),
-					   (uint8_t)i },
-				   .port = 7000,
-				   .family = PL_ADDR_IPV4 };
 
 		node->fleet = fleet;
-		node->id = pl_member_id_from_addr(&addr);
+		node->id = id_of_(i);
 		node->datacentre = (unsigned int)(i % datacentres);
 		node->role = i % 5 == 0 ? PL_MEMBER_ENTRY : PL_MEMBER_AGENT;
 	}
@@ -296,6 +301,7 @@
 
 		node->worst_second = MAX(node->worst_second,
 					 node->second_in + node->second_out);
+		node->datagram_bytes += node->second_in + node->second_out;
 		node->second_in = 0;
 		node->second_out = 0;
 	}
--- a/test/member/fleet.h
+++ b/test/member/fleet.h
@@ -32,7 +32,8 @@
 	uint64_t second_in; /* bytes in the present second */
 	uint64_t second_out;
 	uint64_t worst_second; /* most bytes in one second, both ways */
-	uint64_t frame_bytes;
+	uint64_t datagram_bytes; /* both ways, since the start of the fleet */
+	uint64_t frame_bytes; /* sent */
 } node_t;
 
 struct fleet {
