Membership: changes go once along a ring; a false cut ends at once

Cause: with two sendings of each change for each member, which is what the budget gives while 650 members are replaced within a minute, random push left 28 % of the newcomers' pairs unknown at the end of that minute. Weighed: a larger share of the budget (5 % of it was left); a broadcast tree (one lost datagram loses a subtree); forwarding to fixed neighbours only (slow). A ring beside random push closes the gaps at one sending a change. Conclusion: each change goes once to the next member by hash order; most of a data centre heard ends its cut; word of deaths that came meanwhile becomes a suspicion.

--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -129,6 +129,7 @@
 {
 	member->incarnation = (uint32_t)record->incarnation;
 	member->stale = !record->whole;
+	member->said_dead = false;
 	if (!record->whole)
 		return;
 	member->role = record->role;
@@ -224,8 +225,10 @@
 		pl_member_suspect_(table, member);
 		break;
 	case PL_MEMBER_DEAD:
-		if (!may_bury_(table, member, sender))
+		if (!may_bury_(table, member, sender)) {
+			member->said_dead = true;
 			return;
+		}
 		pl_member_bury_(table, member, PL_MEMBER_DEAD);
 		pl_member_queue_(table, member);
 		break;
--- a/src/member/partition.c
+++ b/src/member/partition.c
@@ -56,6 +56,20 @@
 	}
 }
 
+/* Word of deaths that was not taken while the data centre was cut off. */
+static void suspect_said_dead_(pl_member_table_t *table,
+			       const pl_member_dc_t *dc)
+{
+	for (guint i = 0; i < table->members->len; i++) {
+		pl_member_t *member = table->members->pdata[i];
+
+		if (member->dc != dc || !member->said_dead)
+			continue;
+		member->said_dead = false;
+		pl_member_suspect_(table, member);
+	}
+}
+
 static void tell_owner_(pl_member_table_t *table, const pl_member_dc_t *dc)
 {
 	if (table->ops.datacentre)
@@ -85,6 +99,7 @@
 	peer = pl_member_pick_in_(table, dc, PL_MEMBER_ALIVE);
 	move_all_(table, dc, PL_MEMBER_UNREACHABLE, PL_MEMBER_UNREACHABLE,
 		  PL_MEMBER_ALIVE);
+	suspect_said_dead_(table, dc);
 	tell_owner_(table, dc);
 	if (peer)
 		pl_member_send_digest_(table, peer->id);
@@ -179,7 +194,7 @@
 		pl_member_set_state_(table, member, PL_MEMBER_ALIVE);
 	if (!dc->cut)
 		return;
-	if (dc->by_state[PL_MEMBER_UNREACHABLE] == 0)
+	if (dc->by_state[PL_MEMBER_ALIVE] * 2 > live_(dc))
 		uncut_(table, dc);
 	else if (!dc->sounding && table->now >= dc->sound_again)
 		sound_(table, dc, PL_MEMBER_UNREACHABLE);
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -26,6 +26,8 @@
 /** Extra gossip while changes are young: interval and receivers. */
 #define PL_MEMBER_GOSSIP_MS 200
 #define PL_MEMBER_GOSSIP_FANOUT 3
+/** Interval in which changes go along the ring. */
+#define PL_MEMBER_RING_MS 300
 /** Most often that one change is sent by one member. */
 #define PL_MEMBER_SENT_MAX 24
 /** Comparison of tables, also when nothing seems to differ. */
@@ -66,7 +68,8 @@
 	pl_ms_t deadline; /* SUSPECT: dead then; DEAD, LEFT: forgotten then */
 	pl_ms_t next_probe; /* SUSPECT: asked again then */
 	pl_list_t suspect_link; /* on table->suspects */
-	pl_list_t update_link; /* on table->updates[sent] */
+	pl_list_t update_link; /* on table->updates[rank] */
+	pl_list_t ring_link; /* on table->ring_due */
 	pl_member_attr_t attr;
 	uint32_t incarnation;
 	uint32_t started_s;
@@ -76,6 +79,8 @@
 	uint8_t sent;
 	bool want_names;
 	bool own_suspicion; /* SUSPECT by a probe of this member */
+	bool unsent; /* learned from a whole table, not sent along the ring */
+	bool said_dead; /* by others, while its data centre was cut off */
 	bool stale; /* the fields are of an earlier incarnation */
 };
 
@@ -123,6 +128,7 @@
 	bool names; /* and the own names */
 	const pl_member_t *about; /* this record, or NULL */
 	const pl_member_t *correct; /* and this one */
+	bool ring; /* first the changes not yet sent along the ring */
 } pl_extra_t;
 
 struct pl_member_table {
@@ -139,6 +145,7 @@
 	GHashTable *by_id;
 	GPtrArray *members; /* in random order; probed in turn */
 	GPtrArray *dcs;
+	GPtrArray *ring; /* members by place on the ring */
 	size_t by_state[PL_MEMBER_STATE_COUNT];
 	size_t by_role[PL_MEMBER_ROLE_COUNT];
 	bool leaving;
@@ -155,6 +162,8 @@
 
 	/* spread.c */
 	pl_list_t updates[PL_MEMBER_SENT_MAX];
+	pl_list_t ring_due; /* changes not yet sent along the ring */
+	pl_ms_t next_ring;
 	size_t updates_queued;
 	bool quiet; /* what is learned now is known to others already */
 	uint32_t budget; /* bytes a second, sent */
@@ -207,6 +216,12 @@
 				const pl_member_dc_t *dc,
 				pl_member_state_t state);
 
+/* ring.c */
+void pl_member_ring_insert_(pl_member_table_t *table, pl_member_t *member);
+void pl_member_ring_remove_(pl_member_table_t *table, pl_member_t *member);
+/** The next member on the ring that answers, or NULL. */
+pl_member_t *pl_member_ring_next_(pl_member_table_t *table);
+
 /* merge.c */
 void pl_member_apply_(pl_member_table_t *table,
 		      const pl_gossip_record_t *record, pl_member_id_t sender);
--- a/src/member/receive.c
+++ b/src/member/receive.c
@@ -66,10 +66,12 @@
 	table->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	table->members = g_ptr_array_new();
 	table->dcs = g_ptr_array_new();
+	table->ring = g_ptr_array_new();
 	table->seeds = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
 	pl_list_init(&table->probes);
 	pl_list_init(&table->watches);
 	pl_list_init(&table->suspects);
+	pl_list_init(&table->ring_due);
 	for (int i = 0; i < PL_MEMBER_SENT_MAX; i++)
 		pl_list_init(&table->updates[i]);
 	table->budget = budget * SENT_SHARE_PERCENT / 100;
@@ -108,6 +110,7 @@
 	}
 	g_ptr_array_free(table->members, TRUE);
 	g_ptr_array_free(table->dcs, TRUE);
+	g_ptr_array_free(table->ring, TRUE);
 	g_hash_table_destroy(table->by_id);
 	g_array_free(table->seeds, TRUE);
 	pl_gossip_decoder_delete(table->decoder);
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -35,7 +35,7 @@
 	return MIN(limit, PL_MEMBER_SENT_MAX);
 }
 
-void pl_member_unqueue_(pl_member_table_t *table, pl_member_t *member)
+static void take_off_(pl_member_table_t *table, pl_member_t *member)
 {
 	if (pl_list_empty(&member->update_link))
 		return;
@@ -43,6 +43,12 @@
 	table->updates_queued--;
 }
 
+void pl_member_unqueue_(pl_member_table_t *table, pl_member_t *member)
+{
+	take_off_(table, member);
+	pl_list_remove(&member->ring_link);
+}
+
 /* Work must stop going to those that are gone or draining: they go first. */
 static bool urgent_(const pl_member_t *member)
 {
@@ -62,10 +68,12 @@
 void pl_member_queue_(pl_member_table_t *table, pl_member_t *member)
 {
 	pl_member_unqueue_(table, member);
-	if (table->quiet && member != table->self)
+	member->unsent = table->quiet && member != table->self;
+	if (member->unsent)
 		return;
 	member->sent = 0;
 	put_(table, member);
+	pl_list_append(&table->ring_due, &member->ring_link);
 }
 
 /* Counts a sending; true when @p member is still queued. */
@@ -74,7 +82,7 @@
 {
 	unsigned int sent = member->sent + 1U;
 
-	pl_member_unqueue_(table, member);
+	take_off_(table, member);
 	if (sent >= limit)
 		return false;
 	member->sent = (uint8_t)sent;
@@ -84,6 +92,11 @@
 
 void pl_member_echo_(pl_member_table_t *table, pl_member_t *member)
 {
+	/* still on its way round the ring, in which a newcomer is a link */
+	if (member->unsent) {
+		member->unsent = false;
+		pl_list_append(&table->ring_due, &member->ring_link);
+	}
 	/* with room in the budget each change gets all its sendings */
 	if (!pl_list_empty(&member->update_link) &&
 	    table->tokens < (int64_t)table->budget * BUCKET_MS / 2)
@@ -156,6 +169,25 @@
 	return false;
 }
 
+/* Adds the changes not yet sent along the ring, oldest first. */
+static void add_ring_(pl_member_table_t *table, batch_t *batch)
+{
+	unsigned int limit = sent_limit_(table);
+
+	pl_list_for_each_safe(node, &table->ring_due) {
+		pl_member_t *member =
+			PL_CONTAINER_OF(node, pl_member_t, ring_link);
+		size_t before = batch->count;
+
+		add_member_(batch, member);
+		if (batch->count == before)
+			return;
+		pl_list_remove(node);
+		if (!pl_list_empty(&member->update_link))
+			count_sent_(table, member, limit);
+	}
+}
+
 /* Adds queued changes, least sent first, and counts them as sent. */
 static void add_queued_(pl_member_table_t *table, pl_member_id_t to,
 			batch_t *batch)
@@ -209,6 +241,8 @@
 		add_own_(table, &batch, extra->names);
 	for (size_t i = 0; i < message->record_count; i++)
 		add_(&batch, &message->records[i]);
+	if (extra && extra->ring)
+		add_ring_(table, &batch);
 	if (pl_member_may_send_(table))
 		add_queued_(table, to, &batch);
 	message->records = batch.records;
@@ -240,8 +274,25 @@
 	}
 }
 
+/* Unlike the random ones these are sent on credit: each change goes once. */
+static void spread_ring_(pl_member_table_t *table)
+{
+	pl_gossip_message_t update = { .type = PL_GOSSIP_UPDATE };
+	const pl_member_t *next;
+
+	table->next_ring = table->now + PL_MEMBER_RING_MS;
+	if (pl_list_empty(&table->ring_due))
+		return;
+	next = pl_member_ring_next_(table);
+	if (next)
+		pl_member_send_(table, next->id, &update,
+				&(pl_extra_t){ .ring = true });
+}
+
 void pl_member_spread_beat_(pl_member_table_t *table)
 {
+	if (table->now >= table->next_ring)
+		spread_ring_(table);
 	if (table->now < table->next_gossip)
 		return;
 	table->next_gossip = table->now + PL_MEMBER_GOSSIP_MS;
--- a/src/member/table.c
+++ b/src/member/table.c
@@ -68,6 +68,8 @@
 	member->state = PL_MEMBER_STATE_COUNT;
 	pl_list_init(&member->suspect_link);
 	pl_list_init(&member->update_link);
+	pl_list_init(&member->ring_link);
+	pl_member_ring_insert_(table, member);
 	g_hash_table_insert(table->by_id, &member->id, member);
 	g_ptr_array_add(table->members, member);
 	/* a random place keeps the order of probes random */
@@ -88,6 +90,7 @@
 	place_(table, table->members->pdata[last], member->index);
 	g_ptr_array_set_size(table->members, (gint)last);
 	g_hash_table_remove(table->by_id, &member->id);
+	pl_member_ring_remove_(table, member);
 	g_free(member->name);
 	g_free(member);
 }
