--- a/src/agent/private/agent_private.h
+++ b/src/agent/private/agent_private.h
@@ -13,6 +13,8 @@
 #define PL_SWEEP_MS 1000
 /** After the start of a drain, unused tickets are honoured for this long. */
 #define PL_DRAIN_TICKET_MS 2000
+/** A drain waits for transfers whose last block is not older than this. */
+#define PL_DRAIN_TRANSFER_MS 10000
 /** Largest stock of the retry budget, in requests. */
 #define PL_RETRY_STOCK_MAX 10
 /** Least time between two log lines about a service mismatch. */
@@ -36,6 +38,7 @@
 	bool present; /**< the backend server is there */
 	bool draining;
 	bool scheduling; /**< a loop over free slots is on the stack */
+	uint64_t birth; /**< boot of the process's first life */
 	pl_ms_t drain_at;
 	pl_ms_t ticket_at; /**< last issue of a ticket */
 	uint32_t revoked_s; /**< unused tickets up to this time are void */
@@ -76,6 +79,43 @@
 /** Passes unstarted work on to the other one of the caller's best two. */
 bool pl_agent_forward_other(pl_agent_t *agent, const pl_forward_t *forward);
 
+/**
+ * Issues the ticket that names @p request to the next message of a
+ * block-wise transfer; it lets nothing run.
+ */
+void pl_serve_rest_ticket(pl_agent_t *agent, const pl_request_t *request,
+			  uint8_t echo[PL_TICKET_BYTES]);
+
+/** Checks the ticket in @p msg against @p digest. */
+pl_ticket_verdict_t pl_serve_check(const pl_agent_t *agent,
+				   const pl_forward_t *forward,
+				   const pl_coap_msg_t *msg, uint64_t digest,
+				   pl_ticket_t *ticket);
+
+/** Passes a datagram on to the agent of @p ticket while that life lasts. */
+bool pl_serve_forward_to_issuer(pl_agent_t *agent, const pl_forward_t *forward,
+				const pl_ticket_t *ticket);
+
+/** Answers @p msg with a code and a diagnostic text. */
+void pl_serve_respond(pl_agent_t *agent, const pl_forward_t *forward,
+		      const pl_coap_msg_t *msg, uint8_t code, const char *text);
+
+/** Answers @p msg that the outcome is unknown. */
+void pl_serve_unknown(pl_agent_t *agent, const pl_forward_t *forward,
+		      const pl_coap_msg_t *msg);
+
+/** Lets @p exchange wait for a request that is known, or answers it. */
+void pl_serve_attach(pl_agent_t *agent, pl_request_t *request,
+		     pl_exchange_t *exchange);
+
+/** Starts an upload with its first block @p msg. */
+void pl_serve_upload(pl_agent_t *agent, pl_request_t *request,
+		     const pl_coap_msg_t *msg, pl_exchange_t *exchange);
+
+/** Serves a block after the first. */
+void pl_serve_block(pl_agent_t *agent, const pl_forward_t *forward,
+		    const pl_coap_msg_t *msg);
+
 /** Serves a request that carries no view. */
 void pl_serve_get(pl_agent_t *agent, const pl_forward_t *forward,
 		  const pl_coap_msg_t *msg);
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -42,13 +42,18 @@
 			    pl_exchange_t *exchange)
 {
 	size_t size = pl_answer_block_size(exchange);
+	uint8_t echo[PL_TICKET_BYTES];
 
-	if (request->answer->body_len > size)
-		pl_answer_store_put(agent->answers, &request->flow.caller,
-				    request->method, request->path,
-				    request->query, request->answer, size,
-				    pl_agent_policy(agent)->answer_keep_ms);
-	pl_answer_respond(request->answer, exchange);
+	if (request->answer->body_len <= size) {
+		pl_answer_respond(request->answer, exchange, NULL);
+		return;
+	}
+	pl_answer_store_put(agent->answers, agent->birth + request->id,
+			    &request->flow.caller, request->method,
+			    request->path, request->query, request->answer,
+			    size, pl_agent_policy(agent)->answer_keep_ms);
+	pl_serve_rest_ticket(agent, request, echo);
+	pl_answer_respond(request->answer, exchange, echo);
 }
 
 void pl_run_respond(pl_agent_t *agent, const pl_request_t *request,
@@ -148,10 +153,11 @@
 	const pl_service_policy_t *policy = pl_agent_policy(agent);
 
 	request->accepted_at = now_(agent);
-	request->deadline_at = request->accepted_at + policy->deadline_ms;
 	request->work =
 		pl_scheduler_classify(&agent->scheduler, request->method,
 				      request->path, request->body->len);
+	request->deadline_at = request->accepted_at +
+			       pl_scheduler_deadline_ms(policy, request->work);
 	if (!agent->present ||
 	    !pl_scheduler_admit(&agent->scheduler, request,
 				time_left_ms_(agent, request))) {
--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -115,6 +115,9 @@
 	pl_member_id_t replica; /**< agent that holds the copy, or 0 */
 	uint64_t replica_boot;
 	uint32_t copied; /**< Observe value in the copy */
+	pl_member_id_t origin; /**< who handed it over, until confirmed */
+	uint64_t origin_offer;
+	uint32_t taken; /**< Observe value when it was handed over */
 	pl_list_t copy_link; /**< in the table's to_copy */
 };
 
@@ -199,6 +202,7 @@
 	/* copies */
 	pl_list_t to_copy;
 	pl_timer_t flush_timer;
+	pl_timer_t nudge_timer;
 	GHashTable *replicas; /**< set of pl_view_replica_t by key */
 	GHashTable *owners; /**< set of pl_view_owner_t by agent */
 };
@@ -315,6 +319,14 @@
  */
 void pl_view_resend(pl_view_t *view);
 
+/**
+ * The way of acknowledgements changed: sends what is unacknowledged once
+ * more, soon, beside its retransmissions.
+ */
+void pl_view_nudge_later(pl_view_table_t *table);
+void pl_view_notify_init(pl_view_table_t *table);
+void pl_view_notify_finish(pl_view_table_t *table);
+
 /** Ends the pending registration with an error and the view with it. */
 void pl_view_refuse(pl_view_t *view, uint8_t code);
 
@@ -350,16 +362,21 @@
 /**
  * Settles where a view lives. When the claim in @p place is newer than what
  * is known here, a view that is here goes there; when it is older, @p sender
- * is told. Returns whether the claim holds.
+ * is told. A place that names this agent says that another owner gave way.
+ * Unless the claim was @p agreed, by a hand-over from here, an owner that
+ * gives way tells the other. Returns whether the claim holds.
  */
 bool pl_view_settle(pl_view_table_t *table, pl_member_id_t sender,
-		    const pl_view_place_t *place);
+		    const pl_view_place_t *place, bool agreed);
 
 /** Tells @p peer where a view lives, with the next flush. */
 void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
 		  const pl_view_key_t *key, pl_member_id_t owner,
 		  uint32_t sequence);
 
+/** Tells the holder of the copy of @p view that it need not keep it. */
+void pl_view_release(const pl_view_t *view);
+
 /** Tells @p peer again what it did not hear. */
 void pl_view_tell_failed(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message);
@@ -388,6 +405,9 @@
 			const pl_view_message_t *message);
 void pl_view_take_accept(pl_view_table_t *table, pl_member_id_t peer,
 			 const pl_view_message_t *message);
+/** The acceptance of @p offer arrived at @p peer. */
+void pl_view_take_confirm(pl_view_table_t *table, pl_member_id_t peer,
+			  uint64_t offer);
 void pl_view_offer_failed(pl_view_table_t *table, pl_member_id_t peer,
 			  const pl_view_message_t *message);
 
--- a/src/view/view_place.c
+++ b/src/view/view_place.c
@@ -143,7 +143,7 @@
 }
 
 /* The view goes to the owner that @p place names, or is closed. */
-static void give_up_(pl_view_t *view, const pl_view_place_t *place)
+static void give_up_(pl_view_t *view, const pl_view_place_t *place, bool agreed)
 {
 	pl_view_table_t *table = view->table;
 
@@ -158,6 +158,10 @@
 	if (view->replica && view->replica != place->owner)
 		pl_view_tell(table, view->replica, &view->key, place->owner,
 			     place->sequence);
+	/* the caller may have heard from both */
+	if (!agreed)
+		pl_view_tell(table, place->owner, &view->key, place->owner,
+			     view->sequence);
 	tombstone_set_(table, place);
 	pl_counter_add(PL_COUNTER_VIEWS_MOVED_OUT, 1);
 	pl_view_delete(view);
@@ -185,33 +189,46 @@
 	return false;
 }
 
+/* Another owner gave way; what it sent last may have hidden what this did. */
+static void yielded_(pl_view_t *view, const pl_view_place_t *place)
+{
+	if (pl_view_sequence_newer(place->sequence, view->sequence))
+		view->sequence = place->sequence;
+	pl_view_resend(view);
+}
+
 bool pl_view_settle(pl_view_table_t *table, pl_member_id_t sender,
-		    const pl_view_place_t *place)
+		    const pl_view_place_t *place, bool agreed)
 {
 	pl_view_t *view = pl_view_lookup(table, &place->key);
 
 	if (!view)
 		return settle_absent_(table, sender, place);
-	if (place->owner == table->params.self)
+	if (place->owner == table->params.self) {
+		yielded_(view, place);
 		return true;
+	}
 	if (pl_view_claim_wins(place->sequence, place->owner, view->sequence,
 			       table->params.self)) {
-		give_up_(view, place);
+		give_up_(view, place, agreed);
 		return true;
 	}
 	if (place->owner != 0)
 		pl_view_tell(table, sender, &place->key, table->params.self,
 			     view->sequence);
+	/* the one that claims it may not be the one that says so */
+	if (place->owner != sender && pl_view_reachable(table, place->owner))
+		pl_view_tell(table, place->owner, &place->key,
+			     table->params.self, view->sequence);
+	/* a holder that believed another claim has not kept the copy */
+	if (sender == view->replica)
+		pl_view_copy_later(view);
 	return false;
 }
 
-void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
-		  const pl_view_key_t *key, pl_member_id_t owner,
-		  uint32_t sequence)
+static void outbox_add_(pl_view_table_t *table, pl_member_id_t peer,
+			const pl_view_place_t *place)
 {
-	pl_view_place_t place = { .key = *key,
-				  .owner = owner,
-				  .sequence = sequence };
 	GArray *places = g_hash_table_lookup(table->outbox, &peer);
 
 	assert(peer != 0);
@@ -221,13 +238,34 @@
 		pl_member_id_t *id = g_new(pl_member_id_t, 1);
 
 		*id = peer;
-		places = g_array_new(FALSE, FALSE, sizeof(place));
+		places = g_array_new(FALSE, FALSE, sizeof(*place));
 		g_hash_table_insert(table->outbox, id, places);
 	}
-	g_array_append_val(places, place);
+	g_array_append_vals(places, place, 1);
 	pl_view_flush_later(table);
 }
 
+void pl_view_tell(pl_view_table_t *table, pl_member_id_t peer,
+		  const pl_view_key_t *key, pl_member_id_t owner,
+		  uint32_t sequence)
+{
+	pl_view_place_t place = { .key = *key,
+				  .owner = owner,
+				  .sequence = sequence };
+
+	outbox_add_(table, peer, &place);
+}
+
+void pl_view_release(const pl_view_t *view)
+{
+	pl_view_place_t place = { .key = view->key,
+				  .owner = view->table->params.self,
+				  .sequence = view->sequence,
+				  .release = true };
+
+	outbox_add_(view->table, view->replica, &place);
+}
+
 static void send_places_(pl_view_table_t *table, pl_member_id_t peer,
 			 const GArray *places)
 {
@@ -266,8 +304,12 @@
 	for (guint i = 0; i < message->places->len; i++) {
 		const pl_view_place_t *place =
 			&g_array_index(message->places, pl_view_place_t, i);
+		const pl_view_t *view = pl_view_lookup(table, &place->key);
 
-		pl_view_tell(table, peer, &place->key, place->owner,
-			     place->sequence);
+		/* the copy is wanted there again */
+		if (view && view->replica == peer &&
+		    (place->release || place->owner != table->params.self))
+			continue;
+		outbox_add_(table, peer, place);
 	}
 }
