--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -263,7 +263,10 @@
 void pl_member_spread_beat_(pl_member_table_t *table);
 /** Sends the queued changes to a few members at once. */
 void pl_member_spread_now_(pl_member_table_t *table, unsigned int fanout);
+/** Whether the budget allows more than probes now. */
 bool pl_member_may_send_(pl_member_table_t *table);
+/** Takes @p bytes that were sent from the budget. */
+void pl_member_charge_(pl_member_table_t *table, size_t bytes);
 
 /* sync.c */
 void pl_member_sync_beat_(pl_member_table_t *table);
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -119,6 +119,12 @@
 	return table->tokens > 0;
 }
 
+void pl_member_charge_(pl_member_table_t *table, size_t bytes)
+{
+	table->tokens = MAX(table->tokens - (int64_t)bytes * MILLI,
+			    -(int64_t)table->budget * MILLI);
+}
+
 /* Records of one datagram while it is put together. */
 typedef struct {
 	pl_gossip_record_t records[PL_GOSSIP_RECORDS_MAX];
@@ -252,8 +258,7 @@
 	message->record_count = 0;
 	if (len == 0)
 		return;
-	table->tokens = MAX(table->tokens - (int64_t)len * MILLI,
-			    -(int64_t)table->budget * MILLI);
+	pl_member_charge_(table, len);
 	table->bytes_out += len;
 	pl_counter_add(PL_COUNTER_GOSSIP_OUT_BYTES, len);
 	table->ops.send_datagram(table->ctx, to, buf, len);
@@ -274,15 +279,17 @@
 	}
 }
 
-/* Unlike the random ones these are sent on credit: each change goes once. */
+/* Goes before the random ones, on a little credit: each change goes once. */
 static void spread_ring_(pl_member_table_t *table)
 {
 	pl_gossip_message_t update = { .type = PL_GOSSIP_UPDATE };
 	const pl_member_t *next;
 
-	table->next_ring = table->now + PL_MEMBER_RING_MS;
-	if (pl_list_empty(&table->ring_due))
+	refill_(table);
+	if (pl_list_empty(&table->ring_due) ||
+	    table->tokens < -(int64_t)table->budget * BUCKET_MS)
 		return;
+	table->next_ring = table->now + PL_MEMBER_RING_MS;
 	next = pl_member_ring_next_(table);
 	if (next)
 		pl_member_send_(table, next->id, &update,
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -28,6 +28,8 @@
 /** Comparisons soon after a newcomer has its table, and their pause. */
 #define YOUNG_SYNCS 3
 #define YOUNG_SYNC_MS 700
+/** Larger frames are whole tables for newcomers, outside of the budget. */
+#define CHARGED_MAX 8000
 /** Data centres whose buckets go into one datagram. */
 #define BUCKET_DIGESTS_MAX 2
 
@@ -104,6 +106,8 @@
 	uint8_t *body = pl_gossip_encode_frame(content, &frame.body_len);
 
 	frame.body = body;
+	if (frame.body_len < CHARGED_MAX)
+		pl_member_charge_(table, frame.body_len);
 	table->ops.send_frame(table->ctx, &frame);
 	g_free(body);
 }
@@ -339,6 +343,8 @@
 	unsigned int first =
 		(unsigned int)pl_member_random_below_(table, PL_GOSSIP_BUCKETS);
 
+	if (!pl_member_may_send_(table))
+		return;
 	for (size_t i = 0; i < message->digest_count; i++) {
 		const pl_gossip_digest_t *digest = &message->digests[i];
 		const pl_member_dc_t *dc =
