--- a/test/member/fleet.c
+++ b/test/member/fleet.c
@@ -64,6 +64,8 @@
 	mail_t mail = { .from = node->id, .to = to };
 
 	node->second_out += len;
+	if (fleet->taped == node)
+		g_ptr_array_add(fleet->tape, g_bytes_new(buf, len));
 	if (g_rand_double(fleet->rand) < fleet->loss)
 		return;
 	mail.due = fleet->now + (pl_ms_t)g_rand_int_range(fleet->rand,
@@ -146,6 +148,8 @@
 	fleet->count = count;
 	fleet->nodes = g_new0(node_t, count);
 	fleet->mail = g_queue_new();
+	fleet->tape =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	pl_key_derive("the secret of the test fleet", PL_KEY_GOSSIP,
 		      &fleet->key);
 	for (size_t i = 0; i < count; i++) {
@@ -172,6 +176,7 @@
 	while (!g_queue_is_empty(fleet->mail))
 		free_mail_(g_queue_pop_head(fleet->mail));
 	g_queue_free(fleet->mail);
+	g_ptr_array_free(fleet->tape, TRUE);
 	g_rand_free(fleet->rand);
 	g_free(fleet->nodes);
 	g_free(fleet);
@@ -294,6 +299,21 @@
 		g_queue_push_head(fleet->mail, mail);
 }
 
+void fleet_replay(fleet_t *fleet)
+{
+	for (guint i = 0; i < fleet->tape->len; i++) {
+		gsize len;
+		const uint8_t *buf =
+			g_bytes_get_data(fleet->tape->pdata[i], &len);
+
+		for (size_t j = 0; j < fleet->count; j++) {
+			if (fleet->nodes[j].table)
+				pl_member_receive(fleet->nodes[j].table, buf,
+						  len);
+		}
+	}
+}
+
 static void end_second_(fleet_t *fleet)
 {
 	for (size_t i = 0; i < fleet->count; i++) {
--- a/test/member/fleet.h
+++ b/test/member/fleet.h
@@ -44,6 +44,8 @@
 	double loss; /* share of datagrams lost */
 	pl_key_t key;
 	GQueue *mail; /* by time of arrival */
+	const node_t *taped; /* its datagrams are kept, or NULL */
+	GPtrArray *tape;
 };
 
 /** New fleet of @p count nodes spread over @p datacentres, all down. */
@@ -57,6 +59,9 @@
 /** The process ends without a word. */
 void fleet_kill(fleet_t *fleet, size_t at);
 
+/** Delivers every taped datagram again, to every running node. */
+void fleet_replay(fleet_t *fleet);
+
 /** Lets @p ms pass. */
 void fleet_run(fleet_t *fleet, pl_ms_t ms);
 
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -6,6 +6,8 @@
 
 #include "fleet.h"
 
+#include <pimentolift/counter.h>
+
 static void all_join_through_one_seed(void **state)
 {
 	fleet_t *fleet = fleet_new(1, 40, 4);
@@ -209,6 +211,61 @@
 	fleet_delete(fleet);
 }
 
+/* Late datagrams of an earlier life change nothing. */
+static void late_word_of_an_earlier_life_is_ignored(void **state)
+{
+	fleet_t *fleet = fleet_new(12, 20, 2);
+	pl_member_attr_t attr = { .endpoint = PL_ENDPOINT_DRAINING };
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet->taped = &fleet->nodes[11];
+	pl_member_set_attributes(fleet->nodes[11].table, &attr);
+	fleet_run(fleet, 5000);
+	pl_member_leave(fleet->nodes[11].table);
+	fleet_run(fleet, 1000);
+	fleet->taped = NULL;
+	fleet_kill(fleet, 11);
+	fleet_run(fleet, 3000);
+	fleet_start(fleet, 11);
+	fleet_run(fleet, 5000);
+	for (int i = 0; i < 5; i++) {
+		fleet_replay(fleet);
+		fleet_run(fleet, 1000);
+	}
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	for (size_t i = 0; i < fleet->count; i++) {
+		const pl_member_t *member = pl_member_find(
+			fleet->nodes[i].table, fleet->nodes[11].id);
+
+		assert_int_equal(pl_member_boot(member), fleet->nodes[11].boot);
+		assert_int_equal(pl_member_attr(member)->endpoint,
+				 PL_ENDPOINT_SERVING);
+	}
+	fleet_delete(fleet);
+}
+
+static void stranger_without_the_key_stays_outside(void **state)
+{
+	fleet_t *fleet = fleet_new(13, 4, 1);
+	uint64_t before = pl_counter_get(PL_COUNTER_DROP_AUTH);
+	pl_key_t key = fleet->key;
+
+	(void)state;
+	for (size_t i = 0; i < 3; i++)
+		fleet_start(fleet, i);
+	fleet_run(fleet, 3000);
+	assert_int_equal(pl_counter_get(PL_COUNTER_DROP_AUTH), before);
+	fleet->key.bytes[0] ^= 1;
+	fleet_start(fleet, 3);
+	fleet->key = key;
+	fleet_run(fleet, 10000);
+	assert_false(pl_member_joined(fleet->nodes[3].table));
+	assert_int_equal(fleet_state(fleet, 0, 3), PL_MEMBER_STATE_COUNT);
+	assert_true(pl_counter_get(PL_COUNTER_DROP_AUTH) > before);
+	fleet_delete(fleet);
+}
+
 /* Nodes that do not know @p at as draining. */
 static size_t not_draining_(const fleet_t *fleet, size_t at)
 {
@@ -277,6 +334,8 @@
 		cmocka_unit_test(departure_is_known_fast),
 		cmocka_unit_test(restart_is_a_new_life),
 		cmocka_unit_test(pause_gives_a_new_identity),
+		cmocka_unit_test(late_word_of_an_earlier_life_is_ignored),
+		cmocka_unit_test(stranger_without_the_key_stays_outside),
 		cmocka_unit_test(drain_is_known_within_a_second),
 		cmocka_unit_test(revision_is_heard_everywhere),
 	};
