Test of the configuration's whole way through real daemons

pimentoctl writes, the daemons watch and pull, a newcomer starts from its peers while the platform is down. One watch for each of two members at most is open, whatever their number.

--- /dev/null
+++ b/test/ctl/node_test.c
@@ -0,0 +1,242 @@
+/**
+ * @file
+ * The configuration on its whole way: pimentoctl, the store, and daemons.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <json-c/json.h>
+#include <pimentolift/result.h>
+#include <signal.h>
+#include <stdio.h>
+#include <store.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define DOCUMENT EXAMPLES "/document-hydrantis.toml"
+#define OTHER EXAMPLES "/document-mesure-juste.toml"
+#define DAEMONS 4
+#define WAIT_US (30 * G_USEC_PER_SEC)
+
+typedef struct {
+	GPid pid;
+	FILE *out;
+	char *settings;
+	char inner[64];
+	char admin[64];
+} daemon_t;
+
+typedef struct {
+	pl_store_t *store;
+	char *directory;
+	char *url;
+	daemon_t daemons[DAEMONS];
+	size_t count;
+} fixture_t;
+
+static int set_up_(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	f->store = pl_store_new(0);
+	assert_non_null(f->store);
+	f->url =
+		g_strdup_printf("http://127.0.0.1:%u", pl_store_port(f->store));
+	f->directory = g_dir_make_tmp("pimentoctl-XXXXXX", NULL);
+	*state = f;
+	return 0;
+}
+
+static void stop_(daemon_t *daemon)
+{
+	waitpid(daemon->pid, NULL, 0);
+	fclose(daemon->out);
+	g_unlink(daemon->settings);
+	g_free(daemon->settings);
+	memset(daemon, 0, sizeof(*daemon));
+}
+
+static int tear_down_(void **state)
+{
+	fixture_t *f = *state;
+
+	for (size_t i = 0; i < f->count; i++)
+		kill(f->daemons[i].pid, SIGTERM);
+	for (size_t i = 0; i < f->count; i++)
+		stop_(&f->daemons[i]);
+	pl_store_delete(f->store);
+	g_rmdir(f->directory);
+	g_free(f->directory);
+	g_free(f->url);
+	g_free(f);
+	return 0;
+}
+
+/* Starts an entry that asks the first daemon, and waits until it is ready. */
+static daemon_t *start_(fixture_t *f)
+{
+	daemon_t *daemon = &f->daemons[f->count];
+	char *argv[] = { PIMENTOLIFTD, "--config", NULL, NULL };
+	char line[256] = "";
+	char *text;
+	int fd = -1;
+
+	text = g_strdup_printf(
+		"role = \"entry\"\nname = \"entry-%zu\"\n"
+		"environment = \"trial\"\ndatacentre = \"gent\"\n"
+		"secret = \"0123456789abcdef\"\nseeds = [%s%s%s]\n"
+		"stop_timeout_ms = 1000\n"
+		"[platform]\nurl = \"%s\"\ntimeout_ms = 500\n"
+		"[entry]\nlisten = [\"127.0.0.1:0\"]\n",
+		f->count, f->count ? "\"" : "", f->daemons[0].inner,
+		f->count ? "\"" : "", f->url);
+	daemon->settings =
+		g_strdup_printf("%s/%zu.toml", f->directory, f->count);
+	argv[2] = daemon->settings;
+	assert_true(g_file_set_contents(daemon->settings, text, -1, NULL));
+	g_free(text);
+	assert_true(g_spawn_async_with_pipes(
+		NULL, argv, NULL,
+		G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDERR_TO_DEV_NULL, NULL,
+		NULL, &daemon->pid, NULL, &fd, NULL, NULL));
+	daemon->out = fdopen(fd, "r");
+	f->count++;
+	assert_non_null(fgets(line, sizeof(line), daemon->out));
+	assert_int_equal(sscanf(line, "ready inner=%63s admin=%63s",
+				daemon->inner, daemon->admin),
+			 2);
+	return daemon;
+}
+
+/* Runs the tool; its standard output is freed with g_free(). */
+static int run_(char **out, ...)
+{
+	GPtrArray *argv = g_ptr_array_new();
+	va_list args;
+	char *arg;
+	int status = 0;
+
+	g_ptr_array_add(argv, PIMENTOCTL);
+	va_start(args, out);
+	while ((arg = va_arg(args, char *)))
+		g_ptr_array_add(argv, arg);
+	va_end(args);
+	g_ptr_array_add(argv, NULL);
+	assert_true(g_spawn_sync(NULL, (char **)argv->pdata, NULL, 0, NULL,
+				 NULL, out, NULL, &status, NULL));
+	g_ptr_array_free(argv, TRUE);
+	assert_true(WIFEXITED(status));
+	return WEXITSTATUS(status);
+}
+
+static int apply_(fixture_t *f, char *file)
+{
+	char *out = NULL;
+	int code = run_(&out, "apply", "-p", f->url, "-e", "trial", file, NULL);
+
+	g_free(out);
+	return code;
+}
+
+static int64_t revision_(const daemon_t *daemon)
+{
+	struct json_object *rows;
+	struct json_object *revision = NULL;
+	char *out = NULL;
+	int64_t number = -1;
+
+	assert_int_equal(
+		run_(&out, "status", "--json", "-a", daemon->admin, NULL),
+		PL_OK);
+	rows = json_tokener_parse(out);
+	assert_int_equal(json_object_array_length(rows), 1);
+	if (json_object_object_get_ex(json_object_array_get_idx(rows, 0),
+				      "revision", &revision))
+		number = json_object_get_int64(revision);
+	json_object_put(rows);
+	g_free(out);
+	return number;
+}
+
+/* Waits until every daemon holds @p revision. */
+static void wait_revision_(const fixture_t *f, int64_t revision)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_US;
+	size_t at = 0;
+
+	while (at < f->count && g_get_monotonic_time() < until) {
+		if (revision_(&f->daemons[at]) == revision)
+			at++;
+	}
+	assert_int_equal(at, f->count);
+}
+
+static void change_reaches_daemons_and_newcomers(void **state)
+{
+	fixture_t *f = *state;
+	pl_store_stats_t stats;
+	char *out = NULL;
+
+	assert_int_equal(apply_(f, DOCUMENT), PL_OK);
+	for (int i = 0; i < DAEMONS - 1; i++)
+		start_(f);
+	wait_revision_(f, 1);
+	assert_int_equal(apply_(f, OTHER), PL_OK);
+	wait_revision_(f, 2);
+	/* a newcomer starts from its peers while the platform is down */
+	pl_store_command(f->store, "down");
+	start_(f);
+	wait_revision_(f, 2);
+	pl_store_command(f->store, "up");
+	assert_int_equal(apply_(f, DOCUMENT), PL_OK);
+	wait_revision_(f, 3);
+	pl_store_stats(f->store, &stats);
+	assert_true(stats.watches_waiting <= 2);
+
+	assert_int_equal(run_(&out, "explain", "-a", f->daemons[0].admin,
+			      "--service=permit-desk",
+			      "--caller=192.0.2.7:4000", NULL),
+			 PL_OK);
+	assert_non_null(strstr(out, "service permit-desk, caller 192.0.2.7"));
+	g_free(out);
+	assert_int_equal(run_(&out, "explain", "-a", f->daemons[0].admin,
+			      "--service=none", "--caller=192.0.2.7:4000",
+			      NULL),
+			 PL_ERR_USAGE);
+	g_free(out);
+	assert_int_equal(
+		run_(&out, "endpoints", "-a", f->daemons[1].admin, NULL),
+		PL_OK);
+	assert_non_null(strstr(out, "SERVICE"));
+	g_free(out);
+	assert_int_equal(run_(&out, "metrics", "-a", f->daemons[1].admin,
+			      "platform_calls", NULL),
+			 PL_OK);
+	assert_non_null(strstr(out, "pimentolift_platform_calls_total "));
+	g_free(out);
+	assert_int_equal(run_(&out, "drain", "-a", f->daemons[1].admin, NULL),
+			 PL_OK);
+	g_free(out);
+	assert_int_equal(
+		run_(&out, "status", "-a", f->daemons[1].admin, "-j", NULL),
+		PL_OK);
+	assert_non_null(strstr(out, "\"draining\":true"));
+	g_free(out);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			change_reaches_daemons_and_newcomers, set_up_,
+			tear_down_),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
