--- a/test/soak/demo.c
+++ b/test/soak/demo.c
@@ -41,6 +41,7 @@
 
 static void bad_network_(lab_t *lab)
 {
+	lab->lossy = true;
 	g_free(pl_process_ask(lab->fabric, "loss 50"));
 	g_free(pl_process_ask(lab->fabric, "dup 50"));
 	g_free(pl_process_ask(lab->fabric, "reorder 100"));
--- a/test/soak/traffic.c
+++ b/test/soak/traffic.c
@@ -26,6 +26,7 @@
 			lab_tick(lab);
 		}
 	}
+	lab_trace(lab, "every view is open");
 	lab->next_update_ms = pl_now_ms() + FIRST_UPDATE_MS;
 	return true;
 }
