Lengths in configuration frames are checked before msgpack unpacks them

Seen under AddressSanitizer in mutated_frames_are_refused: a changed header asked the library for 128 GB.

--- a/include/pimentolift/config_codec.h
+++ b/include/pimentolift/config_codec.h
@@ -61,7 +61,11 @@
 
 void pl_config_encode_push(const pl_config_push_t *push, GByteArray *out);
 
-/** Decodes into @p push, which borrows from @p body. */
+/**
+ * Decodes into @p push, which borrows from @p body. The lengths inside the
+ * sections are checked too, so that decoding one allocates no more than it
+ * holds.
+ */
 pl_result_t pl_config_decode_push(const uint8_t *body, size_t len,
 				  pl_config_push_t *push);
 
