Agent to backend server: tokens apart from libcoap's own; 2.31 is no answer

Cause: libcoap numbers the tokens of follow-up blocks from 1 and matches by the low 48 bits; the agent's tokens were counted from 1 too, so an upload that started while a block-wise read ran could get the read's 2.31, stop after its first block, and never be answered. Ruled out: the caller's side and the inner protocol (the datagrams there were right). Tokens start at 2^47 now, and a 2.31 as the last answer counts as a refusal, since nothing ran.

--- a/src/daemon/backend.c
+++ b/src/daemon/backend.c
@@ -14,6 +14,9 @@
 #include <sys/epoll.h>
 
 #define TOKEN_BYTES 8
+/** libcoap numbers the tokens of follow-up blocks from 1 and tells answers
+ * apart by the low 48 bits, so the tokens made here start far above. */
+#define FIRST_TOKEN (UINT64_C(1) << 47)
 /** libcoap's own timers (block transfers) are looked at this often. */
 #define POLL_MS 50
 /** Time past the deadline after which an answer counts as lost. */
@@ -292,7 +295,8 @@
 	size_t offset;
 	size_t total;
 
-	if (reply.code == PL_COAP_UNAVAILABLE)
+	/* 2.31 as a last answer means that the body did not arrive whole */
+	if (reply.code == PL_COAP_UNAVAILABLE || reply.code == PL_COAP_CONTINUE)
 		reply.status = PL_BACKEND_REFUSED;
 	if (location_(pdu, location))
 		reply.location_path = location;
@@ -437,6 +441,7 @@
 	backend->loop = loop;
 	backend->ops = *ops;
 	backend->ctx = ctx;
+	backend->last_token = FIRST_TOKEN;
 	backend->by_token = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, exchange_free_);
 	backend->subscriptions = g_hash_table_new(g_int64_hash, g_int64_equal);
