Agent: a read is answered in its acknowledgement, however late

Cause: libcoap 4.3.1's client, given an empty ACK and then a separate 2.05 with Block2 0/M, acknowledges it and never asks for block 1; the read hangs. Measured with the caller against a stand-in server: hangs as a separate response, works in the ACK. So a GET or FETCH gets no early ACK any more; the caller repeats it meanwhile, and the exchange absorbs the repeats.

Two tests pinned the early ACK of a GET. They assert the same of a POST now, and slow_get_is_answered_in_its_ack asserts the new behaviour of a GET; it failed before the change.

--- a/src/agent/exchange.c
+++ b/src/agent/exchange.c
@@ -214,6 +214,15 @@
 	return false;
 }
 
+/* A read gets its answer in the acknowledgement, however late: libcoap's
+ * client never asks for the second block of an answer that comes separately.
+ * The caller repeats the request meanwhile, which the exchange absorbs. */
+static bool wants_early_ack_(const pl_coap_msg_t *msg)
+{
+	return msg->type == PL_COAP_CON && msg->code != PL_COAP_GET &&
+	       msg->code != PL_COAP_FETCH;
+}
+
 pl_exchange_t *pl_exchange_open(pl_exchange_table_t *table,
 				const pl_forward_t *forward,
 				const pl_coap_msg_t *msg)
@@ -238,7 +247,7 @@
 	pl_list_init(&exchange->waiting);
 	pl_timer_init(&exchange->timer, timer_fired_, exchange);
 	g_hash_table_insert(table->by_request, &exchange->key, exchange);
-	if (msg->type == PL_COAP_CON)
+	if (wants_early_ack_(msg))
 		pl_timer_arm(table->timers, &exchange->timer,
 			     exchange->opened_at + PL_EXCHANGE_ACK_DELAY_MS);
 	return exchange;
