Agent: callers of the randomised test also repeat under new message IDs

Cause: a trial that ran a repeat under a known ticket again was not caught, because callers repeated only the same datagram, which the message layer answers.

Conclusion: a quarter of the repeats now have a new message ID and token.

--- a/test/agent/random_test.c
+++ b/test/agent/random_test.c
@@ -18,6 +18,7 @@
 #define BLOCKS 4
 #define ANSWER_BYTES 300
 #define GIVE_UP_MS 95000
+#define TOKENS_MAX 200
 
 /** One operation of a caller: its requests and what came of them. */
 typedef struct {
@@ -381,15 +382,26 @@
 	}
 }
 
+/* Mostly the same datagram again, at times under a new message ID. */
+static void resend_(world_t *w, op_t *op)
+{
+	pl_ms_t timeout_ms = op->timeout_ms * 2;
+
+	if (below_(w, 4) == 0 && op->last_token % 256 < TOKENS_MAX)
+		send_request_(w, op);
+	else
+		transmit_(w, op);
+	op->timeout_ms = timeout_ms;
+	op->resend_at = w->f->now + timeout_ms;
+}
+
 static void drive_callers_(world_t *w, bool start)
 {
 	for (int i = 0; i < CALLERS; i++) {
 		op_t *op = w->current[i] < 0 ? NULL : &w->ops[w->current[i]];
 
 		if (op && op->resend_at != 0 && op->resend_at <= w->f->now) {
-			op->timeout_ms *= 2;
-			op->resend_at = w->f->now + op->timeout_ms;
-			transmit_(w, op);
+			resend_(w, op);
 		}
 		if (!op || (op->told_any && op->resend_at == 0) ||
 		    w->f->now > op->started_at + GIVE_UP_MS) {
