Admission: an idle slot serves whatever the queue's length is set to

Cause: admission_test.c was red: with queue_max 0 nothing was served at all, and with answers under a millisecond the expected wait of 0 let the queue grow to queue_max only because that was checked first.

Weighed: a least value of 1 in the document, or the idle slot first.

Conclusion: queue_max counts those that wait.

--- a/src/agent/admission.c
+++ b/src/agent/admission.c
@@ -196,11 +196,16 @@
 	return slots > taken + 1 ? slots - taken : 1;
 }
 
+static size_t ahead_(const pl_scheduler_t *scheduler, pl_work_class_t work)
+{
+	return scheduler->queued[work] + scheduler->running[work];
+}
+
 uint32_t pl_scheduler_wait_ms(const pl_scheduler_t *scheduler,
 			      pl_work_class_t work)
 {
 	size_t slots = slots_for_(scheduler, work);
-	size_t ahead = scheduler->queued[work] + scheduler->running[work];
+	size_t ahead = ahead_(scheduler, work);
 
 	if (ahead < slots)
 		return 0;
@@ -223,14 +228,15 @@
 			    const pl_request_t *request, uint32_t time_left_ms)
 {
 	pl_work_class_t work = request->work;
-	uint32_t wait_ms = pl_scheduler_wait_ms(scheduler, work);
+	double need_ms = pl_scheduler_wait_ms(scheduler, work) +
+			 scheduler->service_ms[work];
 
+	/* an idle slot takes even work that is expected to be late */
+	if (ahead_(scheduler, work) < slots_for_(scheduler, work))
+		return true;
 	if (pl_scheduler_queued(scheduler) >= scheduler->queue_max)
 		return false;
-	/* an idle slot takes even work that is expected to be late */
-	return wait_ms == 0 ||
-	       wait_ms + (uint32_t)scheduler->service_ms[work] <=
-		       (uint64_t)time_left_ms * PL_ADMIT_PERCENT / 100;
+	return need_ms <= time_left_ms * (PL_ADMIT_PERCENT / 100.0);
 }
 
 static pl_request_t *head_(const pl_scheduler_t *scheduler,
@@ -279,7 +285,8 @@
 {
 	(void)request;
 	(void)time_left_ms;
-	return pl_scheduler_queued(scheduler) < scheduler->queue_max;
+	return pl_scheduler_running(scheduler) < scheduler->slots ||
+	       pl_scheduler_queued(scheduler) < scheduler->queue_max;
 }
 
 static pl_request_t *fifo_next_(pl_scheduler_t *scheduler)
--- a/test/agent/admission_test.c
+++ b/test/agent/admission_test.c
@@ -165,6 +165,22 @@
 	fixture_delete(f);
 }
 
+static void without_a_queue_idle_slots_still_serve(void **state)
+{
+	fixture_t *f = fixture_new(1, 1);
+	pl_coap_msg_t msg;
+
+	(void)state;
+	f->policy.queue_max = 0;
+	fixture_route(f);
+	get_(f, "permits");
+	get_(f, "permits");
+	assert_int_equal(fixture_calls(f), 2);
+	get_(f, "permits");
+	fixture_expect(f, PL_COAP_UNAVAILABLE, &msg);
+	fixture_delete(f);
+}
+
 static void refusals_spread_the_returns(void **state)
 {
 	fixture_t *f = fixture_new(1, 1);
@@ -213,6 +229,7 @@
 		cmocka_unit_test(long_work_does_not_starve),
 		cmocka_unit_test(long_work_may_wait_longer),
 		cmocka_unit_test(what_cannot_be_in_time_is_refused_at_once),
+		cmocka_unit_test(without_a_queue_idle_slots_still_serve),
 		cmocka_unit_test(refusals_spread_the_returns),
 		cmocka_unit_test(overload_is_passed_on_once),
 	};
