--- a/test/view/view_fake.h
+++ b/test/view/view_fake.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <pimentolift/view.h>
 
-#define FAKE_AGENTS_MAX 5
+#define FAKE_AGENTS_MAX 7
 #define FAKE_RESOURCES 4
 #define FAKE_ENTRY 9000
 
