--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -103,7 +103,6 @@
 			       digest, msg->echo, msg->echo_len, ticket);
 }
 
-/* Passes a datagram on to the agent of @p ticket while that life lasts. */
 bool pl_serve_forward_to_issuer(pl_agent_t *agent, const pl_forward_t *forward,
 				const pl_ticket_t *ticket)
 {
@@ -111,8 +110,8 @@
 
 	if (agent->routing)
 		issuer = pl_routing_endpoint(agent->routing, ticket->agent);
-	return issuer && issuer->boot == ticket->boot &&
-	       issuer->service == forward->flow.service &&
+	/* after a pause the issuer has another boot and still knows */
+	return issuer && issuer->service == forward->flow.service &&
 	       pl_agent_forward_to(agent, forward, ticket->agent);
 }
 
@@ -229,7 +228,8 @@
 	if (wants_rest_(msg)) {
 		if (serve_rest_(agent, forward, msg))
 			return;
-	} else if (agent->draining && pl_agent_forward_home(agent, forward)) {
+	} else if (pl_agent_leaves_work(agent) &&
+		   pl_agent_forward_home(agent, forward)) {
 		return;
 	}
 	run_get_(agent, forward, msg);
@@ -263,7 +263,6 @@
 	pl_ticket_issue(&agent->params.ticket_key, &ticket, &forward->flow,
 			pl_ticket_digest(msg), echo);
 	pl_counter_add(PL_COUNTER_TICKETS_ISSUED, 1);
-	agent->ticket_at = pl_timer_service_now(agent->timers);
 	pl_exchange_write_start(exchange, &writer, buf, sizeof(buf),
 				PL_COAP_UNAUTHORIZED);
 	pl_coap_write_option(&writer, PL_COAP_OPT_ECHO, echo, sizeof(echo));
@@ -288,7 +287,7 @@
 				 TEXT_TOO_LARGE);
 		return;
 	}
-	if ((agent->draining || !agent->present) &&
+	if (pl_agent_leaves_work(agent) &&
 	    pl_agent_forward_home(agent, forward))
 		return;
 	if (overloaded_(agent, msg) && pl_agent_forward_other(agent, forward))
