Views leave a backend server that stays away

Views of an agent whose backend server had crashed kept waiting for its return although other endpoints served: nothing moved them but a drain. Test first: views_leave_a_lost_backend_server was red.

After 2 s without a backend server an agent hands its views over as in a drain; when it returns, what was not taken stays. Shorter absences, a restart for example, move nothing.

pl_view_set_load() lets the agent core name the load that goes with every datagram to a caller; views sent 0 until now.

--- a/include/pimentolift/view.h
+++ b/include/pimentolift/view.h
@@ -38,6 +38,9 @@
 void pl_view_set_routing(pl_view_table_t *table, const pl_routing_t *routing,
 			 pl_service_id_t service);
 
+/** Expected wait for a slot, which goes with every datagram to a caller. */
+void pl_view_set_load(pl_view_table_t *table, uint32_t load_ms);
+
 /**
  * Opens or refreshes a view: a GET with Observe 0. The first answer is the
  * registration's; it is sent as soon as the resource's state is known, as an
@@ -73,7 +76,10 @@
 void pl_view_notify(pl_view_table_t *table, uint64_t subscription_id,
 		    const pl_backend_reply_t *reply);
 
-/** The backend server is there (again): subscribes anew; or it is gone. */
+/**
+ * The backend server is there (again): subscribes anew; or it is gone. The
+ * views of one that stays away for 2 s are handed over.
+ */
 void pl_view_backend(pl_view_table_t *table, bool present);
 
 /** Frames of the types PL_PEER_VIEW_*. */
--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -183,7 +183,9 @@
 	const pl_routing_t *routing; /**< borrowed */
 	pl_service_id_t service_id;
 	bool backend_present;
-	bool draining;
+	bool draining; /**< takes nothing any more */
+	bool leaving; /**< hands its views over */
+	uint32_t load_ms; /**< goes with every datagram to a caller */
 	uint64_t next_subscription;
 	GHashTable *callers; /**< set of pl_view_caller_t by address */
 	GHashTable *views; /**< set of pl_view_t by key */
@@ -195,6 +197,7 @@
 	pl_list_t offers;
 	uint64_t next_offer;
 	pl_timer_t move_timer;
+	pl_timer_t absent_timer;
 	pl_ms_t move_backoff_ms;
 	GArray *holds; /**< agents that are not offered anything for a while */
 	/* where views are that are not here */
@@ -403,6 +406,9 @@
 /** Takes @p view out of the hand-over. */
 void pl_view_move_cancel(pl_view_t *view);
 
+/** The backend server is there, or it is gone and may stay away. */
+void pl_view_move_backend(pl_view_table_t *table, bool present);
+
 /** Offers the views that have to go. */
 void pl_view_move_pump(pl_view_table_t *table);
 
--- a/src/view/view_balance.c
+++ b/src/view/view_balance.c
@@ -32,7 +32,7 @@
 	gpointer key;
 	unsigned int moved = 0;
 
-	if (!service || table->draining)
+	if (!service || table->leaving)
 		return;
 	g_hash_table_iter_init(&iter, table->views);
 	while (moved < VIEWS_PER_INTERVAL &&
--- a/src/view/view_frame.c
+++ b/src/view/view_frame.c
@@ -95,7 +95,7 @@
 	}
 	pl_view_message_finish(&message);
 	/* a leaver may end as soon as its last view is gone */
-	if (table->draining)
+	if (table->leaving)
 		pl_view_flush(table);
 }
 
--- a/src/view/view_handover.c
+++ b/src/view/view_handover.c
@@ -25,6 +25,8 @@
 /** Wait before views that nobody could take are offered again. */
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 2000
+/** Views leave a backend server that stays away for this long. */
+#define ABSENT_MS 2000
 /** Receivers looked at for one view. */
 #define RANKED 8
 
@@ -34,20 +36,6 @@
 	pl_ms_t wait_ms; /**< of this hold; the next one is longer */
 } hold_t;
 
-static void move_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
-{
-	pl_view_move_pump(ctx);
-}
-
-void pl_view_handover_init(pl_view_table_t *table)
-{
-	pl_list_init(&table->to_move);
-	pl_list_init(&table->offers);
-	pl_timer_init(&table->move_timer, move_fire_, table);
-	table->move_backoff_ms = BACKOFF_MIN_MS;
-	table->holds = g_array_new(FALSE, FALSE, sizeof(hold_t));
-}
-
 static void offer_delete_(pl_view_offer_t *offer)
 {
 	assert(pl_list_empty(&offer->views));
@@ -60,6 +48,7 @@
 {
 	pl_list_for_each_safe(node, &table->offers)
 		offer_delete_(PL_CONTAINER_OF(node, pl_view_offer_t, link));
+	pl_timer_cancel(table->timers, &table->absent_timer);
 	pl_timer_cancel(table->timers, &table->move_timer);
 	g_array_free(table->holds, TRUE);
 }
@@ -130,7 +119,7 @@
 	if (service)
 		count = pl_placement_rank(service, &view->key.caller,
 					  PL_RANK_SERVING, table->params.self,
-					  ranked, table->draining ? RANKED : 1);
+					  ranked, table->leaving ? RANKED : 1);
 	for (size_t i = 0; i < count; i++) {
 		if (!held_(table, ranked[i]->agent))
 			return ranked[i]->agent;
@@ -171,7 +160,7 @@
 	while ((first = pl_list_first(&offer->views))) {
 		pl_view_t *view = PL_CONTAINER_OF(first, pl_view_t, move_link);
 
-		if (table->draining)
+		if (table->leaving)
 			pl_view_move_later(view);
 		else
 			pl_view_move_cancel(view);
@@ -181,7 +170,7 @@
 		view->sequence = pl_view_sequence_add(view->sequence,
 						      2 * PL_VIEW_MOVE_STEP);
 		/* the receiver, which holds the copy, gives way to it */
-		if (!table->draining)
+		if (!table->leaving)
 			pl_view_copy_later(view);
 		pl_view_resend(view);
 	}
@@ -227,7 +216,7 @@
 		guint count = 0;
 
 		if (receiver == 0) {
-			if (!table->draining)
+			if (!table->leaving)
 				pl_view_move_cancel(view);
 			continue;
 		}
@@ -274,21 +263,68 @@
 			     pl_view_now(table) + table->move_backoff_ms);
 }
 
-void pl_view_drain(pl_view_table_t *table)
+/* Hands every view over. */
+static void leave_(pl_view_table_t *table)
 {
 	GHashTableIter iter;
-	gpointer view;
+	gpointer key;
 
-	table->draining = true;
+	table->leaving = true;
 	g_hash_table_iter_init(&iter, table->views);
-	while (g_hash_table_iter_next(&iter, &view, NULL)) {
-		if (!((pl_view_t *)view)->offer)
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		pl_view_t *view = key;
+
+		if (!view->offer)
 			pl_view_move_later(view);
 	}
 	pl_view_move_pump(table);
 	pl_view_flush(table);
 }
 
+void pl_view_drain(pl_view_table_t *table)
+{
+	table->draining = true;
+	leave_(table);
+}
+
+static void absent_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	leave_(ctx);
+}
+
+static void move_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_move_pump(ctx);
+}
+
+void pl_view_handover_init(pl_view_table_t *table)
+{
+	pl_list_init(&table->to_move);
+	pl_list_init(&table->offers);
+	pl_timer_init(&table->move_timer, move_fire_, table);
+	pl_timer_init(&table->absent_timer, absent_fire_, table);
+	table->move_backoff_ms = BACKOFF_MIN_MS;
+	table->holds = g_array_new(FALSE, FALSE, sizeof(hold_t));
+}
+
+void pl_view_move_backend(pl_view_table_t *table, bool present)
+{
+	if (!present) {
+		if (!table->leaving && !pl_timer_armed(&table->absent_timer))
+			pl_timer_arm(table->timers, &table->absent_timer,
+				     pl_view_now(table) + ABSENT_MS);
+		return;
+	}
+	pl_timer_cancel(table->timers, &table->absent_timer);
+	if (table->draining)
+		return;
+	/* what is offered stays when it is refused */
+	table->leaving = false;
+	pl_list_for_each_safe(node, &table->to_move)
+		pl_view_move_cancel(
+			PL_CONTAINER_OF(node, pl_view_t, move_link));
+}
+
 void pl_view_offers_abandon(pl_view_table_t *table, pl_member_id_t agent)
 {
 	hold_t *hold;
--- a/src/view/view_notify.c
+++ b/src/view/view_notify.c
@@ -51,7 +51,8 @@
 			   .service = table->service_id };
 
 	if (PL_INVARIANT(len > 0, "a notification does not fit a datagram"))
-		table->ops->reply(table->ctx, view->entry, &flow, 0, pdu, len);
+		table->ops->reply(table->ctx, view->entry, &flow,
+				  table->load_ms, pdu, len);
 }
 
 /* Adds the options that describe @p content, as a slice from block @p num. */
--- a/src/view/view_resource.c
+++ b/src/view/view_resource.c
@@ -303,6 +303,7 @@
 	gpointer resource;
 
 	table->backend_present = present;
+	pl_view_move_backend(table, present);
 	g_hash_table_iter_init(&iter, table->resources);
 	while (g_hash_table_iter_next(&iter, &resource, NULL)) {
 		if (present)
--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -143,6 +143,11 @@
 	pl_view_move_pump(table);
 }
 
+void pl_view_set_load(pl_view_table_t *table, uint32_t load_ms)
+{
+	table->load_ms = load_ms;
+}
+
 pl_view_caller_t *pl_view_caller_find(const pl_view_table_t *table,
 				      const pl_addr_t *addr)
 {
@@ -200,7 +205,7 @@
 	pl_list_init(&view->move_link);
 	pl_list_init(&view->copy_link);
 	pl_view_copy_later(view);
-	if (table->draining)
+	if (table->leaving)
 		pl_view_move_later(view);
 	return view;
 }
--- a/test/view/view_move_test.c
+++ b/test/view/view_move_test.c
@@ -335,6 +335,32 @@
 	fake_delete(fake);
 }
 
+/* A backend server that stays away does not keep its views waiting. */
+static void views_leave_a_lost_backend_server(void **state)
+{
+	fake_t *fake = opened_(15, 3, 3);
+	size_t before = count_(fake, 0);
+
+	pl_view_backend(fake->agents[0].table, false);
+	update_all_(fake);
+	fake_run(fake, 1000);
+	/* it may be a restart */
+	assert_int_equal(count_(fake, 0), before);
+	pl_view_backend(fake->agents[0].table, true);
+	fake_run(fake, 5000);
+	assert_int_equal(count_(fake, 0), before);
+	assert_int_equal(fake_behind(fake), 0);
+
+	pl_view_backend(fake->agents[0].table, false);
+	update_all_(fake);
+	fake_run(fake, 3000);
+	assert_int_equal(count_(fake, 0), 0);
+	assert_int_equal(fake_behind(fake), 0);
+	pl_view_backend(fake->agents[0].table, true);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
 static int reset_(void **state)
 {
 	pl_counter_reset();
@@ -362,6 +388,8 @@
 				       reset_),
 		cmocka_unit_test_setup(new_home_knows_where_views_are, reset_),
 		cmocka_unit_test_setup(views_return_to_their_homes, reset_),
+		cmocka_unit_test_setup(views_leave_a_lost_backend_server,
+				       reset_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/view/view_random_test.c
+++ b/test/view/view_random_test.c
@@ -96,9 +96,9 @@
 		fake_run(fake, draw_(fake, 20));
 		fake_route(fake);
 	} else {
-		/* the backend server is replaced */
+		/* the backend server is replaced, sometimes slowly */
 		pl_view_backend(agent->table, false);
-		fake_run(fake, draw_(fake, 200));
+		fake_run(fake, draw_(fake, draw_(fake, 4) ? 200 : 4000));
 		pl_view_backend(agent->table, true);
 	}
 }
