Membership: gone members are corrected; deaths held back by a sounding

Cause: read-through. Word of a death that arrived during a sounding which did not end in a cut was lost until the next comparison; a sender that still held a gone member alive within the same incarnation was not corrected.

--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -218,8 +218,12 @@
 		pl_member_echo_(table, member);
 		return;
 	}
-	if (record->state < member->state)
+	if (record->state < member->state) {
+		/* the sender has not heard of its end */
+		if (!pl_member_live_(member))
+			table->correct = member;
 		return;
+	}
 	switch (record->state) {
 	case PL_MEMBER_SUSPECT:
 		pl_member_suspect_(table, member);
--- a/src/member/partition.c
+++ b/src/member/partition.c
@@ -157,6 +157,8 @@
 		cut_(table, dc);
 	else if (!dc->cut && dc->sound_asked == 0 && suspect * 2 > live_(dc))
 		cut_(table, dc);
+	if (!dc->cut)
+		suspect_said_dead_(table, dc);
 }
 
 bool pl_member_partition_hold_(pl_member_table_t *table, pl_member_t *member)
--- a/test/bench/member_spread.c
+++ b/test/bench/member_spread.c
@@ -205,6 +205,11 @@
 	mean = ((double)bytes_(fleet) - mean) / (double)size /
 	       (REPLACE_MS / 1000.0);
 	print_("member_replace_650_bytes", size, &mean, 1, "bytes/s", "6000");
+	value = (double)MAX(fleet->nodes[0].worst_second,
+			    fleet->nodes[1].worst_second);
+	print_("member_replace_650_seed_second", size, &value, 1, "bytes", "-");
+	fleet->nodes[0].worst_second = 0;
+	fleet->nodes[1].worst_second = 0;
 	value = (double)fleet_worst_second(fleet);
 	print_("member_replace_650_second", size, &value, 1, "bytes", "-");
 	start = fleet->now;
--- a/test/member/partition_test.c
+++ b/test/member/partition_test.c
@@ -193,6 +193,10 @@
 	assert_int_equal(fleet_others_not(fleet, 4, PL_MEMBER_UNREACHABLE), 0);
 	fleet_run(fleet, HOUR_MS + 2 * MINUTE_MS);
 	assert_int_equal(fleet_others_not(fleet, 4, PL_MEMBER_DEAD), 0);
+	for (size_t i = 1; i < fleet->count; i += 3)
+		fleet_start(fleet, i);
+	fleet_run(fleet, 30000);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
 	fleet_delete(fleet);
 }
 
