--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -70,8 +70,11 @@
 static bool watched_(const pl_member_table_t *table, pl_member_id_t id)
 {
 	pl_list_for_each(node, &table->watches) {
-		if (PL_CONTAINER_OF(node, pl_watch_t, link)->id == id)
-			return true;
+		const pl_watch_t *watch =
+			PL_CONTAINER_OF(node, pl_watch_t, link);
+
+		if (watch->id == id)
+			return watch->count > 0;
 	}
 	return false;
 }
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -286,14 +286,13 @@
 	pl_list_append(&table->watches, &watch->link);
 }
 
+/* Ends at the next due time; one watched anew meanwhile keeps its pace. */
 void pl_member_unwatch(pl_member_table_t *table, pl_member_id_t id)
 {
-	pl_list_for_each_safe(node, &table->watches) {
+	pl_list_for_each(node, &table->watches) {
 		pl_watch_t *watch = PL_CONTAINER_OF(node, pl_watch_t, link);
 
-		if (watch->id != id || --watch->count > 0)
-			continue;
-		pl_list_remove(node);
-		g_free(watch);
+		if (watch->id == id && watch->count > 0)
+			watch->count--;
 	}
 }
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -115,6 +115,30 @@
 	fleet_delete(fleet);
 }
 
+/* An owner that renews its watches often must not probe more for it. */
+static void renewed_watch_keeps_its_pace(void **state)
+{
+	fleet_t *fleet = fleet_new(14, 4, 1);
+	pl_member_table_t *table;
+	pl_member_stats_t before;
+	pl_member_stats_t after;
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet_run(fleet, 30000);
+	table = fleet->nodes[1].table;
+	pl_member_stats(table, &before);
+	for (int i = 0; i < 1000; i++) {
+		pl_member_watch(table, fleet->nodes[2].id);
+		fleet_run(fleet, FLEET_STEP_MS);
+		pl_member_unwatch(table, fleet->nodes[2].id);
+	}
+	pl_member_stats(table, &after);
+	/* 10 s: at most four probes or answers, and two more, a second */
+	assert_in_range(after.bytes_out - before.bytes_out, 0, 10 * 6 * 80);
+	fleet_delete(fleet);
+}
+
 static void loss_kills_nobody(void **state)
 {
 	fleet_t *fleet = fleet_new(6, 30, 3);
@@ -330,6 +354,7 @@
 		cmocka_unit_test(waits_for_a_seed_that_is_down),
 		cmocka_unit_test(crash_is_declared_everywhere),
 		cmocka_unit_test(watched_member_is_declared_sooner),
+		cmocka_unit_test(renewed_watch_keeps_its_pace),
 		cmocka_unit_test(loss_kills_nobody),
 		cmocka_unit_test(departure_is_known_fast),
 		cmocka_unit_test(restart_is_a_new_life),
