--- a/test/member/partition_test.c
+++ b/test/member/partition_test.c
@@ -267,6 +267,36 @@
 	fleet_delete(fleet);
 }
 
+/* Two regions of two data centres each go on by themselves for an hour. */
+static void regions_apart_for_an_hour(void **state)
+{
+	fleet_t *fleet = fleet_new(30, 40, 4);
+
+	(void)state;
+	fleet_start_all(fleet);
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet->nodes[i].group = fleet->nodes[i].datacentre / 2;
+	fleet_run(fleet, MINUTE_MS);
+	assert_int_equal(across_not_(fleet, PL_MEMBER_UNREACHABLE), 0);
+	/* a crash and two restarts on each side */
+	fleet_kill(fleet, 4);
+	fleet_kill(fleet, 6);
+	for (size_t i = 8; i < 12; i++) {
+		fleet_kill(fleet, i);
+		fleet_run(fleet, 10000);
+		fleet_start(fleet, i);
+	}
+	fleet_run(fleet, HOUR_MS);
+	fleet_reset_worst(fleet);
+	mend_(fleet);
+	fleet_run(fleet, MINUTE_MS);
+	assert_in_range(fleet_worst_second(fleet), 0, CONTROL_BYTES_MAX);
+	assert_int_equal(fleet_wrong_pairs(fleet), 0);
+	assert_int_equal(fleet_others_not(fleet, 4, PL_MEMBER_DEAD), 0);
+	assert_int_equal(fleet_others_not(fleet, 6, PL_MEMBER_DEAD), 0);
+	fleet_delete(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -279,6 +309,7 @@
 		cmocka_unit_test(all_of_one_role_replaced_within_a_minute),
 		cmocka_unit_test(stale_peer_cannot_revive_the_dead),
 		cmocka_unit_test(cuts_one_after_another),
+		cmocka_unit_test(regions_apart_for_an_hour),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
