--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -70,8 +70,11 @@
 static bool watched_(const pl_member_table_t *table, pl_member_id_t id)
 {
 	pl_list_for_each(node, &table->watches) {
-		if (PL_CONTAINER_OF(node, pl_watch_t, link)->id == id)
-			return true;
+		const pl_watch_t *watch =
+			PL_CONTAINER_OF(node, pl_watch_t, link);
+
+		if (watch->id == id)
+			return watch->count > 0;
 	}
 	return false;
 }
@@ -218,8 +221,12 @@
 		pl_member_echo_(table, member);
 		return;
 	}
-	if (record->state < member->state)
+	if (record->state < member->state) {
+		/* the sender has not heard of its end */
+		if (!pl_member_live_(member))
+			table->correct = member;
 		return;
+	}
 	switch (record->state) {
 	case PL_MEMBER_SUSPECT:
 		pl_member_suspect_(table, member);
