--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -28,7 +28,8 @@
 	"  endpoints        backend servers as a daemon sees them\n"
 	"  drain            let a daemon finish its work and take no more\n"
 	"  metrics [NAME]   counters and histograms\n"
-	"  explain          where a caller's datagrams go, and why\n\n"
+	"  explain          where a caller's datagrams go, and why\n"
+	"  burn             how fast the objectives burn their budgets\n\n"
 	"`pimentoctl COMMAND --help` tells the options of a command. Exit "
 	"codes: 0 ok, 1 wrong command line, 2 document not valid, 3 somebody "
 	"else changed it first, 4 platform or daemon down, 5 outcome unknown; "
@@ -142,6 +143,7 @@
 		pl_ctl_document_commands,
 		pl_ctl_publish_commands,
 		pl_ctl_node_commands,
+		pl_ctl_burn_commands,
 	};
 	const pl_ctl_command_t *command = NULL;
 
--- a/src/ctl/private/ctl.h
+++ b/src/ctl/private/ctl.h
@@ -48,6 +48,7 @@
 extern const pl_ctl_command_t pl_ctl_document_commands[];
 extern const pl_ctl_command_t pl_ctl_publish_commands[];
 extern const pl_ctl_command_t pl_ctl_node_commands[];
+extern const pl_ctl_command_t pl_ctl_burn_commands[];
 
 /** Value of the option @p key, or @p missing. */
 const char *pl_ctl_value(const pl_ctl_t *ctl, int key, const char *missing);
--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -3,6 +3,7 @@
  * HTTP port of a process, by libmicrohttpd without threads of its own.
  */
 #include "private/admin.h"
+#include "private/node_burn.h"
 
 #include <pimentolift/fault.h>
 #include <pimentolift/udp.h>
@@ -22,6 +23,7 @@
 	pl_node_t *node;
 	struct MHD_Daemon *daemon;
 	pl_loop_watch_t *watch;
+	pl_node_burn_t *burn;
 	pl_timer_t poll;
 };
 
@@ -81,6 +83,11 @@
 	return json_answer_(pl_admin_endpoints(admin->node));
 }
 
+static answer_t get_burn_(pl_admin_t *admin, struct MHD_Connection *unused)
+{
+	return json_answer_(pl_node_burn_report(admin->burn));
+}
+
 static answer_t get_metrics_(pl_admin_t *admin, struct MHD_Connection *unused)
 {
 	GString *text = pl_admin_metrics(admin->node);
@@ -146,6 +153,7 @@
 static const route_t routes_[] = {
 	{ "GET", "/status", get_status_ },
 	{ "GET", "/endpoints", get_endpoints_ },
+	{ "GET", "/burn", get_burn_ },
 	{ "GET", "/metrics", get_metrics_ },
 	{ "GET", "/explain", get_explain_ },
 	{ "POST", "/drain", post_drain_ },
@@ -241,6 +249,7 @@
 	info = MHD_get_daemon_info(admin->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	admin->watch =
 		pl_loop_watch(loop, info->epoll_fd, EPOLLIN, ready_, admin);
+	admin->burn = pl_node_burn_new(node);
 	pl_timer_init(&admin->poll, poll_, admin);
 	pl_timer_arm(pl_loop_timers(loop), &admin->poll,
 		     pl_timer_service_now(pl_loop_timers(loop)) + POLL_MS);
@@ -256,6 +265,7 @@
 	loop = pl_node_loop(admin->node);
 	pl_timer_cancel(pl_loop_timers(loop), &admin->poll);
 	pl_loop_unwatch(loop, admin->watch);
+	pl_node_burn_delete(admin->burn);
 	MHD_stop_daemon(admin->daemon);
 	g_free(admin);
 }
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -117,6 +117,11 @@
 	return node->phase != NODE_RUNNING;
 }
 
+const pl_document_t *pl_node_document(const pl_node_t *node)
+{
+	return pl_node_config_document(node->config);
+}
+
 uint64_t pl_node_revision(const pl_node_t *node)
 {
 	return pl_node_config_revision(node->config);
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 #include <json-c/json.h>
+#include <pimentolift/document.h>
 #include <pimentolift/loop.h>
 #include <pimentolift/member.h>
 #include <pimentolift/peer.h>
@@ -92,6 +93,9 @@
 void pl_node_set_backend(pl_node_t *node, pl_service_id_t service,
 			 uint32_t slots);
 
+/** Document in force, or NULL; on the control thread. */
+const pl_document_t *pl_node_document(const pl_node_t *node);
+
 /** Revision in force, 0 before the first. */
 uint64_t pl_node_revision(const pl_node_t *node);
 
--- a/src/obs/burn.c
+++ b/src/obs/burn.c
@@ -85,7 +85,8 @@
 	for (int i = 0; i < BUCKETS; i++) {
 		const bucket_t *bucket = &history->buckets[window][i];
 
-		if (bucket->number > number || number - bucket->number >= BUCKETS)
+		if (bucket->number > number ||
+		    number - bucket->number >= BUCKETS)
 			continue;
 		count->good += bucket->count.good;
 		count->total += bucket->count.total;
