--- a/src/agent/serve_upload.c
+++ b/src/agent/serve_upload.c
@@ -10,7 +10,6 @@
 /** Diagnostic payload of a refusal. */
 #define TEXT_NOT_RUN "not run"
 
-
 /* 2.31 with the ticket that names the upload to the next block. */
 static void continue_(pl_agent_t *agent, const pl_request_t *request,
 		      pl_exchange_t *exchange)
@@ -29,7 +28,7 @@
 
 /* A message for a request that is known here. */
 void pl_serve_attach(pl_agent_t *agent, pl_request_t *request,
-		    pl_exchange_t *exchange)
+		     pl_exchange_t *exchange)
 {
 	bool refused = request->state == PL_REQUEST_REFUSED;
 
@@ -80,7 +79,7 @@
 }
 
 void pl_serve_upload(pl_agent_t *agent, pl_request_t *request,
-			  const pl_coap_msg_t *msg, pl_exchange_t *exchange)
+		     const pl_coap_msg_t *msg, pl_exchange_t *exchange)
 {
 	pl_request_t *detached = pl_upload_start(agent->uploads, request, msg);
 
@@ -107,7 +106,7 @@
 	if (upload && upload->request->state == PL_REQUEST_REFUSED &&
 	    pl_agent_was_last(agent, forward))
 		pl_serve_respond(agent, forward, msg,
-			      upload->request->refusal_code, TEXT_NOT_RUN);
+				 upload->request->refusal_code, TEXT_NOT_RUN);
 	else
 		pl_serve_unknown(agent, forward, msg);
 }
--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -332,4 +332,9 @@
 	}
 	g_strfreev(lines);
 	g_hash_table_destroy(runs);
+	/* A run that measured nothing has shown nothing. */
+	if (lab->trials[PROMISE_WHOLE_ANSWER] == 0 ||
+	    lab->trials[PROMISE_AT_MOST_ONCE] == 0 ||
+	    lab->trials[PROMISE_VIEWS] == 0)
+		check_breach(lab, PROMISE_WHOLE_ANSWER, "nothing was asked");
 }
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -246,7 +246,23 @@
 
 static void inject_change_(lab_t *lab, episode_t *episode)
 {
-	(void)lab_change_configuration(lab);
+	(void)operator_apply(lab);
+}
+
+static void inject_lost_answer_(lab_t *lab, episode_t *episode)
+{
+	if (!lab->store_up)
+		return;
+	g_free(pl_process_ask(lab->store, "lose-answers 1"));
+	lab->trials[PROMISE_CONFIGURATION]++;
+	if (!operator_apply(lab))
+		check_breach(lab, PROMISE_CONFIGURATION,
+			     "a write whose answer was lost was not settled");
+}
+
+static void inject_config_race_(lab_t *lab, episode_t *episode)
+{
+	operator_race(lab);
 }
 
 static void inject_loss_(lab_t *lab, episode_t *episode)
@@ -303,6 +319,10 @@
 	{ "store-slow", false, false, false, inject_store_slow_,
 	  restore_store_ },
 	{ "change", true, false, false, inject_change_, restore_nothing_ },
+	{ "lost-answer", false, false, false, inject_lost_answer_,
+	  restore_store_ },
+	{ "config-race", true, false, false, inject_config_race_,
+	  restore_nothing_ },
 	{ "loss", false, false, true, inject_loss_, restore_loss_ },
 	{ "reorder", false, false, false, inject_reorder_, restore_reorder_ },
 	{ "dup", false, false, false, inject_dup_, restore_dup_ },
--- a/test/soak/lab.c
+++ b/test/soak/lab.c
@@ -14,9 +14,6 @@
 
 const char *const lab_services[LAB_SERVICES] = { "permit-desk",
 						 "meter-records" };
-static const char *const addresses_[LAB_SERVICES] = { "192.0.2.10:5683",
-						      "192.0.2.20:5683" };
-
 void lab_trace(lab_t *lab, const char *format, ...)
 {
 	va_list args;
@@ -32,77 +29,6 @@
 	g_free(text);
 }
 
-static char *document_(const lab_t *lab)
-{
-	GString *text = g_string_new("format = 1\n");
-
-	for (int s = 0; s < LAB_SERVICES; s++)
-		g_string_append_printf(text,
-				       "[[service]]\nname = \"%s\"\n"
-				       "addresses = [\"%s\"]\n"
-				       "deadline_ms = %u\n",
-				       lab_services[s], addresses_[s],
-				       3000 + lab->change_count % 1000);
-	json_object *envelope = json_object_new_object();
-	char *whole;
-
-	json_object_object_add(envelope, "revision",
-			       json_object_new_uint64(lab->change_count));
-	json_object_object_add(envelope, "document",
-			       json_object_new_string(text->str));
-	whole = g_strdup(json_object_to_json_string(envelope));
-	json_object_put(envelope);
-	g_string_free(text, TRUE);
-	return whole;
-}
-
-/* ModifyIndex of the document in the store, 0 without one, -1 on failure. */
-static int64_t modify_index_(const lab_t *lab)
-{
-	char *url = g_strdup_printf("%s/v1/kv/pimentolift/lab/document",
-				    lab->store_url);
-	char *text = http_request("GET", url, NULL);
-	json_object *array = text ? json_tokener_parse(text) : NULL;
-	json_object *value = NULL;
-	int64_t index = text ? 0 : -1;
-
-	if (array && json_object_is_type(array, json_type_array) &&
-	    json_object_object_get_ex(json_object_array_get_idx(array, 0),
-				      "ModifyIndex", &value))
-		index = json_object_get_int64(value);
-	json_object_put(array);
-	g_free(text);
-	g_free(url);
-	return index;
-}
-
-bool lab_change_configuration(lab_t *lab)
-{
-	int64_t index = modify_index_(lab);
-	char *url = g_strdup_printf(
-		"%s/v1/kv/pimentolift/lab/document?cas=%" G_GINT64_FORMAT,
-		lab->store_url, index);
-	char *text;
-	char *answer;
-	bool accepted;
-
-	lab->change_count++;
-	text = document_(lab);
-	answer = index >= 0 ? http_request("PUT", url, text) : NULL;
-	accepted = answer && g_str_has_prefix(answer, "true");
-	if (accepted) {
-		lab->change.revision = lab->change_count;
-		lab->change.accepted_ms = pl_now_ms();
-		lab->change.pending = true;
-		lab_trace(lab, "configuration revision %d accepted",
-			  (int)lab->change.revision);
-	}
-	g_free(answer);
-	g_free(text);
-	g_free(url);
-	return accepted;
-}
-
 static bool start_outside_(lab_t *lab, uint32_t seed)
 {
 	char *seed_text = g_strdup_printf("--seed=%u", seed);
@@ -111,6 +37,7 @@
 	const char *store[] = { PL_STORE, NULL };
 	const char *fabric[] = { PL_FABRIC, seed_text, NULL };
 	const char *caller[] = { PL_CALLER, record, "--ack-timeout-ms=1000",
+				 g_getenv("PL_LAB_DEBUG") ? "--debug" : NULL,
 				 NULL };
 	char *listen;
 
@@ -129,7 +56,7 @@
 	g_free(listen);
 	for (int s = 0; s < LAB_SERVICES; s++) {
 		char *answer = pl_process_ask(lab->fabric, "service %s",
-					      addresses_[s]);
+					      lab_addresses[s]);
 
 		listen = answer ? pl_content_field(answer, strlen(answer),
 						   "listen") :
@@ -223,6 +150,13 @@
 	return true;
 }
 
+/* The bound for changes counts from here. */
+static bool started_(lab_t *lab)
+{
+	lab->change.pending = false;
+	return true;
+}
+
 bool lab_start(lab_t *lab, uint32_t seed)
 {
 	lab->dir = g_dir_make_tmp("pimentolift-XXXXXX", NULL);
@@ -235,9 +169,8 @@
 	lab->version = 1;
 	g_queue_init(&lab->updates);
 	name_nodes_(lab);
-	return lab->dir && start_outside_(lab, seed) &&
-	       lab_change_configuration(lab) && start_nodes_(lab) &&
-	       wait_assembled_(lab);
+	return lab->dir && start_outside_(lab, seed) && operator_apply(lab) &&
+	       start_nodes_(lab) && wait_assembled_(lab) && started_(lab);
 }
 
 static void remove_dir_(const char *path)
--- a/test/soak/lab.h
+++ b/test/soak/lab.h
@@ -122,6 +122,7 @@
 
 extern const fault_t faults[];
 extern const char *const lab_services[LAB_SERVICES];
+extern const char *const lab_addresses[LAB_SERVICES];
 
 /** Starts everything; false when it did not come up. */
 bool lab_start(lab_t *lab, uint32_t seed);
@@ -150,7 +151,9 @@
 char *http_request(const char *method, const char *url, const char *body);
 
 /** Writes a changed document; false when it was not accepted. */
-bool lab_change_configuration(lab_t *lab);
+bool operator_apply(lab_t *lab);
+/** Two operators change the same revision at once; one must be refused. */
+void operator_race(lab_t *lab);
 
 bool traffic_open_views(lab_t *lab);
 /** Starts the steady mix for @p seconds. */
--- a/test/standin/caller/caller.c
+++ b/test/standin/caller/caller.c
@@ -270,9 +270,15 @@
 	  "ACK_TIMEOUT of RFC 7252 section 4.8, 2000 unless given, "
 	  "1000 at least",
 	  0 },
+	{ "debug", 'd', NULL, 0, "Log each datagram on standard error", 0 },
 	{ 0 },
 };
 
+static void log_(coap_log_t level, const char *text)
+{
+	fputs(text, stderr);
+}
+
 static error_t parse_(int key, char *arg, struct argp_state *state)
 {
 	caller_t *caller = state->input;
@@ -284,6 +290,11 @@
 	case 't':
 		caller->ack_timeout_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
+	case 'd':
+		coap_set_log_handler(log_);
+		coap_set_show_pdu_output(0);
+		coap_set_log_level(LOG_DEBUG);
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -329,9 +340,9 @@
 	caller_t caller = { .ack_timeout_ms = 2000 };
 	pl_line_reader_t reader;
 
-	argp_parse(&argp_, argc, argv, 0, NULL, &caller);
 	coap_startup();
 	coap_set_log_level(LOG_CRIT);
+	argp_parse(&argp_, argc, argv, 0, NULL, &caller);
 	caller.coap = coap_new_context(NULL);
 	coap_context_set_block_mode(
 		caller.coap, COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
--- a/test/standin/common/process.c
+++ b/test/standin/common/process.c
@@ -125,7 +125,7 @@
 	if (!answer)
 		fprintf(stderr, "%s: no answer to \"%s\"\n", process->name,
 			line);
-	else if (g_str_has_prefix(answer, "error"))
+	else if (!g_str_has_prefix(answer, "ok") && answer[0] != '{')
 		fprintf(stderr, "%s: \"%s\": %s\n", process->name, line,
 			answer);
 	g_free(whole);
