--- a/test/soak/node.c
+++ b/test/soak/node.c
@@ -90,7 +90,11 @@
 		g_strdup_printf("--service=%s", lab_services[node->service]);
 	char *agent = g_strdup_printf("--agent=%s", node->port);
 	char *log = g_strdup_printf("%s/%s.backend.log", lab->dir, node->name);
-	const char *argv[] = { PL_BACKEND, record, name, service, agent, NULL };
+	const char *argv[] = {
+		PL_BACKEND, record, name,
+		service,    agent,  g_getenv("PL_LAB_DEBUG") ? "--debug" : NULL,
+		NULL
+	};
 
 	node->backend = pl_process_start(argv, log);
 	g_free(log);
--- a/test/standin/backend/backend.c
+++ b/test/standin/backend/backend.c
@@ -4,6 +4,7 @@
  * announces itself to its agent.
  */
 #include "backend.h"
+#include "common/debug.h"
 
 #include <argp.h>
 #include <arpa/inet.h>
@@ -219,6 +220,7 @@
 	OPTION_SERVICE_MS,
 	OPTION_COLD_START_MS,
 	OPTION_LIFETIME,
+	OPTION_DEBUG,
 };
 
 static const struct argp_option argp_options_[] = {
@@ -230,6 +232,7 @@
 	{ "service-ms", OPTION_SERVICE_MS, "MS", 0, "Time of a request", 0 },
 	{ "cold-start-ms", OPTION_COLD_START_MS, "MS", 0,
 	  "Time after the start in which requests take four times as long", 0 },
+	{ "debug", OPTION_DEBUG, NULL, 0, "Log each datagram", 0 },
 	{ "lifetime", OPTION_LIFETIME, "S", 0, "Of the announcement", 0 },
 	{ 0 },
 };
@@ -263,6 +266,9 @@
 	case OPTION_LIFETIME:
 		options->lifetime_s = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
+	case OPTION_DEBUG:
+		pl_coap_debug();
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -372,10 +378,10 @@
 	char text[PL_ADDR_TEXT_MAX];
 	pl_addr_t own;
 
-	argp_parse(&argp_, argc, argv, 0, NULL, &backend.options);
-	signal(SIGTERM, on_signal_);
 	coap_startup();
 	coap_set_log_level(LOG_ERR);
+	argp_parse(&argp_, argc, argv, 0, NULL, &backend.options);
+	signal(SIGTERM, on_signal_);
 	backend.coap = coap_new_context(NULL);
 	coap_set_app_data(backend.coap, &backend);
 	coap_context_set_block_mode(
--- a/test/standin/caller/caller.c
+++ b/test/standin/caller/caller.c
@@ -4,6 +4,7 @@
  * own, told by line commands what to ask.
  */
 #include "caller.h"
+#include "common/debug.h"
 
 #include <argp.h>
 #include <inttypes.h>
@@ -274,11 +275,6 @@
 	{ 0 },
 };
 
-static void log_(coap_log_t level, const char *text)
-{
-	fputs(text, stderr);
-}
-
 static error_t parse_(int key, char *arg, struct argp_state *state)
 {
 	caller_t *caller = state->input;
@@ -291,9 +287,7 @@
 		caller->ack_timeout_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
 	case 'd':
-		coap_set_log_handler(log_);
-		coap_set_show_pdu_output(0);
-		coap_set_log_level(LOG_DEBUG);
+		pl_coap_debug();
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
