--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -77,6 +77,7 @@
 	table->subscriptions =
 		g_hash_table_new(pl_view_number_hash, g_int64_equal);
 	pl_view_notify_init(table);
+	pl_view_balance_init(table);
 	pl_view_place_init(table);
 	pl_view_handover_init(table);
 	pl_view_copy_init(table);
@@ -99,6 +100,7 @@
 	pl_view_copy_finish(table);
 	pl_view_handover_finish(table);
 	pl_view_place_finish(table);
+	pl_view_balance_finish(table);
 	pl_view_notify_finish(table);
 	g_hash_table_destroy(table->subscriptions);
 	g_hash_table_destroy(table->resources);
@@ -136,6 +138,7 @@
 	if (table->endpoints_hash != 0)
 		pl_view_nudge_later(table);
 	table->endpoints_hash = hash;
+	pl_view_balance_later(table);
 	pl_view_copy_reroute(table);
 	pl_view_move_pump(table);
 }
@@ -246,7 +249,7 @@
 	view->accept = record->accept;
 	view->szx = record->szx;
 	view->confirmed_etag = record->etag;
-	view->entry = record->entry;
+	pl_view_heard(view, record->entry);
 	raise_mid_(view, record->mid);
 	if (record->pending) {
 		pl_view_pending_t *pending = pl_view_pending_start(view);
@@ -401,11 +404,13 @@
 {
 	pl_view_key_t key;
 	pl_view_t *view;
+	bool full = false;
 
 	pl_view_key_set(&key, &forward->flow.caller, msg->token,
 			msg->token_len);
 	view = pl_view_lookup(table, &key);
 	if (!view) {
+		full = pl_view_count(table) >= PL_VIEW_MAX;
 		view = pl_view_new(table, &key, msg->path, msg->query);
 		claim_(view);
 		pl_counter_add(PL_COUNTER_VIEWS_OPENED, 1);
@@ -414,8 +419,10 @@
 		view = replace_(view, msg);
 	}
 	view->address = forward->flow.address;
-	view->entry = forward->entry;
+	pl_view_heard(view, forward->entry);
 	view->accept = msg->accept;
+	if (full)
+		pl_view_resource_detach(view, PL_COAP_UNAVAILABLE);
 	pl_view_pend(view, msg);
 }
 
