Views of an owner that is cut off are served by the holder of the copy

A data centre that is cut off is held as cut off, not as dead, perhaps for an hour: its views stayed with owners whom callers outside could not reach. Test first: cut_off_views_are_served_elsewhere was red, and is again without the new call.

After a large change copies go out at most 100 a flush, 500 a second, so that a data centre that returns does not cause a burst.

The randomised runs now cut agents off as well.

--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -208,6 +208,7 @@
 	/* copies */
 	pl_list_t to_copy;
 	pl_timer_t flush_timer;
+	pl_timer_t cut_timer;
 	pl_timer_t nudge_timer;
 	pl_timer_t check_timer;
 	pl_timer_t balance_timer;
--- a/src/view/view_copy.c
+++ b/src/view/view_copy.c
@@ -9,23 +9,32 @@
 #include "private/view_private.h"
 
 #include <assert.h>
+#include <limits.h>
 #include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 
 /** Copies and places gather for this long. */
 #define FLUSH_MS 200
+/** Copies sent at one flush; after a large change the rest follows. */
+#define FLUSH_MAX 100
+/** An owner that is cut off for this long is taken for gone. */
+#define CUT_MS 3000
 /** Wait before a copy that could not be delivered is sent again. */
 #define FAILED_MS 1000
 
+static void flush_(pl_view_table_t *table, unsigned int max);
+static void cut_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now);
+
 static void flush_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
-	pl_view_flush(ctx);
+	flush_(ctx, FLUSH_MAX);
 }
 
 void pl_view_copy_init(pl_view_table_t *table)
 {
 	pl_list_init(&table->to_copy);
 	pl_timer_init(&table->flush_timer, flush_fire_, table);
+	pl_timer_init(&table->cut_timer, cut_fire_, table);
 	table->replicas = g_hash_table_new(pl_view_key_hash, pl_view_key_equal);
 	table->owners = g_hash_table_new(pl_view_number_hash, g_int64_equal);
 }
@@ -41,6 +50,7 @@
 		g_hash_table_iter_init(&iter, table->replicas);
 	}
 	pl_timer_cancel(table->timers, &table->flush_timer);
+	pl_timer_cancel(table->timers, &table->cut_timer);
 	g_hash_table_destroy(table->replicas);
 	g_hash_table_destroy(table->owners);
 }
@@ -194,7 +204,8 @@
 		batch_add_(table, batches, agent, view);
 }
 
-void pl_view_flush(pl_view_table_t *table)
+/* Sends at most @p max copies, and all places. */
+static void flush_(pl_view_table_t *table, unsigned int max)
 {
 	GHashTable *batches =
 		g_hash_table_new(pl_view_number_hash, g_int64_equal);
@@ -204,7 +215,10 @@
 
 	/* a view may have been closed and opened again since */
 	pl_view_tell_flush(table);
-	while ((first = pl_list_first(&table->to_copy))) {
+	for (; max > 0; max--) {
+		first = pl_list_first(&table->to_copy);
+		if (!first)
+			break;
 		pl_list_remove(first);
 		copy_(table, batches,
 		      PL_CONTAINER_OF(first, pl_view_t, copy_link));
@@ -214,9 +228,15 @@
 		batch_send_(table, batch);
 	g_hash_table_destroy(batches);
 	pl_view_tell_flush(table);
-	/* what failed at once waits for its own time */
 	if (pl_list_empty(&table->to_copy))
 		pl_timer_cancel(table->timers, &table->flush_timer);
+	else
+		pl_view_flush_later(table);
+}
+
+void pl_view_flush(pl_view_table_t *table)
+{
+	flush_(table, UINT_MAX);
 }
 
 void pl_view_copy_failed(pl_view_table_t *table, pl_member_id_t peer,
@@ -297,7 +317,7 @@
 	pl_view_update(view);
 }
 
-/* Recovers the views that the life @p boot of @p agent served. */
+/* Recovers the views that the life @p boot of @p agent served; 0 any. */
 static void recover_all_(pl_view_table_t *table, pl_member_id_t agent,
 			 uint64_t boot)
 {
@@ -311,7 +331,7 @@
 		pl_view_replica_t *replica =
 			PL_CONTAINER_OF(node, pl_view_replica_t, owner_link);
 
-		if (replica->boot == boot)
+		if (boot == 0 || replica->boot == boot)
 			g_ptr_array_add(failed, replica);
 	}
 	if (failed->len > 0)
@@ -371,16 +391,67 @@
 	pl_view_move_pump(table);
 }
 
-/* Finds owners whose life ended although nobody declared them dead. */
-static void recover_restarted_(pl_view_table_t *table)
+/* The owners as an array, since one goes with its last replica. */
+static GPtrArray *owners_(const pl_view_table_t *table)
 {
+	GPtrArray *owners = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer key;
-	GPtrArray *owners = g_ptr_array_new();
 
 	g_hash_table_iter_init(&iter, table->owners);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		g_ptr_array_add(owners, key);
+	return owners;
+}
+
+static bool cut_off_(const pl_view_table_t *table, pl_member_id_t agent)
+{
+	const pl_endpoint_t *endpoint =
+		pl_routing_endpoint(table->routing, agent);
+
+	return endpoint && endpoint->state == PL_ENDPOINT_UNREACHABLE;
+}
+
+/*
+ * Owners that are cut off may go on serving whom they reach; the views that
+ * are recovered here have the newer Observe values.
+ */
+static void cut_fire_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_view_table_t *table = ctx;
+	GPtrArray *owners = owners_(table);
+
+	for (guint i = 0; i < owners->len; i++) {
+		pl_view_owner_t *owner = g_ptr_array_index(owners, i);
+
+		if (cut_off_(table, owner->agent))
+			recover_all_(table, owner->agent, 0);
+	}
+	g_ptr_array_free(owners, TRUE);
+	pl_view_move_pump(table);
+}
+
+static void watch_cut_off_(pl_view_table_t *table)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, table->owners);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		pl_view_owner_t *owner = key;
+
+		if (!pl_timer_armed(&table->cut_timer) &&
+		    cut_off_(table, owner->agent))
+			pl_timer_arm(table->timers, &table->cut_timer,
+				     pl_view_now(table) + CUT_MS);
+	}
+}
+
+/* Finds owners whose life ended although nobody declared them dead. */
+static void recover_restarted_(pl_view_table_t *table)
+{
+	GPtrArray *owners = owners_(table);
+
 	for (guint i = 0; i < owners->len; i++) {
 		pl_view_owner_t *owner = g_ptr_array_index(owners, i);
 		const pl_endpoint_t *endpoint =
@@ -412,6 +483,7 @@
 			pl_view_copy_later(view);
 	}
 	recover_restarted_(table);
+	watch_cut_off_(table);
 }
 
 void pl_view_rejoin(pl_view_table_t *table, uint64_t boot)
--- a/test/view/view_fake.c
+++ b/test/view/view_fake.c
@@ -95,6 +95,8 @@
 	unsigned int lossy = 0;
 	event_t *event;
 
+	if (agent->cut)
+		return;
 	g_assert_true(flow->service == service_());
 	fake->datagrams++;
 	/* a client repeats its request until it has the piggybacked answer */
@@ -168,6 +170,8 @@
 	g_assert_true(frame->peer != agent->id);
 	fake->frames++;
 	fake->frame_bytes += frame->body_len;
+	if (agent->cut || agent_(fake, frame->peer)->cut)
+		fate = FAKE_FAILED;
 	if (fate == FAKE_LOST)
 		return;
 	event = push_(fake,
@@ -212,12 +216,15 @@
 			.weight = PL_WEIGHT_FULL,
 		};
 
+		if (agent->cut)
+			endpoint.state = PL_ENDPOINT_UNREACHABLE;
+		/* a dead one is not in the table at all */
 		if (agent->boot != 0 && agent->state != PL_ENDPOINT_UNREACHABLE)
 			pl_routing_builder_endpoint(builder, &endpoint);
 	}
 	fake->routing = pl_routing_builder_finish(builder);
 	for (unsigned int i = 0; i < fake->agent_count; i++) {
-		if (fake->agents[i].table)
+		if (fake->agents[i].table && !fake->agents[i].cut)
 			pl_view_set_routing(fake->agents[i].table,
 					    fake->routing, service_());
 	}
@@ -576,7 +583,7 @@
 	pl_coap_msg_t msg;
 	event_t *passed;
 
-	if (!agent->table)
+	if (!agent->table || agent->cut)
 		return;
 	forward.flow.caller = event->caller;
 	forward.flow.service = service_();
--- a/test/view/view_fake.h
+++ b/test/view/view_fake.h
@@ -30,6 +30,7 @@
 	uint64_t boot;
 	pl_view_table_t *table; /**< NULL when dead or not started */
 	pl_endpoint_state_t state;
+	bool cut; /**< nothing reaches it and nothing leaves it */
 	bool refuses; /**< does not answer its subscriptions */
 	GHashTable *subscriptions; /**< identifier to resource index */
 } fake_agent_t;
--- a/test/view/view_move_test.c
+++ b/test/view/view_move_test.c
@@ -276,6 +276,38 @@
 	fake_delete(fake);
 }
 
+/* Views of a data centre that is cut off are served outside, and go back. */
+static void cut_off_views_are_served_elsewhere(void **state)
+{
+	fake_t *fake = opened_(16, 4, 4);
+	size_t before = count_(fake, 0);
+
+	fake->agents[0].cut = true;
+	fake_route(fake);
+	update_all_(fake);
+	/* a short cut moves nothing */
+	fake_run(fake, 2000);
+	assert_true(fake_behind(fake) > 0);
+	assert_int_equal(fake_views(fake), CALLERS);
+	fake_run(fake, 2000);
+	assert_int_equal(fake_behind(fake), 0);
+	for (unsigned int i = 0; i < 30; i++) {
+		update_all_(fake);
+		fake_run(fake, 1000);
+		assert_int_equal(fake_behind(fake), 0);
+	}
+	assert_int_equal(fake_views(fake), CALLERS + before);
+
+	fake->agents[0].cut = false;
+	fake_route(fake);
+	update_all_(fake);
+	check_whole_(fake);
+	fake_run(fake, 60000);
+	assert_int_equal(count_(fake, 0), before);
+	check_whole_(fake);
+	fake_delete(fake);
+}
+
 /* A new home does not pull the views, but finds them for a caller. */
 static void new_home_knows_where_views_are(void **state)
 {
@@ -386,6 +418,8 @@
 		cmocka_unit_test_setup(closed_view_is_not_recovered, reset_),
 		cmocka_unit_test_setup(cut_off_owner_gives_up_its_views,
 				       reset_),
+		cmocka_unit_test_setup(cut_off_views_are_served_elsewhere,
+				       reset_),
 		cmocka_unit_test_setup(new_home_knows_where_views_are, reset_),
 		cmocka_unit_test_setup(views_return_to_their_homes, reset_),
 		cmocka_unit_test_setup(views_leave_a_lost_backend_server,
--- a/test/view/view_random_test.c
+++ b/test/view/view_random_test.c
@@ -133,6 +133,27 @@
 	fake_route(fake);
 }
 
+/* An agent is cut off for a while; it and the others go on. */
+static void cut_(fake_t *fake)
+{
+	fake_agent_t *agent = &fake->agents[draw_(fake, AGENTS)];
+
+	if (!agent->table || serving_(fake) < 3)
+		return;
+	fake_run(fake, 3000);
+	if (!agent->table || agent->state != PL_ENDPOINT_SERVING)
+		return;
+	agent->cut = true;
+	fake_run(fake, draw_(fake, 1000));
+	fake_route(fake);
+	work_(fake);
+	fake_run(fake, draw_(fake, 10000));
+	work_(fake);
+	agent->cut = false;
+	fake_route(fake);
+	fake_run(fake, 2000);
+}
+
 static void settle_(fake_t *fake, unsigned int seed, unsigned int step)
 {
 	unsigned int loss = fake->loss_percent;
@@ -166,6 +187,8 @@
 		work_(fake);
 		if (crashes && draw_(fake, 4) == 0)
 			crash_(fake);
+		else if (crashes && draw_(fake, 4) == 0)
+			cut_(fake);
 		replace_drained_(fake);
 		if (draw_(fake, 5) == 0)
 			settle_(fake, seed, step);
@@ -185,7 +208,7 @@
 		run_(seed, false);
 }
 
-static void crashes_lose_no_view(void **state)
+static void crashes_and_cuts_lose_no_view(void **state)
 {
 	unsigned int first = from_environment_("PL_VIEW_SEED", 1);
 	unsigned int runs = from_environment_("PL_VIEW_RUNS", RUNS);
@@ -198,7 +221,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(planned_changes_lose_no_view),
-		cmocka_unit_test(crashes_lose_no_view),
+		cmocka_unit_test(crashes_and_cuts_lose_no_view),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
