--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -120,6 +120,8 @@
 	uint32_t copied; /**< Observe value in the copy */
 	pl_member_id_t origin; /**< who handed it over, until confirmed */
 	uint64_t origin_offer;
+	pl_member_id_t
+		former; /**< owner that was cut off and may still serve */
 	uint32_t taken; /**< Observe value when it was handed over */
 	pl_list_t copy_link; /**< in the table's to_copy */
 };
--- a/src/view/view_copy.c
+++ b/src/view/view_copy.c
@@ -289,6 +289,15 @@
 	}
 }
 
+static bool cut_off_(const pl_view_table_t *table, pl_member_id_t agent)
+{
+	const pl_endpoint_t *endpoint = NULL;
+
+	if (table->routing)
+		endpoint = pl_routing_endpoint(table->routing, agent);
+	return endpoint && endpoint->state == PL_ENDPOINT_UNREACHABLE;
+}
+
 /* The owner failed: the view is served here, or where its caller's home is. */
 static void recover_(pl_view_table_t *table, pl_view_replica_t *replica)
 {
@@ -306,6 +315,8 @@
 	if (tombstone)
 		pl_view_tombstone_remove(table, tombstone);
 	view = pl_view_restore(table, &record, PL_VIEW_RECOVERY_STEP);
+	if (cut_off_(table, dead))
+		view->former = dead;
 	g_ref_string_release((char *)record.path);
 	g_ref_string_release((char *)record.query);
 	pl_counter_add(PL_COUNTER_VIEWS_RECOVERED, 1);
@@ -371,6 +382,8 @@
 
 		if (view->origin == agent)
 			g_ptr_array_add(handed_over, view);
+		if (view->former == agent)
+			view->former = 0;
 		if (view->replica != agent)
 			continue;
 		view->replica = 0;
@@ -404,14 +417,6 @@
 	return owners;
 }
 
-static bool cut_off_(const pl_view_table_t *table, pl_member_id_t agent)
-{
-	const pl_endpoint_t *endpoint =
-		pl_routing_endpoint(table->routing, agent);
-
-	return endpoint && endpoint->state == PL_ENDPOINT_UNREACHABLE;
-}
-
 /*
  * Owners that are cut off may go on serving whom they reach; the views that
  * are recovered here have the newer Observe values.
@@ -467,6 +472,16 @@
 	g_ptr_array_free(owners, TRUE);
 }
 
+/* The owner that was cut off is back: it hears who has the view now. */
+static void tell_former_(pl_view_t *view)
+{
+	if (view->former == 0 || !pl_view_reachable(view->table, view->former))
+		return;
+	pl_view_tell(view->table, view->former, &view->key,
+		     view->table->params.self, view->sequence);
+	view->former = 0;
+}
+
 void pl_view_copy_reroute(pl_view_table_t *table)
 {
 	GHashTableIter iter;
@@ -481,6 +496,7 @@
 
 		if (view->replica != agent || view->replica_boot != boot)
 			pl_view_copy_later(view);
+		tell_former_(view);
 	}
 	recover_restarted_(table);
 	watch_cut_off_(table);
