--- a/test/standin/caller/caller.c
+++ b/test/standin/caller/caller.c
@@ -4,6 +4,7 @@
  * own, told by line commands what to ask.
  */
 #include "caller.h"
+#include "common/debug.h"
 
 #include <argp.h>
 #include <inttypes.h>
@@ -270,6 +271,7 @@
 	  "ACK_TIMEOUT of RFC 7252 section 4.8, 2000 unless given, "
 	  "1000 at least",
 	  0 },
+	{ "debug", 'd', NULL, 0, "Log each datagram on standard error", 0 },
 	{ 0 },
 };
 
@@ -284,6 +286,9 @@
 	case 't':
 		caller->ack_timeout_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
+	case 'd':
+		pl_coap_debug();
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -329,9 +334,9 @@
 	caller_t caller = { .ack_timeout_ms = 2000 };
 	pl_line_reader_t reader;
 
-	argp_parse(&argp_, argc, argv, 0, NULL, &caller);
 	coap_startup();
 	coap_set_log_level(LOG_CRIT);
+	argp_parse(&argp_, argc, argv, 0, NULL, &caller);
 	caller.coap = coap_new_context(NULL);
 	coap_context_set_block_mode(
 		caller.coap, COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
