--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -13,6 +13,7 @@
 #define CALM_MIN_MS 200
 #define CALM_MAX_MS 3000
 #define SECOND_FAULT_PERCENT 30
+#define VIEWS_COPIED_MS 1000
 #define MS_PER_S 1000
 
 static GPtrArray *choose_faults_(const char *list)
@@ -74,6 +75,8 @@
 		return;
 	}
 	traffic_start(lab, UINT16_MAX);
+	/* A view is copied to a second agent a little after it opened. */
+	lab_run(lab, VIEWS_COPIED_MS);
 	until_ms = pl_now_ms() + (uint64_t)seconds * MS_PER_S;
 	while (pl_now_ms() < until_ms)
 		round_(lab, chosen);
