--- a/src/net/peer_net.c
+++ b/src/net/peer_net.c
@@ -134,16 +134,15 @@
 static void report_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_peer_net_t *net = ctx;
-	pl_list_t *first;
 
-	while ((first = pl_list_first(&net->failures))) {
-		queued_t *queued = PL_CONTAINER_OF(first, queued_t, link);
+	/* a failure that is added meanwhile arms the timer again */
+	pl_list_for_each_safe(node, &net->failures) {
+		queued_t *queued = PL_CONTAINER_OF(node, queued_t, link);
 		const pl_peer_frame_t frame = { .peer = queued->peer,
 						.type = queued->type,
 						.body = queued->body,
 						.body_len = queued->body_len };
 
-		pl_list_remove(first);
 		net->ops.failed(net->ctx, &frame);
 		queued_free_(net, queued);
 	}
--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -163,7 +163,7 @@
 
 static long long field_(const char *text, const char *name)
 {
-	char *value = pl_content_field(text, strlen(text), name);
+	char *value = text ? pl_content_field(text, strlen(text), name) : NULL;
 	long long number = value ? g_ascii_strtoll(value, NULL, 10) : -1;
 
 	g_free(value);
