Views: a registration is answered once its copy is kept elsewhere

The copy of a new view leaves within 5 ms now, its holder says that it keeps it (frame view-copied), and the answer waits for that, 250 ms at most. Weighed: only a shorter flush, which leaves a window; no bound, which would refuse views while the holder is down.

Test first: crash_right_after_the_answer_is_recovered, 1 view lost before, 0 after. pending_registration_is_handed_over runs 350 ms instead of 50: a registration whose holder went away meanwhile waits its 250 ms; what it checks is unchanged.

--- a/include/pimentolift/peer.h
+++ b/include/pimentolift/peer.h
@@ -28,7 +28,8 @@
 	X(PL_PEER_VIEW_OFFER, 5, "view-offer")   \
 	X(PL_PEER_VIEW_ACCEPT, 6, "view-accept") \
 	X(PL_PEER_VIEW_COPY, 7, "view-copy")     \
-	X(PL_PEER_VIEW_FORGET, 8, "view-forget")
+	X(PL_PEER_VIEW_FORGET, 8, "view-forget") \
+	X(PL_PEER_VIEW_COPIED, 9, "view-copied")
 
 /** Type of a frame. */
 typedef enum {
--- a/include/pimentolift/view_codec.h
+++ b/include/pimentolift/view_codec.h
@@ -11,6 +11,8 @@
  * - offer: the sender hands these views over; it serves them until accepted
  * - accept: the sender serves these views now, of the offer with this number
  * - copy: the sender serves these views; keep their records in case it fails
+ * - copied: the sender keeps the copies of these views, whose registration
+ *   the receiver has not answered yet
  * - forget: these views live at the place named, or nowhere; with the number
  *   of an offer, the sender heard that it was accepted
  * @{
--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -80,6 +80,7 @@
 typedef struct {
 	pl_timer_t timer;
 	pl_ms_t deadline;
+	pl_ms_t copy_wait; /**< the answer waits for the copy until then */
 	uint16_t mid; /**< of the caller's request */
 	bool confirmable;
 	bool acknowledged; /**< by an empty ACK; the answer comes by itself */
@@ -117,6 +118,7 @@
 	pl_list_t move_link; /**< in the offer, or in the table's to_move */
 	pl_member_id_t replica; /**< agent that holds the copy, or 0 */
 	uint64_t replica_boot;
+	bool replicated; /**< the holder said that it keeps the copy */
 	uint32_t copied; /**< Observe value in the copy */
 	pl_member_id_t origin; /**< who handed it over, until confirmed */
 	uint64_t origin_offer;
@@ -436,6 +438,16 @@
 /** Sends a copy of @p view with the next flush. */
 void pl_view_copy_later(pl_view_t *view);
 
+/** Sends a copy of @p view in a few milliseconds: its caller waits for it. */
+void pl_view_copy_soon(pl_view_t *view);
+
+/** Whether a copy of @p view should be kept elsewhere and is not yet. */
+bool pl_view_copy_missing(const pl_view_t *view);
+
+/** The holder @p peer keeps copies whose registrations wait for that. */
+void pl_view_take_copied(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message);
+
 /** Arms the timer that sends copies and places. */
 void pl_view_flush_later(pl_view_table_t *table);
 
--- a/src/view/view_copy.c
+++ b/src/view/view_copy.c
@@ -15,6 +15,8 @@
 
 /** Copies and places gather for this long. */
 #define FLUSH_MS 200
+/** The same for a view whose caller waits for the copy. */
+#define OPEN_FLUSH_MS 5
 /** Copies sent at one flush; after a large change the rest follows. */
 #define FLUSH_MAX 100
 /** An owner that is cut off for this long is taken for gone. */
@@ -144,6 +146,18 @@
 	pl_view_flush_later(view->table);
 }
 
+void pl_view_copy_soon(pl_view_t *view)
+{
+	pl_view_table_t *table = view->table;
+	pl_ms_t due = pl_view_now(table) + OPEN_FLUSH_MS;
+
+	if (pl_list_empty(&view->copy_link))
+		pl_list_append(&table->to_copy, &view->copy_link);
+	if (!pl_timer_armed(&table->flush_timer) ||
+	    table->flush_timer.due > due)
+		pl_timer_arm(table->timers, &table->flush_timer, due);
+}
+
 /* Agent that should hold the copy of @p view, or NULL. */
 static const pl_endpoint_t *holder_(const pl_view_t *view)
 {
@@ -156,6 +170,11 @@
 	return holder;
 }
 
+bool pl_view_copy_missing(const pl_view_t *view)
+{
+	return !view->replicated && holder_(view);
+}
+
 /* Copies gathered for one agent. */
 typedef struct {
 	pl_member_id_t agent;
@@ -197,6 +216,8 @@
 
 	if (view->replica && view->replica != agent)
 		pl_view_release(view);
+	if (view->replica != agent)
+		view->replicated = false;
 	view->replica = agent;
 	view->replica_boot = holder ? holder->boot : 0;
 	view->copied = view->sequence;
@@ -259,8 +280,51 @@
 			     pl_view_now(table) + FAILED_MS);
 }
 
-void pl_view_take_copy(pl_view_table_t *table, pl_member_id_t peer,
-		       const pl_view_message_t *message)
+/* Tells the owner which copies its callers wait for are kept here. */
+static void confirm_copies_(pl_view_table_t *table, pl_member_id_t peer,
+			    const pl_view_message_t *copy)
+{
+	pl_view_message_t message;
+
+	pl_view_message_init(&message);
+	for (guint i = 0; i < copy->records->len; i++) {
+		const pl_view_record_t *record =
+			&g_array_index(copy->records, pl_view_record_t, i);
+		const pl_view_replica_t *replica =
+			pl_view_replica(table, &record->key);
+		const pl_view_place_t place = { .key = record->key,
+						.owner = peer,
+						.sequence = record->sequence };
+
+		if (record->pending && replica && replica->owner->agent == peer)
+			g_array_append_val(message.places, place);
+	}
+	if (message.places->len > 0)
+		pl_view_send(table, peer, PL_PEER_VIEW_COPIED, &message);
+	pl_view_message_finish(&message);
+}
+
+void pl_view_take_copied(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message)
+{
+	for (guint i = 0; i < message->places->len; i++) {
+		const pl_view_place_t *place =
+			&g_array_index(message->places, pl_view_place_t, i);
+		pl_view_t *view = pl_view_lookup(table, &place->key);
+
+		if (!view)
+			continue;
+		if (view->replica == peer)
+			view->replicated = true;
+		/* a holder that was replaced since has the copy still */
+		if (view->pending)
+			view->pending->copy_wait = 0;
+		pl_view_update(view);
+	}
+}
+
+static void take_copies_(pl_view_table_t *table, pl_member_id_t peer,
+			 const pl_view_message_t *message)
 {
 	for (guint i = 0; i < message->records->len; i++) {
 		const pl_view_record_t *record =
@@ -289,6 +353,13 @@
 	}
 }
 
+void pl_view_take_copy(pl_view_table_t *table, pl_member_id_t peer,
+		       const pl_view_message_t *message)
+{
+	take_copies_(table, peer, message);
+	confirm_copies_(table, peer, message);
+}
+
 static bool cut_off_(const pl_view_table_t *table, pl_member_id_t agent)
 {
 	const pl_endpoint_t *endpoint = NULL;
--- a/src/view/view_frame.c
+++ b/src/view/view_frame.c
@@ -76,6 +76,8 @@
 		pl_view_take_accept(table, peer, message);
 	else if (type == PL_PEER_VIEW_COPY)
 		pl_view_take_copy(table, peer, message);
+	else if (type == PL_PEER_VIEW_COPIED)
+		pl_view_take_copied(table, peer, message);
 	else if (type == PL_PEER_VIEW_FORGET)
 		take_forget_(table, peer, message);
 }
--- a/src/view/view_notify.c
+++ b/src/view/view_notify.c
@@ -36,6 +36,11 @@
 #define CHECK_MAX 200
 /** A registration is acknowledged by itself when its answer takes longer. */
 #define PIGGYBACK_WAIT_MS 300
+/**
+ * Longest that a registration waits until a copy is kept elsewhere, so that
+ * no view that a caller was told to be open is lost with its owner.
+ */
+#define COPY_WAIT_MS 250
 /** Deadline of a registration when the service names none. */
 #define DEADLINE_DEFAULT_MS 10000
 /** A notification that leaves later than this counts as late. */
@@ -320,6 +325,12 @@
 		pl_view_close(view);
 }
 
+static bool waits_for_copy_(const pl_view_t *view)
+{
+	return pl_view_now(view->table) < view->pending->copy_wait &&
+	       !ended_(view) && pl_view_copy_missing(view);
+}
+
 void pl_view_update(pl_view_t *view)
 {
 	const pl_view_content_t *content = view->resource->content;
@@ -328,7 +339,8 @@
 	    !(ended_(view) || pl_view_resource_fresh(view->resource)))
 		return;
 	if (view->pending) {
-		answer_(view);
+		if (!waits_for_copy_(view))
+			answer_(view);
 		return;
 	}
 	if (view->delivery || view->sent == content)
@@ -373,8 +385,14 @@
 	pl_view_pending_t *pending = view->pending;
 
 	if (now < pending->deadline) {
-		pl_view_pend_acknowledge(view);
+		/* the update answers, and may end the view, once the content
+		 * is there: the wait for the copy is over */
 		pl_timer_arm(view->table->timers, timer, pending->deadline);
+		if (view->resource->content &&
+		    pl_view_resource_fresh(view->resource))
+			pl_view_update(view);
+		else
+			pl_view_pend_acknowledge(view);
 		return;
 	}
 	/* only a resource that was never asked for was surely not read */
@@ -402,6 +420,7 @@
 	pl_view_pending_end(view);
 	view->pending = pending;
 	pending->deadline = now + deadline_ms_(view->table);
+	pending->copy_wait = now + COPY_WAIT_MS;
 	pl_timer_init(&pending->timer, pending_fire_, view);
 	pl_timer_arm(view->table->timers, &pending->timer,
 		     wait < pending->deadline ? wait : pending->deadline);
@@ -423,6 +442,8 @@
 	pending = pl_view_pending_start(view);
 	pending->mid = msg->mid;
 	pending->confirmable = msg->type == PL_COAP_CON;
+	if (pl_view_copy_missing(view))
+		pl_view_copy_soon(view);
 	pl_view_update(view);
 }
 
--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -262,6 +262,7 @@
 		/* the former owner acknowledged the request */
 		pending->confirmable = true;
 		pending->acknowledged = true;
+		pending->copy_wait = 0;
 	}
 	return view;
 }
--- a/test/view/view_move_test.c
+++ b/test/view/view_move_test.c
@@ -10,6 +10,7 @@
 
 #define CALLERS 300
 #define SETTLE_MS 50
+#define REGISTRATION_WAIT_MS 350
 #define COPY_MS 500
 #define OFFER_GIVE_UP_MS 10000
 
@@ -197,7 +198,8 @@
 	fake_run(fake, 20);
 	fake_drain(fake, 0);
 	fake_route(fake);
-	fake_run(fake, SETTLE_MS);
+	/* a registration whose copy lost its holder waits its time */
+	fake_run(fake, REGISTRATION_WAIT_MS);
 	assert_int_equal(count_(fake, 0), 0);
 	assert_int_equal(fake_behind(fake), 0);
 	check_whole_(fake);
@@ -224,6 +226,34 @@
 	fake_delete(fake);
 }
 
+/* A caller that was told that its view is open keeps it, however soon after
+ * that the owner fails. */
+static void crash_right_after_the_answer_is_recovered(void **state)
+{
+	fake_t *fake = fake_new(21, 3, 3, CALLERS);
+	unsigned int answered = 0;
+
+	fake_open_all(fake);
+	while (answered == 0) {
+		fake_run(fake, 1);
+		for (unsigned int i = 0; i < fake->caller_count; i++)
+			answered += fake->callers[i].answered &&
+				    fake_home(fake, &fake->callers[i]) == 0;
+	}
+	fake_kill(fake, 0);
+	fake_declare_dead(fake, 0);
+	update_all_(fake);
+	fake_run(fake, SETTLE_MS);
+	for (unsigned int i = 0; i < fake->caller_count; i++) {
+		const fake_caller_t *caller = &fake->callers[i];
+
+		if (caller->answered)
+			assert_int_equal(caller->version,
+					 fake->versions[caller->resource]);
+	}
+	fake_delete(fake);
+}
+
 /* A restart that nobody noticed as a death shows in the routing table. */
 static void restart_is_recovered_from_copies(void **state)
 {
@@ -413,6 +443,8 @@
 		cmocka_unit_test_setup(pending_registration_is_handed_over,
 				       reset_),
 		cmocka_unit_test_setup(crash_is_recovered_from_copies, reset_),
+		cmocka_unit_test_setup(
+			crash_right_after_the_answer_is_recovered, reset_),
 		cmocka_unit_test_setup(restart_is_recovered_from_copies,
 				       reset_),
 		cmocka_unit_test_setup(closed_view_is_not_recovered, reset_),
