Agent core: notifications carry the load of the backend server

Datagrams of views went out with load 0, which told entries that a busy endpoint was idle. The core now names its expected wait before the view table sends. The 16 tests of views, routing, agent and protocol pass; the tests with processes were not run again after this change.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -246,6 +246,7 @@
 {
 	if (pl_agent_forward_home(agent, forward))
 		return;
+	pl_view_set_load(agent->views, pl_scheduler_load_ms(&agent->scheduler));
 	if (agent->service == 0 || agent->draining)
 		pl_serve_get(agent, forward, msg);
 	else
@@ -346,6 +347,7 @@
 void pl_agent_backend_notify(pl_agent_t *agent, uint64_t subscription_id,
 			     const pl_backend_reply_t *reply)
 {
+	pl_view_set_load(agent->views, pl_scheduler_load_ms(&agent->scheduler));
 	pl_view_notify(agent->views, subscription_id, reply);
 }
 
