Daemons find one another by the platform's list of seeds

A process that could not join reads the list, asks those members, and puts itself there if that did not help; only watchers look later. The seeds' calls keep their state in the list itself: the client ends calls without a callback when it is deleted, which would have leaked a separate one. Weighed: every member corrects (the platform's rate grows with the fleet) and settings alone (a fleet replaced as a whole would need new settings).

--- a/include/pimentolift/seeds.h
+++ b/include/pimentolift/seeds.h
@@ -19,24 +19,31 @@
 /** Most seeds in the list. */
 #define PL_SEEDS_MAX 16
 
-/** Value of the key. */
+/** Called once, when a read or a write ended. */
+typedef void (*pl_seeds_done_t)(void *ctx, pl_result_t result);
+
+/** Value of the key; it must live until the call on it has ended. */
 typedef struct {
 	pl_addr_t at[PL_SEEDS_MAX];
 	size_t count;
 	uint64_t modify_index; /**< 0 when there is none */
+	pl_seeds_done_t done; /**< of the call in progress */
+	void *ctx;
 } pl_seeds_t;
 
-/** Called once; @p seeds holds on PL_OK, and is empty on PL_ERR_NOT_FOUND. */
-typedef void (*pl_seeds_done_t)(void *ctx, pl_result_t result,
-				const pl_seeds_t *seeds);
-
-/** Reads the seeds of @p environment. */
+/**
+ * Reads the seeds of @p environment into @p seeds, which is empty when there
+ * is no such key (PL_ERR_NOT_FOUND).
+ */
 void pl_seeds_read(pl_platform_t *platform, const char *environment,
-		   pl_seeds_done_t done, void *ctx);
+		   pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx);
 
 /** Writes @p seeds in place of the value that they were read from. */
 void pl_seeds_write(pl_platform_t *platform, const char *environment,
-		    const pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx);
+		    pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx);
+
+/** Puts @p addr into the list, in the place of @p victim when it is full. */
+bool pl_seeds_add(pl_seeds_t *seeds, const pl_addr_t *addr, size_t victim);
 
 /**
  * Corrects @p seeds when fewer than half of the places that @p alive could
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,6 +5,7 @@
 #include "private/admin.h"
 #include "private/node.h"
 #include "private/node_config.h"
+#include "private/node_seeds.h"
 #include "private/node_post.h"
 #include "private/routing_build.h"
 
@@ -58,6 +59,7 @@
 	pl_member_id_t watched[WATCHED_AGENTS];
 	size_t watched_count;
 	pl_node_config_t *config;
+	pl_node_seeds_t *seeds;
 	pl_admin_t *admin;
 	pl_routing_t *routing; /* published under RCU */
 	pl_timer_t rebuild;
@@ -522,6 +524,7 @@
 		goto failed;
 	make_members_(node);
 	node->config = pl_node_config_new(node, document_in_force_, node);
+	node->seeds = pl_node_seeds_new(node, node->config);
 	node->admin_addr = settings->admin;
 	node->admin = pl_admin_new(node, &node->admin_addr, err);
 	if (!node->admin)
@@ -563,6 +566,7 @@
 	pl_loop_on_turn(node->loop, turn_, node);
 	pl_member_join(node->members);
 	pl_node_config_start(node->config);
+	pl_node_seeds_start(node->seeds);
 	print_ready_(node, listening);
 	g_string_free(listening, TRUE);
 	pl_loop_run(node->loop);
@@ -578,6 +582,7 @@
 	if (!node)
 		return;
 	pl_admin_delete(node->admin);
+	pl_node_seeds_delete(node->seeds);
 	pl_node_config_delete(node->config);
 	pl_member_table_delete(node->members);
 	pl_peer_net_delete(node->peers);
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -156,6 +156,19 @@
 	return pl_config_sync_document(config->sync);
 }
 
+pl_platform_t *pl_node_config_platform(pl_node_config_t *config)
+{
+	return config->platform;
+}
+
+bool pl_node_config_is_watcher(const pl_node_config_t *config)
+{
+	pl_config_sync_stats_t stats;
+
+	pl_config_sync_stats(config->sync, &stats);
+	return stats.watcher;
+}
+
 uint64_t pl_node_config_revision(const pl_node_config_t *config)
 {
 	return pl_config_sync_revision(config->sync);
--- a/src/daemon/private/node_config.h
+++ b/src/daemon/private/node_config.h
@@ -9,6 +9,7 @@
 #include "private/node.h"
 
 #include <pimentolift/document.h>
+#include <pimentolift/platform.h>
 
 typedef struct pl_node_config pl_node_config_t;
 
@@ -26,6 +27,12 @@
 /** Document in force, or NULL. */
 const pl_document_t *pl_node_config_document(const pl_node_config_t *config);
 
+/** Client of the platform, for the node's other calls. */
+pl_platform_t *pl_node_config_platform(pl_node_config_t *config);
+
+/** Whether this member is one of the few that watch the platform. */
+bool pl_node_config_is_watcher(const pl_node_config_t *config);
+
 /** Its revision, or 0. */
 uint64_t pl_node_config_revision(const pl_node_config_t *config);
 
--- a/src/platform/seeds.c
+++ b/src/platform/seeds.c
@@ -4,17 +4,11 @@
  */
 #include <pimentolift/seeds.h>
 
+#include <assert.h>
 #include <glib.h>
 #include <json-c/json.h>
 #include <string.h>
 
-/* A call in progress. */
-typedef struct {
-	pl_seeds_done_t done;
-	void *ctx;
-	pl_seeds_t seeds;
-} call_t;
-
 static char *key_(const char *environment)
 {
 	return g_strdup_printf("pimentolift/%s/seeds", environment);
@@ -67,52 +61,44 @@
 
 static void on_read_(void *ctx, const pl_platform_reply_t *reply)
 {
-	call_t *call = ctx;
+	pl_seeds_t *seeds = ctx;
 	pl_result_t result = reply->result;
 
-	call->seeds.modify_index = reply->modify_index;
+	seeds->modify_index = reply->modify_index;
 	if (result == PL_OK)
-		result = decode_(reply->value, reply->value_len, &call->seeds);
-	call->done(call->ctx, result, &call->seeds);
-	g_free(call);
+		result = decode_(reply->value, reply->value_len, seeds);
+	seeds->done(seeds->ctx, result);
 }
 
 static void on_written_(void *ctx, const pl_platform_reply_t *reply)
 {
-	call_t *call = ctx;
-
-	call->done(call->ctx, reply->result, &call->seeds);
-	g_free(call);
-}
-
-static call_t *call_new_(pl_seeds_done_t done, void *ctx)
-{
-	call_t *call = g_new0(call_t, 1);
+	pl_seeds_t *seeds = ctx;
 
-	call->done = done;
-	call->ctx = ctx;
-	return call;
+	seeds->done(seeds->ctx, reply->result);
 }
 
 void pl_seeds_read(pl_platform_t *platform, const char *environment,
-		   pl_seeds_done_t done, void *ctx)
+		   pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx)
 {
 	char *key = key_(environment);
 
-	pl_platform_get(platform, key, on_read_, call_new_(done, ctx));
+	assert(done);
+	*seeds = (pl_seeds_t){ .done = done, .ctx = ctx };
+	pl_platform_get(platform, key, on_read_, seeds);
 	g_free(key);
 }
 
 void pl_seeds_write(pl_platform_t *platform, const char *environment,
-		    const pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx)
+		    pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx)
 {
-	call_t *call = call_new_(done, ctx);
 	char *key = key_(environment);
 	char *json = encode_(seeds);
 
-	call->seeds = *seeds;
+	assert(done);
+	seeds->done = done;
+	seeds->ctx = ctx;
 	pl_platform_put(platform, key, json, strlen(json), seeds->modify_index,
-			on_written_, call);
+			on_written_, seeds);
 	g_free(json);
 	g_free(key);
 }
@@ -127,11 +113,23 @@
 	return false;
 }
 
+bool pl_seeds_add(pl_seeds_t *seeds, const pl_addr_t *addr, size_t victim)
+{
+	if (contains_(seeds->at, seeds->count, addr))
+		return false;
+	if (seeds->count < PL_SEEDS_MAX)
+		seeds->at[seeds->count++] = *addr;
+	else
+		seeds->at[victim % PL_SEEDS_MAX] = *addr;
+	return true;
+}
+
 bool pl_seeds_correct(pl_seeds_t *seeds, const pl_addr_t *alive, size_t count)
 {
 	size_t places = count < PL_SEEDS_MAX ? count : PL_SEEDS_MAX;
-	pl_seeds_t next = { .modify_index = seeds->modify_index };
+	pl_seeds_t next = *seeds;
 
+	next.count = 0;
 	for (size_t i = 0; i < seeds->count; i++) {
 		if (contains_(alive, count, &seeds->at[i]))
 			next.at[next.count++] = seeds->at[i];
--- a/test/ctl/node_test.c
+++ b/test/ctl/node_test.c
@@ -78,8 +78,11 @@
 	return 0;
 }
 
-/* Starts an entry that asks the first daemon, and waits until it is ready. */
-static daemon_t *start_(fixture_t *f)
+/*
+ * Starts an entry and waits until it is ready. It asks the first daemon when
+ * @p named, else it has only the platform to find others by.
+ */
+static daemon_t *start_(fixture_t *f, bool named)
 {
 	daemon_t *daemon = &f->daemons[f->count];
 	char *argv[] = { PIMENTOLIFTD, "--config", NULL, NULL };
@@ -94,8 +97,8 @@
 		"stop_timeout_ms = 1000\n"
 		"[platform]\nurl = \"%s\"\ntimeout_ms = 500\n"
 		"[entry]\nlisten = [\"127.0.0.1:0\"]\n",
-		f->count, f->count ? "\"" : "", f->daemons[0].inner,
-		f->count ? "\"" : "", f->url);
+		f->count, named ? "\"" : "", named ? f->daemons[0].inner : "",
+		named ? "\"" : "", f->url);
 	daemon->settings =
 		g_strdup_printf("%s/%zu.toml", f->directory, f->count);
 	argv[2] = daemon->settings;
@@ -185,13 +188,13 @@
 
 	assert_int_equal(apply_(f, DOCUMENT), PL_OK);
 	for (int i = 0; i < DAEMONS - 1; i++)
-		start_(f);
+		start_(f, i > 0);
 	wait_revision_(f, 1);
 	assert_int_equal(apply_(f, OTHER), PL_OK);
 	wait_revision_(f, 2);
 	/* a newcomer starts from its peers while the platform is down */
 	pl_store_command(f->store, "down");
-	start_(f);
+	start_(f, true);
 	wait_revision_(f, 2);
 	pl_store_command(f->store, "up");
 	assert_int_equal(apply_(f, DOCUMENT), PL_OK);
@@ -230,12 +233,50 @@
 	g_free(out);
 }
 
+/* Live members that the daemon knows, itself among them. */
+static int64_t alive_(const daemon_t *daemon)
+{
+	struct json_object *rows;
+	struct json_object *members = NULL;
+	struct json_object *alive = NULL;
+	char *out = NULL;
+	int64_t number = 0;
+
+	run_(&out, "status", "--json", "-a", daemon->admin, NULL);
+	rows = json_tokener_parse(out);
+	if (json_object_object_get_ex(json_object_array_get_idx(rows, 0),
+				      "members", &members) &&
+	    json_object_object_get_ex(members, "alive", &alive))
+		number = json_object_get_int64(alive);
+	json_object_put(rows);
+	g_free(out);
+	return number;
+}
+
+static void daemons_find_one_another_by_the_platform(void **state)
+{
+	fixture_t *f = *state;
+	gint64 until = g_get_monotonic_time() + WAIT_US;
+	size_t at = 0;
+
+	for (int i = 0; i < DAEMONS; i++)
+		start_(f, false);
+	while (at < f->count && g_get_monotonic_time() < until) {
+		if (alive_(&f->daemons[at]) == DAEMONS)
+			at++;
+	}
+	assert_int_equal(at, DAEMONS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			change_reaches_daemons_and_newcomers, set_up_,
 			tear_down_),
+		cmocka_unit_test_setup_teardown(
+			daemons_find_one_another_by_the_platform, set_up_,
+			tear_down_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform/publish_test.c
+++ b/test/platform/publish_test.c
@@ -267,12 +267,29 @@
 	assert_int_equal(f->stored.envelope.revision, 42);
 }
 
-static void keep_seeds_(void *ctx, pl_result_t result, const pl_seeds_t *seeds)
+static void note_(void *ctx, pl_result_t result)
 {
-	pl_seeds_t *out = ctx;
+	*(pl_result_t *)ctx = result;
+}
+
+static pl_result_t read_seeds_(fixture_t *f, pl_seeds_t *seeds)
+{
+	pl_result_t result = PL_ERR_INTERNAL;
+
+	pl_seeds_read(f->platform, "trial", seeds, note_, &result);
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 100);
+	return result;
+}
+
+static pl_result_t write_seeds_(fixture_t *f, pl_seeds_t *seeds)
+{
+	pl_result_t result = PL_ERR_INTERNAL;
 
-	assert_true(result == PL_OK || result == PL_ERR_NOT_FOUND);
-	*out = *seeds;
+	pl_seeds_write(f->platform, "trial", seeds, note_, &result);
+	while (pl_platform_pending(f->platform) > 0)
+		pl_platform_wait(f->platform, 100);
+	return result;
 }
 
 static void seeds_are_corrected_rarely(void **state)
@@ -280,7 +297,7 @@
 	fixture_t *f = *state;
 	pl_addr_t alive[20];
 	pl_seeds_t seeds;
-	pl_seeds_t read;
+	pl_seeds_t other;
 
 	for (int i = 0; i < 20; i++) {
 		char text[PL_ADDR_TEXT_MAX];
@@ -288,25 +305,25 @@
 		g_snprintf(text, sizeof(text), "10.0.0.%d:7946", i + 1);
 		assert_int_equal(pl_addr_parse(text, &alive[i], NULL), PL_OK);
 	}
-	pl_seeds_read(f->platform, "trial", keep_seeds_, &seeds);
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 100);
+	assert_int_equal(read_seeds_(f, &seeds), PL_ERR_NOT_FOUND);
 	assert_int_equal(seeds.count, 0);
+	other = seeds;
 	assert_true(pl_seeds_correct(&seeds, alive, 20));
 	assert_int_equal(seeds.count, PL_SEEDS_MAX);
-	pl_seeds_write(f->platform, "trial", &seeds, keep_seeds_, &read);
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 100);
-	pl_seeds_read(f->platform, "trial", keep_seeds_, &read);
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 100);
-	assert_int_equal(read.count, PL_SEEDS_MAX);
-	assert_true(pl_addr_equal(&read.at[15], &alive[15]));
+	assert_int_equal(write_seeds_(f, &seeds), PL_OK);
+	/* of two that correct at once, one succeeds */
+	assert_true(pl_seeds_add(&other, &alive[3], 0));
+	assert_int_equal(write_seeds_(f, &other), PL_ERR_CONFLICT);
+	assert_int_equal(read_seeds_(f, &seeds), PL_OK);
+	assert_int_equal(seeds.count, PL_SEEDS_MAX);
+	assert_true(pl_addr_equal(&seeds.at[15], &alive[15]));
+	assert_false(pl_seeds_add(&seeds, &alive[3], 0));
+	assert_true(pl_seeds_add(&seeds, &alive[18], 2));
+	assert_true(pl_addr_equal(&seeds.at[2], &alive[18]));
 	/* half of the places are still good: nothing to write */
-	assert_false(pl_seeds_correct(&read, alive + 8, 12));
-	assert_false(pl_seeds_correct(&read, alive + 12, 8));
-	assert_true(pl_seeds_correct(&read, alive + 14, 6));
-	assert_int_equal(read.count, 6);
+	assert_false(pl_seeds_correct(&seeds, alive + 8, 12));
+	assert_true(pl_seeds_correct(&seeds, alive + 16, 4));
+	assert_int_equal(seeds.count, 4);
 }
 
 int main(void)
