--- a/src/daemon/node_seeds.c
+++ b/src/daemon/node_seeds.c
@@ -32,8 +32,7 @@
 
 static void arm_(pl_node_seeds_t *seeds, pl_ms_t pause)
 {
-	pl_ms_t jitter =
-		pl_random_identity() % (pause / JITTER_FRACTION + 1);
+	pl_ms_t jitter = pl_random_identity() % (pause / JITTER_FRACTION + 1);
 
 	pl_timer_arm(timers_(seeds), &seeds->timer,
 		     pl_timer_service_now(timers_(seeds)) + pause + jitter);
@@ -57,8 +56,8 @@
 {
 	seeds->open = true;
 	pl_seeds_write(pl_node_config_platform(seeds->config),
-		       pl_node_settings(seeds->node)->environment,
-		       &seeds->list, on_written_, seeds);
+		       pl_node_settings(seeds->node)->environment, &seeds->list,
+		       on_written_, seeds);
 }
 
 /* Asks the members in the list; when that did not help, joins it. */
