--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -161,9 +161,10 @@
 	g_free(stale);
 }
 
+/* Number in the field @p name of an answer, or -1. */
 static long long field_(const char *text, const char *name)
 {
-	char *value = pl_content_field(text, strlen(text), name);
+	char *value = text ? pl_content_field(text, strlen(text), name) : NULL;
 	long long number = value ? g_ascii_strtoll(value, NULL, 10) : -1;
 
 	g_free(value);
@@ -177,7 +178,7 @@
 	char *counts = pl_process_ask(
 		lab->caller, "views %s " LAB_STATE " %" G_GUINT64_FORMAT,
 		lab_services[update->service], update->version);
-	long long opened = counts ? field_(counts, "opened") : -1;
+	long long opened = field_(counts, "opened");
 	bool shown = opened > 0 && field_(counts, "current") == opened;
 	bool late = !shown && overdue_(anchor_(lab, update->told_ms, true),
 				       VIEWS_BACK_MS);
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -179,7 +179,7 @@
 		pl_process_ask_number(node->backend, "last_ms", "status");
 
 	lab->trials[PROMISE_LEAVING]++;
-	if (last_ms > (long long)(from_ms + LEAVE_MS))
+	if (last_ms > (long long)from_ms + LEAVE_MS)
 		check_breach(lab, PROMISE_LEAVING,
 			     "the backend server of %s got work %lld ms after "
 			     "its drain began",
--- a/test/standin/caller/request.c
+++ b/test/standin/caller/request.c
@@ -222,7 +222,8 @@
 		     size_t len)
 {
 	char *service = pl_content_field((const char *)data, len, "service");
-	bool crossed = service && strcmp(service, operation->service->name);
+	bool crossed =
+		service && strcmp(service, operation->service->name) != 0;
 
 	g_free(service);
 	return crossed;
--- a/test/standin/common/content.c
+++ b/test/standin/common/content.c
@@ -29,7 +29,8 @@
 	uint8_t *body = g_malloc(size + 1);
 	uint64_t state = pl_hash_text(first);
 
-	memcpy(body, first, first_len);
+	for (size_t i = 0; i < first_len; i++)
+		body[i] = (uint8_t)first[i];
 	for (size_t i = first_len; i < size; i++) {
 		state = state * UINT64_C(6364136223846793005) +
 			UINT64_C(1442695040888963407);
