--- a/src/proto/config_codec.c
+++ b/src/proto/config_codec.c
@@ -4,7 +4,7 @@
  */
 #include <pimentolift/config_codec.h>
 
-#include "private/limit_private.h"
+#include "private/bounded.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -92,7 +92,7 @@
 		return false;
 	part->bytes = (const uint8_t *)at[1].via.bin.ptr;
 	part->len = at[1].via.bin.size;
-	return pl_limit_check_(part->bytes, part->len);
+	return pl_msgpack_bounded(part->bytes, part->len);
 }
 
 static bool read_removal_(const msgpack_object *object,
@@ -154,7 +154,7 @@
 	size_t offset = 0;
 	bool valid;
 
-	if (!pl_limit_check_(body, len))
+	if (!pl_msgpack_bounded(body, len))
 		return PL_ERR_MALFORMED;
 	msgpack_unpacked_init(&unpacked);
 	valid = msgpack_unpack_next(&unpacked, (const char *)body, len,
@@ -172,7 +172,7 @@
 	bool valid;
 
 	memset(push, 0, sizeof(*push));
-	if (!pl_limit_check_(body, len))
+	if (!pl_msgpack_bounded(body, len))
 		return PL_ERR_MALFORMED;
 	msgpack_unpacked_init(&unpacked);
 	valid = msgpack_unpack_next(&unpacked, (const char *)body, len,
--- a/src/proto/gossip.c
+++ b/src/proto/gossip.c
@@ -1,7 +1,7 @@
 /** @file Codec of the membership's datagrams and frames. */
 #include <pimentolift/gossip.h>
 
-#include "private/limit_private.h"
+#include "private/bounded.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -376,7 +376,7 @@
 	size_t offset = 0;
 	uint64_t version;
 
-	if (!pl_limit_check_(buf, len))
+	if (!pl_msgpack_bounded(buf, len))
 		return PL_ERR_MALFORMED;
 	if (msgpack_unpack_next(&decoder->unpacked, (const char *)buf, len,
 				&offset) != MSGPACK_UNPACK_SUCCESS ||
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -4,6 +4,8 @@
  */
 #include <pimentolift/wire.h>
 
+#include "private/bounded.h"
+
 #include <assert.h>
 #include <glib.h>
 #include <msgpack.h>
@@ -253,6 +255,8 @@
 	pl_mac(&decoder->key, buf, body_len, mac);
 	if (!pl_mac_equal(mac, buf + body_len, PL_MAC_BYTES))
 		return PL_ERR_AUTH;
+	if (!pl_msgpack_bounded(buf, body_len))
+		return PL_ERR_MALFORMED;
 	msgpack_zone_clear(&decoder->zone);
 	if (msgpack_unpack((const char *)buf, body_len, &offset, &decoder->zone,
 			   &object) != MSGPACK_UNPACK_SUCCESS ||
