Node: routing tables take a bounded share of the control thread

After each table the next one waits 200 times the processor time that it took, a second at most, so tables cost 0.5 %; small fleets see no pause. Ruled out: wall time as the measure, since the wait for readers to leave the old table is in it and costs nothing.

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -29,6 +29,12 @@
 
 /** Changes within this time go into one new routing table. */
 #define REBUILD_DELAY_MS 20
+/** A routing table may take one part in so many of the control thread's time:
+ * while members come and go by the dozen, changes gather for longer. */
+#define REBUILD_TIME_SHARE 200
+#define REBUILD_PAUSE_MAX_MS 1000
+#define NS_PER_MS 1000000
+#define NS_PER_S INT64_C(1000000000)
 /** While an endpoint's weight ramps the table is built this often. */
 #define RAMP_STEP_MS 500
 /** A shutdown looks this often whether it may end. */
@@ -63,6 +69,7 @@
 	pl_admin_t *admin;
 	pl_routing_t *routing; /* published under RCU */
 	pl_timer_t rebuild;
+	pl_ms_t rebuild_earliest;
 	pl_timer_t stop_poll;
 	node_phase_t phase;
 	bool stopping;
@@ -180,9 +187,27 @@
 	pl_routing_put(old);
 }
 
+/* Processor time of this thread. */
+static int64_t thread_time_ns_(void)
+{
+	struct timespec used;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+	return used.tv_sec * NS_PER_S + used.tv_nsec;
+}
+
+/* Time that the next table has to wait after one that took @p took_ns. */
+static pl_ms_t rebuild_pause_ms_(int64_t took_ns)
+{
+	pl_ms_t pause = (pl_ms_t)took_ns * REBUILD_TIME_SHARE / NS_PER_MS;
+
+	return MIN(pause, REBUILD_PAUSE_MAX_MS);
+}
+
 static void rebuild_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_node_t *node = ctx;
+	int64_t start_ns = thread_time_ns_();
 	const pl_document_t *document = pl_node_config_document(node->config);
 	pl_routing_t *routing;
 	bool ramping;
@@ -193,13 +218,17 @@
 				   (uint32_t)time(NULL), &ramping);
 	publish_(node, routing);
 	watch_neighbours_(node, routing);
+	node->rebuild_earliest =
+		now + rebuild_pause_ms_(thread_time_ns_() - start_ns);
 	if (ramping)
-		pl_timer_arm(timers_(node), &node->rebuild, now + RAMP_STEP_MS);
+		pl_timer_arm(timers_(node), &node->rebuild,
+			     MAX(now + RAMP_STEP_MS, node->rebuild_earliest));
 }
 
 static void rebuild_soon_(pl_node_t *node)
 {
-	pl_ms_t due = now_(node) + REBUILD_DELAY_MS;
+	pl_ms_t due =
+		MAX(now_(node) + REBUILD_DELAY_MS, node->rebuild_earliest);
 
 	if (pl_timer_armed(&node->rebuild) && node->rebuild.due <= due)
 		return;
