--- a/include/pimentolift/timer.h
+++ b/include/pimentolift/timer.h
@@ -45,6 +45,9 @@
 /** Fires every timer due at or before @p now, in order of due time. */
 void pl_timer_service_advance(pl_timer_service_t *service, pl_ms_t now);
 
+/** Due time of the earliest timer, or @p limit when none is due before. */
+pl_ms_t pl_timer_service_next(const pl_timer_service_t *service, pl_ms_t limit);
+
 /** Number of armed timers. */
 uint64_t pl_timer_service_armed(const pl_timer_service_t *service);
 
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -16,8 +16,8 @@
 #include <unistd.h>
 
 #define EVENTS_MAX 64
-/** Longest wait, which is also the resolution of the timers. */
-#define TICK_MS 8
+/** Longest wait, so that a turn comes at least four times a second. */
+#define WAIT_MAX_MS 200
 
 struct pl_loop_watch {
 	pl_list_t dead_link;
@@ -136,13 +136,22 @@
 	g_free(loop);
 }
 
+/* Time until the next timer is due. */
+static int wait_ms_(const pl_loop_t *loop)
+{
+	pl_ms_t now = pl_loop_clock_ms();
+	pl_ms_t next = pl_timer_service_next(loop->timers, now + WAIT_MAX_MS);
+
+	return next > now ? (int)(next - now) : 0;
+}
+
 void pl_loop_run(pl_loop_t *loop)
 {
 	struct epoll_event events[EVENTS_MAX];
 
 	while (!atomic_load(&loop->stopping)) {
-		int count =
-			epoll_wait(loop->epoll_fd, events, EVENTS_MAX, TICK_MS);
+		int count = epoll_wait(loop->epoll_fd, events, EVENTS_MAX,
+				       wait_ms_(loop));
 
 		pl_ms_t now = pl_loop_clock_ms();
 
--- a/src/util/timer.c
+++ b/src/util/timer.c
@@ -44,6 +44,27 @@
 	return service->now;
 }
 
+pl_ms_t pl_timer_service_next(const pl_timer_service_t *service, pl_ms_t limit)
+{
+	pl_ms_t slot_time = service->now - service->now % SLOT_MS;
+
+	if (service->armed == 0)
+		return limit;
+	for (; slot_time < limit; slot_time += SLOT_MS) {
+		const pl_list_t *first = pl_list_first(
+			&service->slots[(slot_time / SLOT_MS) % SLOTS]);
+		pl_ms_t due;
+
+		if (!first)
+			continue;
+		due = PL_CONTAINER_OF(first, const pl_timer_t, link)->due;
+		/* one of a later turn of the wheel is not the earliest */
+		if (due < slot_time + SLOT_MS)
+			return due < limit ? due : limit;
+	}
+	return limit;
+}
+
 uint64_t pl_timer_service_armed(const pl_timer_service_t *service)
 {
 	return service->armed;
--- a/test/util/timer_test.c
+++ b/test/util/timer_test.c
@@ -59,6 +59,24 @@
 	pl_timer_service_delete(service);
 }
 
+static void next_due_time_is_found(void **state)
+{
+	pl_timer_service_t *service = pl_timer_service_new(1003);
+	probe_t probes[2] = { 0 };
+
+	(void)state;
+	assert_int_equal(pl_timer_service_next(service, 1203), 1203);
+	for (int i = 0; i < 2; i++)
+		pl_timer_init(&probes[i].timer, fire_, &probes[i]);
+	/* shares the slot of 1010, one turn of the wheel later */
+	pl_timer_arm(service, &probes[0].timer, 1010 + 512 * 8);
+	assert_int_equal(pl_timer_service_next(service, 1203), 1203);
+	pl_timer_arm(service, &probes[1].timer, 1009);
+	assert_int_equal(pl_timer_service_next(service, 1203), 1009);
+	assert_int_equal(pl_timer_service_next(service, 1005), 1005);
+	pl_timer_service_delete(service);
+}
+
 static void timer_of_a_later_turn_waits(void **state)
 {
 	pl_timer_service_t *service = pl_timer_service_new(0);
@@ -80,6 +98,7 @@
 		cmocka_unit_test(fires_in_order_of_due_time),
 		cmocka_unit_test(cancelled_timer_does_not_fire),
 		cmocka_unit_test(timer_of_a_later_turn_waits),
+		cmocka_unit_test(next_due_time_is_found),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
