--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,9 @@
 	$(BUILD)/test/soak/pl_lab --seed $(SEED) --seconds $(SECONDS) --faults $(FAULTS)
 
 bench: build
-	$(BUILD)/test/bench/pl_bench
+	@for program in $$(find $(BUILD)/test -type f -name 'pl_bench_*' -perm -u+x | sort); do \
+		echo "== $$(basename $$program)"; $$program || exit 1; \
+	done
 
 install: build
 	cmake --install $(BUILD) --prefix $(PREFIX)
--- /dev/null
+++ b/test/bench/forward_bench.c
@@ -0,0 +1,287 @@
+/**
+ * @file
+ * Cost of forwarding a datagram at an entry against a bare relay.
+ *
+ * Each worker receives batches on a socket of its own, treats each datagram,
+ * and sends it to a sink. The relay copies the datagram; the entry reads the
+ * PROXY header, routes, and writes the inner datagram. Measured is the
+ * processor time of the worker's thread for each datagram, system calls
+ * included, and the datagrams of all workers a second.
+ */
+#include <pimentolift/coap_msg.h>
+#include <pimentolift/entry.h>
+#include <pimentolift/proxy.h>
+#include <pimentolift/udp.h>
+
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define REPEATS 7
+#define RUN_MS 600
+#define WORKERS_MAX 4
+#define PAYLOAD_BYTES 64
+#define ENDPOINTS 20
+#define POLL_MS 20
+#define NS_PER_S 1e9
+
+typedef struct worker worker_t;
+
+/** How a worker treats one datagram; returns the length to send. */
+typedef size_t (*treat_t)(worker_t *worker, const pl_datagram_t *datagram,
+			  uint8_t *out);
+
+struct worker {
+	treat_t treat;
+	pl_addr_t addr;
+	pl_addr_t sink;
+	int fd;
+	pl_entry_t *entry;
+	pl_key_t key;
+	const pl_routing_t *routing;
+	atomic_bool *stop;
+	uint64_t count;
+	double cpu_ns;
+	pthread_t thread;
+	pthread_t generator;
+};
+
+static double clock_ns_(clockid_t clock)
+{
+	struct timespec now;
+
+	clock_gettime(clock, &now);
+	return (double)now.tv_sec * NS_PER_S + (double)now.tv_nsec;
+}
+
+static size_t relay_(worker_t *worker, const pl_datagram_t *datagram,
+		     uint8_t *out)
+{
+	memcpy(out, datagram->bytes, datagram->len);
+	return datagram->len;
+}
+
+static size_t forward_(worker_t *worker, const pl_datagram_t *datagram,
+		       uint8_t *out)
+{
+	pl_counter_t dropped;
+	pl_member_id_t agent;
+	pl_forward_t forward;
+	pl_proxy_t proxy;
+	size_t header;
+
+	if (pl_proxy_read(datagram->bytes, datagram->len, &proxy, &header) !=
+		    PL_OK ||
+	    pl_entry_route(worker->entry, worker->routing, &proxy.source,
+			   &proxy.destination, datagram->bytes + header,
+			   datagram->len - header, 1000, &agent, &forward,
+			   &dropped) != PL_OK)
+		abort();
+	return pl_wire_encode_forward(&worker->key, &forward, out,
+				      PL_WIRE_DATAGRAM_MAX);
+}
+
+static void *work_(void *ctx)
+{
+	worker_t *worker = ctx;
+	pl_udp_batch_t *batch = pl_udp_batch_new();
+	struct pollfd ready = { .fd = worker->fd, .events = POLLIN };
+	double start = clock_ns_(CLOCK_THREAD_CPUTIME_ID);
+
+	while (!atomic_load(worker->stop)) {
+		size_t count = pl_udp_receive(batch, worker->fd);
+
+		if (count == 0) {
+			poll(&ready, 1, POLL_MS);
+			continue;
+		}
+		for (size_t i = 0; i < count; i++) {
+			uint8_t *out = pl_udp_reserve(batch);
+
+			pl_udp_queue(batch, worker->fd, &worker->sink,
+				     worker->treat(worker, pl_udp_at(batch, i),
+						   out));
+		}
+		pl_udp_flush(batch);
+		worker->count += count;
+	}
+	worker->cpu_ns = clock_ns_(CLOCK_THREAD_CPUTIME_ID) - start;
+	pl_udp_batch_delete(batch);
+	return NULL;
+}
+
+static size_t write_datagram_(uint8_t *buf, uint16_t port)
+{
+	static const uint8_t payload[PAYLOAD_BYTES];
+	pl_coap_writer_t writer;
+	pl_proxy_t proxy;
+	size_t header;
+
+	pl_addr_parse("198.51.100.7:0", &proxy.source, NULL);
+	pl_addr_parse("192.0.2.10:5683", &proxy.destination, NULL);
+	proxy.source.port = port;
+	header = pl_proxy_write(&proxy, buf);
+	pl_coap_write_start(&writer, buf + header, PL_COAP_DATAGRAM_MAX,
+			    PL_COAP_CON, PL_COAP_GET, port,
+			    (const uint8_t *)&port, sizeof(port));
+	pl_coap_write_segments(&writer, PL_COAP_OPT_URI_PATH, "permits/17",
+			       '/');
+	pl_coap_write_payload(&writer, payload, sizeof(payload));
+	return header + pl_coap_write_end(&writer);
+}
+
+/* Keeps the worker's socket full from as many callers as there are ports. */
+static void *generate_(void *ctx)
+{
+	worker_t *worker = ctx;
+	pl_udp_batch_t *batch = pl_udp_batch_new();
+	pl_addr_t own;
+	uint16_t port = 1;
+	int fd;
+
+	pl_addr_parse("127.0.0.1:0", &own, NULL);
+	if (pl_udp_open(&own, false, &fd, NULL) != PL_OK)
+		abort();
+	while (!atomic_load(worker->stop)) {
+		for (int i = 0; i < PL_UDP_BATCH; i++) {
+			uint8_t *out = pl_udp_reserve(batch);
+
+			pl_udp_queue(batch, fd, &worker->addr,
+				     write_datagram_(out, port++));
+		}
+		pl_udp_flush(batch);
+	}
+	close(fd);
+	pl_udp_batch_delete(batch);
+	return NULL;
+}
+
+static pl_routing_t *routing_(void)
+{
+	const pl_service_policy_t policy = { .deadline_ms = 1000 };
+	pl_routing_builder_t *builder = pl_routing_builder_new(1);
+	pl_service_id_t service = pl_service_id("permits");
+	pl_addr_t addr;
+
+	pl_addr_parse("192.0.2.10:5683", &addr, NULL);
+	pl_routing_builder_service(builder, "permits", &policy);
+	pl_routing_builder_address(builder, service, &addr);
+	for (pl_member_id_t i = 1; i <= ENDPOINTS; i++) {
+		const pl_endpoint_t endpoint = { .agent = i,
+						 .boot = 1,
+						 .service = service,
+						 .weight = PL_WEIGHT_FULL };
+
+		pl_routing_builder_endpoint(builder, &endpoint);
+	}
+	return pl_routing_builder_finish(builder);
+}
+
+typedef struct {
+	double ns_per_datagram;
+	double per_s;
+} figure_t;
+
+static figure_t run_(treat_t treat, size_t count, const pl_routing_t *routing,
+		     pl_load_table_t *loads)
+{
+	worker_t workers[WORKERS_MAX] = { 0 };
+	atomic_bool stop = false;
+	figure_t figure = { 0 };
+	pl_addr_t sink;
+	double wall;
+	int sink_fd;
+
+	pl_addr_parse("127.0.0.1:0", &sink, NULL);
+	if (pl_udp_open(&sink, false, &sink_fd, NULL) != PL_OK)
+		abort();
+	wall = clock_ns_(CLOCK_MONOTONIC);
+	for (size_t i = 0; i < count; i++) {
+		worker_t *worker = &workers[i];
+
+		worker->treat = treat;
+		worker->sink = sink;
+		worker->routing = routing;
+		worker->stop = &stop;
+		worker->entry =
+			pl_entry_new(9, &pl_entry_policy_two_choices, loads);
+		pl_addr_parse("127.0.0.1:0", &worker->addr, NULL);
+		if (pl_udp_open(&worker->addr, false, &worker->fd, NULL) !=
+		    PL_OK)
+			abort();
+		pthread_create(&worker->thread, NULL, work_, worker);
+		pthread_create(&worker->generator, NULL, generate_, worker);
+	}
+	g_usleep(RUN_MS * 1000);
+	atomic_store(&stop, true);
+	for (size_t i = 0; i < count; i++) {
+		pthread_join(workers[i].thread, NULL);
+		pthread_join(workers[i].generator, NULL);
+		figure.ns_per_datagram +=
+			workers[i].cpu_ns / (double)workers[i].count;
+		figure.per_s += (double)workers[i].count;
+		pl_entry_delete(workers[i].entry);
+		close(workers[i].fd);
+	}
+	wall = clock_ns_(CLOCK_MONOTONIC) - wall;
+	figure.ns_per_datagram /= (double)count;
+	figure.per_s /= wall / NS_PER_S;
+	close(sink_fd);
+	return figure;
+}
+
+static int compare_(const void *a, const void *b)
+{
+	const double *left = a;
+	const double *right = b;
+
+	return (*left > *right) - (*left < *right);
+}
+
+static double median_(double *values)
+{
+	qsort(values, REPEATS, sizeof(values[0]), compare_);
+	return values[REPEATS / 2];
+}
+
+int main(void)
+{
+	pl_routing_t *routing = routing_();
+	pl_load_table_t *loads = pl_load_table_new();
+	double relay[REPEATS];
+	double entry[REPEATS];
+	double ratio[REPEATS];
+	double base;
+
+	printf("# name value unit baseline target (median of %d)\n", REPEATS);
+	for (int i = 0; i < REPEATS; i++) {
+		relay[i] = run_(relay_, 1, routing, loads).ns_per_datagram;
+		entry[i] = run_(forward_, 1, routing, loads).ns_per_datagram;
+		ratio[i] = entry[i] / relay[i];
+	}
+	base = median_(relay);
+	printf("forward_ns_per_datagram %.0f ns %.0f -\n", median_(entry),
+	       base);
+	printf("forward_cost_over_bare_relay %.2f ratio 1 2.0\n",
+	       median_(ratio));
+	printf("forward_cost_spread %.2f-%.2f ratio - -\n", ratio[0],
+	       ratio[REPEATS - 1]);
+	for (size_t workers = 1; workers <= WORKERS_MAX; workers *= 2) {
+		double rates[REPEATS];
+
+		for (int i = 0; i < REPEATS; i++)
+			rates[i] =
+				run_(forward_, workers, routing, loads).per_s;
+		printf("forward_per_s_%zu_threads %.0f 1/s - -\n", workers,
+		       median_(rates));
+	}
+	pl_load_table_delete(loads);
+	pl_routing_put(routing);
+	return 0;
+}
