Agent: a young ticket reaches an issuer that is not known yet

A ticket's code is checked before its issuer is looked up, so its address can be trusted: for 10 s from its issue the datagram is passed on to an unknown issuer, later it gets 5.04 as before. Ruled out: holding such a datagram until the membership knows, which needs memory for what may never come.

Test first: young_ticket_reaches_an_issuer_that_is_not_known_yet; the existing test of a vanished issuer waits 11 s before it expects 5.04.

--- a/src/agent/serve.c
+++ b/src/agent/serve.c
@@ -8,6 +8,8 @@
 #include <assert.h>
 #include <pimentolift/counter.h>
 
+/** Time in which every member hears of a new one, clocks' error included. */
+#define NEWCOMER_S 10
 /** Diagnostic payloads of refusals. */
 #define TEXT_BUSY "busy"
 #define TEXT_TOO_LARGE "too large"
@@ -103,6 +105,18 @@
 			       digest, msg->echo, msg->echo_len, ticket);
 }
 
+/* Whether @p ticket is young enough to come from an agent that has joined and
+ * is not known here yet. Its code was checked, so its address is right. */
+static bool may_be_newcomers_(const pl_agent_t *agent,
+			      const pl_ticket_t *ticket)
+{
+	uint32_t now_s = pl_agent_now_s(agent);
+	uint32_t age_s = now_s > ticket->issued_s ? now_s - ticket->issued_s :
+						    ticket->issued_s - now_s;
+
+	return age_s <= NEWCOMER_S;
+}
+
 bool pl_serve_forward_to_issuer(pl_agent_t *agent, const pl_forward_t *forward,
 				const pl_ticket_t *ticket)
 {
@@ -110,9 +124,12 @@
 
 	if (agent->routing)
 		issuer = pl_routing_endpoint(agent->routing, ticket->agent);
+	if (!issuer && !may_be_newcomers_(agent, ticket))
+		return false;
 	/* after a pause the issuer has another boot and still knows */
-	return issuer && issuer->service == forward->flow.service &&
-	       pl_agent_forward_to(agent, forward, ticket->agent);
+	if (issuer && issuer->service != forward->flow.service)
+		return false;
+	return pl_agent_forward_to(agent, forward, ticket->agent);
 }
 
 /* Sends one more block of a kept answer. */
--- a/test/agent/honesty_test.c
+++ b/test/agent/honesty_test.c
@@ -120,6 +120,7 @@
 	/* the issuer is not among the members any more */
 	f->nodes[0].id = 0;
 	fixture_route(f);
+	fixture_advance(f, 11000);
 	repeat_(f, 1, &ask);
 	fixture_expect(f, PL_COAP_GATEWAY_TIMEOUT, &msg);
 	assert_memory_equal(msg.payload, "outcome unknown", 15);
@@ -127,6 +128,36 @@
 	fixture_delete(f);
 }
 
+/* An agent that has just joined is not known everywhere yet. */
+static void young_ticket_reaches_an_issuer_that_is_not_known_yet(void **state)
+{
+	fixture_t *f = fixture_new(2, 1);
+	pl_member_id_t id = f->nodes[0].id;
+	ask_t ask = post_();
+	uint8_t echo[PL_TICKET_BYTES];
+	pl_coap_msg_t msg;
+
+	(void)state;
+	f->nodes[0].id = 0;
+	fixture_route(f);
+	f->nodes[0].id = id;
+	fixture_ask(f, 0, &ask);
+	fixture_expect(f, PL_COAP_UNAUTHORIZED, &msg);
+	memcpy(echo, msg.echo, sizeof(echo));
+	ask.echo = echo;
+	ask.echo_len = sizeof(echo);
+	repeat_(f, 1, &ask);
+	assert_int_equal(fixture_calls(f), 1);
+	fixture_end(f, 0, PL_BACKEND_ANSWERED, "ok", 2);
+	fixture_expect(f, PL_COAP_CHANGED, &msg);
+	/* later it should be known; that it is not means that it is gone */
+	fixture_advance(f, 11000);
+	repeat_(f, 1, &ask);
+	fixture_expect(f, PL_COAP_GATEWAY_TIMEOUT, &msg);
+	assert_int_equal(fixture_calls(f), 1);
+	fixture_delete(f);
+}
+
 static void ticket_of_an_old_life_is_replayed_or_unknown(void **state)
 {
 	fixture_t *f = fixture_new(1, 1);
@@ -422,6 +453,8 @@
 		cmocka_unit_test(
 			overloaded_agent_does_not_refuse_without_a_ticket),
 		cmocka_unit_test(foreign_ticket_goes_to_its_issuer),
+		cmocka_unit_test(
+			young_ticket_reaches_an_issuer_that_is_not_known_yet),
 		cmocka_unit_test(ticket_of_an_old_life_is_replayed_or_unknown),
 		cmocka_unit_test(forged_ticket_counts_as_none),
 		cmocka_unit_test(expired_ticket_is_never_run),
