--- a/test/bench/view_bench.c
+++ b/test/bench/view_bench.c
@@ -12,6 +12,8 @@
 #include <stdlib.h>
 #include <time.h>
 
+#define SETTLE_STEP_MS 250
+#define SETTLE_MS 30000
 #define REPETITIONS 11
 #define CALLERS 10000
 #define ENDPOINTS 7
@@ -363,6 +365,16 @@
 	}
 }
 
+/* Lets registrations be answered and paced copies go out. */
+static void settle_(bench_t *bench)
+{
+	for (pl_ms_t now = SETTLE_STEP_MS; now <= SETTLE_MS;
+	     now += SETTLE_STEP_MS) {
+		pl_timer_service_advance(bench->timers, now);
+		deliver_(bench);
+	}
+}
+
 static void measure_notify_(void)
 {
 	sample_t rate = { 0 };
@@ -374,6 +386,7 @@
 		bench_init_(&bench);
 		open_(&bench, WATCHERS, 1);
 		notify_(&bench, 1, 0);
+		settle_(&bench);
 		bench.replies = 0;
 		start = cpu_s_();
 		for (uint32_t round = 1; round <= ROUNDS; round++) {
@@ -408,9 +421,7 @@
 			notify_(&bench, id, 0);
 		between = mallinfo2().uordblks;
 		add_(&bytes, (double)(between - before) / CALLERS);
-		/* the copies go out */
-		pl_timer_service_advance(bench.timers, 250);
-		deliver_(&bench);
+		settle_(&bench);
 		add_(&copy, (double)(mallinfo2().uordblks - between) / CALLERS);
 		add_(&copy_bytes, (double)bench.frame_bytes / CALLERS);
 		bench_finish_(&bench);
@@ -434,8 +445,7 @@
 		open_(&bench, CALLERS, 20);
 		for (uint64_t id = 1; id <= 20; id++)
 			notify_(&bench, id, 0);
-		pl_timer_service_advance(bench.timers, 250);
-		deliver_(&bench);
+		settle_(&bench);
 		bench.frame_bytes = 0;
 		start = cpu_s_();
 		pl_view_drain(bench.sides[0].table);
