Keys depend on the environment; each lab run has a secret of its own

The two fleets had become one: they shared secret and environment, and a member of one probed the address of a dead member whose port a new process of the other had got. The lab puts its directory into the secret. For operators the same slip would join trial and production, so the name of the environment goes into every key now.

--- a/include/pimentolift/hash.h
+++ b/include/pimentolift/hash.h
@@ -43,8 +43,13 @@
 /** Hash of a string without its terminator. */
 uint64_t pl_hash_text(const char *text);
 
-/** Derives the key for @p purpose from the secret of the fleet. */
-void pl_key_derive(const char *secret, pl_key_purpose_t purpose, pl_key_t *key);
+/**
+ * Derives the key for @p purpose from the secret of the fleet. The name of
+ * the environment goes into it, so that members of two environments that
+ * share a secret by mistake do not understand one another.
+ */
+void pl_key_derive(const char *secret, const char *environment,
+		   pl_key_purpose_t purpose, pl_key_t *key);
 
 /** Code over @p length bytes at @p data. */
 void pl_mac(const pl_key_t *key, const void *data, size_t length,
--- a/src/daemon/agent_role.c
+++ b/src/daemon/agent_role.c
@@ -271,7 +271,8 @@
 
 	params.unix_time_s = (uint32_t)((uint64_t)time(NULL) -
 					pl_timer_service_now(timers) / 1000);
-	pl_key_derive(settings->secret, PL_KEY_TICKET, &params.ticket_key);
+	pl_key_derive(settings->secret, settings->environment, PL_KEY_TICKET,
+		      &params.ticket_key);
 	role->core = pl_agent_new(&params, &core_ops_, role, timers);
 }
 
@@ -285,7 +286,8 @@
 	role->node = node;
 	role->self = pl_node_self(node);
 	role->inner_fd = inner_fd;
-	pl_key_derive(settings->secret, PL_KEY_DATAGRAM, &role->key);
+	pl_key_derive(settings->secret, settings->environment, PL_KEY_DATAGRAM,
+		      &role->key);
 	pthread_mutex_init(&role->stats_lock, NULL);
 	role->loop = pl_loop_new(err);
 	if (!role->loop)
--- a/src/daemon/entry_role.c
+++ b/src/daemon/entry_role.c
@@ -341,7 +341,8 @@
 	pl_result_t result = PL_OK;
 
 	role->node = node;
-	pl_key_derive(settings->secret, PL_KEY_DATAGRAM, &role->key);
+	pl_key_derive(settings->secret, settings->environment, PL_KEY_DATAGRAM,
+		      &role->key);
 	role->has_fabric = own->has_fabric;
 	role->fabric = own->fabric;
 	role->listener_count = own->listen.count;
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -506,7 +506,8 @@
 		.incarnation = (uint64_t)time(NULL),
 	};
 
-	pl_key_derive(settings->secret, PL_KEY_GOSSIP, &params.key);
+	pl_key_derive(settings->secret, settings->environment, PL_KEY_GOSSIP,
+		      &params.key);
 	node->members =
 		pl_member_table_new(&params, &member_ops_, node, timers_(node));
 	for (size_t i = 0; i < settings->seeds.count; i++)
@@ -525,7 +526,8 @@
 	if (result != PL_OK)
 		return result;
 	node->self = pl_member_id_from_addr(&inner);
-	pl_key_derive(node->settings->secret, PL_KEY_FRAME, &key);
+	pl_key_derive(node->settings->secret, node->settings->environment,
+		      PL_KEY_FRAME, &key);
 	node->peers = pl_peer_net_new(node->loop, tcp_fd, node->self, &key,
 				      &peer_ops_, node);
 	return PL_OK;
--- a/src/util/hash.c
+++ b/src/util/hash.c
@@ -21,15 +21,20 @@
 	return pl_hash(text, strlen(text), 0);
 }
 
-void pl_key_derive(const char *secret, pl_key_purpose_t purpose, pl_key_t *key)
+void pl_key_derive(const char *secret, const char *environment,
+		   pl_key_purpose_t purpose, pl_key_t *key)
 {
+	uint8_t digest[crypto_generichash_BYTES];
 	uint8_t root[crypto_kdf_KEYBYTES];
 
 	assert(strlen(secret) >= PL_SECRET_MIN_BYTES);
-	crypto_generichash(root, sizeof(root), (const uint8_t *)secret,
+	crypto_generichash(digest, sizeof(digest), (const uint8_t *)secret,
 			   strlen(secret), NULL, 0);
+	crypto_generichash(root, sizeof(root), (const uint8_t *)environment,
+			   strlen(environment), digest, sizeof(digest));
 	crypto_kdf_derive_from_key(key->bytes, sizeof(key->bytes), purpose,
 				   "pimento1", root);
+	sodium_memzero(digest, sizeof(digest));
 	sodium_memzero(root, sizeof(root));
 }
 
--- a/test/agent/fixture.c
+++ b/test/agent/fixture.c
@@ -144,7 +144,7 @@
 	node->state = PL_ENDPOINT_SERVING;
 	params.self = node->id;
 	params.boot = node->boot;
-	pl_key_derive("a secret of the test fleet", PL_KEY_TICKET,
+	pl_key_derive("a secret of the test fleet", "test", PL_KEY_TICKET,
 		      &params.ticket_key);
 	node->agent = pl_agent_new(&params, &ops_, node, fixture->timers);
 	pl_agent_set_backend(node->agent, pl_service_id(SERVICE), params.slots);
--- a/test/agent/ticket_test.c
+++ b/test/agent/ticket_test.c
@@ -14,7 +14,8 @@
 static void setup_(case_t *c)
 {
 	memset(c, 0, sizeof(*c));
-	pl_key_derive("a secret of the test fleet", PL_KEY_TICKET, &c->key);
+	pl_key_derive("a secret of the test fleet", "test", PL_KEY_TICKET,
+		      &c->key);
 	pl_addr_parse("192.0.2.1:1000", &c->flow.caller, NULL);
 	c->flow.service = 7;
 	c->ticket = (pl_ticket_t){ 11, 12, 13, 1000 };
--- a/test/bench/member_load.c
+++ b/test/bench/member_load.c
@@ -335,7 +335,8 @@
 				      .incarnation = 1700000000 };
 	size_t before;
 
-	pl_key_derive("the secret of the bench", PL_KEY_GOSSIP, &standin.key);
+	pl_key_derive("the secret of the bench", "test", PL_KEY_GOSSIP,
+		      &standin.key);
 	params.key = standin.key;
 	standin.rand = g_rand_new_with_seed((guint32)size);
 	standin.decoder = pl_gossip_decoder_new(&standin.key);
--- a/test/bench/member_node.c
+++ b/test/bench/member_node.c
@@ -444,8 +444,8 @@
 	pl_key_t frame_key;
 	int tcp = bind_all_(&peers);
 
-	pl_key_derive(SECRET, PL_KEY_GOSSIP, &peers.key);
-	pl_key_derive(SECRET, PL_KEY_FRAME, &frame_key);
+	pl_key_derive(SECRET, "bench", PL_KEY_GOSSIP, &peers.key);
+	pl_key_derive(SECRET, "bench", PL_KEY_FRAME, &frame_key);
 	peers.decoder = pl_gossip_decoder_new(&peers.key);
 	peers.rand = g_rand_new_with_seed((guint32)size);
 	peers.changes = g_array_new(FALSE, FALSE, sizeof(change_t));
--- a/test/member/fleet.c
+++ b/test/member/fleet.c
@@ -150,7 +150,7 @@
 	fleet->mail = g_queue_new();
 	fleet->tape =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-	pl_key_derive("the secret of the test fleet", PL_KEY_GOSSIP,
+	pl_key_derive("the secret of the test fleet", "test", PL_KEY_GOSSIP,
 		      &fleet->key);
 	for (size_t i = 0; i < count; i++) {
 		node_t *node = &fleet->nodes[i];
--- a/test/net/peer_net_test.c
+++ b/test/net/peer_net_test.c
@@ -61,7 +61,7 @@
 
 	pl_addr_parse("127.0.0.1:0", &addr, NULL);
 	assert_int_equal(pl_tcp_listen(&addr, &fd, NULL), PL_OK);
-	pl_key_derive(secret, PL_KEY_FRAME, &key);
+	pl_key_derive(secret, "test", PL_KEY_FRAME, &key);
 	side.id = pl_member_id_from_addr(&addr);
 	side.net =
 		pl_peer_net_new(probe->loop, fd, side.id, &key, &ops_, probe);
--- a/test/proto/gossip_test.c
+++ b/test/proto/gossip_test.c
@@ -24,7 +24,7 @@
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 
-	pl_key_derive("a secret of the codec test", PL_KEY_GOSSIP,
+	pl_key_derive("a secret of the codec test", "test", PL_KEY_GOSSIP,
 		      &fixture->key);
 	fixture->decoder = pl_gossip_decoder_new(&fixture->key);
 	fixture->records[0] = (pl_gossip_record_t){
--- a/test/proto/wire_test.c
+++ b/test/proto/wire_test.c
@@ -141,6 +141,6 @@
 		cmocka_unit_test(mutated_messages_never_break_the_decoder),
 	};
 
-	pl_key_derive("a secret of the fleet", PL_KEY_DATAGRAM, &key_);
+	pl_key_derive("a secret of the fleet", "test", PL_KEY_DATAGRAM, &key_);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/soak/node.c
+++ b/test/soak/node.c
@@ -28,6 +28,8 @@
 	return g_string_free(text, FALSE);
 }
 
+/* The secret names the run's directory: runs side by side reuse one another's
+ * ports, and members that share a secret would become one fleet. */
 static char *write_settings_(const lab_t *lab, const node_t *node)
 {
 	char *path = g_strdup_printf("%s/%s.toml", lab->dir, node->name);
@@ -41,11 +43,11 @@
 	char *text = g_strdup_printf(
 		"role = \"%s\"\nname = \"%s\"\nenvironment = \"lab\"\n"
 		"datacentre = \"dc%d\"\ninner = \"127.0.0.1:0\"\n"
-		"secret = \"a secret of the lab alone\"\n"
+		"secret = \"a secret of the lab in %s\"\n"
 		"admin = \"127.0.0.1:0\"\nseeds = %s\nallow_faults = true\n"
 		"[platform]\nurl = \"%s\"\ntimeout_ms = 1000\n%s",
 		node->is_entry ? "entry" : "agent", node->name,
-		(int)((node - lab->nodes) % LAB_ENTRIES) + 1, seeds,
+		(int)((node - lab->nodes) % LAB_ENTRIES) + 1, lab->dir, seeds,
 		lab->store_url, role);
 
 	g_file_set_contents(path, text, -1, NULL);
