--- a/src/proto/gossip.c
+++ b/src/proto/gossip.c
@@ -2,6 +2,7 @@
 #include <pimentolift/gossip.h>
 
 #include "private/bounded.h"
+#include "private/element.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -214,21 +215,11 @@
 	return object->via.array.ptr;
 }
 
-static bool read_uint_(const msgpack_object *object, uint64_t max,
-		       uint64_t *value)
-{
-	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    object->via.u64 > max)
-		return false;
-	*value = object->via.u64;
-	return true;
-}
-
 static bool read_u32_(const msgpack_object *object, uint32_t *value)
 {
 	uint64_t wide;
 
-	if (!read_uint_(object, UINT32_MAX, &wide))
+	if (!pl_element_uint(object, UINT32_MAX, &wide))
 		return false;
 	*value = (uint32_t)wide;
 	return true;
@@ -271,12 +262,12 @@
 {
 	uint64_t endpoint;
 
-	if (!read_uint_(&at[3], UINT64_MAX, &record->boot) ||
-	    !read_uint_(&at[4], UINT64_MAX, &record->datacentre) ||
+	if (!pl_element_uint(&at[3], UINT64_MAX, &record->boot) ||
+	    !pl_element_uint(&at[4], UINT64_MAX, &record->datacentre) ||
 	    !read_offset_(&at[5], (int64_t)record->incarnation, -1,
 			  &record->started_s) ||
-	    !read_uint_(&at[6], UINT64_MAX, &record->attr.service) ||
-	    !read_uint_(&at[7], PL_ENDPOINT_STATE_COUNT - 1, &endpoint) ||
+	    !pl_element_uint(&at[6], UINT64_MAX, &record->attr.service) ||
+	    !pl_element_uint(&at[7], PL_ENDPOINT_STATE_COUNT - 1, &endpoint) ||
 	    !read_u32_(&at[8], &record->attr.slots) ||
 	    !read_offset_(&at[9], record->started_s, 1,
 			  &record->attr.serving_since_s))
@@ -294,9 +285,9 @@
 	uint64_t flags;
 
 	memset(record, 0, sizeof(*record));
-	if (!at || !read_uint_(&at[0], 127, &flags) ||
-	    !read_uint_(&at[1], UINT64_MAX, &record->id) ||
-	    !read_uint_(&at[2], UINT32_MAX, &record->incarnation))
+	if (!at || !pl_element_uint(&at[0], 127, &flags) ||
+	    !pl_element_uint(&at[1], UINT64_MAX, &record->id) ||
+	    !pl_element_uint(&at[2], UINT32_MAX, &record->incarnation))
 		return false;
 	record->state = flags & RECORD_STATE_MASK;
 	record->role = flags >> RECORD_ROLE_SHIFT;
@@ -356,10 +347,11 @@
 			elements_(&object->via.array.ptr[i], 2);
 		pl_gossip_digest_t digest = { 0 };
 
-		if (!at || !read_uint_(&at[0], UINT64_MAX, &digest.datacentre))
+		if (!at ||
+		    !pl_element_uint(&at[0], UINT64_MAX, &digest.datacentre))
 			return false;
 		if (type == PL_GOSSIP_DIGEST ?
-			    !read_uint_(&at[1], UINT64_MAX, &digest.hash) :
+			    !pl_element_uint(&at[1], UINT64_MAX, &digest.hash) :
 			    !read_buckets_(&at[1], &digest))
 			return false;
 		g_array_append_val(decoder->digests, digest);
@@ -383,7 +375,7 @@
 	    offset != len)
 		return PL_ERR_MALFORMED;
 	at = elements_(&decoder->unpacked.data, 1);
-	if (!at || !read_uint_(&at[0], UINT64_MAX, &version))
+	if (!at || !pl_element_uint(&at[0], UINT64_MAX, &version))
 		return PL_ERR_MALFORMED;
 	if (version != PL_WIRE_VERSION)
 		return PL_ERR_VERSION;
@@ -395,16 +387,16 @@
 {
 	uint64_t type;
 
-	if (!read_uint_(&at[1], PL_GOSSIP_TYPE_END - 1, &type) ||
+	if (!pl_element_uint(&at[1], PL_GOSSIP_TYPE_END - 1, &type) ||
 	    type < PL_GOSSIP_PING)
 		return false;
 	message->type = (pl_gossip_type_t)type;
 	return read_u32_(&at[2], &message->flags) &&
-	       read_uint_(&at[3], UINT64_MAX, &message->sender) &&
-	       read_uint_(&at[4], UINT32_MAX, &message->incarnation) &&
-	       read_uint_(&at[5], UINT64_MAX, &message->revision) &&
+	       pl_element_uint(&at[3], UINT64_MAX, &message->sender) &&
+	       pl_element_uint(&at[4], UINT32_MAX, &message->incarnation) &&
+	       pl_element_uint(&at[5], UINT64_MAX, &message->revision) &&
 	       read_u32_(&at[6], &message->sequence) &&
-	       read_uint_(&at[7], UINT64_MAX, &message->target) &&
+	       pl_element_uint(&at[7], UINT64_MAX, &message->target) &&
 	       message->sender != 0;
 }
 
@@ -446,7 +438,8 @@
 			elements_(&object->via.array.ptr[i], 2);
 		pl_gossip_pull_t pull;
 
-		if (!at || !read_uint_(&at[0], UINT64_MAX, &pull.datacentre) ||
+		if (!at ||
+		    !pl_element_uint(&at[0], UINT64_MAX, &pull.datacentre) ||
 		    !read_u32_(&at[1], &pull.mask))
 			return false;
 		g_array_append_val(decoder->pulls, pull);
@@ -464,8 +457,8 @@
 
 	if (result != PL_OK)
 		return result;
-	if (!read_uint_(&at[1], 1, &last) || !read_pulls_(decoder, &at[2]) ||
-	    !read_records_(decoder, &at[3]))
+	if (!pl_element_uint(&at[1], 1, &last) ||
+	    !read_pulls_(decoder, &at[2]) || !read_records_(decoder, &at[3]))
 		return PL_ERR_MALFORMED;
 	frame->last = last == 1;
 	frame->pulls = (pl_gossip_pull_t *)decoder->pulls->data;
--- a/src/proto/view_codec.c
+++ b/src/proto/view_codec.c
@@ -3,6 +3,7 @@
  * msgpack codec of the frames about open views.
  */
 #include "private/bounded.h"
+#include "private/element.h"
 
 #include <pimentolift/view_codec.h>
 
@@ -13,8 +14,6 @@
 #define BODY_FIELDS 5
 #define RECORD_FIELDS 12
 #define PLACE_FIELDS 5
-#define ADDR_IPV4_BYTES 6
-#define ADDR_IPV6_BYTES 18
 #define TEXT_CHUNK_BYTES 1024
 #define SZX_MAX 6
 
@@ -55,17 +54,6 @@
 	msgpack_pack_bin_body(packer, bytes, len);
 }
 
-static void pack_addr_(msgpack_packer *packer, const pl_addr_t *addr)
-{
-	uint8_t bytes[ADDR_IPV6_BYTES];
-	size_t ip_len = addr->family == PL_ADDR_IPV6 ? 16 : 4;
-
-	memcpy(bytes, addr->ip, ip_len);
-	bytes[ip_len] = (uint8_t)(addr->port >> 8);
-	bytes[ip_len + 1] = (uint8_t)addr->port;
-	pack_bytes_(packer, bytes, ip_len + 2);
-}
-
 static void pack_text_(msgpack_packer *packer, const char *text)
 {
 	size_t len = strlen(text);
@@ -76,7 +64,7 @@
 
 static void pack_key_(msgpack_packer *packer, const pl_view_key_t *key)
 {
-	pack_addr_(packer, &key->caller);
+	pl_element_pack_addr(packer, &key->caller);
 	pack_bytes_(packer, key->token, key->token_len);
 }
 
@@ -84,7 +72,7 @@
 {
 	msgpack_pack_array(packer, RECORD_FIELDS);
 	pack_key_(packer, &record->key);
-	pack_addr_(packer, &record->address);
+	pl_element_pack_addr(packer, &record->address);
 	pack_text_(packer, record->path);
 	pack_text_(packer, record->query);
 	msgpack_pack_int32(packer, record->accept);
@@ -138,16 +126,6 @@
 	return body;
 }
 
-static bool get_uint_(const msgpack_object *object, uint64_t max,
-		      uint64_t *value)
-{
-	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    object->via.u64 > max)
-		return false;
-	*value = object->via.u64;
-	return true;
-}
-
 static bool get_int32_(const msgpack_object *object, int32_t *value)
 {
 	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER &&
@@ -160,31 +138,13 @@
 	return true;
 }
 
-static bool get_addr_(const msgpack_object *object, pl_addr_t *addr)
-{
-	const uint8_t *bytes;
-	size_t ip_len;
-
-	if (object->type != MSGPACK_OBJECT_BIN ||
-	    (object->via.bin.size != ADDR_IPV4_BYTES &&
-	     object->via.bin.size != ADDR_IPV6_BYTES))
-		return false;
-	bytes = (const uint8_t *)object->via.bin.ptr;
-	ip_len = object->via.bin.size - 2;
-	memset(addr, 0, sizeof(*addr));
-	memcpy(addr->ip, bytes, ip_len);
-	addr->port = (uint16_t)(bytes[ip_len] << 8 | bytes[ip_len + 1]);
-	addr->family = ip_len == 4 ? PL_ADDR_IPV4 : PL_ADDR_IPV6;
-	return true;
-}
-
 /* Reads caller and token, which lead every item. */
 static bool get_key_(const msgpack_object *fields, pl_view_key_t *key)
 {
 	const msgpack_object_bin *token = &fields[1].via.bin;
 	pl_addr_t caller;
 
-	if (!get_addr_(&fields[0], &caller) ||
+	if (!pl_element_addr(&fields[0], &caller) ||
 	    fields[1].type != MSGPACK_OBJECT_BIN ||
 	    token->size > PL_COAP_TOKEN_MAX)
 		return false;
@@ -218,16 +178,16 @@
 	    item->via.array.size < RECORD_FIELDS)
 		return false;
 	if (!get_key_(fields, &record.key) ||
-	    !get_addr_(&fields[2], &record.address) ||
+	    !pl_element_addr(&fields[2], &record.address) ||
 	    !get_text_(message, &fields[3], &record.path) ||
 	    !get_text_(message, &fields[4], &record.query) ||
 	    !get_int32_(&fields[5], &record.accept) ||
-	    !get_uint_(&fields[6], UINT32_MAX, &sequence) ||
-	    !get_uint_(&fields[7], UINT16_MAX, &mid) ||
-	    !get_uint_(&fields[8], SZX_MAX, &szx) ||
-	    !get_uint_(&fields[9], 1, &pending) ||
-	    !get_uint_(&fields[10], UINT64_MAX, &record.etag) ||
-	    !get_uint_(&fields[11], UINT64_MAX, &record.entry))
+	    !pl_element_uint(&fields[6], UINT32_MAX, &sequence) ||
+	    !pl_element_uint(&fields[7], UINT16_MAX, &mid) ||
+	    !pl_element_uint(&fields[8], SZX_MAX, &szx) ||
+	    !pl_element_uint(&fields[9], 1, &pending) ||
+	    !pl_element_uint(&fields[10], UINT64_MAX, &record.etag) ||
+	    !pl_element_uint(&fields[11], UINT64_MAX, &record.entry))
 		return false;
 	record.sequence = (uint32_t)sequence;
 	record.mid = (uint16_t)mid;
@@ -247,9 +207,9 @@
 	if (item->type != MSGPACK_OBJECT_ARRAY ||
 	    item->via.array.size < PLACE_FIELDS ||
 	    !get_key_(fields, &place.key) ||
-	    !get_uint_(&fields[2], UINT64_MAX, &place.owner) ||
-	    !get_uint_(&fields[3], UINT32_MAX, &sequence) ||
-	    !get_uint_(&fields[4], 1, &release))
+	    !pl_element_uint(&fields[2], UINT64_MAX, &place.owner) ||
+	    !pl_element_uint(&fields[3], UINT32_MAX, &sequence) ||
+	    !pl_element_uint(&fields[4], 1, &release))
 		return false;
 	place.sequence = (uint32_t)sequence;
 	place.release = release != 0;
@@ -266,13 +226,13 @@
 
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
 	    object->via.array.size < BODY_FIELDS ||
-	    !get_uint_(&fields[0], UINT8_MAX, &version))
+	    !pl_element_uint(&fields[0], UINT8_MAX, &version))
 		return PL_ERR_MALFORMED;
 	if (version != PL_VIEW_CODEC_VERSION)
 		return PL_ERR_VERSION;
-	if (!get_uint_(&fields[1], UINT64_MAX, &message->boot) ||
-	    !get_uint_(&fields[2], UINT64_MAX, &message->service) ||
-	    !get_uint_(&fields[3], UINT64_MAX, &message->offer) ||
+	if (!pl_element_uint(&fields[1], UINT64_MAX, &message->boot) ||
+	    !pl_element_uint(&fields[2], UINT64_MAX, &message->service) ||
+	    !pl_element_uint(&fields[3], UINT64_MAX, &message->offer) ||
 	    fields[4].type != MSGPACK_OBJECT_ARRAY)
 		return PL_ERR_MALFORMED;
 	items = &fields[4].via.array;
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -5,6 +5,7 @@
 #include <pimentolift/wire.h>
 
 #include "private/bounded.h"
+#include "private/element.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -16,8 +17,6 @@
 #define FIXARRAY_MASK 0xf0
 #define FIXARRAY 0x90
 #define FIXINT_MAX 0x7f
-#define ADDR_IPV4_BYTES 6
-#define ADDR_IPV6_BYTES 18
 #define ZONE_BYTES 2048
 
 struct pl_wire_decoder {
@@ -43,26 +42,14 @@
 	return 0;
 }
 
-static void pack_addr_(msgpack_packer *packer, const pl_addr_t *addr)
-{
-	uint8_t bytes[ADDR_IPV6_BYTES];
-	size_t ip_len = addr->family == PL_ADDR_IPV6 ? 16 : 4;
-
-	memcpy(bytes, addr->ip, ip_len);
-	bytes[ip_len] = (uint8_t)(addr->port >> 8);
-	bytes[ip_len + 1] = (uint8_t)addr->port;
-	msgpack_pack_bin(packer, ip_len + 2);
-	msgpack_pack_bin_body(packer, bytes, ip_len + 2);
-}
-
 static void pack_start_(msgpack_packer *packer, size_t fields,
 			pl_wire_type_t type, const pl_flow_t *flow)
 {
 	msgpack_pack_array(packer, fields);
 	msgpack_pack_uint8(packer, PL_WIRE_VERSION);
 	msgpack_pack_uint8(packer, (uint8_t)type);
-	pack_addr_(packer, &flow->caller);
-	pack_addr_(packer, &flow->address);
+	pl_element_pack_addr(packer, &flow->caller);
+	pl_element_pack_addr(packer, &flow->address);
 	msgpack_pack_uint64(packer, flow->service);
 }
 
@@ -139,35 +126,6 @@
 	g_free(decoder);
 }
 
-static bool get_uint_(const msgpack_object *object, uint64_t max,
-		      uint64_t *value)
-{
-	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    object->via.u64 > max)
-		return false;
-	*value = object->via.u64;
-	return true;
-}
-
-static bool get_addr_(const msgpack_object *object, pl_addr_t *addr)
-{
-	const uint8_t *bytes;
-	size_t ip_len;
-
-	if (object->type != MSGPACK_OBJECT_BIN)
-		return false;
-	if (object->via.bin.size != ADDR_IPV4_BYTES &&
-	    object->via.bin.size != ADDR_IPV6_BYTES)
-		return false;
-	bytes = (const uint8_t *)object->via.bin.ptr;
-	ip_len = object->via.bin.size - 2;
-	memset(addr, 0, sizeof(*addr));
-	memcpy(addr->ip, bytes, ip_len);
-	addr->port = (uint16_t)(bytes[ip_len] << 8 | bytes[ip_len + 1]);
-	addr->family = ip_len == 4 ? PL_ADDR_IPV4 : PL_ADDR_IPV6;
-	return true;
-}
-
 static bool get_pdu_(const msgpack_object *object, const uint8_t **pdu,
 		     size_t *len)
 {
@@ -180,9 +138,9 @@
 
 static bool get_flow_(const msgpack_object *fields, pl_flow_t *flow)
 {
-	return get_addr_(&fields[2], &flow->caller) &&
-	       get_addr_(&fields[3], &flow->address) &&
-	       get_uint_(&fields[4], UINT64_MAX, &flow->service);
+	return pl_element_addr(&fields[2], &flow->caller) &&
+	       pl_element_addr(&fields[3], &flow->address) &&
+	       pl_element_uint(&fields[4], UINT64_MAX, &flow->service);
 }
 
 static bool get_forward_(const msgpack_object_array *array,
@@ -193,10 +151,10 @@
 
 	if (array->size < FORWARD_FIELDS || !get_flow_(fields, &forward->flow))
 		return false;
-	if (!get_uint_(&fields[5], UINT64_MAX, &forward->entry) ||
-	    !get_uint_(&fields[6], UINT64_MAX, &forward->origin) ||
-	    !get_uint_(&fields[7], UINT64_MAX, &forward->revision) ||
-	    !get_uint_(&fields[8], UINT8_MAX, &hops))
+	if (!pl_element_uint(&fields[5], UINT64_MAX, &forward->entry) ||
+	    !pl_element_uint(&fields[6], UINT64_MAX, &forward->origin) ||
+	    !pl_element_uint(&fields[7], UINT64_MAX, &forward->revision) ||
+	    !pl_element_uint(&fields[8], UINT8_MAX, &hops))
 		return false;
 	forward->hops = (uint8_t)hops;
 	return get_pdu_(&fields[9], &forward->pdu, &forward->pdu_len);
@@ -209,9 +167,9 @@
 
 	if (array->size < REPLY_FIELDS || !get_flow_(fields, &reply->flow))
 		return false;
-	if (!get_uint_(&fields[5], UINT64_MAX, &reply->agent) ||
-	    !get_uint_(&fields[6], UINT32_MAX, &load) ||
-	    !get_uint_(&fields[7], UINT64_MAX, &reply->revision))
+	if (!pl_element_uint(&fields[5], UINT64_MAX, &reply->agent) ||
+	    !pl_element_uint(&fields[6], UINT32_MAX, &load) ||
+	    !pl_element_uint(&fields[7], UINT64_MAX, &reply->revision))
 		return false;
 	reply->load = (uint32_t)load;
 	return get_pdu_(&fields[8], &reply->pdu, &reply->pdu_len);
@@ -226,8 +184,8 @@
 	bool valid;
 
 	if (object->type != MSGPACK_OBJECT_ARRAY || array->size < 2 ||
-	    !get_uint_(&array->ptr[0], UINT8_MAX, &version) ||
-	    !get_uint_(&array->ptr[1], UINT8_MAX, &type))
+	    !pl_element_uint(&array->ptr[0], UINT8_MAX, &version) ||
+	    !pl_element_uint(&array->ptr[1], UINT8_MAX, &type))
 		return PL_ERR_MALFORMED;
 	if (version != PL_WIRE_VERSION)
 		return PL_ERR_VERSION;
