--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 FAULTS ?= all
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build check demo soak bench install format format-check lint clean sanitize
+.PHONY: all deps build check demo soak bench install format format-check lint clean sanitize race
 
 all: build
 
@@ -54,5 +54,14 @@
 	cmake --build $(BUILD)-asan -j $(JOBS) -- --no-print-directory
 	ctest --test-dir $(BUILD)-asan --output-on-failure -j 4 -LE process
 
+# What threads share without liburcu, whose barriers ThreadSanitizer does not
+# know: counters, loads, posted functions.
+THREADED = obs_counter net_loop net_peer entry
+race:
+	cmake -S . -B $(BUILD)-tsan -DPL_SANITIZE=thread -DPL_ABORT_ON_INVARIANT=ON >/dev/null
+	cmake --build $(BUILD)-tsan -j $(JOBS) --target $(THREADED:%=test_%) -- --no-print-directory
+	ctest --test-dir $(BUILD)-tsan --output-on-failure \
+		-R '^($(shell echo $(THREADED) | tr ' ' '|'))$$'
+
 clean:
-	rm -rf $(BUILD) $(BUILD)-asan
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-tsan
