--- a/test/bench/balance_bench.c
+++ b/test/bench/balance_bench.c
@@ -58,8 +58,8 @@
 	for (pl_member_id_t i = 1; i <= ENDPOINTS; i++) {
 		const pl_endpoint_t endpoint = { .agent = i,
 						 .boot = 1,
-						 .service =
-							 pl_service_id("permits"),
+						 .service = pl_service_id(
+							 "permits"),
 						 .weight = PL_WEIGHT_FULL };
 
 		pl_routing_builder_endpoint(builder, &endpoint);
@@ -149,8 +149,8 @@
 			arrive_(bench, now);
 	}
 	for (size_t i = 0; i < ENDPOINTS && now >= WARM_MS; i++)
-		bench->models[i].work += bench->models[i].running +
-					 bench->models[i].queued;
+		bench->models[i].work +=
+			bench->models[i].running + bench->models[i].queued;
 }
 
 static double imbalance_(const bench_t *bench)
--- a/test/entry/entry_test.c
+++ b/test/entry/entry_test.c
@@ -45,12 +45,10 @@
 	}
 }
 
-static void init_(fixture_t *f)
+static void build_(fixture_t *f, uint64_t revision)
 {
-	pl_routing_builder_t *builder = pl_routing_builder_new(7);
+	pl_routing_builder_t *builder = pl_routing_builder_new(revision);
 
-	pl_addr_parse("192.0.2.10:5683", &f->permits, NULL);
-	pl_addr_parse("192.0.2.11:5683", &f->meters, NULL);
 	pl_routing_builder_service(builder, "permits", &policy_);
 	pl_routing_builder_service(builder, "meters", &policy_);
 	pl_routing_builder_address(builder, pl_service_id("permits"),
@@ -60,6 +58,13 @@
 	add_endpoints_(builder, "permits", 100);
 	add_endpoints_(builder, "meters", 200);
 	f->routing = pl_routing_builder_finish(builder);
+}
+
+static void init_(fixture_t *f)
+{
+	pl_addr_parse("192.0.2.10:5683", &f->permits, NULL);
+	pl_addr_parse("192.0.2.11:5683", &f->meters, NULL);
+	build_(f, 7);
 	f->loads = pl_load_table_new();
 	f->entry = pl_entry_new(9, &pl_entry_policy_two_choices, f->loads);
 }
@@ -234,6 +239,36 @@
 	finish_(&f);
 }
 
+/* A configuration change exchanges the addresses of two services: requests
+ * and answers follow the new table, and nothing of the old one leaves. */
+static void exchanged_addresses_never_cross(void **state)
+{
+	pl_reply_t reply = { .agent = 100 };
+	pl_addr_t old;
+	fixture_t f;
+
+	(void)state;
+	init_(&f);
+	pl_routing_put(f.routing);
+	old = f.permits;
+	f.permits = f.meters;
+	f.meters = old;
+	build_(&f, 8);
+	write_(&f, PL_COAP_CON, PL_COAP_GET, NULL, -1);
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		assert_int_equal(route_(&f, i, &old), PL_OK);
+		assert_in_range(f.agent, 200, 203);
+		assert_int_equal(f.forward.flow.service,
+				 pl_service_id("meters"));
+		assert_int_equal(f.forward.revision, 8);
+	}
+	reply.flow.service = pl_service_id("permits");
+	reply.flow.address = old;
+	assert_int_equal(pl_entry_reply(f.entry, f.routing, &reply, NOW),
+			 PL_ERR_STATE);
+	finish_(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -244,6 +279,7 @@
 		cmocka_unit_test(new_work_avoids_the_loaded_of_two),
 		cmocka_unit_test(
 			answer_from_another_services_address_is_refused),
+		cmocka_unit_test(exchanged_addresses_never_cross),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
