Lab: backend servers that refuse

Few requests were refused in the lab, so "not run" had 0 to 4 trials a run. The fault shed lets all backend servers of a service refuse for a while.

--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -101,6 +101,32 @@
 			  episode->node->name);
 }
 
+/* Tells every backend server of the drawn agent's service whether to refuse
+ * requests. */
+static void set_shed_(lab_t *lab, const episode_t *episode, const char *command)
+{
+	for (int i = 0; i < LAB_NODES && episode->node; i++) {
+		node_t *node = &lab->nodes[i];
+
+		if (!node->is_entry && node->backend &&
+		    node->service == episode->node->service)
+			g_free(pl_process_ask(node->backend, command));
+	}
+}
+
+static void inject_shed_(lab_t *lab, episode_t *episode)
+{
+	episode->node = draw_agent_(lab);
+	set_shed_(lab, episode, "shed on");
+	lab_trace(lab, "backend servers of a service refuse requests");
+}
+
+static void restore_shed_(lab_t *lab, episode_t *episode)
+{
+	set_shed_(lab, episode, "shed off");
+	lab_trace(lab, "backend servers take requests again");
+}
+
 static void inject_pause_(lab_t *lab, episode_t *episode)
 {
 	episode->node = draw_(lab, 0, LAB_NODES);
@@ -328,6 +354,7 @@
 	{ "loss", false, false, true, inject_loss_, restore_loss_ },
 	{ "reorder", false, false, false, inject_reorder_, restore_reorder_ },
 	{ "dup", false, false, false, inject_dup_, restore_dup_ },
+	{ "shed", false, false, false, inject_shed_, restore_shed_ },
 	{ NULL, false, false, false, NULL, NULL },
 };
 
