--- a/test/bench/forward_bench.c
+++ b/test/bench/forward_bench.c
@@ -13,6 +13,7 @@
 #include <pimentolift/proxy.h>
 #include <pimentolift/udp.h>
 
+#include <dlfcn.h>
 #include <glib.h>
 #include <poll.h>
 #include <pthread.h>
@@ -47,11 +48,25 @@
 	const pl_routing_t *routing;
 	atomic_bool *stop;
 	uint64_t count;
+	uint64_t allocations; /* after the first batch */
 	double cpu_ns;
 	pthread_t thread;
 	pthread_t generator;
 };
 
+static _Thread_local uint64_t allocations_;
+
+/** Counts the calls of this thread, those inside libraries included. */
+void *malloc(size_t size)
+{
+	static void *(*next)(size_t);
+
+	if (!next)
+		next = (void *(*)(size_t))dlsym(RTLD_NEXT, "malloc");
+	allocations_++;
+	return next(size);
+}
+
 static double clock_ns_(clockid_t clock)
 {
 	struct timespec now;
@@ -109,8 +124,11 @@
 						   out));
 		}
 		pl_udp_flush(batch);
+		if (worker->count == 0)
+			allocations_ = 0;
 		worker->count += count;
 	}
+	worker->allocations = allocations_;
 	worker->cpu_ns = clock_ns_(CLOCK_THREAD_CPUTIME_ID) - start;
 	pl_udp_batch_delete(batch);
 	return NULL;
@@ -186,6 +204,7 @@
 typedef struct {
 	double ns_per_datagram;
 	double per_s;
+	uint64_t allocations;
 } figure_t;
 
 static figure_t run_(treat_t treat, size_t count, const pl_routing_t *routing,
@@ -226,6 +245,7 @@
 		figure.ns_per_datagram +=
 			workers[i].cpu_ns / (double)workers[i].count;
 		figure.per_s += (double)workers[i].count;
+		figure.allocations += workers[i].allocations;
 		pl_entry_delete(workers[i].entry);
 		close(workers[i].fd);
 	}
@@ -265,6 +285,9 @@
 		entry[i] = run_(forward_, 1, routing, loads).ns_per_datagram;
 		ratio[i] = entry[i] / relay[i];
 	}
+	printf("entry_allocations_steady_state %" G_GUINT64_FORMAT
+	       " calls - 0\n",
+	       run_(forward_, 1, routing, loads).allocations);
 	base = median_(relay);
 	printf("forward_ns_per_datagram %.0f ns %.0f -\n", median_(entry),
 	       base);
