Lab: an upload that was in progress is not new work of a leaver

Uploads are judged by when their caller began now: later than 3 s after the drain and run at the leaver is a breach, from the records; all other work is judged as before. Weighed: a longer bound, which would hide real new work.

Test: test_new_work_at_a_leaver_ shows both sides.

--- a/test/soak/check.c
+++ b/test/soak/check.c
@@ -339,6 +339,39 @@
 		     planned ? planned : "no planned change", line);
 }
 
+/* Whether @p run took place at the backend server of @p node while the drain
+ * @p episode lasted. */
+static bool at_leaver_(const episode_t *episode, const char *run)
+{
+	char **f = g_strsplit(run, " ", RUN_FIELDS);
+	uint64_t run_ms = g_strv_length(f) < RUN_FIELDS ?
+				  0 :
+				  g_ascii_strtoull(f[3], NULL, 10);
+	bool at = run_ms >= episode->from_ms &&
+		  (!episode->to_ms || run_ms <= episode->to_ms) &&
+		  strcmp(f[2], episode->node->name) == 0;
+
+	g_strfreev(f);
+	return at;
+}
+
+/* An upload that began before the drain may end at the leaver, however long
+ * it takes; one that began after the bound may not. */
+static void check_late_upload_(lab_t *lab, char **f, const char *line,
+			       const char *run)
+{
+	uint64_t begun_ms = g_ascii_strtoull(f[6], NULL, 10);
+
+	for (guint i = 0; i < lab->episodes->len; i++) {
+		const episode_t *e = g_ptr_array_index(lab->episodes, i);
+
+		if (strcmp(e->name, "drain") == 0 && e->node &&
+		    begun_ms > e->from_ms + LAB_LEAVE_MS && at_leaver_(e, run))
+			check_breach(lab, PROMISE_LEAVING,
+				     "told \"%s\", ran \"%s\"", line, run);
+	}
+}
+
 static void check_told_(lab_t *lab, char **f, const char *line,
 			GHashTable *runs)
 {
@@ -350,6 +383,8 @@
 	if (strcmp(f[2], "crossed") == 0 || (run && !strstr(run, f[4])))
 		check_breach(lab, PROMISE_ISOLATION, "told \"%s\", ran \"%s\"",
 			     line, run ? run : "");
+	if (run && strcmp(f[0], "upload") == 0)
+		check_late_upload_(lab, f, line, run);
 	if (strcmp(f[2], "wrong") == 0)
 		check_breach(lab, PROMISE_WHOLE_ANSWER, "told \"%s\"", line);
 	if (strcmp(f[2], "answered") == 0 && has_id && !run)
--- a/test/soak/check_test.c
+++ b/test/soak/check_test.c
@@ -34,6 +34,8 @@
 	g_free(path);
 }
 
+static episode_t *leaver_; /* a drain that the records fall into, or NULL */
+
 /* Breaches of @p promise found in a pair of records. */
 static uint64_t breaches_(promise_t promise, const char *told, const char *runs)
 {
@@ -44,6 +46,8 @@
 		.breach_texts = g_ptr_array_new_with_free_func(g_free),
 	};
 
+	if (leaver_)
+		g_ptr_array_add(lab.episodes, leaver_);
 	write_(&lab, "told", told);
 	write_(&lab, "runs", runs);
 	lab.trials[PROMISE_VIEWS] = 1;
@@ -67,6 +71,31 @@
 		assert_int_equal(breaches_((promise_t)p, told, RUN("a")), 0);
 }
 
+/* The record of an upload that began at @p begun and ran at a leaver. */
+static uint64_t leaver_breaches_(const char *begun)
+{
+	node_t node = { .name = "permit-desk-1" };
+	episode_t drain = {
+		.name = "drain", .node = &node, .from_ms = 1000, .to_ms = 9000
+	};
+	char *told = g_strdup_printf(
+		"upload a answered 2.01 permit-desk uploads %s 8100\n", begun);
+	uint64_t found;
+
+	leaver_ = &drain;
+	found = breaches_(PROMISE_LEAVING, told,
+			  "a permit-desk permit-desk-1 8000\n");
+	leaver_ = NULL;
+	g_free(told);
+	return found;
+}
+
+static void test_new_work_at_a_leaver_(void **state)
+{
+	assert_int_equal(leaver_breaches_("900"), 0);
+	assert_int_equal(leaver_breaches_("4001"), 1);
+}
+
 static void test_run_twice_(void **state)
 {
 	assert_int_equal(breaches_(PROMISE_AT_MOST_ONCE,
@@ -116,6 +145,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_records_that_agree_),
+		cmocka_unit_test(test_new_work_at_a_leaver_),
 		cmocka_unit_test(test_run_twice_),
 		cmocka_unit_test(test_refused_but_ran_),
 		cmocka_unit_test(test_answered_but_never_ran_),
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -8,8 +8,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define LEAVE_MS 3000
-
 static node_t *draw_(lab_t *lab, int from, int to)
 {
 	int first = g_rand_int_range(lab->random, from, to);
@@ -207,7 +205,7 @@
 		return;
 	last_ms = pl_process_ask_number(node->backend, "last_ms", "status");
 	lab->trials[PROMISE_LEAVING]++;
-	if (last_ms > (long long)from_ms + LEAVE_MS)
+	if (last_ms > (long long)from_ms + LAB_LEAVE_MS)
 		check_breach(lab, PROMISE_LEAVING,
 			     "the backend server of %s got work %lld ms after "
 			     "its drain began",
--- a/test/soak/lab.h
+++ b/test/soak/lab.h
@@ -107,6 +107,9 @@
 	bool verbose;
 } lab_t;
 
+/** Time within which a leaver gets no new work any more. */
+#define LAB_LEAVE_MS 3000
+
 /** How a fault is brought about and taken back. */
 typedef struct fault {
 	const char *name;
--- a/test/standin/backend/work.c
+++ b/test/standin/backend/work.c
@@ -13,6 +13,7 @@
 #include <time.h>
 
 #define BLOB_PREFIX "blob/"
+#define UPLOAD_PREFIX "uploads"
 #define COLD_START_FACTOR 4
 /* EXCHANGE_LIFETIME would outlast the 16-bit message IDs of a busy agent. */
 #define REPEAT_WINDOW_MS 60000
@@ -144,7 +145,7 @@
 	id = data ? pl_content_field((const char *)data, len, "id") : NULL;
 	record_run_(work, id ? id : "none");
 	job->code = COAP_RESPONSE_CODE(201);
-	if (g_str_has_prefix(path, "uploads"))
+	if (g_str_has_prefix(path, UPLOAD_PREFIX))
 		job->head = g_strdup_printf(
 			"service=%s id=%s size=%zu hash=%016" PRIx64 "\n",
 			work->options->service, id ? id : "none", len,
@@ -256,8 +257,10 @@
 	}
 	coap_delete_string(query);
 	job = g_new0(job_t, 1);
-	work->last_ms = pl_now_ms();
-	job->due_ms = work->last_ms + service_ms_(work);
+	job->due_ms = pl_now_ms() + service_ms_(work);
+	/* an upload began before its agent handed it over; see the record */
+	if (!g_str_has_prefix(path, UPLOAD_PREFIX))
+		work->last_ms = pl_now_ms();
 	job->session = coap_session_reference(session);
 	job->request = (coap_pdu_t *)request;
 	if (coap_pdu_get_code(request) == COAP_REQUEST_CODE_POST)
