Membership events are logged; functions that nothing calls are gone

A read through the catalogue against the sources: events 300 to 303 stood in docs/EVENTS.md and in the table, but nothing logged them. The node logs them now, but not while it is a newcomer that hears of everybody at once. Test first: every_event_is_logged_somewhere, red on 300, green after.

pl_error_prefix and pl_event_name had no caller.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -83,9 +83,6 @@
 void pl_event(pl_event_id_t event, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
-/** Name of an event, for example "ready". */
-const char *pl_event_name(pl_event_id_t event);
-
 /**
  * Checks an invariant of the running system. In production a broken one is
  * counted and logged as PL_EVENT_INVARIANT and the caller refuses the step;
--- a/include/pimentolift/result.h
+++ b/include/pimentolift/result.h
@@ -78,9 +78,5 @@
 pl_result_t pl_error_set(pl_error_t *err, pl_result_t code, const char *format,
 			 ...) __attribute__((format(printf, 3, 4)));
 
-/** Puts `context: ` before the text of @p err; does nothing when it is NULL. */
-void pl_error_prefix(pl_error_t *err, const char *format, ...)
-	__attribute__((format(printf, 2, 3)));
-
 #endif
 /** @} */
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -306,11 +306,34 @@
 				    g_memdup2(&boot, sizeof(boot)));
 }
 
+static void log_member_(const pl_member_t *member, pl_member_state_t old)
+{
+	const pl_addr_t addr = pl_member_id_to_addr(pl_member_id(member));
+	pl_member_state_t state = pl_member_state(member);
+	char text[PL_ADDR_TEXT_MAX];
+
+	pl_addr_format(&addr, text);
+	if (state == old)
+		return;
+	if (state == PL_MEMBER_SUSPECT)
+		pl_event(PL_EVENT_MEMBER_SUSPECT, "%s", text);
+	else if (state == PL_MEMBER_DEAD)
+		pl_event(PL_EVENT_MEMBER_DEAD, "%s", text);
+	else if (state == PL_MEMBER_LEFT)
+		pl_event(PL_EVENT_MEMBER_LEFT, "%s", text);
+	else if (state == PL_MEMBER_ALIVE &&
+		 (old == PL_MEMBER_STATE_COUNT || gone_(old)))
+		pl_event(PL_EVENT_MEMBER_JOINED, "%s", text);
+}
+
 static void member_changed_(void *ctx, const pl_member_t *member,
 			    pl_member_state_t old)
 {
 	pl_node_t *node = ctx;
 
+	/* a newcomer hears of all members at once and logs none of them */
+	if (node->routing)
+		log_member_(member, old);
 	if (node->role && pl_member_role(member) == PL_MEMBER_AGENT &&
 	    pl_member_id(member) != node->self)
 		note_agent_(node, member);
--- a/src/obs/event.c
+++ b/src/obs/event.c
@@ -39,13 +39,6 @@
 	return NULL;
 }
 
-const char *pl_event_name(pl_event_id_t event)
-{
-	const event_row_t *row = find_(event);
-
-	return row ? row->name : "unlisted";
-}
-
 static void log_(const event_row_t *row, const char *text)
 {
 	char number[NUMBER_TEXT_MAX];
--- a/src/util/result.c
+++ b/src/util/result.c
@@ -1,6 +1,5 @@
 #include <pimentolift/result.h>
 
-#include <glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 
@@ -52,20 +51,3 @@
 	va_end(args);
 	return code;
 }
-
-void pl_error_prefix(pl_error_t *err, const char *format, ...)
-{
-	char *context;
-	char *text;
-	va_list args;
-
-	if (!err)
-		return;
-	va_start(args, format);
-	context = g_strdup_vprintf(format, args);
-	va_end(args);
-	text = g_strconcat(context, ": ", err->text, NULL);
-	g_strlcpy(err->text, text, sizeof(err->text));
-	g_free(text);
-	g_free(context);
-}
--- a/test/obs/catalog_test.c
+++ b/test/obs/catalog_test.c
@@ -86,6 +86,51 @@
 	compare_("RESULTS.md", results_, G_N_ELEMENTS(results_));
 }
 
+/* Adds the text of every source file below @p path to @p all. */
+static void read_sources_(const char *path, GString *all)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	assert_non_null(dir);
+	while ((name = g_dir_read_name(dir))) {
+		char *child = g_build_filename(path, name, NULL);
+		char *text = NULL;
+
+		if (g_file_test(child, G_FILE_TEST_IS_DIR))
+			read_sources_(child, all);
+		else if (g_str_has_suffix(name, ".c") &&
+			 g_file_get_contents(child, &text, NULL, NULL))
+			g_string_append(all, text);
+		g_free(text);
+		g_free(child);
+	}
+	g_dir_close(dir);
+}
+
+/* An event that nothing logs would be a promise of the catalogue only. */
+static void every_event_is_logged_somewhere(void **state)
+{
+	static const char *const names[] = {
+#define NAME_(id, number, name, severity, meaning) #id,
+		PL_EVENT_TABLE(NAME_)
+#undef NAME_
+	};
+	GString *all = g_string_new(NULL);
+
+	(void)state;
+	read_sources_(PL_SOURCES, all);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char *word = g_strdup_printf("\\b%s\\b", names[i]);
+
+		if (!g_regex_match_simple(word, all->str, 0, 0))
+			print_error("nothing logs %s\n", names[i]);
+		assert_true(g_regex_match_simple(word, all->str, 0, 0));
+		g_free(word);
+	}
+	g_string_free(all, TRUE);
+}
+
 static void event_numbers_are_unique(void **state)
 {
 	(void)state;
@@ -101,6 +146,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(events_are_catalogued),
 		cmocka_unit_test(results_are_catalogued),
+		cmocka_unit_test(every_event_is_logged_somewhere),
 		cmocka_unit_test(event_numbers_are_unique),
 	};
 
