--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -22,7 +22,7 @@
 
 #include <pimentolift/document.h>
 #include <pimentolift/peer.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/kv.h>
 #include <pimentolift/timer.h>
 
 /** Members of each data centre that watch the platform. */
@@ -51,6 +51,12 @@
 	void (*unwatch)(void *ctx);
 	/** Random number; seeded in tests. */
 	uint64_t (*random)(void *ctx);
+	/**
+	 * Decodes what lies under the document's key. NULL: it is an
+	 * envelope (@ref envelope).
+	 */
+	pl_result_t (*decode)(void *ctx, const char *value, size_t len,
+			      pl_document_t **document, pl_error_t *err);
 } pl_config_sync_ops_t;
 
 /** Figures for status and tests, since the start. */
@@ -100,11 +106,11 @@
 
 /** The read of the document's key ended. */
 void pl_config_sync_read_done(pl_config_sync_t *sync,
-			      const pl_platform_reply_t *reply);
+			      const pl_kv_reply_t *reply);
 
 /** The watch of the document's key ended. */
 void pl_config_sync_watch_done(pl_config_sync_t *sync,
-			       const pl_platform_reply_t *reply);
+			       const pl_kv_reply_t *reply);
 
 /** Revision in force, 0 for none. */
 uint64_t pl_config_sync_revision(const pl_config_sync_t *sync);
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -43,6 +43,10 @@
 	  "views were handed to another endpoint")                            \
 	X(PL_EVENT_VIEWS_RECOVERED, 223, "views-recovered", WARNING,          \
 	  "views of a failed endpoint were taken over")                       \
+	X(PL_EVENT_FLOWS_ENDED, 240, "flows-ended", WARNING,                  \
+	  "a backend server's life ended and its flows were reset")           \
+	X(PL_EVENT_REPORT_MALFORMED, 241, "report-malformed", WARNING,        \
+	  "a backend server's report could not be read")                      \
 	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,          \
 	  "a caller was told that the outcome of its request is unknown")     \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                 \
@@ -65,6 +69,8 @@
 	  "a peer or the platform offered an older revision; it was ignored") \
 	X(PL_EVENT_CONFIG_DIVERGED, 403, "config-diverged", ERROR,            \
 	  "a member holds another document under the revision in force")      \
+	X(PL_EVENT_CONFIG_SKIPPED, 404, "config-skipped", WARNING,            \
+	  "parts of a configuration could not be read and were left out")     \
 	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,              \
 	  "the platform's key-value service does not answer")                 \
 	X(PL_EVENT_PLATFORM_UP, 411, "platform-up", INFO,                     \
--- a/include/pimentolift/publish.h
+++ b/include/pimentolift/publish.h
@@ -13,7 +13,7 @@
 #define PIMENTOLIFT_PUBLISH_H
 
 #include <pimentolift/envelope.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/kv.h>
 #include <pimentolift/result.h>
 
 /** Any revision may be replaced. */
@@ -46,7 +46,7 @@
  * Reads the document of @p environment. PL_ERR_NOT_FOUND when there is none;
  * pl_stored_finish() ends what was read.
  */
-pl_result_t pl_publish_read(pl_platform_t *platform, const char *environment,
+pl_result_t pl_publish_read(pl_kv_t *platform, const char *environment,
 			    pl_stored_t *stored, pl_error_t *err);
 
 /**
@@ -56,9 +56,8 @@
  * PL_ERR_UNKNOWN_OUTCOME the text names the operation to look for. On any
  * other result nothing was written.
  */
-pl_result_t pl_publish_apply(pl_platform_t *platform,
-			     const pl_publish_t *publish, pl_stored_t *stored,
-			     pl_error_t *err);
+pl_result_t pl_publish_apply(pl_kv_t *platform, const pl_publish_t *publish,
+			     pl_stored_t *stored, pl_error_t *err);
 
 /** Frees what @p stored holds; harmless on an empty one. */
 void pl_stored_finish(pl_stored_t *stored);
--- a/include/pimentolift/seeds.h
+++ b/include/pimentolift/seeds.h
@@ -13,7 +13,7 @@
 #define PIMENTOLIFT_SEEDS_H
 
 #include <pimentolift/addr.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/kv.h>
 #include <stdbool.h>
 
 /** Most seeds in the list. */
@@ -35,11 +35,11 @@
  * Reads the seeds of @p environment into @p seeds, which is empty when there
  * is no such key (PL_ERR_NOT_FOUND).
  */
-void pl_seeds_read(pl_platform_t *platform, const char *environment,
+void pl_seeds_read(pl_kv_t *platform, const char *environment,
 		   pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx);
 
 /** Writes @p seeds in place of the value that they were read from. */
-void pl_seeds_write(pl_platform_t *platform, const char *environment,
+void pl_seeds_write(pl_kv_t *platform, const char *environment,
 		    pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx);
 
 /** Puts @p addr into the list, in the place of @p victim when it is full. */
--- a/include/pimentolift/settings.h
+++ b/include/pimentolift/settings.h
@@ -28,6 +28,16 @@
 /** Names of @ref pl_role_t, in its order. */
 extern const char *const pl_role_names[];
 
+/** What the callers' datagrams are. */
+typedef enum {
+	PL_TRAFFIC_COAP, /**< requests, each of them routed by itself */
+	PL_TRAFFIC_FLOWS, /**< packets of flows, see @ref flow */
+	PL_TRAFFIC_COUNT,
+} pl_traffic_t;
+
+/** Names of @ref pl_traffic_t, in its order. */
+extern const char *const pl_traffic_names[];
+
 /** Form of the log lines. */
 typedef enum {
 	PL_LOG_TEXT, /**< lines on standard error */
@@ -63,9 +73,24 @@
 	uint32_t memory_max_mb; /**< bodies kept at once */
 } pl_settings_agent_t;
 
+/** Section `[flows]`, when the traffic is flows. */
+typedef struct {
+	/** Callers' packets arrive here; callers listen on the same port. */
+	pl_addr_t listen;
+	pl_addr_t ready; /**< HTTP: whether routers may send packets here */
+	double flow_max_s; /**< age at which a flow may be forgotten */
+	/* of an agent */
+	pl_addr_t backend; /**< takes packets */
+	pl_addr_t outbound; /**< the backend server sends its packets here */
+	pl_addr_t reports; /**< HTTP: the backend server's heartbeats */
+	char service[PL_NAME_MAX]; /**< of the backend server */
+	uint32_t report_ms; /**< interval of the heartbeats */
+} pl_settings_flows_t;
+
 /** Effective settings. */
 typedef struct {
 	pl_role_t role;
+	pl_traffic_t traffic;
 	char name[PL_NAME_MAX];
 	char environment[PL_NAME_MAX];
 	char datacentre[PL_NAME_MAX];
@@ -73,6 +98,7 @@
 	char *secret; /**< at least PL_SECRET_MIN_BYTES */
 	pl_addr_t admin; /**< HTTP for operators */
 	pl_addr_list_t seeds; /**< members asked first; may be empty */
+	uint32_t seed_port; /**< in place of the seeds' ports; 0: theirs */
 	uint32_t traffic_threads;
 	pl_log_form_t log;
 	bool allow_faults; /**< accept fault injection, for tests */
@@ -80,6 +106,7 @@
 	pl_settings_platform_t platform;
 	pl_settings_entry_t entry;
 	pl_settings_agent_t agent;
+	pl_settings_flows_t flows;
 } pl_settings_t;
 
 /**
--- a/include/pimentolift/wire.h
+++ b/include/pimentolift/wire.h
@@ -29,6 +29,7 @@
 typedef enum {
 	PL_WIRE_FORWARD = 1, /**< entry or agent to agent */
 	PL_WIRE_REPLY = 2, /**< agent to entry */
+	PL_WIRE_FLOW = 8, /**< first of the types about flows */
 	PL_WIRE_GOSSIP = 16, /**< first of the membership's types */
 } pl_wire_type_t;
 
--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -164,6 +164,6 @@
  * valid and newer than the one in force.
  */
 pl_document_t *pl_sync_reply_document(pl_config_sync_t *sync,
-				      const pl_platform_reply_t *reply);
+				      const pl_kv_reply_t *reply);
 
 #endif
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -20,11 +20,21 @@
 #define PLATFORM_TIMEOUT_MAX_MS 60000
 #define AGENT_MEMORY_DEFAULT_MB 32
 #define AGENT_MEMORY_MAX_MB 65536
+#define PORT_MAX 65535
+#define FLOW_DEFAULT_S 60.0
+#define FLOW_MAX_S 86400.0
+#define REPORT_DEFAULT_MS 1000
+#define REPORT_MIN_MS 10
+#define REPORT_MAX_MS 60000
 
 const char *const pl_role_names[] = { "entry", "agent" };
 static_assert(G_N_ELEMENTS(pl_role_names) == PL_ROLE_COUNT,
 	      "a name for each role");
 
+const char *const pl_traffic_names[] = { "coap", "flows" };
+static_assert(G_N_ELEMENTS(pl_traffic_names) == PL_TRAFFIC_COUNT,
+	      "a name for each kind of traffic");
+
 const char *const pl_log_form_names[] = { "text", "journal" };
 static_assert(G_N_ELEMENTS(pl_log_form_names) == PL_LOG_COUNT,
 	      "a name for each form");
@@ -44,6 +54,8 @@
 	settings->platform.timeout_ms = PLATFORM_TIMEOUT_DEFAULT_MS;
 	settings->agent.backend_listen = any_port;
 	settings->agent.memory_max_mb = AGENT_MEMORY_DEFAULT_MB;
+	settings->flows.flow_max_s = FLOW_DEFAULT_S;
+	settings->flows.report_ms = REPORT_DEFAULT_MS;
 }
 
 /* Text of the file @p path without the white space at its end. */
@@ -105,11 +117,15 @@
 {
 	unsigned int role = settings->role;
 	unsigned int log = settings->log;
+	unsigned int traffic = settings->traffic;
 
 	pl_reader_choice(problems, root, "role", PL_KEY_REQUIRED, pl_role_names,
 			 PL_ROLE_COUNT, &role);
 	pl_reader_choice(problems, root, "log", PL_KEY_OPTIONAL,
 			 pl_log_form_names, PL_LOG_COUNT, &log);
+	pl_reader_choice(problems, root, "traffic", PL_KEY_OPTIONAL,
+			 pl_traffic_names, PL_TRAFFIC_COUNT, &traffic);
+	settings->traffic = (pl_traffic_t)traffic;
 	settings->role = (pl_role_t)role;
 	settings->log = (pl_log_form_t)log;
 	pl_reader_name(problems, root, "name", PL_KEY_REQUIRED, settings->name);
@@ -127,6 +143,8 @@
 			    &settings->seeds);
 	for (size_t i = 0; i < settings->seeds.count; i++)
 		check_ipv4_(problems, root, "seeds", &settings->seeds.at[i]);
+	pl_reader_number(problems, root, "seed_port", 0, PORT_MAX,
+			 &settings->seed_port);
 	pl_reader_number(problems, root, "traffic_threads", 1,
 			 TRAFFIC_THREADS_MAX, &settings->traffic_threads);
 	pl_reader_flag(problems, root, "allow_faults", &settings->allow_faults);
@@ -176,6 +194,38 @@
 	pl_reader_unknown(problems, table);
 }
 
+static void read_flows_(pl_problems_t *problems, pl_toml_t *root,
+			pl_settings_t *settings)
+{
+	pl_settings_flows_t *flows = &settings->flows;
+	double report_ms = flows->report_ms;
+	pl_toml_t *table = pl_reader_get(problems, root, "flows", PL_TOML_TABLE,
+					 PL_KEY_REQUIRED);
+
+	if (!table)
+		return;
+	pl_reader_addr(problems, table, "listen", PL_KEY_REQUIRED,
+		       &flows->listen);
+	pl_reader_addr(problems, table, "ready", PL_KEY_REQUIRED,
+		       &flows->ready);
+	pl_reader_real(problems, table, "flow_max_s", PL_KEY_OPTIONAL, 0,
+		       FLOW_MAX_S, &flows->flow_max_s);
+	if (settings->role == PL_ROLE_AGENT) {
+		pl_reader_addr(problems, table, "backend", PL_KEY_REQUIRED,
+			       &flows->backend);
+		pl_reader_addr(problems, table, "outbound", PL_KEY_REQUIRED,
+			       &flows->outbound);
+		pl_reader_addr(problems, table, "reports", PL_KEY_REQUIRED,
+			       &flows->reports);
+		pl_reader_name(problems, table, "service", PL_KEY_REQUIRED,
+			       flows->service);
+		pl_reader_real(problems, table, "report_ms", PL_KEY_OPTIONAL,
+			       REPORT_MIN_MS, REPORT_MAX_MS, &report_ms);
+		flows->report_ms = (uint32_t)report_ms;
+	}
+	pl_reader_unknown(problems, table);
+}
+
 /* Reads the section of the role; the other role's has no effect. */
 static void read_role_(pl_problems_t *problems, pl_toml_t *root,
 		       pl_settings_t *settings)
@@ -211,7 +261,10 @@
 	set_defaults_(read);
 	read_common_(problems, root, read);
 	read_platform_(problems, root, &read->platform);
-	read_role_(problems, root, read);
+	if (read->traffic == PL_TRAFFIC_FLOWS)
+		read_flows_(problems, root, read);
+	else
+		read_role_(problems, root, read);
 	pl_reader_unknown(problems, root);
 	pl_toml_delete(root);
 	if (pl_problems_count(problems) > 0) {
@@ -281,11 +334,29 @@
 	g_string_append(out, "]\n");
 }
 
+static void print_flows_(GString *out, const pl_settings_t *settings)
+{
+	const pl_settings_flows_t *flows = &settings->flows;
+
+	g_string_append(out, "\n[flows]\n");
+	print_addr_(out, "listen", &flows->listen);
+	print_addr_(out, "ready", &flows->ready);
+	g_string_append_printf(out, "flow_max_s = %g\n", flows->flow_max_s);
+	if (settings->role != PL_ROLE_AGENT)
+		return;
+	print_addr_(out, "backend", &flows->backend);
+	print_addr_(out, "outbound", &flows->outbound);
+	print_addr_(out, "reports", &flows->reports);
+	print_text_(out, "service", flows->service);
+	g_string_append_printf(out, "report_ms = %u\n", flows->report_ms);
+}
+
 char *pl_settings_print(const pl_settings_t *settings)
 {
 	GString *out = g_string_new("");
 
 	print_text_(out, "role", pl_role_names[settings->role]);
+	print_text_(out, "traffic", pl_traffic_names[settings->traffic]);
 	print_text_(out, "name", settings->name);
 	print_text_(out, "environment", settings->environment);
 	print_text_(out, "datacentre", settings->datacentre);
@@ -293,6 +364,7 @@
 	g_string_append(out, "# secret is set and not printed\n");
 	print_addr_(out, "admin", &settings->admin);
 	print_addr_list_(out, "seeds", &settings->seeds);
+	g_string_append_printf(out, "seed_port = %u\n", settings->seed_port);
 	g_string_append_printf(out, "traffic_threads = %u\n",
 			       settings->traffic_threads);
 	print_text_(out, "log", pl_log_form_names[settings->log]);
@@ -304,7 +376,9 @@
 	print_text_(out, "url", settings->platform.url);
 	g_string_append_printf(out, "timeout_ms = %u\n",
 			       settings->platform.timeout_ms);
-	if (settings->role == PL_ROLE_ENTRY) {
+	if (settings->traffic == PL_TRAFFIC_FLOWS) {
+		print_flows_(out, settings);
+	} else if (settings->role == PL_ROLE_ENTRY) {
 		g_string_append(out, "\n[entry]\n");
 		print_addr_list_(out, "listen", &settings->entry.listen);
 		if (settings->entry.has_fabric)
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -154,8 +154,31 @@
 	return document;
 }
 
+/* Document of another form than the envelope; NULL unless it is newer. */
+static pl_document_t *decode_(pl_config_sync_t *sync,
+			      const pl_kv_reply_t *reply)
+{
+	uint64_t held = pl_config_sync_revision(sync);
+	pl_document_t *document = NULL;
+	pl_error_t err = PL_ERROR_INIT;
+	uint64_t revision;
+
+	if (sync->ops->decode(sync->ctx, reply->value, reply->value_len,
+			      &document, &err) != PL_OK) {
+		refuse_(sync, reply->modify_index, err.text);
+		return NULL;
+	}
+	revision = pl_document_revision(document);
+	if (revision > held)
+		return document;
+	if (revision < held)
+		pl_sync_log_older(sync, "the platform", revision);
+	pl_document_put(document);
+	return NULL;
+}
+
 pl_document_t *pl_sync_reply_document(pl_config_sync_t *sync,
-				      const pl_platform_reply_t *reply)
+				      const pl_kv_reply_t *reply)
 {
 	uint64_t held = pl_config_sync_revision(sync);
 	pl_document_t *document = NULL;
@@ -164,6 +187,8 @@
 
 	if (reply->result != PL_OK)
 		return NULL;
+	if (sync->ops->decode)
+		return decode_(sync, reply);
 	if (pl_envelope_decode(reply->value, reply->value_len, &envelope,
 			       &err) != PL_OK) {
 		refuse_(sync, reply->modify_index, err.text);
@@ -178,7 +203,7 @@
 }
 
 void pl_config_sync_read_done(pl_config_sync_t *sync,
-			      const pl_platform_reply_t *reply)
+			      const pl_kv_reply_t *reply)
 {
 	pl_document_t *document = pl_sync_reply_document(sync, reply);
 
@@ -187,7 +212,7 @@
 }
 
 void pl_config_sync_watch_done(pl_config_sync_t *sync,
-			       const pl_platform_reply_t *reply)
+			       const pl_kv_reply_t *reply)
 {
 	pl_document_t *document;
 	pl_ms_t pause;
--- a/src/ctl/cmd_document.c
+++ b/src/ctl/cmd_document.c
@@ -68,7 +68,7 @@
 				pl_error_t *err)
 {
 	const char *environment = pl_ctl_environment(ctl, err);
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 	pl_result_t result;
 
 	memset(stored, 0, sizeof(*stored));
@@ -78,7 +78,7 @@
 	if (!platform)
 		return PL_ERR_USAGE;
 	result = pl_publish_read(platform, environment, stored, err);
-	pl_platform_delete(platform);
+	pl_kv_delete(platform);
 	return result;
 }
 
--- a/src/ctl/cmd_publish.c
+++ b/src/ctl/cmd_publish.c
@@ -73,7 +73,7 @@
 	return result;
 }
 
-static pl_result_t write_(const pl_ctl_t *ctl, pl_platform_t *platform,
+static pl_result_t write_(const pl_ctl_t *ctl, pl_kv_t *platform,
 			  pl_publish_t *publish, pl_error_t *err)
 {
 	char *author =
@@ -94,9 +94,9 @@
 }
 
 /* Checks the text and writes it. */
-static pl_result_t check_and_write_(const pl_ctl_t *ctl,
-				    pl_platform_t *platform, const char *name,
-				    pl_publish_t *publish, pl_error_t *err)
+static pl_result_t check_and_write_(const pl_ctl_t *ctl, pl_kv_t *platform,
+				    const char *name, pl_publish_t *publish,
+				    pl_error_t *err)
 {
 	pl_document_t *document = NULL;
 	pl_result_t result = pl_ctl_parse(ctl, name, publish->text,
@@ -111,7 +111,7 @@
 static pl_result_t apply_(pl_ctl_t *ctl, pl_error_t *err)
 {
 	pl_publish_t publish = { .environment = pl_ctl_environment(ctl, err) };
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 	pl_result_t result;
 	char *text = NULL;
 
@@ -125,13 +125,13 @@
 	if (result == PL_OK)
 		result = check_and_write_(ctl, platform, ctl->args[0], &publish,
 					  err);
-	pl_platform_delete(platform);
+	pl_kv_delete(platform);
 	g_free(text);
 	return result;
 }
 
 /* Reads the document to be promoted and checks its revision. */
-static pl_result_t read_source_(const pl_ctl_t *ctl, pl_platform_t *platform,
+static pl_result_t read_source_(const pl_ctl_t *ctl, pl_kv_t *platform,
 				const char *from, pl_stored_t *stored,
 				pl_error_t *err)
 {
@@ -154,7 +154,7 @@
 {
 	const char *from = pl_ctl_value(ctl, KEY_FROM, NULL);
 	const char *to = pl_ctl_value(ctl, KEY_TO, NULL);
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 	pl_stored_t stored = { 0 };
 	pl_publish_t publish = { .environment = to };
 	pl_result_t result;
@@ -171,7 +171,7 @@
 	if (result == PL_OK)
 		result = check_and_write_(ctl, platform, from, &publish, err);
 	pl_stored_finish(&stored);
-	pl_platform_delete(platform);
+	pl_kv_delete(platform);
 	return result;
 }
 
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -4,6 +4,8 @@
  */
 #include "private/ctl.h"
 
+#include <platform/platform.h>
+
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
@@ -32,10 +34,10 @@
 	return PL_OK;
 }
 
-pl_platform_t *pl_ctl_platform(const pl_ctl_t *ctl, pl_error_t *err)
+pl_kv_t *pl_ctl_platform(const pl_ctl_t *ctl, pl_error_t *err)
 {
 	if (ctl->platform)
-		return pl_platform_new(ctl->platform, ctl->timeout_ms);
+		return pl_platform_store_new(ctl->platform, ctl->timeout_ms);
 	pl_error_set(err, PL_ERR_USAGE, "needs --platform=URL");
 	return NULL;
 }
--- a/src/ctl/private/ctl.h
+++ b/src/ctl/private/ctl.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <json-c/json.h>
 #include <pimentolift/document.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/kv.h>
 #include <pimentolift/publish.h>
 #include <pimentolift/result.h>
 #include <stdbool.h>
@@ -58,7 +58,7 @@
 			  uint64_t *number, pl_error_t *err);
 
 /** Client of the platform, or NULL when its address is not given. */
-pl_platform_t *pl_ctl_platform(const pl_ctl_t *ctl, pl_error_t *err);
+pl_kv_t *pl_ctl_platform(const pl_ctl_t *ctl, pl_error_t *err);
 
 /** The environment, or NULL with an error. */
 const char *pl_ctl_environment(const pl_ctl_t *ctl, pl_error_t *err);
--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -1,45 +1,26 @@
 /**
  * @file
- * HTTP port of a process, by libmicrohttpd without threads of its own.
+ * What a process answers to operators.
  */
 #include "private/admin.h"
+#include "private/http.h"
 #include "private/node_burn.h"
 
 #include <pimentolift/fault.h>
-#include <pimentolift/udp.h>
-
 #include <microhttpd.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <unistd.h>
 
-/** libmicrohttpd's own time-outs are looked at this often. */
-#define POLL_MS 100
-#define TIMEOUT_S 10
-#define CONNECTIONS_MAX 64
 #define FAULTS_MAX 1024
 
 struct pl_admin {
 	pl_node_t *node;
-	struct MHD_Daemon *daemon;
-	pl_loop_watch_t *watch;
+	pl_http_t *http;
 	pl_node_burn_t *burn;
-	pl_timer_t poll;
 };
 
-/* An answer; the body is taken over. */
-typedef struct {
-	unsigned int status;
-	const char *type;
-	char *body;
-} answer_t;
-
-static const char json_type_[] = "application/json";
-static const char text_type_[] = "text/plain; version=0.0.4";
-
-static answer_t json_answer_(struct json_object *object)
+static pl_http_answer_t json_answer_(struct json_object *object)
 {
-	answer_t answer = { MHD_HTTP_OK, json_type_, NULL };
+	pl_http_answer_t answer = { MHD_HTTP_OK, pl_http_json, NULL };
 
 	answer.body = g_strdup(json_object_to_json_string_ext(
 		object, JSON_C_TO_STRING_PRETTY));
@@ -47,10 +28,10 @@
 	return answer;
 }
 
-static answer_t error_answer_(unsigned int status, const char *text)
+static pl_http_answer_t error_answer_(unsigned int status, const char *text)
 {
 	struct json_object *object = json_object_new_object();
-	answer_t answer;
+	pl_http_answer_t answer;
 
 	json_object_object_add(object, "error", json_object_new_string(text));
 	answer = json_answer_(object);
@@ -58,7 +39,7 @@
 	return answer;
 }
 
-static answer_t done_answer_(const char *text)
+static pl_http_answer_t done_answer_(const char *text)
 {
 	struct json_object *object = json_object_new_object();
 
@@ -66,41 +47,38 @@
 	return json_answer_(object);
 }
 
-static const char *argument_(struct MHD_Connection *connection,
-			     const char *name)
-{
-	return MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
-					   name);
-}
-
-static answer_t get_status_(pl_admin_t *admin, struct MHD_Connection *unused)
+static pl_http_answer_t get_status_(pl_admin_t *admin,
+				    const pl_http_request_t *unused)
 {
 	return json_answer_(pl_admin_status(admin->node));
 }
 
-static answer_t get_endpoints_(pl_admin_t *admin, struct MHD_Connection *unused)
+static pl_http_answer_t get_endpoints_(pl_admin_t *admin,
+				       const pl_http_request_t *unused)
 {
 	return json_answer_(pl_admin_endpoints(admin->node));
 }
 
-static answer_t get_burn_(pl_admin_t *admin, struct MHD_Connection *unused)
+static pl_http_answer_t get_burn_(pl_admin_t *admin,
+				  const pl_http_request_t *unused)
 {
 	return json_answer_(pl_node_burn_report(admin->burn));
 }
 
-static answer_t get_metrics_(pl_admin_t *admin, struct MHD_Connection *unused)
+static pl_http_answer_t get_metrics_(pl_admin_t *admin,
+				     const pl_http_request_t *unused)
 {
 	GString *text = pl_admin_metrics(admin->node);
 
-	return (answer_t){ MHD_HTTP_OK, text_type_,
-			   g_string_free(text, FALSE) };
+	return (pl_http_answer_t){ MHD_HTTP_OK, pl_http_text,
+				   g_string_free(text, FALSE) };
 }
 
-static answer_t get_explain_(pl_admin_t *admin,
-			     struct MHD_Connection *connection)
+static pl_http_answer_t get_explain_(pl_admin_t *admin,
+				     const pl_http_request_t *request)
 {
-	const char *service = argument_(connection, "service");
-	const char *caller = argument_(connection, "caller");
+	const char *service = pl_http_argument(request, "service");
+	const char *caller = pl_http_argument(request, "caller");
 	struct json_object *object =
 		service && caller ?
 			pl_admin_explain(admin->node, service, caller) :
@@ -113,16 +91,17 @@
 	return json_answer_(object);
 }
 
-static answer_t post_drain_(pl_admin_t *admin, struct MHD_Connection *unused)
+static pl_http_answer_t post_drain_(pl_admin_t *admin,
+				    const pl_http_request_t *unused)
 {
 	pl_node_drain(admin->node);
 	return done_answer_("draining");
 }
 
-static answer_t post_fault_(pl_admin_t *admin,
-			    struct MHD_Connection *connection)
+static pl_http_answer_t post_fault_(pl_admin_t *admin,
+				    const pl_http_request_t *request)
 {
-	const char *cut = argument_(connection, "cut");
+	const char *cut = pl_http_argument(request, "cut");
 	pl_member_id_t members[FAULTS_MAX];
 	size_t count = 0;
 	char **texts;
@@ -146,8 +125,8 @@
 typedef struct {
 	const char *method;
 	const char *path;
-	answer_t (*handle)(pl_admin_t *admin,
-			   struct MHD_Connection *connection);
+	pl_http_answer_t (*handle)(pl_admin_t *admin,
+				   const pl_http_request_t *request);
 } route_t;
 
 static const route_t routes_[] = {
@@ -160,112 +139,43 @@
 	{ "POST", "/fault", post_fault_ },
 };
 
-static answer_t answer_(pl_admin_t *admin, struct MHD_Connection *connection,
-			const char *url, const char *method)
+static pl_http_answer_t answer_(void *ctx, const pl_http_request_t *request)
 {
+	const char *path = pl_http_path(request);
 	bool known = false;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(routes_); i++) {
-		if (strcmp(routes_[i].path, url) != 0)
+		if (strcmp(routes_[i].path, path) != 0)
 			continue;
 		known = true;
-		if (strcmp(routes_[i].method, method) == 0)
-			return routes_[i].handle(admin, connection);
+		if (strcmp(routes_[i].method, pl_http_method(request)) == 0)
+			return routes_[i].handle(ctx, request);
 	}
 	return known ? error_answer_(MHD_HTTP_METHOD_NOT_ALLOWED,
 				     "this path takes another method") :
 		       error_answer_(MHD_HTTP_NOT_FOUND, "no such path");
 }
 
-static enum MHD_Result handle_(void *ctx, struct MHD_Connection *connection,
-			       const char *url, const char *method,
-			       const char *version, const char *upload,
-			       size_t *upload_len, void **state)
-{
-	static int started;
-	struct MHD_Response *response;
-	enum MHD_Result result;
-	answer_t answer;
-
-	/* the first call announces the request, the last has all of it */
-	if (!*state) {
-		*state = &started;
-		return MHD_YES;
-	}
-	if (*upload_len > 0) {
-		*upload_len = 0;
-		return MHD_YES;
-	}
-	answer = answer_(ctx, connection, url, method);
-	response = MHD_create_response_from_buffer(
-		strlen(answer.body), answer.body, MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
-				answer.type);
-	result = MHD_queue_response(connection, answer.status, response);
-	MHD_destroy_response(response);
-	g_free(answer.body);
-	return result;
-}
-
-static void ready_(void *ctx, uint32_t events)
-{
-	pl_admin_t *admin = ctx;
-
-	MHD_run(admin->daemon);
-}
-
-static void poll_(pl_timer_t *timer, void *ctx, pl_ms_t now)
-{
-	pl_admin_t *admin = ctx;
-
-	MHD_run(admin->daemon);
-	pl_timer_arm(pl_loop_timers(pl_node_loop(admin->node)), timer,
-		     now + POLL_MS);
-}
-
 pl_admin_t *pl_admin_new(pl_node_t *node, pl_addr_t *listen, pl_error_t *err)
 {
 	pl_admin_t *admin = g_new0(pl_admin_t, 1);
-	pl_loop_t *loop = pl_node_loop(node);
-	const union MHD_DaemonInfo *info;
-	int fd;
 
 	admin->node = node;
-	if (pl_tcp_listen(listen, &fd, err) != PL_OK) {
-		g_free(admin);
-		return NULL;
-	}
-	admin->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL, 0, NULL, NULL, handle_, admin,
-		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned int)TIMEOUT_S, MHD_OPTION_END);
-	if (!admin->daemon) {
-		pl_error_set(err, PL_ERR_IO, "cannot start the admin port");
-		close(fd);
+	admin->http =
+		pl_http_new(pl_node_loop(node), listen, answer_, admin, err);
+	if (!admin->http) {
 		g_free(admin);
 		return NULL;
 	}
-	info = MHD_get_daemon_info(admin->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	admin->watch =
-		pl_loop_watch(loop, info->epoll_fd, EPOLLIN, ready_, admin);
 	admin->burn = pl_node_burn_new(node);
-	pl_timer_init(&admin->poll, poll_, admin);
-	pl_timer_arm(pl_loop_timers(loop), &admin->poll,
-		     pl_timer_service_now(pl_loop_timers(loop)) + POLL_MS);
 	return admin;
 }
 
 void pl_admin_delete(pl_admin_t *admin)
 {
-	pl_loop_t *loop;
-
 	if (!admin)
 		return;
-	loop = pl_node_loop(admin->node);
-	pl_timer_cancel(pl_loop_timers(loop), &admin->poll);
-	pl_loop_unwatch(loop, admin->watch);
 	pl_node_burn_delete(admin->burn);
-	MHD_stop_daemon(admin->daemon);
+	pl_http_delete(admin->http);
 	g_free(admin);
 }
--- /dev/null
+++ b/src/daemon/flow_agent_role.c
@@ -0,0 +1,256 @@
+/**
+ * @file
+ * An agent of flows.
+ */
+#include "private/flow_role.h"
+#include "private/http.h"
+
+#include <pimentolift/event.h>
+#include <pimentolift/flow_agent.h>
+#include <platform/platform.h>
+
+#include <microhttpd.h>
+
+#define MS_PER_S 1000
+#define STATS_MS 200
+
+typedef struct {
+	pl_flow_thread_t thread;
+	pl_flow_agent_t *core;
+	pl_http_t *reports;
+	pl_addr_t backend;
+	pl_timer_t stats_timer;
+	pthread_mutex_t stats_lock;
+	pl_flow_agent_stats_t stats;
+} role_t;
+
+static void op_deliver_(void *ctx, const uint8_t *bytes, size_t len)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_to(&role->thread, &role->backend, bytes, len);
+}
+
+static void op_to_caller_(void *ctx, const pl_flow_key_t *flow,
+			  const uint8_t *bytes, size_t len)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_to_caller(&role->thread, flow, bytes, len);
+}
+
+static void op_send_(void *ctx, pl_member_id_t to,
+		     const pl_flow_message_t *message)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_send(&role->thread, to, message);
+}
+
+static void op_backend_(void *ctx, bool serving, uint32_t slots)
+{
+	role_t *role = ctx;
+	pl_node_t *node = role->thread.node;
+
+	pl_node_set_endpoint(
+		node, pl_service_id(pl_node_settings(node)->flows.service),
+		slots, serving);
+}
+
+static const pl_flow_agent_ops_t ops_ = {
+	.deliver = op_deliver_,
+	.to_caller = op_to_caller_,
+	.send = op_send_,
+	.backend = op_backend_,
+};
+
+static void on_message_(void *ctx, const pl_flow_message_t *message)
+{
+	role_t *role = ctx;
+
+	pl_flow_agent_message(role->core, message);
+}
+
+static void on_packet_(void *ctx, uint8_t *bytes, size_t len)
+{
+	role_t *role = ctx;
+
+	pl_flow_agent_packet(role->core, bytes, len);
+}
+
+static pl_http_answer_t answer_(unsigned int status)
+{
+	return (pl_http_answer_t){ status, pl_http_json, g_strdup("{}") };
+}
+
+static void malformed_(const char *path)
+{
+	pl_event(PL_EVENT_REPORT_MALFORMED, "%s", path);
+}
+
+static pl_http_answer_t on_call_(void *ctx, const pl_http_request_t *request)
+{
+	role_t *role = ctx;
+	pl_platform_call_t call;
+	size_t len;
+	const char *body = pl_http_body(request, &len);
+
+	pl_platform_call_read(pl_http_method(request), pl_http_path(request),
+			      body, len, &call);
+	switch (call.type) {
+	case PL_PLATFORM_CALL_REPORT:
+		/* an old report is acknowledged: it was overtaken */
+		pl_flow_agent_report(role->core, &call.report);
+		return answer_(MHD_HTTP_OK);
+	case PL_PLATFORM_CALL_LEAVE:
+		pl_flow_agent_leave(role->core, call.report.id);
+		return answer_(MHD_HTTP_OK);
+	case PL_PLATFORM_CALL_MALFORMED:
+		malformed_(pl_http_path(request));
+		return answer_(MHD_HTTP_BAD_REQUEST);
+	case PL_PLATFORM_CALL_METHOD:
+		return answer_(MHD_HTTP_METHOD_NOT_ALLOWED);
+	default:
+		return answer_(MHD_HTTP_NOT_FOUND);
+	}
+}
+
+static void publish_stats_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	role_t *role = ctx;
+
+	pthread_mutex_lock(&role->stats_lock);
+	pl_flow_agent_stats(role->core, &role->stats);
+	pthread_mutex_unlock(&role->stats_lock);
+	pl_timer_arm(pl_loop_timers(role->thread.loop), timer, now + STATS_MS);
+}
+
+static pl_flow_agent_t *core_new_(role_t *role, pl_node_t *node,
+				  const pl_settings_flows_t *flows)
+{
+	const pl_flow_agent_params_t params = {
+		.self = pl_node_self(node),
+		.service = pl_service_id(flows->service),
+		.flow_max_ms = (uint32_t)(flows->flow_max_s * MS_PER_S),
+		.report_ms = flows->report_ms,
+		.packets = &pl_platform_packets,
+	};
+
+	return pl_flow_agent_new(&params, &ops_, role,
+				 pl_loop_timers(role->thread.loop));
+}
+
+static void *start_(pl_node_t *node, const pl_settings_t *settings,
+		    int inner_fd, GString *ready, pl_error_t *err)
+{
+	const pl_settings_flows_t *flows = &settings->flows;
+	pl_addr_t outbound = flows->outbound;
+	pl_addr_t reports = flows->reports;
+	role_t *role = g_new0(role_t, 1);
+	char text[PL_ADDR_TEXT_MAX];
+
+	role->backend = flows->backend;
+	if (pl_flow_thread_init(&role->thread, node, inner_fd, on_message_,
+				role, err) != PL_OK ||
+	    pl_flow_thread_listen(&role->thread, &outbound, on_packet_, err) !=
+		    PL_OK)
+		return NULL;
+	role->core = core_new_(role, node, flows);
+	role->reports =
+		pl_http_new(role->thread.loop, &reports, on_call_, role, err);
+	if (!role->reports)
+		return NULL;
+	pthread_mutex_init(&role->stats_lock, NULL);
+	pl_timer_init(&role->stats_timer, publish_stats_, role);
+	publish_stats_(&role->stats_timer, role, pl_loop_clock_ms());
+	g_string_append_printf(ready, " outbound=%s",
+			       pl_addr_format(&outbound, text));
+	pl_flow_thread_start(&role->thread);
+	return role;
+}
+
+static void routing_(void *ctx, pl_routing_t *routing, pl_entry_list_t *entries)
+{
+}
+
+static void roster_(void *ctx, pl_service_id_t service, bool known,
+		    const pl_member_id_t *agents, size_t count)
+{
+}
+
+static void ignore_frame_(void *ctx, const pl_peer_frame_t *frame)
+{
+}
+
+static void peer_dead_(void *ctx, pl_member_id_t agent, uint64_t boot)
+{
+}
+
+static void paused_(void *ctx, uint64_t boot)
+{
+}
+
+static void drain_(void *ctx)
+{
+}
+
+/* The backend server keeps its flows while no agent stands beside it, so a
+ * stop that has a successor must be short. */
+static bool drained_(void *ctx)
+{
+	return true;
+}
+
+static void add_(struct json_object *status, const char *name, uint64_t value)
+{
+	json_object_object_add(status, name, json_object_new_uint64(value));
+}
+
+static void status_(void *ctx, struct json_object *status)
+{
+	role_t *role = ctx;
+	pl_flow_agent_stats_t stats;
+
+	pthread_mutex_lock(&role->stats_lock);
+	stats = role->stats;
+	pthread_mutex_unlock(&role->stats_lock);
+	json_object_object_add(status, "backend_serving",
+			       json_object_new_boolean(stats.serving));
+	json_object_object_add(status, "backend_watched",
+			       json_object_new_boolean(stats.watched));
+	add_(status, "flows", stats.flows);
+	add_(status, "slots", stats.load.slots);
+	add_(status, "busy", stats.load.busy);
+	add_(status, "taken", stats.taken);
+	add_(status, "refused", stats.refused);
+	add_(status, "bounced", stats.bounced);
+	add_(status, "trials", stats.trials);
+	add_(status, "resets", stats.resets);
+}
+
+static void stop_(void *ctx)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_join(&role->thread);
+	pl_http_delete(role->reports);
+	pl_flow_agent_delete(role->core);
+	pl_flow_thread_finish(&role->thread);
+	pthread_mutex_destroy(&role->stats_lock);
+	g_free(role);
+}
+
+const pl_role_ops_t pl_flow_agent_role = {
+	.name = "agent",
+	.start = start_,
+	.routing = routing_,
+	.roster = roster_,
+	.frame = ignore_frame_,
+	.frame_failed = ignore_frame_,
+	.peer_dead = peer_dead_,
+	.paused = paused_,
+	.drain = drain_,
+	.drained = drained_,
+	.status = status_,
+	.stop = stop_,
+};
--- /dev/null
+++ b/src/daemon/flow_entry_role.c
@@ -0,0 +1,256 @@
+/**
+ * @file
+ * An entry of flows.
+ */
+#include "private/flow_role.h"
+
+#include <pimentolift/event.h>
+#include <pimentolift/flow_entry.h>
+#include <platform/platform.h>
+
+#include <stdatomic.h>
+
+/** Flows in the cache: about 30 MB. */
+#define FLOWS_MAX 200000
+#define MS_PER_S 1000
+/** After a stop was asked for, routers notice by two probes half a second
+ * apart that this entry is not ready; packets on their way follow. */
+#define LEAVE_MS 2000
+#define STATS_MS 200
+
+typedef struct {
+	pl_flow_thread_t thread;
+	pl_flow_entry_t *core;
+	pl_ms_t drain_started;
+	pl_timer_t stats_timer;
+	pthread_mutex_t stats_lock;
+	pl_flow_entry_stats_t stats;
+} role_t;
+
+/* A routing table, or a roster, on its way to the traffic thread. */
+typedef struct {
+	role_t *role;
+	pl_routing_t *routing;
+	pl_service_id_t service;
+	bool known;
+	size_t count;
+	pl_member_id_t agents[];
+} post_t;
+
+static void op_send_(void *ctx, pl_member_id_t to,
+		     const pl_flow_message_t *message)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_send(&role->thread, to, message);
+}
+
+static void op_to_caller_(void *ctx, const pl_flow_key_t *flow,
+			  const uint8_t *bytes, size_t len)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_to_caller(&role->thread, flow, bytes, len);
+}
+
+static void op_roster_(void *ctx, pl_service_id_t service)
+{
+	role_t *role = ctx;
+
+	pl_node_ask_roster(role->thread.node, service);
+}
+
+static const pl_flow_entry_ops_t ops_ = {
+	.send = op_send_,
+	.to_caller = op_to_caller_,
+	.roster = op_roster_,
+};
+
+static void on_message_(void *ctx, const pl_flow_message_t *message)
+{
+	role_t *role = ctx;
+
+	pl_flow_entry_message(role->core, message);
+}
+
+static void on_packet_(void *ctx, uint8_t *bytes, size_t len)
+{
+	role_t *role = ctx;
+
+	pl_flow_entry_packet(role->core, bytes, len);
+}
+
+static void publish_stats_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	role_t *role = ctx;
+
+	pthread_mutex_lock(&role->stats_lock);
+	pl_flow_entry_stats(role->core, &role->stats);
+	pthread_mutex_unlock(&role->stats_lock);
+	pl_timer_arm(pl_loop_timers(role->thread.loop), timer, now + STATS_MS);
+}
+
+static pl_flow_entry_t *core_new_(role_t *role, pl_node_t *node,
+				  const pl_settings_t *settings)
+{
+	const pl_flow_entry_params_t params = {
+		.self = pl_node_self(node),
+		.datacentre = pl_hash_text(settings->datacentre),
+		.flow_max_ms =
+			(uint32_t)(settings->flows.flow_max_s * MS_PER_S),
+		.flows_max = FLOWS_MAX,
+		.packets = &pl_platform_packets,
+		.placement = &pl_flow_placement_load,
+	};
+
+	return pl_flow_entry_new(&params, &ops_, role,
+				 pl_loop_timers(role->thread.loop));
+}
+
+static void *start_(pl_node_t *node, const pl_settings_t *settings,
+		    int inner_fd, GString *ready, pl_error_t *err)
+{
+	pl_addr_t listen = settings->flows.listen;
+	role_t *role = g_new0(role_t, 1);
+	char text[PL_ADDR_TEXT_MAX];
+
+	if (pl_flow_thread_init(&role->thread, node, inner_fd, on_message_,
+				role, err) != PL_OK ||
+	    pl_flow_thread_listen(&role->thread, &listen, on_packet_, err) !=
+		    PL_OK)
+		/* the process ends, and with it its sockets */
+		return NULL;
+	role->core = core_new_(role, node, settings);
+	pthread_mutex_init(&role->stats_lock, NULL);
+	pl_timer_init(&role->stats_timer, publish_stats_, role);
+	publish_stats_(&role->stats_timer, role, pl_loop_clock_ms());
+	g_string_append_printf(ready, " listen=%s",
+			       pl_addr_format(&listen, text));
+	pl_flow_thread_start(&role->thread);
+	return role;
+}
+
+static void take_routing_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_flow_entry_set_routing(post->role->core, post->routing);
+	pl_routing_put(post->routing);
+	g_free(post);
+}
+
+static void routing_(void *ctx, pl_routing_t *routing, pl_entry_list_t *entries)
+{
+	role_t *role = ctx;
+	post_t *post = g_new0(post_t, 1);
+
+	(void)entries;
+	post->role = role;
+	post->routing = routing;
+	pl_routing_get(routing);
+	pl_loop_post(role->thread.loop, take_routing_, post);
+}
+
+static void take_roster_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_flow_entry_roster(post->role->core, post->service, post->known,
+			     post->agents, post->count);
+	g_free(post);
+}
+
+static void roster_(void *ctx, pl_service_id_t service, bool known,
+		    const pl_member_id_t *agents, size_t count)
+{
+	role_t *role = ctx;
+	post_t *post = g_malloc0(sizeof(*post) + count * sizeof(*agents));
+
+	post->role = role;
+	post->service = service;
+	post->known = known;
+	post->count = count;
+	for (size_t i = 0; i < count; i++)
+		post->agents[i] = agents[i];
+	pl_loop_post(role->thread.loop, take_roster_, post);
+}
+
+static void ignore_frame_(void *ctx, const pl_peer_frame_t *frame)
+{
+}
+
+static void peer_dead_(void *ctx, pl_member_id_t agent, uint64_t boot)
+{
+}
+
+static void paused_(void *ctx, uint64_t boot)
+{
+}
+
+static void drain_(void *ctx)
+{
+	role_t *role = ctx;
+
+	if (role->drain_started == 0)
+		role->drain_started = pl_loop_clock_ms();
+}
+
+static bool drained_(void *ctx)
+{
+	role_t *role = ctx;
+
+	return role->drain_started != 0 &&
+	       pl_loop_clock_ms() - role->drain_started >= LEAVE_MS;
+}
+
+static void add_(struct json_object *status, const char *name, uint64_t value)
+{
+	json_object_object_add(status, name, json_object_new_uint64(value));
+}
+
+static void status_(void *ctx, struct json_object *status)
+{
+	role_t *role = ctx;
+	pl_flow_entry_stats_t stats;
+
+	pthread_mutex_lock(&role->stats_lock);
+	stats = role->stats;
+	pthread_mutex_unlock(&role->stats_lock);
+	add_(status, "flows", stats.flows);
+	add_(status, "packets", stats.packets);
+	add_(status, "placed", stats.placed);
+	add_(status, "replaced", stats.replaced);
+	add_(status, "lookups", stats.lookups);
+	add_(status, "lookups_open", stats.lookups_open);
+	add_(status, "found", stats.found);
+	add_(status, "lost", stats.lost);
+	add_(status, "dead", stats.dead);
+	add_(status, "no_route", stats.no_route);
+	add_(status, "no_endpoint", stats.no_endpoint);
+}
+
+static void stop_(void *ctx)
+{
+	role_t *role = ctx;
+
+	pl_flow_thread_join(&role->thread);
+	pl_flow_entry_delete(role->core);
+	pl_flow_thread_finish(&role->thread);
+	pthread_mutex_destroy(&role->stats_lock);
+	g_free(role);
+}
+
+const pl_role_ops_t pl_flow_entry_role = {
+	.name = "entry",
+	.start = start_,
+	.routing = routing_,
+	.roster = roster_,
+	.frame = ignore_frame_,
+	.frame_failed = ignore_frame_,
+	.peer_dead = peer_dead_,
+	.paused = paused_,
+	.drain = drain_,
+	.drained = drained_,
+	.status = status_,
+	.stop = stop_,
+};
--- /dev/null
+++ b/src/daemon/flow_ready.c
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * Answer to the routers' probes.
+ */
+#include "private/flow_ready.h"
+
+#include <glib.h>
+#include <microhttpd.h>
+#include <platform/platform.h>
+
+struct pl_flow_ready {
+	pl_http_t *http;
+	bool (*ready)(void *ctx);
+	void *ctx;
+};
+
+static pl_http_answer_t on_call_(void *ctx, const pl_http_request_t *request)
+{
+	const pl_flow_ready_t *ready = ctx;
+	pl_http_answer_t answer = { MHD_HTTP_NOT_FOUND, pl_http_json, NULL };
+	pl_platform_call_t call;
+
+	pl_platform_call_read(pl_http_method(request), pl_http_path(request),
+			      "", 0, &call);
+	if (call.type == PL_PLATFORM_CALL_READY)
+		answer.status = ready->ready(ready->ctx) ?
+					MHD_HTTP_OK :
+					MHD_HTTP_SERVICE_UNAVAILABLE;
+	return answer;
+}
+
+pl_flow_ready_t *pl_flow_ready_new(pl_loop_t *loop, const pl_addr_t *listen,
+				   bool (*ready)(void *ctx), void *ctx,
+				   pl_error_t *err)
+{
+	pl_flow_ready_t *port = g_new0(pl_flow_ready_t, 1);
+	pl_addr_t addr = *listen;
+
+	port->ready = ready;
+	port->ctx = ctx;
+	port->http = pl_http_new(loop, &addr, on_call_, port, err);
+	if (port->http)
+		return port;
+	g_free(port);
+	return NULL;
+}
+
+void pl_flow_ready_delete(pl_flow_ready_t *ready)
+{
+	if (!ready)
+		return;
+	pl_http_delete(ready->http);
+	g_free(ready);
+}
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -3,6 +3,7 @@
  * The control thread of a process.
  */
 #include "private/admin.h"
+#include "private/flow_ready.h"
 #include "private/node.h"
 #include "private/node_config.h"
 #include "private/node_seeds.h"
@@ -41,6 +42,9 @@
 #define STOP_POLL_MS 50
 /** After its leave message a process goes on for this long. */
 #define LEAVE_MS 1500
+/** An agent of flows stops faster: its backend server serves on, and waits
+ * for the agent's successor. */
+#define FLOW_AGENT_LEAVE_MS 50
 /** Same-service agents that each agent probes at the faster rate. */
 #define WATCHED_AGENTS 2
 
@@ -67,6 +71,7 @@
 	pl_node_config_t *config;
 	pl_node_seeds_t *seeds;
 	pl_admin_t *admin;
+	pl_flow_ready_t *ready; /* of flows */
 	pl_routing_t *routing; /* published under RCU */
 	pl_timer_t rebuild;
 	pl_ms_t rebuild_earliest;
@@ -121,6 +126,15 @@
 	return rcu_dereference(node->routing);
 }
 
+/* Whether routers may send packets of flows here. */
+static bool takes_packets_(void *ctx)
+{
+	const pl_node_t *node = ctx;
+
+	return node->phase == NODE_RUNNING && node->routing &&
+	       pl_member_joined(node->members);
+}
+
 bool pl_node_draining(const pl_node_t *node)
 {
 	return node->phase != NODE_RUNNING;
@@ -276,6 +290,22 @@
 	rebuild_soon_(node);
 }
 
+void pl_node_set_endpoint_now(pl_node_t *node, pl_service_id_t service,
+			      uint32_t slots, bool serving)
+{
+	node->attr.service = service;
+	node->attr.slots = slots;
+	node->attr.endpoint =
+		serving ? PL_ENDPOINT_SERVING : PL_ENDPOINT_DRAINING;
+	pl_member_set_attributes(node->members, &node->attr);
+}
+
+void pl_node_ask_roster_now(pl_node_t *node, pl_service_id_t service)
+{
+	if (node->role_ops->roster)
+		node->role_ops->roster(node->role, service, false, NULL, 0);
+}
+
 static void member_send_frame_(void *ctx, const pl_peer_frame_t *frame)
 {
 	pl_node_t *node = ctx;
@@ -472,6 +502,15 @@
 		pl_member_leave(node->members);
 }
 
+/* Time for the leave message to spread; an entry of flows has sent it before
+ * its routers noticed. */
+static pl_ms_t leave_ms_(const pl_node_t *node)
+{
+	if (node->settings->traffic != PL_TRAFFIC_FLOWS)
+		return LEAVE_MS;
+	return node->settings->role == PL_ROLE_AGENT ? FLOW_AGENT_LEAVE_MS : 0;
+}
+
 static void stop_poll_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_node_t *node = ctx;
@@ -482,7 +521,7 @@
 	if (node->phase == NODE_DRAINING && (drained || expired))
 		start_leaving_(node, drained);
 	if (node->phase == NODE_LEAVING &&
-	    now - node->leave_started >= LEAVE_MS) {
+	    now - node->leave_started >= leave_ms_(node)) {
 		pl_loop_stop(node->loop);
 		return;
 	}
@@ -533,8 +572,17 @@
 		      &params.key);
 	node->members =
 		pl_member_table_new(&params, &member_ops_, node, timers_(node));
-	for (size_t i = 0; i < settings->seeds.count; i++)
-		pl_member_add_seed(node->members, &settings->seeds.at[i]);
+	for (size_t i = 0; i < settings->seeds.count; i++) {
+		pl_addr_t seed = settings->seeds.at[i];
+
+		if (settings->seed_port != 0)
+			seed.port = (uint16_t)settings->seed_port;
+		pl_member_add_seed(node->members, &seed);
+	}
+	if (settings->traffic == PL_TRAFFIC_FLOWS &&
+	    settings->role == PL_ROLE_AGENT)
+		pl_node_set_endpoint_now(
+			node, pl_service_id(settings->flows.service), 0, false);
 }
 
 static pl_result_t open_inner_(pl_node_t *node, pl_error_t *err)
@@ -556,13 +604,21 @@
 	return PL_OK;
 }
 
+static const pl_role_ops_t *role_ops_(const pl_settings_t *settings)
+{
+	bool entry = settings->role == PL_ROLE_ENTRY;
+
+	if (settings->traffic == PL_TRAFFIC_FLOWS)
+		return entry ? &pl_flow_entry_role : &pl_flow_agent_role;
+	return entry ? &pl_entry_role : &pl_agent_role;
+}
+
 pl_node_t *pl_node_new(const pl_settings_t *settings, pl_error_t *err)
 {
 	pl_node_t *node = g_new0(pl_node_t, 1);
 
 	node->settings = settings;
-	node->role_ops = settings->role == PL_ROLE_ENTRY ? &pl_entry_role :
-							   &pl_agent_role;
+	node->role_ops = role_ops_(settings);
 	node->boot = pl_random_identity();
 	node->boots = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    g_free);
@@ -583,6 +639,13 @@
 	node->admin = pl_admin_new(node, &node->admin_addr, err);
 	if (!node->admin)
 		goto failed;
+	if (settings->traffic == PL_TRAFFIC_FLOWS) {
+		node->ready =
+			pl_flow_ready_new(node->loop, &settings->flows.ready,
+					  takes_packets_, node, err);
+		if (!node->ready)
+			goto failed;
+	}
 	return node;
 
 failed:
@@ -635,6 +698,7 @@
 {
 	if (!node)
 		return;
+	pl_flow_ready_delete(node->ready);
 	pl_admin_delete(node->admin);
 	pl_node_seeds_delete(node->seeds);
 	pl_node_config_delete(node->config);
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -5,7 +5,9 @@
 #include "private/node_config.h"
 
 #include <pimentolift/config_sync.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/event.h>
+#include <pimentolift/kv.h>
+#include <platform/platform.h>
 
 /** The platform client is polled this often while a call is open. */
 #define POLL_MS 20
@@ -16,10 +18,10 @@
 	pl_node_t *node;
 	pl_node_config_changed_t changed;
 	void *ctx;
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 	pl_config_sync_t *sync;
 	char *key;
-	pl_platform_call_t *watch;
+	pl_kv_call_t *watch;
 	pl_timer_t poll;
 	pl_ms_t start_by;
 	bool started;
@@ -44,7 +46,7 @@
 	pl_node_send_frame(config->node, frame);
 }
 
-static void read_done_(void *ctx, const pl_platform_reply_t *reply)
+static void read_done_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_node_config_t *config = ctx;
 
@@ -55,10 +57,10 @@
 {
 	pl_node_config_t *config = ctx;
 
-	pl_platform_get(config->platform, config->key, read_done_, config);
+	pl_kv_get(config->platform, config->key, read_done_, config);
 }
 
-static void watch_done_(void *ctx, const pl_platform_reply_t *reply)
+static void watch_done_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_node_config_t *config = ctx;
 
@@ -70,8 +72,8 @@
 {
 	pl_node_config_t *config = ctx;
 
-	config->watch = pl_platform_watch(config->platform, config->key, index,
-					  watch_done_, config);
+	config->watch = pl_kv_watch(config->platform, config->key, index,
+				    watch_done_, config);
 }
 
 static void unwatch_(void *ctx)
@@ -79,7 +81,7 @@
 	pl_node_config_t *config = ctx;
 
 	if (config->watch)
-		pl_platform_cancel(config->watch);
+		pl_kv_cancel(config->watch);
 	config->watch = NULL;
 }
 
@@ -88,6 +90,31 @@
 	return pl_random_identity();
 }
 
+static pl_result_t decode_(void *ctx, const char *value, size_t len,
+			   pl_document_t **document, pl_error_t *err)
+{
+	pl_result_t result;
+	size_t skipped;
+
+	(void)ctx;
+	result = pl_platform_config_decode(value, len, document, &skipped, err);
+	if (result == PL_OK && skipped > 0)
+		pl_event(PL_EVENT_CONFIG_SKIPPED,
+			 "revision %" G_GUINT64_FORMAT ": %zu routes",
+			 pl_document_revision(*document), skipped);
+	return result;
+}
+
+static const pl_config_sync_ops_t flow_ops_ = {
+	.in_force = in_force_,
+	.send = send_,
+	.read = read_,
+	.watch = watch_,
+	.unwatch = unwatch_,
+	.random = random_,
+	.decode = decode_,
+};
+
 static const pl_config_sync_ops_t ops_ = {
 	.in_force = in_force_,
 	.send = send_,
@@ -107,8 +134,8 @@
 		config->started = true;
 		pl_config_sync_start(config->sync);
 	}
-	if (pl_platform_pending(config->platform) > 0)
-		pl_platform_poll(config->platform);
+	if (pl_kv_pending(config->platform) > 0)
+		pl_kv_poll(config->platform);
 	pl_timer_arm(timers_(config), timer, now + POLL_MS);
 }
 
@@ -117,17 +144,19 @@
 {
 	const pl_settings_t *settings = pl_node_settings(node);
 	pl_node_config_t *config = g_new0(pl_node_config_t, 1);
+	bool flows = settings->traffic == PL_TRAFFIC_FLOWS;
 
 	config->node = node;
 	config->changed = changed;
 	config->ctx = ctx;
-	config->key = g_strdup_printf("pimentolift/%s/document",
-				      settings->environment);
-	config->platform = pl_platform_new(settings->platform.url,
-					   settings->platform.timeout_ms);
-	config->sync = pl_config_sync_new(pl_node_self(node),
-					  pl_hash_text(settings->datacentre),
-					  &ops_, config, timers_(config));
+	config->key = flows ? g_strdup(pl_platform_config_key) :
+			      g_strdup_printf("pimentolift/%s/document",
+					      settings->environment);
+	config->platform = pl_platform_store_new(settings->platform.url,
+						 settings->platform.timeout_ms);
+	config->sync = pl_config_sync_new(
+		pl_node_self(node), pl_hash_text(settings->datacentre),
+		flows ? &flow_ops_ : &ops_, config, timers_(config));
 	pl_timer_init(&config->poll, poll_, config);
 	return config;
 }
@@ -138,16 +167,25 @@
 		return;
 	pl_timer_cancel(timers_(config), &config->poll);
 	pl_config_sync_delete(config->sync);
-	pl_platform_delete(config->platform);
+	pl_kv_delete(config->platform);
 	g_free(config->key);
 	g_free(config);
 }
 
+static bool flows_(const pl_node_config_t *config)
+{
+	return pl_node_settings(config->node)->traffic == PL_TRAFFIC_FLOWS;
+}
+
 void pl_node_config_start(pl_node_config_t *config)
 {
 	pl_ms_t now = pl_timer_service_now(timers_(config));
 
-	config->start_by = now + JOIN_WAIT_MS;
+	/* agents of flows go by services alone and need no document */
+	if (flows_(config) &&
+	    pl_node_settings(config->node)->role == PL_ROLE_AGENT)
+		config->started = true;
+	config->start_by = now + (flows_(config) ? 0 : JOIN_WAIT_MS);
 	pl_timer_arm(timers_(config), &config->poll, now);
 }
 
@@ -156,7 +194,7 @@
 	return pl_config_sync_document(config->sync);
 }
 
-pl_platform_t *pl_node_config_platform(pl_node_config_t *config)
+pl_kv_t *pl_node_config_platform(pl_node_config_t *config)
 {
 	return config->platform;
 }
@@ -179,7 +217,8 @@
 	pl_member_state_t state = pl_member_state(member);
 	pl_member_id_t id = pl_member_id(member);
 
-	if (id == pl_node_self(config->node))
+	if (id == pl_node_self(config->node) ||
+	    (flows_(config) && pl_member_role(member) == PL_MEMBER_AGENT))
 		return;
 	if (state == PL_MEMBER_ALIVE || state == PL_MEMBER_SUSPECT)
 		pl_config_sync_peer_up(config->sync, id,
--- a/src/daemon/node_post.c
+++ b/src/daemon/node_post.c
@@ -12,6 +12,7 @@
 	pl_peer_frame_t frame; /* a gossip datagram is kept in the body */
 	pl_service_id_t service;
 	uint32_t slots;
+	bool serving;
 } post_t;
 
 static post_t *post_new_(pl_node_t *node, const uint8_t *bytes, size_t len)
@@ -79,3 +80,39 @@
 	post->slots = slots;
 	pl_loop_post(pl_node_loop(node), take_backend_, post);
 }
+
+static void take_endpoint_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_node_set_endpoint_now(post->node, post->service, post->slots,
+				 post->serving);
+	post_free_(post);
+}
+
+void pl_node_set_endpoint(pl_node_t *node, pl_service_id_t service,
+			  uint32_t slots, bool serving)
+{
+	post_t *post = post_new_(node, NULL, 0);
+
+	post->service = service;
+	post->slots = slots;
+	post->serving = serving;
+	pl_loop_post(pl_node_loop(node), take_endpoint_, post);
+}
+
+static void take_roster_question_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_node_ask_roster_now(post->node, post->service);
+	post_free_(post);
+}
+
+void pl_node_ask_roster(pl_node_t *node, pl_service_id_t service)
+{
+	post_t *post = post_new_(node, NULL, 0);
+
+	post->service = service;
+	pl_loop_post(pl_node_loop(node), take_roster_question_, post);
+}
--- /dev/null
+++ b/src/daemon/private/flow_ready.h
@@ -0,0 +1,20 @@
+/**
+ * @file
+ * Tells routers whether they may send packets of flows to this process.
+ */
+#ifndef PIMENTOLIFT_DAEMON_FLOW_READY_H
+#define PIMENTOLIFT_DAEMON_FLOW_READY_H
+
+#include "private/http.h"
+
+#include <stdbool.h>
+
+typedef struct pl_flow_ready pl_flow_ready_t;
+
+/** Serves @p listen; @p ready is asked for each call. */
+pl_flow_ready_t *pl_flow_ready_new(pl_loop_t *loop, const pl_addr_t *listen,
+				   bool (*ready)(void *ctx), void *ctx,
+				   pl_error_t *err);
+void pl_flow_ready_delete(pl_flow_ready_t *ready);
+
+#endif
--- /dev/null
+++ b/src/daemon/private/http.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * An HTTP port on a thread's loop, by libmicrohttpd without threads of its
+ * own.
+ */
+#ifndef PIMENTOLIFT_DAEMON_HTTP_H
+#define PIMENTOLIFT_DAEMON_HTTP_H
+
+#include <pimentolift/addr.h>
+#include <pimentolift/loop.h>
+#include <stddef.h>
+
+typedef struct pl_http pl_http_t;
+typedef struct pl_http_request pl_http_request_t;
+
+/** An answer; the body is freed with g_free(). */
+typedef struct {
+	unsigned int status;
+	const char *type; /**< of the content */
+	char *body; /**< NULL for none */
+} pl_http_answer_t;
+
+/** Content types. */
+extern const char pl_http_json[];
+extern const char pl_http_text[];
+
+/** Answers one request. */
+typedef pl_http_answer_t (*pl_http_handler_t)(void *ctx,
+					      const pl_http_request_t *request);
+
+/** Serves @p listen; the port that was chosen is written back. */
+pl_http_t *pl_http_new(pl_loop_t *loop, pl_addr_t *listen,
+		       pl_http_handler_t handler, void *ctx, pl_error_t *err);
+void pl_http_delete(pl_http_t *http);
+
+const char *pl_http_method(const pl_http_request_t *request);
+const char *pl_http_path(const pl_http_request_t *request);
+const char *pl_http_body(const pl_http_request_t *request, size_t *len);
+
+/** Argument @p name of the query, or NULL. */
+const char *pl_http_argument(const pl_http_request_t *request,
+			     const char *name);
+
+#endif
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -35,6 +35,12 @@
 	/** A new routing table, also published under RCU. */
 	void (*routing)(void *role, pl_routing_t *routing,
 			pl_entry_list_t *entries);
+	/**
+	 * Answer to pl_node_ask_roster(): agents that may own flows of
+	 * @p service; @p known is false when nobody could tell. May be NULL.
+	 */
+	void (*roster)(void *role, pl_service_id_t service, bool known,
+		       const pl_member_id_t *agents, size_t count);
 	/** A frame that is neither the membership's nor the configuration's. */
 	void (*frame)(void *role, const pl_peer_frame_t *frame);
 	void (*frame_failed)(void *role, const pl_peer_frame_t *frame);
@@ -54,6 +60,8 @@
 
 extern const pl_role_ops_t pl_entry_role;
 extern const pl_role_ops_t pl_agent_role;
+extern const pl_role_ops_t pl_flow_entry_role;
+extern const pl_role_ops_t pl_flow_agent_role;
 
 /** New node; binds the inner and the admin port. */
 pl_node_t *pl_node_new(const pl_settings_t *settings, pl_error_t *err);
@@ -93,6 +101,15 @@
 void pl_node_set_backend(pl_node_t *node, pl_service_id_t service,
 			 uint32_t slots);
 
+/** Says whether the agent's backend server takes new flows; from any
+ * thread. */
+void pl_node_set_endpoint(pl_node_t *node, pl_service_id_t service,
+			  uint32_t slots, bool serving);
+
+/** Asks who may own flows of @p service; from any thread. Ends by
+ * pl_role_ops_t.roster. */
+void pl_node_ask_roster(pl_node_t *node, pl_service_id_t service);
+
 /** Document in force, or NULL; on the control thread. */
 const pl_document_t *pl_node_document(const pl_node_t *node);
 
--- a/src/daemon/private/node_config.h
+++ b/src/daemon/private/node_config.h
@@ -9,7 +9,7 @@
 #include "private/node.h"
 
 #include <pimentolift/document.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/kv.h>
 
 typedef struct pl_node_config pl_node_config_t;
 
@@ -28,7 +28,7 @@
 const pl_document_t *pl_node_config_document(const pl_node_config_t *config);
 
 /** Client of the platform, for the node's other calls. */
-pl_platform_t *pl_node_config_platform(pl_node_config_t *config);
+pl_kv_t *pl_node_config_platform(pl_node_config_t *config);
 
 /** Whether this member is one of the few that watch the platform. */
 bool pl_node_config_is_watcher(const pl_node_config_t *config);
--- a/src/daemon/private/node_post.h
+++ b/src/daemon/private/node_post.h
@@ -14,4 +14,11 @@
 void pl_node_set_backend_now(pl_node_t *node, pl_service_id_t service,
 			     uint32_t slots);
 
+/** Says whether the backend server takes new flows; on the control thread. */
+void pl_node_set_endpoint_now(pl_node_t *node, pl_service_id_t service,
+			      uint32_t slots, bool serving);
+
+/** Asks for the roster; on the control thread. */
+void pl_node_ask_roster_now(pl_node_t *node, pl_service_id_t service);
+
 #endif
--- /dev/null
+++ b/src/flow/agent.c
@@ -0,0 +1,312 @@
+/**
+ * @file
+ * Packets between entries and the backend server.
+ */
+#include "private/agent_private.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+
+/** Flows that one agent remembers; a backend server holds a few thousand. */
+#define FLOWS_MAX 16384
+/** Flows are looked through for old ones this often. */
+#define SWEEP_MS 1000
+
+pl_ms_t pl_flow_agent_now_(const pl_flow_agent_t *agent)
+{
+	return pl_timer_service_now(agent->timers);
+}
+
+static void sweep_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_flow_agent_t *agent = ctx;
+
+	if (now > agent->params.flow_max_ms)
+		pl_flow_table_expire(agent->flows,
+				     now - agent->params.flow_max_ms);
+	pl_timer_arm(agent->timers, timer, now + SWEEP_MS);
+}
+
+pl_flow_agent_t *pl_flow_agent_new(const pl_flow_agent_params_t *params,
+				   const pl_flow_agent_ops_t *ops, void *ctx,
+				   pl_timer_service_t *timers)
+{
+	pl_flow_agent_t *agent = g_new0(pl_flow_agent_t, 1);
+
+	assert(params->packets && params->service != 0);
+	agent->params = *params;
+	agent->ops = ops;
+	agent->ctx = ctx;
+	agent->timers = timers;
+	agent->flows = pl_flow_table_new(sizeof(flow_t), FLOWS_MAX,
+					 pl_flow_released_, agent);
+	pl_flow_backend_init_(agent);
+	pl_timer_init(&agent->sweep, sweep_, agent);
+	pl_timer_arm(timers, &agent->sweep,
+		     pl_timer_service_now(timers) + SWEEP_MS);
+	return agent;
+}
+
+void pl_flow_agent_delete(pl_flow_agent_t *agent)
+{
+	if (!agent)
+		return;
+	pl_timer_cancel(agent->timers, &agent->sweep);
+	pl_flow_table_delete(agent->flows);
+	g_free(agent);
+}
+
+void pl_flow_agent_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
+			    const pl_flow_key_t *key, pl_flow_verdict_t verdict,
+			    const uint8_t *packet, size_t len)
+{
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_VERDICT,
+		.sender = agent->params.self,
+		.service = agent->params.service,
+		.flow = *key,
+		.verdict = verdict,
+		.load = pl_load_report(&agent->load, pl_flow_agent_now_(agent)),
+		.packet = packet,
+		.packet_len = len,
+	};
+
+	agent->ops->send(agent->ctx, entry, &message);
+}
+
+static flow_t *find_(const pl_flow_agent_t *agent, const pl_flow_key_t *key)
+{
+	pl_flow_node_t *node = pl_flow_table_find(agent->flows, key);
+
+	return node ? PL_CONTAINER_OF(node, flow_t, node) : NULL;
+}
+
+/* Whether the caller acknowledges what this server answered; of several
+ * servers that were offered a flow the caller answers one. */
+static bool acknowledged_(const flow_t *flow, uint32_t ack)
+{
+	return ack - flow->first_seq <= PL_FLOW_ACK_WINDOW;
+}
+
+static pl_flow_verdict_t verdict_(const pl_flow_agent_t *agent,
+				  const flow_t *flow, uint32_t ack)
+{
+	if (!flow)
+		return agent->watched ? PL_FLOW_ABSENT : PL_FLOW_UNSURE;
+	switch (flow->state) {
+	case FLOW_OPEN:
+	case FLOW_TRIAL:
+		return PL_FLOW_OWNED;
+	case FLOW_OFFERED:
+		return acknowledged_(flow, ack) ? PL_FLOW_OWNED :
+						  PL_FLOW_ABSENT;
+	default:
+		return PL_FLOW_ABSENT;
+	}
+}
+
+static void hand_back_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		       pl_flow_verdict_t verdict)
+{
+	pl_flow_agent_verdict_(agent, message->sender, &message->flow, verdict,
+			       message->packet, message->packet_len);
+}
+
+static bool full_(const pl_flow_agent_t *agent)
+{
+	return agent->load.slots > 0 && agent->load.busy >= agent->load.slots;
+}
+
+/* An opening packet: taken while the server serves and has a slot. */
+static void open_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		  uint32_t ack)
+{
+	flow_t *flow = find_(agent, &message->flow);
+	bool again = flow && flow->state != FLOW_ABSENT;
+	bool last = (message->flags & PL_FLOW_LAST) != 0;
+
+	(void)ack;
+	if (!again &&
+	    (!pl_flow_backend_takes_(agent) || (full_(agent) && !last))) {
+		agent->stats.refused++;
+		hand_back_(agent, message, PL_FLOW_REFUSED);
+		return;
+	}
+	flow = pl_flow_get_(agent, &message->flow);
+	if (!again)
+		pl_flow_set_state_(agent, flow, FLOW_NEW);
+	flow->entry = message->sender;
+	agent->stats.taken++;
+	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
+}
+
+static void note_caller_(pl_flow_agent_t *agent, flow_t *flow,
+			 const pl_flow_message_t *message,
+			 const pl_packet_t *packet)
+{
+	flow->entry = message->sender;
+	pl_flow_table_touch(agent->flows, &flow->node,
+			    pl_flow_agent_now_(agent));
+	if (packet->flags & PL_PACKET_ACK)
+		flow->caller_ack = packet->ack;
+	if (packet->data_len > 0)
+		pl_flow_set_busy_(agent, flow, true);
+}
+
+/* A packet of a flow that this agent does not know, while its server is
+ * older than what it knows: the server tells. */
+static void try_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		 const pl_packet_t *packet)
+{
+	flow_t *flow = pl_flow_get_(agent, &message->flow);
+
+	flow->known = (message->flags & PL_FLOW_KNOWN) != 0;
+	pl_flow_start_trial_(agent, flow);
+	note_caller_(agent, flow, message, packet);
+	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
+}
+
+static void forward_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		     const pl_packet_t *packet)
+{
+	flow_t *flow = find_(agent, &message->flow);
+	pl_flow_verdict_t verdict = verdict_(agent, flow, packet->ack);
+	bool ask = (message->flags & (PL_FLOW_KNOWN | PL_FLOW_TRIAL)) != 0;
+
+	if (verdict == PL_FLOW_UNSURE && ask) {
+		try_(agent, message, packet);
+		return;
+	}
+	if (verdict != PL_FLOW_OWNED) {
+		hand_back_(agent, message, verdict);
+		return;
+	}
+	if (flow->state == FLOW_OFFERED)
+		pl_flow_set_state_(agent, flow, FLOW_OPEN);
+	if (!(message->flags & PL_FLOW_KNOWN) && flow->state == FLOW_OPEN)
+		pl_flow_agent_verdict_(agent, message->sender, &message->flow,
+				       PL_FLOW_OWNED, NULL, 0);
+	note_caller_(agent, flow, message, packet);
+	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
+}
+
+static void locate_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
+{
+	const flow_t *flow = find_(agent, &message->flow);
+
+	pl_flow_agent_verdict_(agent, message->sender, &message->flow,
+			       verdict_(agent, flow, message->ack), NULL, 0);
+}
+
+void pl_flow_agent_message(pl_flow_agent_t *agent,
+			   const pl_flow_message_t *message)
+{
+	pl_packet_t packet;
+
+	if (message->service != agent->params.service) {
+		pl_counter_add(PL_COUNTER_DROP_MISMATCH, 1);
+		pl_event(PL_EVENT_SERVICE_MISMATCH,
+			 "a flow of service %" G_GINT64_MODIFIER "x",
+			 message->service);
+		return;
+	}
+	if (message->type == PL_FLOW_LOCATE) {
+		locate_(agent, message);
+		return;
+	}
+	if (message->type != PL_FLOW_FORWARD ||
+	    !agent->params.packets->read(message->packet, message->packet_len,
+					 &packet)) {
+		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
+		return;
+	}
+	if (pl_packet_opens(&packet))
+		open_(agent, message, packet.ack);
+	else
+		forward_(agent, message, &packet);
+}
+
+/* The server does not hold the flow, or cannot take it. */
+static void bounced_(pl_flow_agent_t *agent, const pl_packet_t *packet,
+		     uint8_t *bytes, size_t len)
+{
+	const pl_flow_key_t key = pl_packet_flow(packet);
+	flow_t *flow = find_(agent, &key);
+	bool opens = pl_packet_opens(packet);
+	bool keep;
+
+	agent->stats.bounced++;
+	if (!flow)
+		return;
+	agent->params.packets->clean(bytes, len);
+	/* the entry keeps the packet of a trial that it asked for */
+	keep = flow->state == FLOW_TRIAL && !flow->known;
+	pl_flow_set_state_(agent, flow, FLOW_ABSENT);
+	pl_flow_agent_verdict_(agent, flow->entry, &key,
+			       opens ? PL_FLOW_REFUSED : PL_FLOW_ABSENT,
+			       keep ? NULL : bytes, keep ? 0 : len);
+}
+
+static void answered_(pl_flow_agent_t *agent, const pl_flow_key_t *key,
+		      const pl_packet_t *packet)
+{
+	bool opens = (packet->flags & PL_PACKET_SYN) != 0;
+	flow_t *flow = pl_flow_get_(agent, key);
+
+	if (opens && flow->state != FLOW_OPEN) {
+		flow->first_seq = packet->seq;
+		pl_flow_set_state_(agent, flow, FLOW_OFFERED);
+	} else if (flow->state == FLOW_TRIAL) {
+		pl_flow_trial_done_(agent, flow);
+	} else if (!opens && flow->state != FLOW_OFFERED) {
+		/* the server speaks for it, so it holds it */
+		pl_flow_set_state_(agent, flow, FLOW_OPEN);
+	}
+	if (packet->data_len > 0 ||
+	    (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST)))
+		pl_flow_set_busy_(agent, flow, false);
+}
+
+void pl_flow_agent_packet(pl_flow_agent_t *agent, uint8_t *bytes, size_t len)
+{
+	pl_packet_t packet;
+	pl_flow_key_t key;
+
+	if (!agent->params.packets->read(bytes, len, &packet)) {
+		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
+		return;
+	}
+	if (packet.flags & PL_PACKET_BOUNCED) {
+		bounced_(agent, &packet, bytes, len);
+		return;
+	}
+	key = pl_packet_flow_back(&packet);
+	answered_(agent, &key, &packet);
+	agent->ops->to_caller(agent->ctx, &key, bytes, len);
+}
+
+static size_t open_flows_(const pl_flow_agent_t *agent)
+{
+	size_t count = 0;
+
+	pl_list_for_each(link, pl_flow_table_nodes(agent->flows)) {
+		const flow_t *flow = PL_CONTAINER_OF(
+			PL_CONTAINER_OF(link, pl_flow_node_t, link), flow_t,
+			node);
+
+		count += flow->state == FLOW_OPEN;
+	}
+	return count;
+}
+
+void pl_flow_agent_stats(const pl_flow_agent_t *agent,
+			 pl_flow_agent_stats_t *stats)
+{
+	*stats = agent->stats;
+	stats->flows = open_flows_(agent);
+	stats->load = pl_load_report(&agent->load, pl_flow_agent_now_(agent));
+	stats->serving = pl_flow_backend_takes_(agent);
+	stats->watched = agent->watched;
+}
--- /dev/null
+++ b/src/flow/entry.c
@@ -0,0 +1,263 @@
+/**
+ * @file
+ * Packets of callers and the cache of flows.
+ */
+#include "private/entry_private.h"
+
+#include <assert.h>
+#include <pimentolift/counter.h>
+#include <string.h>
+
+/** Flows are looked through for old ones this often. */
+#define SWEEP_MS 1000
+#define RESET_BYTES 64
+#define BITS_PER_BYTE 8
+
+pl_ms_t pl_flow_entry_now_(const pl_flow_entry_t *entry)
+{
+	return pl_timer_service_now(entry->timers);
+}
+
+static void released_(void *ctx, pl_flow_node_t *node)
+{
+	pl_flow_entry_t *entry = ctx;
+	const cached_t *flow = PL_CONTAINER_OF(node, cached_t, node);
+
+	if (flow->lookup)
+		pl_flow_lookup_end_(entry, flow->lookup);
+}
+
+static void sweep_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_flow_entry_t *entry = ctx;
+
+	if (now > entry->params.flow_max_ms)
+		pl_flow_table_expire(entry->flows,
+				     now - entry->params.flow_max_ms);
+	pl_timer_arm(entry->timers, timer, now + SWEEP_MS);
+}
+
+pl_flow_entry_t *pl_flow_entry_new(const pl_flow_entry_params_t *params,
+				   const pl_flow_entry_ops_t *ops, void *ctx,
+				   pl_timer_service_t *timers)
+{
+	pl_flow_entry_t *entry = g_new0(pl_flow_entry_t, 1);
+
+	assert(params->packets && params->placement);
+	entry->params = *params;
+	entry->ops = ops;
+	entry->ctx = ctx;
+	entry->timers = timers;
+	pl_list_init(&entry->lookups);
+	entry->flows = pl_flow_table_new(sizeof(cached_t), params->flows_max,
+					 released_, entry);
+	pl_flow_loads_init_(entry);
+	pl_timer_init(&entry->sweep, sweep_, entry);
+	pl_timer_arm(timers, &entry->sweep,
+		     pl_timer_service_now(timers) + SWEEP_MS);
+	return entry;
+}
+
+void pl_flow_entry_delete(pl_flow_entry_t *entry)
+{
+	if (!entry)
+		return;
+	pl_timer_cancel(entry->timers, &entry->sweep);
+	pl_flow_table_delete(entry->flows);
+	g_hash_table_destroy(entry->loads);
+	if (entry->routing)
+		pl_routing_put(entry->routing);
+	g_free(entry);
+}
+
+void pl_flow_entry_set_routing(pl_flow_entry_t *entry, pl_routing_t *routing)
+{
+	pl_routing_get(routing);
+	if (entry->routing)
+		pl_routing_put(entry->routing);
+	entry->routing = routing;
+}
+
+void pl_flow_entry_forward_(pl_flow_entry_t *entry, const cached_t *flow,
+			    pl_member_id_t agent, unsigned int flags,
+			    const uint8_t *bytes, size_t len)
+{
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_FORWARD,
+		.sender = entry->params.self,
+		.service = flow->service,
+		.flow = flow->node.key,
+		.flags = flags,
+		.packet = bytes,
+		.packet_len = len,
+	};
+
+	entry->ops->send(entry->ctx, agent, &message);
+}
+
+void pl_flow_entry_reset_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
+			  uint32_t seq)
+{
+	uint8_t bytes[RESET_BYTES];
+	size_t len =
+		entry->params.packets->reset(key, seq, bytes, sizeof(bytes));
+
+	entry->ops->to_caller(entry->ctx, key, bytes, len);
+}
+
+static pl_addr_t service_addr_(const pl_flow_key_t *key)
+{
+	pl_addr_t addr = { .port = key->service_port, .family = PL_ADDR_IPV4 };
+
+	for (size_t i = 0; i < sizeof(key->service_ip); i++)
+		addr.ip[i] = (uint8_t)(key->service_ip >>
+				       (BITS_PER_BYTE *
+					(sizeof(key->service_ip) - 1 - i)));
+	return addr;
+}
+
+static cached_t *get_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
+		      pl_service_id_t service)
+{
+	pl_flow_node_t *node =
+		pl_flow_table_get(entry->flows, key, pl_flow_entry_now_(entry));
+	cached_t *flow = PL_CONTAINER_OF(node, cached_t, node);
+
+	if (flow->service == 0)
+		flow->service = service;
+	return flow;
+}
+
+/* An opening packet or a copy of it. A copy goes to another endpoint: the
+ * first one may be dead. */
+static void open_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
+		  pl_service_id_t service, const uint8_t *bytes, size_t len)
+{
+	cached_t *flow = get_(entry, key, service);
+
+	if (flow->service != service) {
+		/* the route was given to another service meanwhile */
+		pl_flow_table_remove(entry->flows, &flow->node);
+		flow = get_(entry, key, service);
+	}
+	if (flow->owner != 0)
+		pl_flow_entry_forward_(entry, flow, flow->owner, PL_FLOW_KNOWN,
+				       bytes, len);
+	else
+		pl_flow_entry_place_(entry, flow, bytes, len);
+}
+
+static void pass_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
+		  pl_service_id_t service, const pl_packet_t *packet,
+		  const uint8_t *bytes, size_t len)
+{
+	cached_t *flow = get_(entry, key, service);
+
+	if (flow->owner != 0) {
+		entry->stats.known++;
+		pl_flow_entry_forward_(entry, flow, flow->owner, PL_FLOW_KNOWN,
+				       bytes, len);
+	} else if (!flow->lookup && flow->offered_count == 1) {
+		pl_flow_entry_forward_(entry, flow, flow->offered[0], 0, bytes,
+				       len);
+	} else {
+		pl_flow_lookup_add_(entry, flow, packet->ack, bytes, len);
+	}
+}
+
+void pl_flow_entry_packet(pl_flow_entry_t *entry, const uint8_t *bytes,
+			  size_t len)
+{
+	const pl_route_service_t *service;
+	pl_packet_t packet;
+	pl_flow_key_t key;
+	pl_addr_t addr;
+
+	entry->stats.packets++;
+	if (!entry->params.packets->read(bytes, len, &packet)) {
+		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
+		return;
+	}
+	if (!entry->routing) {
+		pl_counter_add(PL_COUNTER_DROP_NO_SERVICE, 1);
+		return;
+	}
+	key = pl_packet_flow(&packet);
+	addr = service_addr_(&key);
+	service = pl_routing_by_address(entry->routing, &addr);
+	if (!service) {
+		entry->stats.no_route++;
+		pl_counter_add(PL_COUNTER_DROP_NO_SERVICE, 1);
+		if (!(packet.flags & PL_PACKET_RST))
+			pl_flow_entry_reset_(entry, &key, packet.ack);
+		return;
+	}
+	if (pl_packet_opens(&packet))
+		open_(entry, &key, service->id, bytes, len);
+	else
+		pass_(entry, &key, service->id, &packet, bytes, len);
+}
+
+/* An agent did not take an opening packet: another one is offered it. */
+static void refused_(pl_flow_entry_t *entry, cached_t *flow,
+		     const pl_flow_message_t *message)
+{
+	if (message->packet_len == 0 || flow->owner != 0)
+		return;
+	entry->stats.replaced++;
+	pl_flow_entry_place_(entry, flow, message->packet, message->packet_len);
+}
+
+/* The agent that was taken for the owner does not own the flow. */
+static void not_owner_(pl_flow_entry_t *entry, cached_t *flow,
+		       const pl_flow_message_t *message)
+{
+	pl_packet_t packet;
+
+	if (flow->owner == message->sender)
+		flow->owner = 0;
+	if (message->packet_len == 0 ||
+	    !entry->params.packets->read(message->packet, message->packet_len,
+					 &packet))
+		return;
+	if (flow->owner != 0)
+		pl_flow_entry_forward_(entry, flow, flow->owner, PL_FLOW_KNOWN,
+				       message->packet, message->packet_len);
+	else
+		pl_flow_lookup_add_(entry, flow, packet.ack, message->packet,
+				    message->packet_len);
+}
+
+void pl_flow_entry_message(pl_flow_entry_t *entry,
+			   const pl_flow_message_t *message)
+{
+	pl_flow_node_t *node;
+	cached_t *flow;
+
+	if (message->type != PL_FLOW_VERDICT) {
+		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
+		return;
+	}
+	pl_flow_loads_note_(entry, message->sender, &message->load);
+	node = pl_flow_table_find(entry->flows, &message->flow);
+	if (!node)
+		return;
+	flow = PL_CONTAINER_OF(node, cached_t, node);
+	if (flow->service != message->service)
+		return;
+	if (message->verdict == PL_FLOW_REFUSED)
+		refused_(entry, flow, message);
+	else if (flow->lookup)
+		pl_flow_lookup_verdict_(entry, flow->lookup, message);
+	else if (message->verdict == PL_FLOW_OWNED)
+		flow->owner = message->sender;
+	else
+		not_owner_(entry, flow, message);
+}
+
+void pl_flow_entry_stats(const pl_flow_entry_t *entry,
+			 pl_flow_entry_stats_t *stats)
+{
+	*stats = entry->stats;
+	stats->flows = pl_flow_table_count(entry->flows);
+}
--- /dev/null
+++ b/src/flow/entry_lookup.c
@@ -0,0 +1,302 @@
+/**
+ * @file
+ * Search for the owner of a flow that the cache does not know.
+ *
+ * All agents of the service are asked at once, so that one that is dead or
+ * cut off delays nobody. Those that cannot say because their server is older
+ * than they are, are tried with one real packet, one after the other: the
+ * server hands back what it does not hold.
+ */
+#include "private/entry_private.h"
+
+#include <pimentolift/event.h>
+#include <string.h>
+
+/** Pause until agents that did not answer are asked again. */
+#define ASK_AGAIN_MS 60
+/** After this time agents that did not answer count as silent. */
+#define SILENT_MS 30
+/** A lookup without an owner ends after this time; by then the caller has
+ * sent its packet anew. */
+#define LOOKUP_MS 1500
+/** A trial whose answer is lost is given up. */
+#define TRIAL_MS 100
+/** Lookups that are open at the same time. */
+#define LOOKUPS_MAX 4096
+/** While an agent is silent, which may be the owner's, so many servers that
+ * do not own a flow may be handed one of its packets. */
+#define TRIALS_WHILE_SILENT 2
+
+static asked_t *asked_(const lookup_t *lookup, pl_member_id_t agent)
+{
+	for (guint i = 0; i < lookup->asked->len; i++) {
+		asked_t *asked = &g_array_index(lookup->asked, asked_t, i);
+
+		if (asked->agent == agent)
+			return asked;
+	}
+	return NULL;
+}
+
+static void ask_(pl_flow_entry_t *entry, const lookup_t *lookup,
+		 pl_member_id_t agent)
+{
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_LOCATE,
+		.sender = entry->params.self,
+		.service = lookup->flow->service,
+		.flow = lookup->flow->node.key,
+		.ack = lookup->ack,
+	};
+
+	entry->ops->send(entry->ctx, agent, &message);
+}
+
+/* Asks each agent of the service that is new, or did not answer yet. */
+static void ask_all_(pl_flow_entry_t *entry, lookup_t *lookup)
+{
+	const pl_route_service_t *service =
+		pl_routing_by_id(entry->routing, lookup->flow->service);
+
+	for (size_t i = 0; service && i < service->endpoint_count; i++) {
+		asked_t new = { .agent = service->endpoints[i].agent };
+		const asked_t *asked = asked_(lookup, new.agent);
+
+		if (!asked)
+			g_array_append_val(lookup->asked, new);
+		if (!asked || !asked->answered)
+			ask_(entry, lookup, new.agent);
+	}
+}
+
+static void arm_(pl_flow_entry_t *entry, lookup_t *lookup, pl_ms_t pause)
+{
+	pl_timer_arm(entry->timers, &lookup->timer,
+		     pl_flow_entry_now_(entry) + pause);
+}
+
+void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup)
+{
+	pl_timer_cancel(entry->timers, &lookup->timer);
+	pl_list_for_each_safe(link, &lookup->parked)
+		g_free(PL_CONTAINER_OF(link, parked_t, link));
+	pl_list_remove(&lookup->link);
+	g_array_free(lookup->asked, TRUE);
+	lookup->flow->lookup = NULL;
+	entry->stats.lookups_open--;
+	g_free(lookup);
+}
+
+static void found_(pl_flow_entry_t *entry, lookup_t *lookup,
+		   pl_member_id_t owner)
+{
+	cached_t *flow = lookup->flow;
+
+	flow->owner = owner;
+	entry->stats.found++;
+	pl_list_for_each(link, &lookup->parked) {
+		const parked_t *parked = PL_CONTAINER_OF(link, parked_t, link);
+
+		pl_flow_entry_forward_(entry, flow, owner, PL_FLOW_KNOWN,
+				       parked->bytes, parked->len);
+	}
+	pl_flow_lookup_end_(entry, lookup);
+}
+
+/* Agents that may still be the owner's. */
+typedef struct {
+	size_t silent;
+	size_t unsure;
+	size_t tried;
+	asked_t *next; /**< to be tried */
+} rest_t;
+
+static rest_t rest_(const lookup_t *lookup)
+{
+	rest_t rest = { 0 };
+
+	for (guint i = 0; i < lookup->asked->len; i++) {
+		asked_t *asked = &g_array_index(lookup->asked, asked_t, i);
+
+		rest.tried += asked->tried;
+		if (!asked->answered) {
+			rest.silent++;
+		} else if (asked->verdict == PL_FLOW_UNSURE) {
+			rest.unsure++;
+			if (!rest.next && !asked->tried)
+				rest.next = asked;
+		}
+	}
+	return rest;
+}
+
+static void try_(pl_flow_entry_t *entry, lookup_t *lookup, asked_t *asked)
+{
+	const parked_t *parked =
+		PL_CONTAINER_OF(pl_list_first(&lookup->parked), parked_t, link);
+
+	asked->tried = true;
+	lookup->trial = true;
+	pl_flow_entry_forward_(entry, lookup->flow, asked->agent, PL_FLOW_TRIAL,
+			       parked->bytes, parked->len);
+	arm_(entry, lookup, TRIAL_MS);
+}
+
+/* Goes on as far as the answers allow. */
+static void step_(pl_flow_entry_t *entry, lookup_t *lookup)
+{
+	pl_ms_t age = pl_flow_entry_now_(entry) - lookup->started;
+	rest_t rest = rest_(lookup);
+
+	if (lookup->trial || lookup->exhausted)
+		return;
+	if (rest.silent > 0 && age < SILENT_MS) {
+		arm_(entry, lookup, SILENT_MS - age);
+		return;
+	}
+	if (rest.next &&
+	    (rest.silent == 0 || rest.tried < TRIALS_WHILE_SILENT)) {
+		try_(entry, lookup, rest.next);
+		return;
+	}
+	if (rest.silent > 0 || rest.unsure > 0) {
+		arm_(entry, lookup, ASK_AGAIN_MS);
+		return;
+	}
+	lookup->exhausted = true;
+	arm_(entry, lookup, ASK_AGAIN_MS);
+	pl_flow_lookup_ask_roster_(entry);
+}
+
+static void on_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_flow_entry_t *entry = ctx;
+	lookup_t *lookup = PL_CONTAINER_OF(timer, lookup_t, timer);
+
+	if (now - lookup->started >= LOOKUP_MS) {
+		entry->stats.lost++;
+		pl_flow_lookup_end_(entry, lookup);
+		return;
+	}
+	lookup->trial = false;
+	if (!lookup->exhausted && now - lookup->started >= ASK_AGAIN_MS)
+		ask_all_(entry, lookup);
+	if (lookup->exhausted) {
+		pl_flow_lookup_ask_roster_(entry);
+		arm_(entry, lookup, ASK_AGAIN_MS);
+		return;
+	}
+	step_(entry, lookup);
+}
+
+static lookup_t *start_(pl_flow_entry_t *entry, cached_t *flow, uint32_t ack)
+{
+	lookup_t *lookup = g_new0(lookup_t, 1);
+
+	lookup->flow = flow;
+	lookup->ack = ack;
+	lookup->started = pl_flow_entry_now_(entry);
+	lookup->asked = g_array_new(FALSE, TRUE, sizeof(asked_t));
+	pl_list_init(&lookup->parked);
+	pl_list_append(&entry->lookups, &lookup->link);
+	pl_timer_init(&lookup->timer, on_timer_, entry);
+	flow->lookup = lookup;
+	flow->owner = 0;
+	entry->stats.lookups++;
+	entry->stats.lookups_open++;
+	ask_all_(entry, lookup);
+	arm_(entry, lookup, SILENT_MS);
+	return lookup;
+}
+
+void pl_flow_lookup_add_(pl_flow_entry_t *entry, cached_t *flow, uint32_t ack,
+			 const uint8_t *bytes, size_t len)
+{
+	lookup_t *lookup = flow->lookup;
+	parked_t *parked;
+
+	if (!lookup) {
+		if (entry->stats.lookups_open >= LOOKUPS_MAX)
+			return;
+		lookup = start_(entry, flow, ack);
+	}
+	if (lookup->parked_count == PL_FLOW_PARKED_MAX)
+		return;
+	parked = g_malloc(sizeof(*parked) + len);
+	parked->len = len;
+	memcpy(parked->bytes, bytes, len);
+	pl_list_append(&lookup->parked, &parked->link);
+	lookup->parked_count++;
+}
+
+void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
+			     const pl_flow_message_t *message)
+{
+	asked_t *asked = asked_(lookup, message->sender);
+
+	if (message->verdict == PL_FLOW_OWNED) {
+		found_(entry, lookup, message->sender);
+		return;
+	}
+	if (!asked || message->verdict == PL_FLOW_REFUSED)
+		return;
+	if (asked->tried && message->verdict == PL_FLOW_ABSENT)
+		lookup->trial = false;
+	asked->answered = true;
+	asked->verdict = message->verdict;
+	step_(entry, lookup);
+}
+
+/* Whether every agent of @p agents said that it cannot own the flow. */
+static bool ruled_out_(const lookup_t *lookup, const pl_member_id_t *agents,
+		       size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		const asked_t *asked = asked_(lookup, agents[i]);
+
+		if (!asked || !asked->answered ||
+		    asked->verdict != PL_FLOW_ABSENT)
+			return false;
+	}
+	return true;
+}
+
+void pl_flow_lookup_ask_roster_(pl_flow_entry_t *entry)
+{
+	if (entry->roster_asked != 0)
+		return;
+	pl_list_for_each(link, &entry->lookups) {
+		const lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
+
+		if (!lookup->exhausted)
+			continue;
+		entry->roster_asked = lookup->flow->service;
+		entry->roster_at = pl_flow_entry_now_(entry);
+		entry->ops->roster(entry->ctx, entry->roster_asked);
+		return;
+	}
+}
+
+void pl_flow_entry_roster(pl_flow_entry_t *entry, pl_service_id_t service,
+			  bool known, const pl_member_id_t *agents,
+			  size_t count)
+{
+	if (entry->roster_asked != service)
+		return;
+	entry->roster_asked = 0;
+	pl_list_for_each_safe(link, &entry->lookups) {
+		lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
+		cached_t *flow = lookup->flow;
+
+		/* a flow that opened after the question may have an owner
+		 * that the answer does not name */
+		if (!known || !lookup->exhausted || flow->service != service ||
+		    lookup->started > entry->roster_at ||
+		    !ruled_out_(lookup, agents, count))
+			continue;
+		entry->stats.dead++;
+		pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
+		pl_flow_lookup_end_(entry, lookup);
+		pl_flow_table_remove(entry->flows, &flow->node);
+	}
+}
--- /dev/null
+++ b/src/flow/entry_place.c
@@ -0,0 +1,145 @@
+/**
+ * @file
+ * Placement of new flows.
+ */
+#include "private/entry_private.h"
+
+#include <pimentolift/hash.h>
+
+/** Endpoints compared for one flow; of a larger service, those that come
+ * first in the flow's own order. */
+#define CANDIDATES_MAX 16
+
+/** What is known of an agent's load. */
+typedef struct {
+	pl_flow_load_t load;
+	uint32_t sent;
+} load_t;
+
+/** An endpoint with its rank for one flow. */
+typedef struct {
+	const pl_endpoint_t *endpoint;
+	uint64_t rank;
+} ranked_t;
+
+void pl_flow_loads_init_(pl_flow_entry_t *entry)
+{
+	entry->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
+}
+
+static load_t *load_of_(pl_flow_entry_t *entry, pl_member_id_t agent)
+{
+	load_t *load = g_hash_table_lookup(entry->loads, &agent);
+
+	if (load)
+		return load;
+	load = g_new0(load_t, 1);
+	g_hash_table_insert(entry->loads, g_memdup2(&agent, sizeof(agent)),
+			    load);
+	return load;
+}
+
+void pl_flow_loads_note_(pl_flow_entry_t *entry, pl_member_id_t agent,
+			 const pl_flow_load_t *load)
+{
+	load_t *known = load_of_(entry, agent);
+
+	known->load = *load;
+	known->sent = 0;
+}
+
+static bool was_offered_(const cached_t *flow, pl_member_id_t agent)
+{
+	for (size_t i = 0; i < flow->offered_count; i++) {
+		if (flow->offered[i] == agent)
+			return true;
+	}
+	return false;
+}
+
+/* Keeps the @p max endpoints that rank highest for the flow, in order. */
+static size_t rank_(const pl_route_service_t *service, const cached_t *flow,
+		    ranked_t *ranked, size_t max)
+{
+	uint64_t seed = pl_hash(&flow->node.key, sizeof(flow->node.key), 0);
+	size_t count = 0;
+
+	for (size_t i = 0; i < service->endpoint_count; i++) {
+		const pl_endpoint_t *endpoint = &service->endpoints[i];
+		uint64_t rank = pl_hash(&endpoint->agent,
+					sizeof(endpoint->agent), seed);
+		size_t at = count < max ? count++ : max;
+
+		if (endpoint->state != PL_ENDPOINT_SERVING ||
+		    was_offered_(flow, endpoint->agent)) {
+			count = at;
+			continue;
+		}
+		while (at > 0 && ranked[at - 1].rank < rank) {
+			if (at < max)
+				ranked[at] = ranked[at - 1];
+			at--;
+		}
+		if (at < max)
+			ranked[at] = (ranked_t){ endpoint, rank };
+	}
+	return count;
+}
+
+/* The endpoint for an opening packet, or NULL; @p last tells that there is
+ * no other one to offer it to. */
+static const pl_endpoint_t *choose_(pl_flow_entry_t *entry,
+				    const cached_t *flow, bool *last)
+{
+	const pl_route_service_t *service =
+		pl_routing_by_id(entry->routing, flow->service);
+	pl_flow_candidate_t candidates[CANDIDATES_MAX];
+	ranked_t ranked[CANDIDATES_MAX];
+	size_t count;
+
+	if (!service)
+		return NULL;
+	count = rank_(service, flow, ranked, CANDIDATES_MAX);
+	*last = count <= 1 || flow->offered_count + 1 >= PL_FLOW_OFFERS_MAX;
+	if (count == 0)
+		return NULL;
+	for (size_t i = 0; i < count; i++) {
+		const load_t *load = load_of_(entry, ranked[i].endpoint->agent);
+
+		candidates[i] = (pl_flow_candidate_t){
+			.endpoint = ranked[i].endpoint,
+			.load = load->load,
+			.sent = load->sent,
+			.near = ranked[i].endpoint->datacentre ==
+				entry->params.datacentre,
+		};
+	}
+	return ranked[entry->params.placement->choose(candidates, count)]
+		.endpoint;
+}
+
+void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_t *flow,
+			  const uint8_t *bytes, size_t len)
+{
+	bool last = false;
+	const pl_endpoint_t *endpoint;
+
+	if (flow->offered_count == PL_FLOW_OFFERS_MAX)
+		flow->offered_count = 0;
+	endpoint = choose_(entry, flow, &last);
+	if (!endpoint && flow->offered_count > 0) {
+		/* all were offered it: once more from the start */
+		flow->offered_count = 0;
+		endpoint = choose_(entry, flow, &last);
+	}
+	if (!endpoint) {
+		entry->stats.no_endpoint++;
+		return;
+	}
+	flow->offered[flow->offered_count++] = endpoint->agent;
+	load_of_(entry, endpoint->agent)->sent++;
+	entry->stats.placed++;
+	pl_flow_entry_forward_(entry, flow, endpoint->agent,
+			       last ? PL_FLOW_LAST : 0, bytes, len);
+}
--- /dev/null
+++ b/src/flow/flow_table.c
@@ -0,0 +1,121 @@
+/**
+ * @file
+ * Table of flows: a hash table and a list in order of use.
+ */
+#include "private/flow_table.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <pimentolift/hash.h>
+#include <string.h>
+
+struct pl_flow_table {
+	GHashTable *by_key; /* pl_flow_key_t in the node, to the node */
+	pl_list_t nodes;
+	size_t size;
+	size_t max;
+	pl_flow_release_t release;
+	void *ctx;
+};
+
+static guint hash_(gconstpointer key)
+{
+	return (guint)pl_hash(key, sizeof(pl_flow_key_t), 0);
+}
+
+static gboolean equal_(gconstpointer a, gconstpointer b)
+{
+	return memcmp(a, b, sizeof(pl_flow_key_t)) == 0;
+}
+
+pl_flow_table_t *pl_flow_table_new(size_t size, size_t max,
+				   pl_flow_release_t release, void *ctx)
+{
+	pl_flow_table_t *table = g_new0(pl_flow_table_t, 1);
+
+	assert(size >= sizeof(pl_flow_node_t) && max > 0);
+	table->by_key = g_hash_table_new(hash_, equal_);
+	pl_list_init(&table->nodes);
+	table->size = size;
+	table->max = max;
+	table->release = release;
+	table->ctx = ctx;
+	return table;
+}
+
+void pl_flow_table_delete(pl_flow_table_t *table)
+{
+	if (!table)
+		return;
+	pl_list_for_each_safe(link, &table->nodes)
+		pl_flow_table_remove(
+			table, PL_CONTAINER_OF(link, pl_flow_node_t, link));
+	g_hash_table_destroy(table->by_key);
+	g_free(table);
+}
+
+pl_flow_node_t *pl_flow_table_find(const pl_flow_table_t *table,
+				   const pl_flow_key_t *key)
+{
+	return g_hash_table_lookup(table->by_key, key);
+}
+
+pl_flow_node_t *pl_flow_table_get(pl_flow_table_t *table,
+				  const pl_flow_key_t *key, pl_ms_t now)
+{
+	pl_flow_node_t *node = pl_flow_table_find(table, key);
+
+	if (node) {
+		pl_flow_table_touch(table, node, now);
+		return node;
+	}
+	if (g_hash_table_size(table->by_key) >= table->max)
+		pl_flow_table_remove(
+			table, PL_CONTAINER_OF(pl_list_first(&table->nodes),
+					       pl_flow_node_t, link));
+	node = g_malloc0(table->size);
+	node->key = *key;
+	node->used = now;
+	pl_list_append(&table->nodes, &node->link);
+	g_hash_table_insert(table->by_key, &node->key, node);
+	return node;
+}
+
+void pl_flow_table_touch(pl_flow_table_t *table, pl_flow_node_t *node,
+			 pl_ms_t now)
+{
+	node->used = now;
+	pl_list_remove(&node->link);
+	pl_list_append(&table->nodes, &node->link);
+}
+
+void pl_flow_table_remove(pl_flow_table_t *table, pl_flow_node_t *node)
+{
+	if (table->release)
+		table->release(table->ctx, node);
+	g_hash_table_remove(table->by_key, &node->key);
+	pl_list_remove(&node->link);
+	g_free(node);
+}
+
+void pl_flow_table_expire(pl_flow_table_t *table, pl_ms_t since)
+{
+	pl_list_for_each_safe(link, &table->nodes) {
+		pl_flow_node_t *node =
+			PL_CONTAINER_OF(link, pl_flow_node_t, link);
+
+		if (node->used >= since)
+			return;
+		pl_flow_table_remove(table, node);
+	}
+}
+
+pl_list_t *pl_flow_table_nodes(pl_flow_table_t *table)
+{
+	return &table->nodes;
+}
+
+size_t pl_flow_table_count(const pl_flow_table_t *table)
+{
+	return g_hash_table_size(table->by_key);
+}
--- /dev/null
+++ b/src/flow/load.c
@@ -0,0 +1,37 @@
+/**
+ * @file
+ * Mean of the requests in progress, weighted by time.
+ */
+#include "private/load.h"
+
+#include <math.h>
+
+/** Time in which the past loses most of its weight: long enough to average
+ * over many requests, short beside a swing of the demand. */
+#define MEAN_MS 1000.0
+#define THOUSANDTHS 1000
+
+static double mean_at_(const pl_load_t *load, pl_ms_t now)
+{
+	double keep = exp(-(double)(now - load->at) / MEAN_MS);
+
+	return load->mean * keep + load->busy * (1 - keep);
+}
+
+void pl_load_change(pl_load_t *load, int step, pl_ms_t now)
+{
+	load->mean = mean_at_(load, now);
+	load->at = now;
+	if (step < 0 && load->busy == 0)
+		return;
+	load->busy = (uint32_t)((int)load->busy + step);
+}
+
+pl_flow_load_t pl_load_report(const pl_load_t *load, pl_ms_t now)
+{
+	return (pl_flow_load_t){
+		.slots = load->slots,
+		.busy = load->busy,
+		.mean_busy = (uint32_t)(mean_at_(load, now) * THOUSANDTHS),
+	};
+}
--- /dev/null
+++ b/src/flow/private/entry_private.h
@@ -0,0 +1,98 @@
+/**
+ * @file
+ * Structures of an entry: packets and cache (entry.c), endpoints and their
+ * load (entry_place.c), search for an owner (entry_lookup.c).
+ */
+#ifndef PL_FLOW_ENTRY_PRIVATE_H
+#define PL_FLOW_ENTRY_PRIVATE_H
+
+#include "private/flow_table.h"
+
+#include <glib.h>
+#include <pimentolift/flow_entry.h>
+
+/** Packets of one flow that are held back; a caller has no more in flight. */
+#define PL_FLOW_PARKED_MAX 16
+
+/** An agent asked for a flow. */
+typedef struct {
+	pl_member_id_t agent;
+	bool answered;
+	bool tried; /**< its backend server was asked by a packet */
+	pl_flow_verdict_t verdict;
+} asked_t;
+
+/** A packet that is held back. */
+typedef struct {
+	pl_list_t link;
+	size_t len;
+	uint8_t bytes[];
+} parked_t;
+
+/** Search for the owner of a flow. */
+typedef struct {
+	pl_list_t link; /**< on entry->lookups */
+	struct cached *flow;
+	pl_timer_t timer;
+	pl_ms_t started;
+	GArray *asked; /**< asked_t */
+	pl_list_t parked;
+	size_t parked_count;
+	uint32_t ack; /**< of the first packet */
+	bool trial; /**< a backend server is being asked */
+	bool exhausted; /**< nobody who was asked owns it */
+} lookup_t;
+
+/** What is known of a flow. */
+typedef struct cached {
+	pl_flow_node_t node;
+	pl_service_id_t service;
+	pl_member_id_t owner; /**< 0 while not known */
+	pl_member_id_t offered[PL_FLOW_OFFERS_MAX]; /**< opening packets */
+	size_t offered_count;
+	lookup_t *lookup; /**< NULL when none is open */
+} cached_t;
+
+struct pl_flow_entry {
+	pl_flow_entry_params_t params;
+	const pl_flow_entry_ops_t *ops;
+	void *ctx;
+	pl_timer_service_t *timers;
+	pl_routing_t *routing;
+	pl_flow_table_t *flows;
+	GHashTable *loads; /**< agent to load_t */
+	pl_list_t lookups;
+	pl_service_id_t roster_asked; /**< 0 when no question is open */
+	pl_ms_t roster_at; /**< time of the open question */
+	pl_timer_t sweep;
+	pl_flow_entry_stats_t stats;
+};
+
+/* entry.c */
+pl_ms_t pl_flow_entry_now_(const pl_flow_entry_t *entry);
+void pl_flow_entry_forward_(pl_flow_entry_t *entry, const cached_t *flow,
+			    pl_member_id_t agent, unsigned int flags,
+			    const uint8_t *bytes, size_t len);
+void pl_flow_entry_reset_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
+			  uint32_t seq);
+
+/* entry_place.c */
+void pl_flow_loads_init_(pl_flow_entry_t *entry);
+/** Takes note of what an agent said of its load. */
+void pl_flow_loads_note_(pl_flow_entry_t *entry, pl_member_id_t agent,
+			 const pl_flow_load_t *load);
+/** Sends an opening packet to an endpoint that was not offered it yet. */
+void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_t *flow,
+			  const uint8_t *bytes, size_t len);
+
+/* entry_lookup.c */
+/** Holds a packet back and starts to look for the flow's owner. */
+void pl_flow_lookup_add_(pl_flow_entry_t *entry, cached_t *flow, uint32_t ack,
+			 const uint8_t *bytes, size_t len);
+void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
+			     const pl_flow_message_t *message);
+void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
+/** Asks for the agents that lookups in vain did not know of. */
+void pl_flow_lookup_ask_roster_(pl_flow_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/src/kv/kv.c
@@ -0,0 +1,81 @@
+/**
+ * @file
+ * Calls through a store's table of function pointers.
+ */
+#include <pimentolift/kv.h>
+
+#include <assert.h>
+
+void pl_kv_delete(pl_kv_t *kv)
+{
+	if (kv)
+		kv->ops->destroy(kv);
+}
+
+pl_kv_call_t *pl_kv_get(pl_kv_t *kv, const char *key, pl_kv_done_t done,
+			void *ctx)
+{
+	assert(done);
+	return kv->ops->get(kv, key, done, ctx);
+}
+
+pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, uint64_t index,
+			  pl_kv_done_t done, void *ctx)
+{
+	assert(done);
+	return kv->ops->watch(kv, key, index, done, ctx);
+}
+
+pl_kv_call_t *pl_kv_put(pl_kv_t *kv, const pl_kv_write_t *write,
+			pl_kv_done_t done, void *ctx)
+{
+	assert(done);
+	assert(write->value && write->value_len <= PL_KV_VALUE_MAX);
+	return kv->ops->put(kv, write, done, ctx);
+}
+
+pl_kv_call_t *pl_kv_list(pl_kv_t *kv, const char *prefix, const char *after,
+			 pl_kv_done_t done, void *ctx)
+{
+	assert(done);
+	return kv->ops->list(kv, prefix, after, done, ctx);
+}
+
+pl_kv_call_t *pl_kv_lease(pl_kv_t *kv, uint32_t ttl_ms, pl_kv_done_t done,
+			  void *ctx)
+{
+	assert(done);
+	return kv->ops->lease(kv, ttl_ms, done, ctx);
+}
+
+pl_kv_call_t *pl_kv_renew(pl_kv_t *kv, uint64_t lease, pl_kv_done_t done,
+			  void *ctx)
+{
+	assert(done);
+	return kv->ops->renew(kv, lease, done, ctx);
+}
+
+void pl_kv_cancel(pl_kv_call_t *call)
+{
+	call->kv->ops->cancel(call);
+}
+
+void pl_kv_poll(pl_kv_t *kv)
+{
+	kv->ops->poll(kv);
+}
+
+void pl_kv_wait(pl_kv_t *kv, uint32_t wait_ms)
+{
+	kv->ops->wait(kv, wait_ms);
+}
+
+size_t pl_kv_pending(const pl_kv_t *kv)
+{
+	return kv->ops->pending(kv);
+}
+
+bool pl_kv_is_down(const pl_kv_t *kv)
+{
+	return kv->ops->is_down(kv);
+}
--- a/src/platform/publish.c
+++ b/src/kv/publish.c
@@ -22,7 +22,7 @@
 
 /* A write until it is settled. */
 typedef struct {
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 	const pl_publish_t *publish;
 	char *key;
 	char *value;
@@ -39,7 +39,7 @@
 	return g_strdup_printf("pimentolift/%s/document", environment);
 }
 
-static void on_done_(void *ctx, const pl_platform_reply_t *reply)
+static void on_done_(void *ctx, const pl_kv_reply_t *reply)
 {
 	wait_t *wait = ctx;
 	pl_error_t err = PL_ERROR_INIT;
@@ -59,11 +59,10 @@
 }
 
 /* Waits for the call; its result with the message in @p err. */
-static pl_result_t finish_(pl_platform_t *platform, wait_t *wait,
-			   pl_error_t *err)
+static pl_result_t finish_(pl_kv_t *platform, wait_t *wait, pl_error_t *err)
 {
 	while (!wait->done)
-		pl_platform_wait(platform, WAIT_MS);
+		pl_kv_wait(platform, WAIT_MS);
 	if (wait->result != PL_OK)
 		pl_error_set(err, wait->result, "the platform: %s",
 			     wait->message);
@@ -77,7 +76,7 @@
 	memset(stored, 0, sizeof(*stored));
 }
 
-pl_result_t pl_publish_read(pl_platform_t *platform, const char *environment,
+pl_result_t pl_publish_read(pl_kv_t *platform, const char *environment,
 			    pl_stored_t *stored, pl_error_t *err)
 {
 	char *key = key_(environment);
@@ -85,7 +84,7 @@
 	pl_result_t result;
 
 	memset(stored, 0, sizeof(*stored));
-	pl_platform_get(platform, key, on_done_, &wait);
+	pl_kv_get(platform, key, on_done_, &wait);
 	result = finish_(platform, &wait, err);
 	g_free(key);
 	if (result == PL_ERR_NOT_FOUND)
@@ -100,8 +99,12 @@
 {
 	wait_t wait = { 0 };
 
-	pl_platform_put(write->platform, write->key, write->value,
-			strlen(write->value), write->replaces, on_done_, &wait);
+	pl_kv_put(write->platform,
+		  &(pl_kv_write_t){ .key = write->key,
+				    .value = write->value,
+				    .value_len = strlen(write->value),
+				    .replaces = write->replaces },
+		  on_done_, &wait);
 	return finish_(write->platform, &wait, write->err);
 }
 
@@ -115,7 +118,7 @@
 	gint64 until = g_get_monotonic_time() + PAUSE_MS * 1000;
 
 	while (g_get_monotonic_time() < until)
-		pl_platform_wait(write->platform, WAIT_MS);
+		pl_kv_wait(write->platform, WAIT_MS);
 }
 
 static pl_result_t conflict_(const write_t *write)
@@ -242,7 +245,7 @@
 	g_free(write->value);
 }
 
-static pl_result_t write_(pl_platform_t *platform, const pl_publish_t *publish,
+static pl_result_t write_(pl_kv_t *platform, const pl_publish_t *publish,
 			  const pl_stored_t *base, pl_stored_t *stored,
 			  pl_error_t *err)
 {
@@ -255,12 +258,11 @@
 	pl_result_t result;
 
 	write_init_(&write, publish, base);
-	if (strlen(write.value) > PL_PLATFORM_VALUE_MAX)
+	if (strlen(write.value) > PL_KV_VALUE_MAX)
 		result = pl_error_set(err, PL_ERR_LIMIT,
 				      "the document takes %zu bytes in the "
 				      "platform, more than %d",
-				      strlen(write.value),
-				      PL_PLATFORM_VALUE_MAX);
+				      strlen(write.value), PL_KV_VALUE_MAX);
 	else
 		result = settle_(&write);
 	if (result == PL_OK) {
@@ -273,9 +275,8 @@
 	return result;
 }
 
-pl_result_t pl_publish_apply(pl_platform_t *platform,
-			     const pl_publish_t *publish, pl_stored_t *stored,
-			     pl_error_t *err)
+pl_result_t pl_publish_apply(pl_kv_t *platform, const pl_publish_t *publish,
+			     pl_stored_t *stored, pl_error_t *err)
 {
 	pl_stored_t base;
 	pl_result_t result =
--- a/src/platform/seeds.c
+++ b/src/kv/seeds.c
@@ -59,7 +59,7 @@
 	return json;
 }
 
-static void on_read_(void *ctx, const pl_platform_reply_t *reply)
+static void on_read_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_seeds_t *seeds = ctx;
 	pl_result_t result = reply->result;
@@ -70,25 +70,25 @@
 	seeds->done(seeds->ctx, result);
 }
 
-static void on_written_(void *ctx, const pl_platform_reply_t *reply)
+static void on_written_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_seeds_t *seeds = ctx;
 
 	seeds->done(seeds->ctx, reply->result);
 }
 
-void pl_seeds_read(pl_platform_t *platform, const char *environment,
+void pl_seeds_read(pl_kv_t *platform, const char *environment,
 		   pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx)
 {
 	char *key = key_(environment);
 
 	assert(done);
 	*seeds = (pl_seeds_t){ .done = done, .ctx = ctx };
-	pl_platform_get(platform, key, on_read_, seeds);
+	pl_kv_get(platform, key, on_read_, seeds);
 	g_free(key);
 }
 
-void pl_seeds_write(pl_platform_t *platform, const char *environment,
+void pl_seeds_write(pl_kv_t *platform, const char *environment,
 		    pl_seeds_t *seeds, pl_seeds_done_t done, void *ctx)
 {
 	char *key = key_(environment);
@@ -97,8 +97,12 @@
 	assert(done);
 	seeds->done = done;
 	seeds->ctx = ctx;
-	pl_platform_put(platform, key, json, strlen(json), seeds->modify_index,
-			on_written_, seeds);
+	pl_kv_put(platform,
+		  &(pl_kv_write_t){ .key = key,
+				    .value = json,
+				    .value_len = strlen(json),
+				    .replaces = seeds->modify_index },
+		  on_written_, seeds);
 	g_free(json);
 	g_free(key);
 }
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -4,8 +4,8 @@
  */
 #include <pimentolift/wire.h>
 
-#include "private/bounded.h"
 #include "private/element.h"
+#include "private/seal.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -24,24 +24,6 @@
 	msgpack_zone zone;
 };
 
-/* Output buffer of fixed size; overflow sticks. */
-typedef struct {
-	uint8_t *buf;
-	size_t cap;
-	size_t len;
-} out_t;
-
-static int out_write_(void *data, const char *bytes, size_t len)
-{
-	out_t *out = data;
-
-	if (out->cap - out->len < len)
-		return -1;
-	memcpy(out->buf + out->len, bytes, len);
-	out->len += len;
-	return 0;
-}
-
 static void pack_start_(msgpack_packer *packer, size_t fields,
 			pl_wire_type_t type, const pl_flow_t *flow)
 {
@@ -59,45 +41,37 @@
 	return msgpack_pack_bin_body(packer, pdu, len);
 }
 
-static size_t seal_(const pl_key_t *key, out_t *out, int packed)
-{
-	if (packed != 0 || out->cap - out->len < PL_MAC_BYTES)
-		return 0;
-	pl_mac(key, out->buf, out->len, out->buf + out->len);
-	return out->len + PL_MAC_BYTES;
-}
-
 size_t pl_wire_encode_forward(const pl_key_t *key, const pl_forward_t *forward,
 			      uint8_t *buf, size_t cap)
 {
-	out_t out = { .buf = buf, .cap = cap };
+	pl_sealed_t out = { .buf = buf, .cap = cap };
 	msgpack_packer packer;
 	int packed;
 
-	msgpack_packer_init(&packer, &out, out_write_);
+	msgpack_packer_init(&packer, &out, pl_sealed_write);
 	pack_start_(&packer, FORWARD_FIELDS, PL_WIRE_FORWARD, &forward->flow);
 	msgpack_pack_uint64(&packer, forward->entry);
 	msgpack_pack_uint64(&packer, forward->origin);
 	msgpack_pack_uint64(&packer, forward->revision);
 	msgpack_pack_uint8(&packer, forward->hops);
 	packed = pack_pdu_(&packer, forward->pdu, forward->pdu_len);
-	return seal_(key, &out, packed);
+	return pl_sealed_finish(&out, key, packed);
 }
 
 size_t pl_wire_encode_reply(const pl_key_t *key, const pl_reply_t *reply,
 			    uint8_t *buf, size_t cap)
 {
-	out_t out = { .buf = buf, .cap = cap };
+	pl_sealed_t out = { .buf = buf, .cap = cap };
 	msgpack_packer packer;
 	int packed;
 
-	msgpack_packer_init(&packer, &out, out_write_);
+	msgpack_packer_init(&packer, &out, pl_sealed_write);
 	pack_start_(&packer, REPLY_FIELDS, PL_WIRE_REPLY, &reply->flow);
 	msgpack_pack_uint64(&packer, reply->agent);
 	msgpack_pack_uint32(&packer, reply->load);
 	msgpack_pack_uint64(&packer, reply->revision);
 	packed = pack_pdu_(&packer, reply->pdu, reply->pdu_len);
-	return seal_(key, &out, packed);
+	return pl_sealed_finish(&out, key, packed);
 }
 
 unsigned int pl_wire_peek_type(const uint8_t *buf, size_t len)
@@ -202,23 +176,9 @@
 pl_result_t pl_wire_decode(pl_wire_decoder_t *decoder, const uint8_t *buf,
 			   size_t len, pl_wire_message_t *message)
 {
-	uint8_t mac[PL_MAC_BYTES];
 	msgpack_object object;
-	size_t body_len;
-	size_t offset = 0;
+	pl_result_t result = pl_sealed_open(&decoder->key, &decoder->zone, buf,
+					    len, &object);
 
-	if (len <= PL_MAC_BYTES || len > PL_WIRE_DATAGRAM_MAX)
-		return PL_ERR_MALFORMED;
-	body_len = len - PL_MAC_BYTES;
-	pl_mac(&decoder->key, buf, body_len, mac);
-	if (!pl_mac_equal(mac, buf + body_len, PL_MAC_BYTES))
-		return PL_ERR_AUTH;
-	if (!pl_msgpack_bounded(buf, body_len))
-		return PL_ERR_MALFORMED;
-	msgpack_zone_clear(&decoder->zone);
-	if (msgpack_unpack((const char *)buf, body_len, &offset, &decoder->zone,
-			   &object) != MSGPACK_UNPACK_SUCCESS ||
-	    offset != body_len)
-		return PL_ERR_MALFORMED;
-	return read_message_(&object, message);
+	return result == PL_OK ? read_message_(&object, message) : result;
 }
--- a/test/config/sync_fake.c
+++ b/test/config/sync_fake.c
@@ -28,7 +28,7 @@
 	uint8_t *body;
 } delivery_t;
 
-static void reply_(const node_t *node, pl_platform_reply_t *reply)
+static void reply_(const node_t *node, pl_kv_reply_t *reply)
 {
 	const fake_t *fake = node->fake;
 	const char *value = fake->frozen ? fake->frozen : fake->value;
@@ -50,7 +50,7 @@
 {
 	delivery_t *delivery = ctx;
 	node_t *node = delivery->node;
-	pl_platform_reply_t reply;
+	pl_kv_reply_t reply;
 
 	(void)timer;
 	(void)now;
@@ -134,8 +134,7 @@
 	node->watching = true;
 	node->watch_index = index;
 	node->watch_serial++;
-	deliver_(node, ON_WATCH,
-		 at_once ? PLATFORM_DELAY_MS : PL_PLATFORM_WAIT_MS);
+	deliver_(node, ON_WATCH, at_once ? PLATFORM_DELAY_MS : PL_KV_WAIT_MS);
 }
 
 static void unwatch_(void *ctx)
@@ -209,7 +208,7 @@
 	}
 	/* lets what is on its way arrive nowhere, which frees it */
 	pl_timer_cancel(fake->timers, &fake->gossip);
-	fake_run(fake, PL_PLATFORM_WAIT_MS + GOSSIP_MS);
+	fake_run(fake, PL_KV_WAIT_MS + GOSSIP_MS);
 	pl_timer_service_delete(fake->timers);
 	g_rand_free(fake->rand);
 	g_free(fake->nodes);
--- a/test/platform/platform_test.c
+++ b/test/kv/client_test.c
@@ -5,7 +5,8 @@
 #include <cmocka.h>
 
 #include <glib.h>
-#include <pimentolift/platform.h>
+#include <pimentolift/kv.h>
+#include <platform/platform.h>
 #include <store.h>
 #include <string.h>
 
@@ -14,7 +15,7 @@
 
 typedef struct {
 	pl_store_t *store;
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 } fixture_t;
 
 /* What the last callback gave. */
@@ -27,7 +28,7 @@
 	uint64_t watch_index;
 } outcome_t;
 
-static void on_done_(void *ctx, const pl_platform_reply_t *reply)
+static void on_done_(void *ctx, const pl_kv_reply_t *reply)
 {
 	outcome_t *outcome = ctx;
 
@@ -49,7 +50,7 @@
 	assert_non_null(f->store);
 	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/",
 		   pl_store_port(f->store));
-	f->platform = pl_platform_new(url, TIMEOUT_MS);
+	f->platform = pl_platform_store_new(url, TIMEOUT_MS);
 	*state = f;
 	return 0;
 }
@@ -58,7 +59,7 @@
 {
 	fixture_t *f = *state;
 
-	pl_platform_delete(f->platform);
+	pl_kv_delete(f->platform);
 	pl_store_delete(f->store);
 	g_free(f);
 	return 0;
@@ -66,16 +67,20 @@
 
 static void finish_(fixture_t *f)
 {
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 1000);
+	while (pl_kv_pending(f->platform) > 0)
+		pl_kv_wait(f->platform, 1000);
 }
 
 static pl_result_t put_(fixture_t *f, const char *value, uint64_t replaces)
 {
 	outcome_t outcome = { 0 };
 
-	pl_platform_put(f->platform, KEY, value, strlen(value), replaces,
-			on_done_, &outcome);
+	pl_kv_put(f->platform,
+		  &(pl_kv_write_t){ .key = KEY,
+				    .value = value,
+				    .value_len = strlen(value),
+				    .replaces = replaces },
+		  on_done_, &outcome);
 	finish_(f);
 	assert_int_equal(outcome.calls, 1);
 	g_free(outcome.value);
@@ -86,7 +91,7 @@
 {
 	g_free(outcome->value);
 	memset(outcome, 0, sizeof(*outcome));
-	pl_platform_get(f->platform, KEY, on_done_, outcome);
+	pl_kv_get(f->platform, KEY, on_done_, outcome);
 	finish_(f);
 	assert_int_equal(outcome->calls, 1);
 	return outcome->result;
@@ -112,18 +117,22 @@
 static void megabyte_value_round_trips(void **state)
 {
 	fixture_t *f = *state;
-	char *value = g_malloc(PL_PLATFORM_VALUE_MAX);
+	char *value = g_malloc(PL_KV_VALUE_MAX);
 	outcome_t outcome = { 0 };
 
-	for (size_t i = 0; i < PL_PLATFORM_VALUE_MAX; i++)
+	for (size_t i = 0; i < PL_KV_VALUE_MAX; i++)
 		value[i] = (char)(i * 31);
-	pl_platform_put(f->platform, KEY, value, PL_PLATFORM_VALUE_MAX, 0,
-			on_done_, &outcome);
+	pl_kv_put(f->platform,
+		  &(pl_kv_write_t){ .key = KEY,
+				    .value = value,
+				    .value_len = PL_KV_VALUE_MAX,
+				    .replaces = 0 },
+		  on_done_, &outcome);
 	finish_(f);
 	assert_int_equal(outcome.result, PL_OK);
 	assert_int_equal(get_(f, &outcome), PL_OK);
-	assert_int_equal(outcome.value_len, PL_PLATFORM_VALUE_MAX);
-	assert_memory_equal(outcome.value, value, PL_PLATFORM_VALUE_MAX);
+	assert_int_equal(outcome.value_len, PL_KV_VALUE_MAX);
+	assert_memory_equal(outcome.value, value, PL_KV_VALUE_MAX);
 	g_free(outcome.value);
 	g_free(value);
 }
@@ -138,14 +147,18 @@
 
 	assert_int_equal(put_(f, "one", 0), PL_OK);
 	assert_int_equal(get_(f, &read), PL_OK);
-	pl_platform_watch(f->platform, KEY, read.watch_index, on_done_, &watch);
+	pl_kv_watch(f->platform, KEY, read.watch_index, on_done_, &watch);
 	while (stats.watches_waiting == 0) {
-		pl_platform_wait(f->platform, 10);
+		pl_kv_wait(f->platform, 10);
 		pl_store_stats(f->store, &stats);
 	}
 	assert_int_equal(watch.calls, 0);
-	pl_platform_put(f->platform, KEY, "two", 3, read.modify_index, on_done_,
-			&put);
+	pl_kv_put(f->platform,
+		  &(pl_kv_write_t){ .key = KEY,
+				    .value = "two",
+				    .value_len = 3,
+				    .replaces = read.modify_index },
+		  on_done_, &put);
 	finish_(f);
 	assert_int_equal(watch.calls, 1);
 	assert_memory_equal(watch.value, "two", 3);
@@ -172,25 +185,30 @@
 {
 	fixture_t *f = *state;
 	outcome_t read = { 0 };
-	pl_platform_t *nowhere = pl_platform_new("http://127.0.0.1:1", 200);
+	pl_kv_t *nowhere = pl_platform_store_new("http://127.0.0.1:1", 200);
 	outcome_t put = { 0 };
 
 	pl_store_command(f->store, "down");
 	assert_int_equal(get_(f, &read), PL_ERR_UNAVAILABLE);
-	assert_true(pl_platform_is_down(f->platform));
+	assert_true(pl_kv_is_down(f->platform));
 	pl_store_command(f->store, "up");
 	pl_store_command(f->store, "slow 60000");
 	assert_int_equal(get_(f, &read), PL_ERR_TIMEOUT);
 	pl_store_command(f->store, "up");
 	assert_int_equal(get_(f, &read), PL_ERR_NOT_FOUND);
-	assert_false(pl_platform_is_down(f->platform));
+	assert_false(pl_kv_is_down(f->platform));
 
 	/* a refused connection cannot have written anything */
-	pl_platform_put(nowhere, KEY, "x", 1, 0, on_done_, &put);
-	while (pl_platform_pending(nowhere) > 0)
-		pl_platform_wait(nowhere, 1000);
+	pl_kv_put(nowhere,
+		  &(pl_kv_write_t){ .key = KEY,
+				    .value = "x",
+				    .value_len = 1,
+				    .replaces = 0 },
+		  on_done_, &put);
+	while (pl_kv_pending(nowhere) > 0)
+		pl_kv_wait(nowhere, 1000);
 	assert_int_equal(put.result, PL_ERR_UNAVAILABLE);
-	pl_platform_delete(nowhere);
+	pl_kv_delete(nowhere);
 }
 
 static void outage_ends_a_watch(void **state)
@@ -200,9 +218,9 @@
 	pl_store_stats_t stats = { 0 };
 
 	assert_int_equal(put_(f, "one", 0), PL_OK);
-	pl_platform_watch(f->platform, KEY, 2, on_done_, &watch);
+	pl_kv_watch(f->platform, KEY, 2, on_done_, &watch);
 	while (stats.watches_waiting == 0) {
-		pl_platform_wait(f->platform, 10);
+		pl_kv_wait(f->platform, 10);
 		pl_store_stats(f->store, &stats);
 	}
 	pl_store_command(f->store, "down");
--- a/test/platform/publish_test.c
+++ b/test/kv/publish_test.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <pimentolift/publish.h>
+#include <platform/platform.h>
 #include <pimentolift/seeds.h>
 #include <store.h>
 #include <string.h>
@@ -15,7 +16,7 @@
 
 typedef struct {
 	pl_store_t *store;
-	pl_platform_t *platform;
+	pl_kv_t *platform;
 	char url[64];
 	pl_stored_t stored;
 	pl_error_t err;
@@ -29,7 +30,7 @@
 	assert_non_null(f->store);
 	g_snprintf(f->url, sizeof(f->url), "http://127.0.0.1:%u",
 		   pl_store_port(f->store));
-	f->platform = pl_platform_new(f->url, TIMEOUT_MS);
+	f->platform = pl_platform_store_new(f->url, TIMEOUT_MS);
 	*state = f;
 	return 0;
 }
@@ -39,7 +40,7 @@
 	fixture_t *f = *state;
 
 	pl_stored_finish(&f->stored);
-	pl_platform_delete(f->platform);
+	pl_kv_delete(f->platform);
 	pl_store_delete(f->store);
 	g_free(f);
 	return 0;
@@ -119,7 +120,7 @@
 	assert_int_equal(writes_(f), 3);
 }
 
-static void on_written_(void *ctx, const pl_platform_reply_t *reply)
+static void on_written_(void *ctx, const pl_kv_reply_t *reply)
 {
 	*(pl_result_t *)ctx = reply->result;
 }
@@ -131,10 +132,14 @@
 	char *json = pl_envelope_encode(envelope);
 	pl_result_t result = PL_ERR_INTERNAL;
 
-	pl_platform_put(f->platform, "pimentolift/trial/document", json,
-			strlen(json), replaces, on_written_, &result);
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 100);
+	pl_kv_put(f->platform,
+		  &(pl_kv_write_t){ .key = "pimentolift/trial/document",
+				    .value = json,
+				    .value_len = strlen(json),
+				    .replaces = replaces },
+		  on_written_, &result);
+	while (pl_kv_pending(f->platform) > 0)
+		pl_kv_wait(f->platform, 100);
 	assert_int_equal(result, PL_OK);
 	g_free(json);
 }
@@ -197,8 +202,8 @@
 static gpointer write_many_(gpointer data)
 {
 	writer_t *writer = data;
-	pl_platform_t *platform =
-		pl_platform_new(writer->f->url, TIMEOUT_MS * 20);
+	pl_kv_t *platform =
+		pl_platform_store_new(writer->f->url, TIMEOUT_MS * 20);
 
 	for (int i = 0; i < 15; i++) {
 		char text[32];
@@ -220,7 +225,7 @@
 			writer->conflicts++;
 		pl_stored_finish(&stored);
 	}
-	pl_platform_delete(platform);
+	pl_kv_delete(platform);
 	return NULL;
 }
 
@@ -277,8 +282,8 @@
 	pl_result_t result = PL_ERR_INTERNAL;
 
 	pl_seeds_read(f->platform, "trial", seeds, note_, &result);
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 100);
+	while (pl_kv_pending(f->platform) > 0)
+		pl_kv_wait(f->platform, 100);
 	return result;
 }
 
@@ -287,8 +292,8 @@
 	pl_result_t result = PL_ERR_INTERNAL;
 
 	pl_seeds_write(f->platform, "trial", seeds, note_, &result);
-	while (pl_platform_pending(f->platform) > 0)
-		pl_platform_wait(f->platform, 100);
+	while (pl_kv_pending(f->platform) > 0)
+		pl_kv_wait(f->platform, 100);
 	return result;
 }
 
--- a/test/obs/catalog_test.c
+++ b/test/obs/catalog_test.c
@@ -120,6 +120,7 @@
 
 	(void)state;
 	read_sources_(PL_SOURCES, all);
+	read_sources_(PL_PLATFORM_SOURCES, all);
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		char *word = g_strdup_printf("\\b%s\\b", names[i]);
 
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -2,26 +2,34 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <json-c/json.h>
 #include <microhttpd.h>
 #include <stdio.h>
 #include <string.h>
 
 #define VALUE_MAX (1024 * 1024)
-#define KV_PREFIX "/v1/kv/"
-#define WAIT_DEFAULT_MS 300000
-#define TEXT_MAX 128
+/** base64 of the largest value, and room for the rest of the JSON. */
+#define BODY_MAX (VALUE_MAX / 3 * 4 + 4096)
 
 typedef struct {
 	GBytes *value;
 	uint64_t modify_index;
+	uint64_t lease; /* 0 for none */
 } item_t;
 
+typedef struct {
+	uint64_t ttl_ms;
+	gint64 until; /* monotonic, in microseconds */
+} lease_t;
+
 struct pl_store {
 	struct MHD_Daemon *http;
 	GMutex lock;
 	GCond changed;
 	GHashTable *items; /* key to item_t */
 	GHashTable *frozen; /* what reads see after `freeze`, or NULL */
+	GHashTable *leases; /* number to lease_t */
+	uint64_t next_lease;
 	uint64_t index;
 	bool down;
 	uint32_t slow_ms;
@@ -46,12 +54,13 @@
 }
 
 static void items_put_(GHashTable *items, const char *key, GBytes *value,
-		       uint64_t modify_index)
+		       uint64_t modify_index, uint64_t lease)
 {
 	item_t *item = g_new0(item_t, 1);
 
 	item->value = g_bytes_ref(value);
 	item->modify_index = modify_index;
+	item->lease = lease;
 	g_hash_table_replace(items, g_strdup(key), item);
 }
 
@@ -66,7 +75,8 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		item_t *item = value;
 
-		items_put_(copy, key, item->value, item->modify_index);
+		items_put_(copy, key, item->value, item->modify_index,
+			   item->lease);
 	}
 	return copy;
 }
@@ -78,47 +88,33 @@
 }
 
 static enum MHD_Result answer_(struct MHD_Connection *connection,
-			       unsigned int status, const char *body,
-			       size_t len, uint64_t index)
+			       unsigned int status, const char *body)
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
-		len, (void *)body, MHD_RESPMEM_MUST_COPY);
-	char text[TEXT_MAX];
+		strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result result;
 
-	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, index);
-	MHD_add_response_header(response, "X-Consul-Index", text);
 	MHD_add_response_header(response, "Content-Type", "application/json");
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
 }
 
-static enum MHD_Result answer_text_(struct MHD_Connection *connection,
-				    unsigned int status, const char *body)
-{
-	return answer_(connection, status, body, strlen(body), 0);
-}
-
-static uint64_t argument_(struct MHD_Connection *connection, const char *name,
-			  uint64_t missing)
+static const char *text_argument_(struct MHD_Connection *connection,
+				  const char *name)
 {
 	const char *text = MHD_lookup_connection_value(
 		connection, MHD_GET_ARGUMENT_KIND, name);
 
-	return text ? g_ascii_strtoull(text, NULL, 10) : missing;
+	return text ? text : "";
 }
 
-/* Milliseconds of "30s" or "500ms". */
-static uint64_t wait_ms_(struct MHD_Connection *connection)
+static uint64_t argument_(struct MHD_Connection *connection, const char *name,
+			  uint64_t missing)
 {
-	const char *text = MHD_lookup_connection_value(
-		connection, MHD_GET_ARGUMENT_KIND, "wait");
+	const char *text = text_argument_(connection, name);
 
-	if (!text)
-		return WAIT_DEFAULT_MS;
-	return g_ascii_strtoull(text, NULL, 10) *
-	       (g_str_has_suffix(text, "ms") ? 1 : 1000);
+	return *text ? g_ascii_strtoull(text, NULL, 10) : missing;
 }
 
 /* Delays the answer; the lock is held. False when the store went down. */
@@ -132,102 +128,271 @@
 	return !store->down;
 }
 
-static uint64_t key_index_(const pl_store_t *store, const char *key)
+/* Items whose lease has ended go; the lock is held. */
+static void expire_(pl_store_t *store)
 {
-	const item_t *item = find_(store, key);
+	gint64 now = g_get_monotonic_time();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, store->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const item_t *item = value;
+		const lease_t *lease =
+			g_hash_table_lookup(store->leases, &item->lease);
 
-	return item ? item->modify_index : store->index;
+		if (item->lease != 0 && (!lease || lease->until < now)) {
+			g_hash_table_iter_remove(&iter);
+			store->index++;
+		}
+	}
 }
 
-/* Waits until @p key is newer than the caller's index; the lock is held. */
-static void wait_newer_(pl_store_t *store, struct MHD_Connection *connection,
-			const char *key)
+static void append_item_(pl_store_t *store, GString *body, const char *key,
+			 const item_t *item)
 {
-	uint64_t index = argument_(connection, "index", 0);
-	gint64 until =
-		g_get_monotonic_time() + (gint64)wait_ms_(connection) * 1000;
-
-	store->stats.watches++;
-	store->stats.watches_waiting++;
-	while (!store->down && key_index_(store, key) == index &&
-	       g_cond_wait_until(&store->changed, &store->lock, until))
-		;
-	store->stats.watches_waiting--;
+	gsize len = 0;
+	gconstpointer data = g_bytes_get_data(item->value, &len);
+	char *text = g_base64_encode(data, len);
+
+	store->stats.value_bytes_out += len;
+	g_string_append_printf(
+		body,
+		"{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+		",\"lease\":%" G_GUINT64_FORMAT,
+		key, text, item->modify_index, item->lease);
+	g_free(text);
 }
 
 static enum MHD_Result read_(pl_store_t *store,
-			     struct MHD_Connection *connection, const char *key)
+			     struct MHD_Connection *connection)
 {
+	const char *key = text_argument_(connection, "key");
 	GString *body = g_string_new("");
 	enum MHD_Result result = MHD_NO;
-	unsigned int status = MHD_HTTP_NOT_FOUND;
 	const item_t *item;
 
 	g_mutex_lock(&store->lock);
-	if (argument_(connection, "index", 0) > 0)
-		wait_newer_(store, connection, key);
-	else
-		store->stats.reads++;
+	store->stats.reads++;
 	if (delay_(store)) {
+		expire_(store);
 		item = find_(store, key);
-		if (item) {
-			gsize len = 0;
-			gconstpointer data =
-				g_bytes_get_data(item->value, &len);
-			char *text = g_base64_encode(data, len);
-
-			status = MHD_HTTP_OK;
-			store->stats.value_bytes_out += len;
-			g_string_append_printf(
-				body,
-				"[{\"Key\":\"%s\",\"ModifyIndex\":%" G_GUINT64_FORMAT
-				",\"Value\":\"%s\"}]",
-				key, item->modify_index, text);
-			g_free(text);
-		}
-		result = answer_(connection, status, body->str, body->len,
-				 key_index_(store, key));
+		if (item)
+			append_item_(store, body, key, item);
+		g_string_append_printf(
+			body, "%s\"store_revision\":%" G_GUINT64_FORMAT "}",
+			item ? "," : "{", store->index);
+		result = answer_(connection,
+				 item ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
+				 body->str);
 	}
 	g_mutex_unlock(&store->lock);
 	g_string_free(body, TRUE);
 	return result;
 }
 
-static enum MHD_Result write_(pl_store_t *store,
-			      struct MHD_Connection *connection,
-			      const char *key, GByteArray *body)
+/* Appends the items under @p prefix that are newer than @p after; returns
+ * how many there are. */
+static size_t append_items_(pl_store_t *store, GString *body,
+			    const char *prefix, uint64_t after)
+{
+	GHashTable *items = store->frozen ? store->frozen : store->items;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const item_t *item = value;
+
+		if (!g_str_has_prefix(key, prefix) ||
+		    item->modify_index <= after)
+			continue;
+		if (count++ > 0)
+			g_string_append_c(body, ',');
+		append_item_(store, body, key, item);
+		g_string_append_c(body, '}');
+	}
+	return count;
+}
+
+static enum MHD_Result answer_items_(pl_store_t *store,
+				     struct MHD_Connection *connection,
+				     const char *name, const GString *items)
+{
+	char *body =
+		g_strdup_printf("{\"%s\":[%s],\"has_more\":false,"
+				"\"store_revision\":%" G_GUINT64_FORMAT "}",
+				name, items->str, store->index);
+	enum MHD_Result result = answer_(connection, MHD_HTTP_OK, body);
+
+	g_free(body);
+	return result;
+}
+
+static enum MHD_Result watch_(pl_store_t *store,
+			      struct MHD_Connection *connection)
 {
-	uint64_t cas = argument_(connection, "cas", UINT64_MAX);
+	const char *prefix = text_argument_(connection, "prefix");
+	uint64_t after = argument_(connection, "after", 0);
+	gint64 until = g_get_monotonic_time() +
+		       (gint64)argument_(connection, "wait_ms", 0) * 1000;
+	GString *items = g_string_new("");
 	enum MHD_Result result = MHD_NO;
-	const item_t *item;
-	bool done;
 
-	if (body->len > VALUE_MAX)
-		return answer_text_(connection, MHD_HTTP_CONTENT_TOO_LARGE, "");
 	g_mutex_lock(&store->lock);
-	store->stats.writes++;
-	if (!delay_(store) || store->lose_writes > 0) {
-		store->lose_writes -= store->lose_writes > 0;
-		g_mutex_unlock(&store->lock);
-		return MHD_NO;
-	}
-	item = g_hash_table_lookup(store->items, key);
-	done = cas == UINT64_MAX || cas == (item ? item->modify_index : 0);
-	if (done) {
-		GBytes *value = g_bytes_new(body->data, body->len);
-
-		items_put_(store->items, key, value, ++store->index);
-		g_bytes_unref(value);
-		g_cond_broadcast(&store->changed);
+	store->stats.watches++;
+	store->stats.watches_waiting++;
+	while (!store->down &&
+	       append_items_(store, items, prefix, after) == 0 &&
+	       g_cond_wait_until(&store->changed, &store->lock, until))
+		;
+	store->stats.watches_waiting--;
+	if (delay_(store))
+		result = answer_items_(store, connection, "events", items);
+	g_mutex_unlock(&store->lock);
+	g_string_free(items, TRUE);
+	return result;
+}
+
+static enum MHD_Result list_(pl_store_t *store,
+			     struct MHD_Connection *connection)
+{
+	GString *items = g_string_new("");
+	enum MHD_Result result = MHD_NO;
+
+	g_mutex_lock(&store->lock);
+	store->stats.reads++;
+	if (delay_(store)) {
+		expire_(store);
+		append_items_(store, items,
+			      text_argument_(connection, "prefix"), 0);
+		result = answer_items_(store, connection, "items", items);
 	}
+	g_mutex_unlock(&store->lock);
+	g_string_free(items, TRUE);
+	return result;
+}
+
+static struct json_object *field_(struct json_object *object, const char *name)
+{
+	struct json_object *field = NULL;
+
+	json_object_object_get_ex(object, name, &field);
+	return field;
+}
+
+/* First object of the list @p name, or NULL. */
+static struct json_object *first_(struct json_object *root, const char *name)
+{
+	struct json_object *list = field_(root, name);
+
+	if (!list || !json_object_is_type(list, json_type_array))
+		return NULL;
+	return json_object_array_get_idx(list, 0);
+}
+
+/* Carries out a write with one condition; the lock is held. */
+static bool apply_(pl_store_t *store, struct json_object *root)
+{
+	struct json_object *expect = first_(root, "expect");
+	struct json_object *write = first_(root, "writes");
+	const char *key = json_object_get_string(field_(write, "key"));
+	const item_t *item = g_hash_table_lookup(store->items, key);
+	gsize len = 0;
+	guchar *bytes;
+	GBytes *value;
+
+	if (expect && json_object_get_uint64(field_(expect, "revision")) !=
+			      (item ? item->modify_index : 0))
+		return false;
+	bytes = g_base64_decode(json_object_get_string(field_(write, "value")),
+				&len);
+	value = g_bytes_new_take(bytes, len);
+	items_put_(store->items, key, value, ++store->index,
+		   json_object_get_uint64(field_(write, "lease")));
+	g_bytes_unref(value);
+	g_cond_broadcast(&store->changed);
+	return true;
+}
+
+static enum MHD_Result
+answer_write_(pl_store_t *store, struct MHD_Connection *connection, bool done)
+{
+	char *body = g_strdup_printf("{\"revision\":%" G_GUINT64_FORMAT "}",
+				     store->index);
+	enum MHD_Result result = MHD_NO;
+
 	if (store->down_after_write)
 		store->down = true;
 	else if (store->lose_answers > 0)
 		store->lose_answers--;
 	else
-		result = answer_text_(connection, MHD_HTTP_OK,
-				      done ? "true" : "false");
+		result = answer_(connection,
+				 done ? MHD_HTTP_OK :
+					MHD_HTTP_PRECONDITION_FAILED,
+				 body);
+	g_free(body);
+	return result;
+}
+
+static enum MHD_Result
+write_(pl_store_t *store, struct MHD_Connection *connection, const char *body)
+{
+	struct json_object *root = json_tokener_parse(body);
+	enum MHD_Result result = MHD_NO;
+
+	if (!root || !first_(root, "writes")) {
+		json_object_put(root);
+		return answer_(connection, MHD_HTTP_BAD_REQUEST, "{}");
+	}
+	g_mutex_lock(&store->lock);
+	store->stats.writes++;
+	if (!delay_(store) || store->lose_writes > 0) {
+		store->lose_writes -= store->lose_writes > 0;
+	} else {
+		expire_(store);
+		result = answer_write_(store, connection, apply_(store, root));
+	}
 	g_mutex_unlock(&store->lock);
+	json_object_put(root);
+	return result;
+}
+
+/* Takes a lease, or renews the one whose number stands in @p text. */
+static enum MHD_Result lease_(pl_store_t *store,
+			      struct MHD_Connection *connection,
+			      const char *text, const char *body)
+{
+	struct json_object *root = json_tokener_parse(*body ? body : "{}");
+	gint64 now = g_get_monotonic_time();
+	uint64_t id = g_ascii_strtoull(text, NULL, 10);
+	enum MHD_Result result = MHD_NO;
+	lease_t *lease;
+	char *answer;
+
+	g_mutex_lock(&store->lock);
+	store->stats.reads++;
+	if (*text == '\0') {
+		lease = g_new0(lease_t, 1);
+		id = ++store->next_lease;
+		lease->ttl_ms = json_object_get_uint64(field_(root, "ttl_ms"));
+		g_hash_table_insert(store->leases, g_memdup2(&id, sizeof(id)),
+				    lease);
+	} else {
+		lease = g_hash_table_lookup(store->leases, &id);
+	}
+	if (lease)
+		lease->until = now + (gint64)lease->ttl_ms * 1000;
+	answer = g_strdup_printf("{\"lease\":%" G_GUINT64_FORMAT "}", id);
+	if (delay_(store))
+		result = answer_(connection,
+				 lease ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
+				 answer);
+	g_mutex_unlock(&store->lock);
+	g_free(answer);
+	json_object_put(root);
 	return result;
 }
 
@@ -246,7 +411,7 @@
 			       ",\"value_bytes_out\":%" G_GUINT64_FORMAT "}\n",
 			       stats.reads, stats.writes, stats.watches,
 			       stats.watches_waiting, stats.value_bytes_out);
-	result = answer_text_(connection, MHD_HTTP_OK, text);
+	result = answer_(connection, MHD_HTTP_OK, text);
 	g_free(text);
 	return result;
 }
@@ -258,9 +423,8 @@
 		connection, MHD_GET_ARGUMENT_KIND, "command");
 	bool known = command && pl_store_command(store, command);
 
-	return answer_text_(connection,
-			    known ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
-			    known ? "ok\n" : "not known\n");
+	return answer_(connection, known ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+		       known ? "ok\n" : "not known\n");
 }
 
 static bool is_down_(pl_store_t *store)
@@ -273,6 +437,26 @@
 	return down;
 }
 
+static enum MHD_Result serve_(pl_store_t *store,
+			      struct MHD_Connection *connection,
+			      const char *url, const char *body)
+{
+	if (strcmp(url, "/v1/kv-key") == 0)
+		return read_(store, connection);
+	if (strcmp(url, "/v1/kv-watch") == 0)
+		return watch_(store, connection);
+	if (strcmp(url, "/v1/kv-range") == 0)
+		return list_(store, connection);
+	if (strcmp(url, "/v1/kv-txn") == 0)
+		return write_(store, connection, body);
+	if (strcmp(url, "/v1/kv-lease") == 0)
+		return lease_(store, connection, "", body);
+	if (g_str_has_prefix(url, "/v1/kv-keep/"))
+		return lease_(store, connection, url + strlen("/v1/kv-keep/"),
+			      body);
+	return answer_(connection, MHD_HTTP_NOT_FOUND, "{}");
+}
+
 static enum MHD_Result on_request_(void *ctx, struct MHD_Connection *connection,
 				   const char *url, const char *method,
 				   const char *version, const char *upload,
@@ -287,7 +471,7 @@
 		return MHD_YES;
 	}
 	if (*upload_len > 0) {
-		if (body->len <= VALUE_MAX)
+		if (body->len <= BODY_MAX)
 			g_byte_array_append(body, (const guint8 *)upload,
 					    (guint)*upload_len);
 		*upload_len = 0;
@@ -299,13 +483,8 @@
 		return fault_(store, connection);
 	if (is_down_(store))
 		return MHD_NO;
-	if (!g_str_has_prefix(url, KV_PREFIX))
-		return answer_text_(connection, MHD_HTTP_NOT_FOUND, "");
-	if (strcmp(method, "GET") == 0)
-		return read_(store, connection, url + strlen(KV_PREFIX));
-	if (strcmp(method, "PUT") == 0)
-		return write_(store, connection, url + strlen(KV_PREFIX), body);
-	return answer_text_(connection, MHD_HTTP_METHOD_NOT_ALLOWED, "");
+	g_byte_array_append(body, (const guint8 *)"", 1);
+	return serve_(store, connection, url, (const char *)body->data);
 }
 
 static void on_completed_(void *ctx, struct MHD_Connection *connection,
@@ -331,6 +510,8 @@
 	g_mutex_init(&store->lock);
 	g_cond_init(&store->changed);
 	store->items = items_new_();
+	store->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, g_free);
 	store->index = 1;
 	store->http = MHD_start_daemon(
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
@@ -352,6 +533,7 @@
 	if (store->http)
 		MHD_stop_daemon(store->http);
 	g_hash_table_destroy(store->items);
+	g_hash_table_destroy(store->leases);
 	g_clear_pointer(&store->frozen, g_hash_table_destroy);
 	g_mutex_clear(&store->lock);
 	g_cond_clear(&store->changed);
