A fleet that lost its power knows itself again sooner; deaf watches end in time

Ruled out: a history that was dropped (no 410 came), cut connections. Built: a burst of 32 KB on the same mean budget, three seeds at once, lookups ask endpoints learned of later, watches of 70 % of the bound that read the key when the store moved on; test deaf_watch_finds_the_change_at_its_end.

--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -25,7 +25,7 @@
 #include <pimentolift/kv.h>
 #include <pimentolift/timer.h>
 
-/** Members of each data centre that watch the platform. */
+/** Members of each data centre that watch the platform, unless set. */
 #define PL_CONFIG_WATCHERS 2
 /** Peers that a newcomer asks for their revision. */
 #define PL_CONFIG_START_PEERS 3
@@ -79,6 +79,9 @@
 				     pl_timer_service_t *timers);
 void pl_config_sync_delete(pl_config_sync_t *sync);
 
+/** Sets how many members of each data centre watch the platform. */
+void pl_config_sync_set_watchers(pl_config_sync_t *sync, unsigned int watchers);
+
 /**
  * Starts; call it once the membership was joined, or could not be within a
  * second or two, so that the peers to ask are known.
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -45,6 +45,10 @@
 	  "views of a failed endpoint were taken over")                       \
 	X(PL_EVENT_FLOWS_ENDED, 240, "flows-ended", WARNING,                  \
 	  "a backend server's life ended and its flows were reset")           \
+	X(PL_EVENT_FLOW_LOST, 242, "flow-lost", WARNING,                      \
+	  "no agent said that it owns a flow; its packets were dropped")      \
+	X(PL_EVENT_FLOW_DEAD, 243, "flow-dead", INFO,                         \
+	  "every agent ruled a flow out; it was reset")                       \
 	X(PL_EVENT_REPORT_MALFORMED, 241, "report-malformed", WARNING,        \
 	  "a backend server's report could not be read")                      \
 	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,          \
--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -24,6 +24,13 @@
  * acknowledgement; more than what can be in flight. */
 #define PL_FLOW_ACK_WINDOW 76800
 
+/** Length of a printed flow, its terminator included. */
+#define PL_FLOW_TEXT_MAX 48
+
+/** Prints "CALLER:PORT>SERVICE:PORT" into @p text and returns it. */
+const char *pl_flow_format(const pl_flow_key_t *flow,
+			   char text[PL_FLOW_TEXT_MAX]);
+
 /** Type of a message. */
 typedef enum {
 	PL_FLOW_FORWARD = 1, /**< entry to agent: a caller's packet */
--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -75,7 +75,7 @@
 	pl_kv_call_t *(*get)(pl_kv_t *kv, const char *key, pl_kv_done_t done,
 			     void *ctx);
 	pl_kv_call_t *(*watch)(pl_kv_t *kv, const char *key, uint64_t index,
-			       pl_kv_done_t done, void *ctx);
+			       uint32_t wait_ms, pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*put)(pl_kv_t *kv, const pl_kv_write_t *write,
 			     pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*list)(pl_kv_t *kv, const char *prefix,
@@ -111,11 +111,11 @@
 
 /**
  * Reads @p key once the store is newer than @p index and the key has changed,
- * or after the wait; at once with index 0, or when the store no longer knows
- * what happened since.
+ * or after @p wait_ms; at once with index 0, or when the store no longer knows
+ * what happened since. A change that the waiting missed is found at its end.
  */
 pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, uint64_t index,
-			  pl_kv_done_t done, void *ctx);
+			  uint32_t wait_ms, pl_kv_done_t done, void *ctx);
 
 /** Writes a key if its modify index is still the one to be replaced. */
 pl_kv_call_t *pl_kv_put(pl_kv_t *kv, const pl_kv_write_t *write,
--- a/include/pimentolift/member.h
+++ b/include/pimentolift/member.h
@@ -78,6 +78,8 @@
 	uint64_t boot; /**< random identity of this life of the process */
 	uint64_t incarnation; /**< wall clock at the start, Unix seconds */
 	uint32_t budget; /**< bytes a second, in and out; 0 for the default */
+	uint32_t burst; /**< bytes that may be sent at once; 0: a quarter of a
+				second's budget */
 	pl_key_t key; /**< of purpose PL_KEY_GOSSIP */
 } pl_member_params_t;
 
--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -62,6 +62,7 @@
 typedef struct {
 	pl_timer_t evaluate;
 	pl_timer_t retry;
+	unsigned int watchers; /**< in each data centre */
 	bool wanted; /**< this member is a watcher */
 	bool open;
 	pl_ms_t opened;
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -22,10 +22,16 @@
 
 void pl_sync_watch_init(pl_config_sync_t *sync)
 {
+	sync->watch.watchers = PL_CONFIG_WATCHERS;
 	pl_timer_init(&sync->watch.evaluate, on_evaluate_, sync);
 	pl_timer_init(&sync->watch.retry, on_retry_, sync);
 }
 
+void pl_config_sync_set_watchers(pl_config_sync_t *sync, unsigned int watchers)
+{
+	sync->watch.watchers = watchers;
+}
+
 void pl_sync_watch_finish(pl_config_sync_t *sync)
 {
 	pl_timer_cancel(sync->timers, &sync->watch.evaluate);
@@ -39,7 +45,7 @@
 	return pl_hash(&member, sizeof(member), datacentre);
 }
 
-/* Whether fewer than PL_CONFIG_WATCHERS of the data centre rank higher. */
+/* Whether few enough members of the data centre rank higher. */
 static bool is_watcher_(const pl_config_sync_t *sync)
 {
 	uint64_t own = score_(sync->self, sync->datacentre);
@@ -52,7 +58,7 @@
 		    score_(peer->id, sync->datacentre) > own)
 			higher++;
 	}
-	return higher < PL_CONFIG_WATCHERS;
+	return higher < sync->watch.watchers;
 }
 
 static void open_(pl_config_sync_t *sync)
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -45,6 +45,9 @@
 /** An agent of flows stops faster: its backend server serves on, and waits
  * for the agent's successor. */
 #define FLOW_AGENT_LEAVE_MS 50
+/** Bytes of gossip at once: a fleet that lost its power knows itself again
+ * within a second, on the same mean budget. */
+#define FLOW_GOSSIP_BURST 32000
 /** Same-service agents that each agent probes at the faster rate. */
 #define WATCHED_AGENTS 2
 
@@ -568,6 +571,8 @@
 		.incarnation = (uint64_t)time(NULL),
 	};
 
+	if (settings->traffic == PL_TRAFFIC_FLOWS)
+		params.burst = FLOW_GOSSIP_BURST;
 	pl_key_derive(settings->secret, settings->environment, PL_KEY_GOSSIP,
 		      &params.key);
 	node->members =
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -14,6 +14,13 @@
 /** A newcomer that found no peer by now asks the platform alone. */
 #define JOIN_WAIT_MS 1500
 
+/** Entries of each data centre that watch the store. */
+#define FLOW_WATCHERS 1
+/** A watch that went deaf ends within this part of the time in which a
+ * change must be in force; the rest is for spreading. */
+#define WATCH_PERCENT 70
+#define PERCENT 100
+
 struct pl_node_config {
 	pl_node_t *node;
 	pl_node_config_changed_t changed;
@@ -22,6 +29,7 @@
 	pl_config_sync_t *sync;
 	char *key;
 	pl_kv_call_t *watch;
+	uint32_t watch_ms; /* longest wait of a watch */
 	pl_timer_t poll;
 	pl_ms_t start_by;
 	bool started;
@@ -73,7 +81,7 @@
 	pl_node_config_t *config = ctx;
 
 	config->watch = pl_kv_watch(config->platform, config->key, index,
-				    watch_done_, config);
+				    config->watch_ms, watch_done_, config);
 }
 
 static void unwatch_(void *ctx)
@@ -157,6 +165,13 @@
 	config->sync = pl_config_sync_new(
 		pl_node_self(node), pl_hash_text(settings->datacentre),
 		flows ? &flow_ops_ : &ops_, config, timers_(config));
+	config->watch_ms = PL_KV_WAIT_MS;
+	if (flows) {
+		config->watch_ms =
+			MIN(settings->flows.config_ms * WATCH_PERCENT / PERCENT,
+			    PL_KV_WAIT_MS);
+		pl_config_sync_set_watchers(config->sync, FLOW_WATCHERS);
+	}
 	pl_timer_init(&config->poll, poll_, config);
 	return config;
 }
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -9,6 +9,7 @@
  */
 #include "private/entry_private.h"
 
+#include <inttypes.h>
 #include <pimentolift/event.h>
 #include <string.h>
 
@@ -52,11 +53,13 @@
 	entry->ops->send(entry->ctx, agent, &message);
 }
 
-/* Asks each agent of the service that is new, or did not answer yet. */
-static void ask_all_(pl_flow_entry_t *entry, lookup_t *lookup)
+/* Asks each agent of the service that is new, or did not answer yet; true
+ * when there was one. */
+static bool ask_all_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
 	const pl_route_service_t *service =
 		pl_routing_by_id(entry->routing, lookup->flow->service);
+	bool asks = false;
 
 	for (size_t i = 0; service && i < service->endpoint_count; i++) {
 		asked_t new = { .agent = service->endpoints[i].agent };
@@ -64,9 +67,12 @@
 
 		if (!asked)
 			g_array_append_val(lookup->asked, new);
-		if (!asked || !asked->answered)
-			ask_(entry, lookup, new.agent);
+		if (asked && asked->answered)
+			continue;
+		ask_(entry, lookup, new.agent);
+		asks = true;
 	}
+	return asks;
 }
 
 static void arm_(pl_flow_entry_t *entry, lookup_t *lookup, pl_ms_t pause)
@@ -150,6 +156,11 @@
 
 	if (lookup->trial || lookup->exhausted)
 		return;
+	/* a table that names no endpoint is that of a newcomer */
+	if (lookup->asked->len == 0) {
+		arm_(entry, lookup, ASK_AGAIN_MS);
+		return;
+	}
 	if (rest.silent > 0 && age < SILENT_MS) {
 		arm_(entry, lookup, SILENT_MS - age);
 		return;
@@ -168,6 +179,40 @@
 	pl_flow_lookup_ask_roster_(entry);
 }
 
+/* What each agent said, for the log. */
+static char *answers_(const lookup_t *lookup)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < lookup->asked->len; i++) {
+		const asked_t *asked =
+			&g_array_index(lookup->asked, asked_t, i);
+		const pl_addr_t addr = pl_member_id_to_addr(asked->agent);
+		char name[PL_ADDR_TEXT_MAX];
+
+		g_string_append_printf(
+			text, " %s=%s%s", pl_addr_format(&addr, name),
+			asked->answered ?
+				pl_flow_verdict_names[asked->verdict] :
+				"silent",
+			asked->tried ? ",tried" : "");
+	}
+	return g_string_free(text, FALSE);
+}
+
+static void log_end_(pl_flow_entry_t *entry, const lookup_t *lookup,
+		     pl_event_id_t event)
+{
+	char name[PL_FLOW_TEXT_MAX];
+	char *answers = answers_(lookup);
+
+	pl_event(event, "flow %s after %" PRIu64 " ms, %zu packets:%s",
+		 pl_flow_format(&lookup->flow->node.key, name),
+		 pl_flow_entry_now_(entry) - lookup->started,
+		 lookup->parked_count, answers);
+	g_free(answers);
+}
+
 static void on_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_flow_entry_t *entry = ctx;
@@ -175,12 +220,13 @@
 
 	if (now - lookup->started >= LOOKUP_MS) {
 		entry->stats.lost++;
+		log_end_(entry, lookup, PL_EVENT_FLOW_LOST);
 		pl_flow_lookup_end_(entry, lookup);
 		return;
 	}
 	lookup->trial = false;
-	if (!lookup->exhausted && now - lookup->started >= ASK_AGAIN_MS)
-		ask_all_(entry, lookup);
+	if (now - lookup->started >= ASK_AGAIN_MS && ask_all_(entry, lookup))
+		lookup->exhausted = false;
 	if (lookup->exhausted) {
 		pl_flow_lookup_ask_roster_(entry);
 		arm_(entry, lookup, ASK_AGAIN_MS);
@@ -295,6 +341,7 @@
 		    !ruled_out_(lookup, agents, count))
 			continue;
 		entry->stats.dead++;
+		log_end_(entry, lookup, PL_EVENT_FLOW_DEAD);
 		pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
 		pl_flow_lookup_end_(entry, lookup);
 		pl_flow_table_remove(entry->flows, &flow->node);
--- a/src/flow/flow_table.c
+++ b/src/flow/flow_table.c
@@ -6,6 +6,7 @@
 
 #include <assert.h>
 #include <glib.h>
+#include <pimentolift/flow.h>
 #include <pimentolift/hash.h>
 #include <string.h>
 
@@ -18,6 +19,25 @@
 	void *ctx;
 };
 
+static void put_ip_(char *out, size_t size, uint32_t ip)
+{
+	g_snprintf(out, size, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
+		   ip >> 8 & 255, ip & 255);
+}
+
+const char *pl_flow_format(const pl_flow_key_t *flow,
+			   char text[PL_FLOW_TEXT_MAX])
+{
+	char caller[16];
+	char service[16];
+
+	put_ip_(caller, sizeof(caller), flow->caller_ip);
+	put_ip_(service, sizeof(service), flow->service_ip);
+	g_snprintf(text, PL_FLOW_TEXT_MAX, "%s:%u>%s:%u", caller,
+		   flow->caller_port, service, flow->service_port);
+	return text;
+}
+
 static guint hash_(gconstpointer key)
 {
 	return (guint)pl_hash(key, sizeof(pl_flow_key_t), 0);
--- a/src/kv/kv.c
+++ b/src/kv/kv.c
@@ -20,10 +20,10 @@
 }
 
 pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, uint64_t index,
-			  pl_kv_done_t done, void *ctx)
+			  uint32_t wait_ms, pl_kv_done_t done, void *ctx)
 {
-	assert(done);
-	return kv->ops->watch(kv, key, index, done, ctx);
+	assert(done && wait_ms <= PL_KV_WAIT_MS);
+	return kv->ops->watch(kv, key, index, wait_ms, done, ctx);
 }
 
 pl_kv_call_t *pl_kv_put(pl_kv_t *kv, const pl_kv_write_t *write,
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -167,6 +167,7 @@
 	size_t updates_queued;
 	bool quiet; /* what is learned now is known to others already */
 	uint32_t budget; /* bytes a second, sent */
+	int64_t burst; /* most tokens */
 	int64_t tokens; /* thousandths of a byte */
 	pl_ms_t tokens_at;
 	pl_ms_t next_gossip;
--- a/src/member/receive.c
+++ b/src/member/receive.c
@@ -11,6 +11,9 @@
  * Part of the budget for what is sent. As much is received on average, and
  * the rest is for the seconds in which chance brings more.
  */
+#define MILLI 1000
+/** The bucket holds what the budget gives in this time, unless set. */
+#define BUCKET_MS 250
 #define SENT_SHARE_PERCENT 40
 /** Members that are told directly of a departure or a new identity. */
 #define ANNOUNCE_FANOUT 8
@@ -75,6 +78,9 @@
 	for (int i = 0; i < PL_MEMBER_SENT_MAX; i++)
 		pl_list_init(&table->updates[i]);
 	table->budget = budget * SENT_SHARE_PERCENT / 100;
+	table->burst = params->burst ? (int64_t)params->burst * MILLI :
+				       (int64_t)table->budget * BUCKET_MS;
+	table->tokens = params->burst ? table->burst : 0;
 	table->tokens_at = table->now;
 	pl_timer_init(&table->beat, beat_, table);
 	add_self_(table, params);
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -5,8 +5,8 @@
  * sent; the least sent goes first. Every datagram carries some of it, and
  * while changes are young a few datagrams more are sent each round. When the
  * budget is short, a member that hears a change which it spreads itself counts
- * that as a sending, so that the budget goes to what is less known. A bucket of tokens caps the
- * bytes: probes always go, without changes when the bucket is empty.
+ * that as a sending, so that the budget goes to what is less known. A bucket of tokens caps the bytes: probes always go, without changes when the
+ * bucket is empty.
  */
 #include "private/member_private.h"
 
@@ -19,8 +19,8 @@
 #define SENT_PER_LN 2.0
 /** Rounds of extra gossip for a new configuration revision. */
 #define REVISION_ROUNDS 6
-/** The bucket holds what the budget gives in this time. */
-#define BUCKET_MS 250
+/** What the budget gives in this time may be owed. */
+#define OWED_MS 250
 #define MILLI 1000
 /** Time from a shortage of the budget to a comparison of tables. */
 #define SHORTAGE_SYNC_MS 10000
@@ -99,18 +99,16 @@
 	}
 	/* with room in the budget each change gets all its sendings */
 	if (!pl_list_empty(&member->update_link) &&
-	    table->tokens < (int64_t)table->budget * BUCKET_MS / 2)
+	    table->tokens < table->burst / 2)
 		count_sent_(table, member, sent_limit_(table));
 }
 
 static void refill_(pl_member_table_t *table)
 {
-	int64_t most = (int64_t)table->budget * BUCKET_MS;
-
 	table->tokens +=
 		(int64_t)((table->now - table->tokens_at) * table->budget);
 	table->tokens_at = table->now;
-	table->tokens = MIN(table->tokens, most);
+	table->tokens = MIN(table->tokens, table->burst);
 }
 
 bool pl_member_may_send_(pl_member_table_t *table)
@@ -287,7 +285,7 @@
 
 	refill_(table);
 	if (pl_list_empty(&table->ring_due) ||
-	    table->tokens < -(int64_t)table->budget * BUCKET_MS)
+	    table->tokens < -(int64_t)table->budget * OWED_MS)
 		return;
 	table->next_ring = table->now + PL_MEMBER_RING_MS;
 	next = pl_member_ring_next_(table);
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -13,10 +13,10 @@
 #include <string.h>
 
 /** Time for a seed to answer, and for a table to arrive. */
-#define SEED_ANSWER_MS 500
+#define SEED_ANSWER_MS 300
 #define PULL_ANSWER_MS 3000
 /** Pause after all seeds were asked: at first, and at most. */
-#define BACKOFF_MIN_MS 1000
+#define BACKOFF_MIN_MS 500
 #define BACKOFF_MAX_MS 10000
 /** Members named to a newcomer. */
 #define PEERS_COUNT 5
@@ -26,8 +26,10 @@
 #define BUCKETS_PER_PULL 4
 #define PULL_PAUSE_MS 2000
 /** Comparisons soon after a newcomer has its table, and their pause. */
-#define YOUNG_SYNCS 3
-#define YOUNG_SYNC_MS 700
+#define YOUNG_SYNCS 5
+#define YOUNG_SYNC_MS 300
+/** Seeds that a newcomer asks at once: some of a list may be down. */
+#define SEEDS_AT_ONCE 3
 /** Larger frames are whole tables for newcomers, outside of the budget. */
 #define CHARGED_MAX 8000
 /** Data centres whose buckets go into one datagram. */
@@ -74,7 +76,7 @@
 	pl_member_send_(table, to, &update, &(pl_extra_t){ .own = true });
 }
 
-static void ask_seed_(pl_member_table_t *table)
+static void ask_next_(pl_member_table_t *table)
 {
 	pl_gossip_message_t ping = { .type = PL_GOSSIP_PING,
 				     .flags = PL_GOSSIP_WANT_RECORD |
@@ -82,9 +84,6 @@
 	size_t count = table->seeds->len;
 	pl_member_id_t seed;
 
-	table->next_join = table->now + SEED_ANSWER_MS;
-	if (count == 0)
-		return;
 	/* newcomers of one settings file must not all ask the first seed */
 	if (table->seed_at == 0)
 		table->seed_at = pl_member_random_below_(table, count) + count;
@@ -92,7 +91,16 @@
 			     table->seed_at++ % count);
 	pl_member_send_(table, seed, &ping,
 			&(pl_extra_t){ .own = true, .names = true });
-	if (table->seed_at % count != 0)
+}
+
+static void ask_seeds_(pl_member_table_t *table)
+{
+	size_t count = table->seeds->len;
+
+	table->next_join = table->now + SEED_ANSWER_MS;
+	for (size_t i = 0; i < MIN(count, SEEDS_AT_ONCE); i++)
+		ask_next_(table);
+	if (count == 0 || table->seed_at / count < 2)
 		return;
 	table->join_backoff =
 		CLAMP(table->join_backoff * 2, BACKOFF_MIN_MS, BACKOFF_MAX_MS);
@@ -134,8 +142,11 @@
 	if (table->seed_heard)
 		return;
 	for (guint i = 0; i < table->seeds->len; i++) {
-		if (g_array_index(table->seeds, pl_member_id_t, i) == sender)
-			table->seed_heard = true;
+		if (g_array_index(table->seeds, pl_member_id_t, i) != sender)
+			continue;
+		table->seed_heard = true;
+		if (table->join == PL_JOIN_SEED)
+			table->next_join = table->now;
 	}
 }
 
@@ -163,7 +174,7 @@
 		return;
 	}
 	table->join = PL_JOIN_SEED;
-	ask_seed_(table);
+	ask_seeds_(table);
 }
 
 /* Meets members again that both sides took for dead. */
--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -147,7 +147,8 @@
 
 	assert_int_equal(put_(f, "one", 0), PL_OK);
 	assert_int_equal(get_(f, &read), PL_OK);
-	pl_kv_watch(f->platform, KEY, read.watch_index, on_done_, &watch);
+	pl_kv_watch(f->platform, KEY, read.watch_index, PL_KV_WAIT_MS, on_done_,
+		    &watch);
 	while (stats.watches_waiting == 0) {
 		pl_kv_wait(f->platform, 10);
 		pl_store_stats(f->store, &stats);
@@ -218,7 +219,7 @@
 	pl_store_stats_t stats = { 0 };
 
 	assert_int_equal(put_(f, "one", 0), PL_OK);
-	pl_kv_watch(f->platform, KEY, 2, on_done_, &watch);
+	pl_kv_watch(f->platform, KEY, 2, PL_KV_WAIT_MS, on_done_, &watch);
 	while (stats.watches_waiting == 0) {
 		pl_kv_wait(f->platform, 10);
 		pl_store_stats(f->store, &stats);
@@ -228,6 +229,27 @@
 	assert_int_equal(watch.result, PL_ERR_UNAVAILABLE);
 }
 
+/* Found on the users' bench: a waiting watch heard nothing of a change. */
+static void deaf_watch_finds_the_change_at_its_end(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t watch = { 0 };
+	outcome_t read = { 0 };
+
+	assert_int_equal(put_(f, "one", 0), PL_OK);
+	assert_int_equal(get_(f, &read), PL_OK);
+	pl_store_command(f->store, "deaf");
+	pl_kv_watch(f->platform, KEY, read.watch_index, 100, on_done_, &watch);
+	pl_kv_wait(f->platform, 10);
+	assert_int_equal(put_(f, "two", read.modify_index), PL_OK);
+	finish_(f);
+	assert_int_equal(watch.calls, 1);
+	assert_int_equal(watch.result, PL_OK);
+	assert_memory_equal(watch.value, "two", 3);
+	g_free(watch.value);
+	g_free(read.value);
+}
+
 int main(void)
 {
 #define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
@@ -238,6 +260,7 @@
 		TEST_(lost_answer_is_an_unknown_outcome),
 		TEST_(outage_is_typed_and_ends),
 		TEST_(outage_ends_a_watch),
+		TEST_(deaf_watch_finds_the_change_at_its_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -36,6 +36,7 @@
 	uint32_t lose_answers;
 	uint32_t lose_writes;
 	bool down_after_write;
+	bool deaf; /* watches that wait hear nothing */
 	pl_store_stats_t stats;
 };
 
@@ -245,7 +246,8 @@
 	store->stats.watches++;
 	store->stats.watches_waiting++;
 	while (!store->down &&
-	       append_items_(store, items, prefix, after) == 0 &&
+	       (store->deaf ||
+		append_items_(store, items, prefix, after) == 0) &&
 	       g_cond_wait_until(&store->changed, &store->lock, until))
 		;
 	store->stats.watches_waiting--;
@@ -555,6 +557,7 @@
 	store->lose_answers = 0;
 	store->lose_writes = 0;
 	store->down_after_write = false;
+	store->deaf = false;
 	g_clear_pointer(&store->frozen, g_hash_table_destroy);
 }
 
@@ -574,6 +577,8 @@
 		store->lose_answers = amount;
 	else if (sscanf(command, "lose-writes %u", &amount) == 1)
 		store->lose_writes = amount;
+	else if (strcmp(command, "deaf") == 0)
+		store->deaf = true;
 	else if (strcmp(command, "down-after-write") == 0)
 		store->down_after_write = true;
 	else if (strcmp(command, "freeze") == 0 && !store->frozen)
