Flows that nobody can own are reset: a roster of agents in the store is the proof

Cause: after a power loss callers wait on dead flows until their deadlines. Built: agents register in the store under a lease before they are offered flows; an entry that every agent of a roster read after the lookup began has answered 'absent' resets the flow; agents leave the roster when their backend server says that it ends. Ruled out: resetting on the agents known alone (an agent that the table lacks may own the flow).

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -77,6 +77,8 @@
 	  "parts of a configuration could not be read and were left out")     \
 	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,              \
 	  "the platform's key-value service does not answer")                 \
+	X(PL_EVENT_ROSTER_FAILED, 412, "roster-failed", WARNING,              \
+	  "an agent could not register in the store")                         \
 	X(PL_EVENT_PLATFORM_UP, 411, "platform-up", INFO,                     \
 	  "the platform's key-value service answers again")                   \
 	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                  \
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -40,6 +40,8 @@
 		     const pl_flow_message_t *message);
 	/** What the backend server says of itself changed. */
 	void (*backend)(void *ctx, bool serving, uint32_t slots);
+	/** The backend server said that it ends. */
+	void (*gone)(void *ctx);
 } pl_flow_agent_ops_t;
 
 /** Figures for status and tests. */
--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -24,6 +24,8 @@
 #define PL_KV_VALUE_MAX (1024 * 1024)
 /** Longest that a watch waits in one call, in milliseconds. */
 #define PL_KV_WAIT_MS 30000
+/** A write that goes through whatever the key holds. */
+#define PL_KV_ANY UINT64_MAX
 /** Longest key, in bytes. */
 #define PL_KV_KEY_MAX 200
 
@@ -66,7 +68,8 @@
 	const char *key;
 	const void *value; /**< copied */
 	size_t value_len;
-	uint64_t replaces; /**< modify index; 0: the key must not exist */
+	/** Modify index; 0: the key must not exist; @ref PL_KV_ANY: no matter. */
+	uint64_t replaces;
 	uint64_t lease; /**< the key goes when it ends; 0 for none */
 } pl_kv_write_t;
 
@@ -78,6 +81,8 @@
 			       uint32_t wait_ms, pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*put)(pl_kv_t *kv, const pl_kv_write_t *write,
 			     pl_kv_done_t done, void *ctx);
+	pl_kv_call_t *(*remove)(pl_kv_t *kv, const char *key, pl_kv_done_t done,
+				void *ctx);
 	pl_kv_call_t *(*list)(pl_kv_t *kv, const char *prefix,
 			      const char *after, pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*lease)(pl_kv_t *kv, uint32_t ttl_ms, pl_kv_done_t done,
@@ -121,6 +126,10 @@
 pl_kv_call_t *pl_kv_put(pl_kv_t *kv, const pl_kv_write_t *write,
 			pl_kv_done_t done, void *ctx);
 
+/** Removes a key; PL_OK also when there is none. */
+pl_kv_call_t *pl_kv_remove(pl_kv_t *kv, const char *key, pl_kv_done_t done,
+			   void *ctx);
+
 /** Lists keys that start with @p prefix, those after @p after if given. */
 pl_kv_call_t *pl_kv_list(pl_kv_t *kv, const char *prefix, const char *after,
 			 pl_kv_done_t done, void *ctx);
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -57,11 +57,19 @@
 		slots, serving);
 }
 
+static void op_gone_(void *ctx)
+{
+	role_t *role = ctx;
+
+	pl_node_backend_gone(role->thread.node);
+}
+
 static const pl_flow_agent_ops_t ops_ = {
 	.deliver = op_deliver_,
 	.to_caller = op_to_caller_,
 	.send = op_send_,
 	.backend = op_backend_,
+	.gone = op_gone_,
 };
 
 static void on_message_(void *ctx, const pl_flow_message_t *message)
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -6,6 +6,7 @@
 #include "private/flow_ready.h"
 #include "private/node.h"
 #include "private/node_config.h"
+#include "private/node_roster.h"
 #include "private/node_seeds.h"
 #include "private/node_post.h"
 #include "private/routing_build.h"
@@ -73,6 +74,9 @@
 	size_t watched_count;
 	pl_node_config_t *config;
 	pl_node_seeds_t *seeds;
+	pl_node_roster_t *roster; /* of flows */
+	bool serving; /* what the backend server said last */
+	bool registered; /* in the roster, or known by all without it */
 	pl_admin_t *admin;
 	pl_flow_ready_t *ready; /* of flows */
 	pl_routing_t *routing; /* published under RCU */
@@ -293,20 +297,56 @@
 	rebuild_soon_(node);
 }
 
+/* An endpoint is offered flows once its backend server takes them and every
+ * entry can find out that it may own some. */
+static void announce_endpoint_(pl_node_t *node)
+{
+	node->attr.endpoint = node->serving && node->registered ?
+				      PL_ENDPOINT_SERVING :
+				      PL_ENDPOINT_DRAINING;
+	pl_member_set_attributes(node->members, &node->attr);
+}
+
+static void registered_(void *ctx)
+{
+	pl_node_t *node = ctx;
+
+	node->registered = true;
+	announce_endpoint_(node);
+}
+
 void pl_node_set_endpoint_now(pl_node_t *node, pl_service_id_t service,
 			      uint32_t slots, bool serving)
 {
 	node->attr.service = service;
 	node->attr.slots = slots;
-	node->attr.endpoint =
-		serving ? PL_ENDPOINT_SERVING : PL_ENDPOINT_DRAINING;
-	pl_member_set_attributes(node->members, &node->attr);
+	node->serving = serving;
+	/* after it said that it ends, a backend server may start anew */
+	if (serving && !node->registered)
+		pl_node_roster_enter(node->roster, service, registered_, node);
+	announce_endpoint_(node);
+}
+
+void pl_node_backend_gone_now(pl_node_t *node)
+{
+	node->registered = false;
+	pl_node_roster_leave(node->roster);
+	announce_endpoint_(node);
+}
+
+static void roster_answer_(void *ctx, pl_service_id_t service, bool known,
+			   const pl_member_id_t *agents, size_t count)
+{
+	pl_node_t *node = ctx;
+
+	if (node->role)
+		node->role_ops->roster(node->role, service, known, agents,
+				       count);
 }
 
 void pl_node_ask_roster_now(pl_node_t *node, pl_service_id_t service)
 {
-	if (node->role_ops->roster)
-		node->role_ops->roster(node->role, service, false, NULL, 0);
+	pl_node_roster_ask(node->roster, service, roster_answer_, node);
 }
 
 static void member_send_frame_(void *ctx, const pl_peer_frame_t *frame)
@@ -645,6 +685,8 @@
 	if (!node->admin)
 		goto failed;
 	if (settings->traffic == PL_TRAFFIC_FLOWS) {
+		node->roster = pl_node_roster_new(
+			node, pl_node_config_platform(node->config));
 		node->ready =
 			pl_flow_ready_new(node->loop, &settings->flows.ready,
 					  takes_packets_, node, err);
@@ -689,6 +731,9 @@
 	pl_member_join(node->members);
 	pl_node_config_start(node->config);
 	pl_node_seeds_start(node->seeds);
+	if (node->roster && node->settings->role == PL_ROLE_AGENT)
+		pl_node_roster_enter(node->roster, node->attr.service,
+				     registered_, node);
 	print_ready_(node, listening);
 	g_string_free(listening, TRUE);
 	pl_loop_run(node->loop);
@@ -705,6 +750,7 @@
 		return;
 	pl_flow_ready_delete(node->ready);
 	pl_admin_delete(node->admin);
+	pl_node_roster_delete(node->roster);
 	pl_node_seeds_delete(node->seeds);
 	pl_node_config_delete(node->config);
 	pl_member_table_delete(node->members);
--- a/src/daemon/node_post.c
+++ b/src/daemon/node_post.c
@@ -116,3 +116,17 @@
 	post->service = service;
 	pl_loop_post(pl_node_loop(node), take_roster_question_, post);
 }
+
+static void take_backend_gone_(void *ctx)
+{
+	post_t *post = ctx;
+
+	pl_node_backend_gone_now(post->node);
+	post_free_(post);
+}
+
+void pl_node_backend_gone(pl_node_t *node)
+{
+	pl_loop_post(pl_node_loop(node), take_backend_gone_,
+		     post_new_(node, NULL, 0));
+}
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -106,6 +106,10 @@
 void pl_node_set_endpoint(pl_node_t *node, pl_service_id_t service,
 			  uint32_t slots, bool serving);
 
+/** Says that the agent's backend server has ended for good; from any
+ * thread. */
+void pl_node_backend_gone(pl_node_t *node);
+
 /** Asks who may own flows of @p service; from any thread. Ends by
  * pl_role_ops_t.roster. */
 void pl_node_ask_roster(pl_node_t *node, pl_service_id_t service);
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -125,4 +125,5 @@
 		return;
 	agent->report.draining = true;
 	set_serving_(agent, false);
+	agent->ops->gone(agent->ctx);
 }
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -52,6 +52,7 @@
 	entry->flows = pl_flow_table_new(sizeof(cached_t), params->flows_max,
 					 released_, entry);
 	pl_flow_loads_init_(entry);
+	pl_flow_rosters_init_(entry);
 	pl_timer_init(&entry->sweep, sweep_, entry);
 	pl_timer_arm(timers, &entry->sweep,
 		     pl_timer_service_now(timers) + SWEEP_MS);
@@ -65,6 +66,7 @@
 	pl_timer_cancel(entry->timers, &entry->sweep);
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
+	g_hash_table_destroy(entry->rosters);
 	if (entry->routing)
 		pl_routing_put(entry->routing);
 	g_free(entry);
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -28,6 +28,8 @@
  * do not own a flow may be handed one of its packets. */
 #define TRIALS_WHILE_SILENT 2
 
+static void dead_(pl_flow_entry_t *entry, lookup_t *lookup);
+
 static asked_t *asked_(const lookup_t *lookup, pl_member_id_t agent)
 {
 	for (guint i = 0; i < lookup->asked->len; i++) {
@@ -39,6 +41,12 @@
 	return NULL;
 }
 
+const asked_t *pl_flow_lookup_asked_(const lookup_t *lookup,
+				     pl_member_id_t agent)
+{
+	return asked_(lookup, agent);
+}
+
 static void ask_(pl_flow_entry_t *entry, const lookup_t *lookup,
 		 pl_member_id_t agent)
 {
@@ -175,8 +183,10 @@
 		return;
 	}
 	lookup->exhausted = true;
-	arm_(entry, lookup, ASK_AGAIN_MS);
-	pl_flow_lookup_ask_roster_(entry);
+	if (pl_flow_roster_rules_out_(entry, lookup))
+		dead_(entry, lookup);
+	else
+		arm_(entry, lookup, ASK_AGAIN_MS);
 }
 
 /* What each agent said, for the log. */
@@ -227,8 +237,11 @@
 	lookup->trial = false;
 	if (now - lookup->started >= ASK_AGAIN_MS && ask_all_(entry, lookup))
 		lookup->exhausted = false;
+	if (lookup->exhausted && pl_flow_roster_rules_out_(entry, lookup)) {
+		dead_(entry, lookup);
+		return;
+	}
 	if (lookup->exhausted) {
-		pl_flow_lookup_ask_roster_(entry);
 		arm_(entry, lookup, ASK_AGAIN_MS);
 		return;
 	}
@@ -293,57 +306,24 @@
 	step_(entry, lookup);
 }
 
-/* Whether every agent of @p agents said that it cannot own the flow. */
-static bool ruled_out_(const lookup_t *lookup, const pl_member_id_t *agents,
-		       size_t count)
+static void dead_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
-	for (size_t i = 0; i < count; i++) {
-		const asked_t *asked = asked_(lookup, agents[i]);
-
-		if (!asked || !asked->answered ||
-		    asked->verdict != PL_FLOW_ABSENT)
-			return false;
-	}
-	return true;
-}
-
-void pl_flow_lookup_ask_roster_(pl_flow_entry_t *entry)
-{
-	if (entry->roster_asked != 0)
-		return;
-	pl_list_for_each(link, &entry->lookups) {
-		const lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
+	cached_t *flow = lookup->flow;
 
-		if (!lookup->exhausted)
-			continue;
-		entry->roster_asked = lookup->flow->service;
-		entry->roster_at = pl_flow_entry_now_(entry);
-		entry->ops->roster(entry->ctx, entry->roster_asked);
-		return;
-	}
+	entry->stats.dead++;
+	log_end_(entry, lookup, PL_EVENT_FLOW_DEAD);
+	pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
+	pl_flow_lookup_end_(entry, lookup);
+	pl_flow_table_remove(entry->flows, &flow->node);
 }
 
-void pl_flow_entry_roster(pl_flow_entry_t *entry, pl_service_id_t service,
-			  bool known, const pl_member_id_t *agents,
-			  size_t count)
+void pl_flow_lookup_check_dead_(pl_flow_entry_t *entry)
 {
-	if (entry->roster_asked != service)
-		return;
-	entry->roster_asked = 0;
 	pl_list_for_each_safe(link, &entry->lookups) {
 		lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
-		cached_t *flow = lookup->flow;
 
-		/* a flow that opened after the question may have an owner
-		 * that the answer does not name */
-		if (!known || !lookup->exhausted || flow->service != service ||
-		    lookup->started > entry->roster_at ||
-		    !ruled_out_(lookup, agents, count))
-			continue;
-		entry->stats.dead++;
-		log_end_(entry, lookup, PL_EVENT_FLOW_DEAD);
-		pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
-		pl_flow_lookup_end_(entry, lookup);
-		pl_flow_table_remove(entry->flows, &flow->node);
+		if (lookup->exhausted &&
+		    pl_flow_roster_rules_out_(entry, lookup))
+			dead_(entry, lookup);
 	}
 }
--- /dev/null
+++ b/src/flow/entry_roster.c
@@ -0,0 +1,90 @@
+/**
+ * @file
+ * Proof that a flow is dead.
+ *
+ * An agent registers in the store before its backend server is offered flows,
+ * so whoever owns a flow stands in each roster that is read after the flow
+ * opened. When every agent of such a roster rules the flow out, nobody owns
+ * it, and its caller may be told at once.
+ */
+#include "private/entry_private.h"
+
+/** Shortest time from one question to the next: a fleet that lost its power
+ * asks for many flows, and each call to the store has its price. */
+#define PAUSE_MS 200
+
+/** Who may own flows of a service. */
+typedef struct {
+	pl_ms_t at; /**< when it was asked for */
+	GArray *agents; /**< pl_member_id_t */
+} roster_t;
+
+static void free_(gpointer data)
+{
+	roster_t *roster = data;
+
+	g_array_free(roster->agents, TRUE);
+	g_free(roster);
+}
+
+void pl_flow_rosters_init_(pl_flow_entry_t *entry)
+{
+	entry->rosters = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, free_);
+}
+
+static void ask_(pl_flow_entry_t *entry, pl_service_id_t service)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+
+	if (entry->roster_asked != 0 ||
+	    (entry->roster_at != 0 && now - entry->roster_at < PAUSE_MS))
+		return;
+	entry->roster_asked = service;
+	entry->roster_at = now;
+	entry->ops->roster(entry->ctx, service);
+}
+
+static bool all_absent_(const lookup_t *lookup, const GArray *agents)
+{
+	for (guint i = 0; i < agents->len; i++) {
+		const asked_t *asked = pl_flow_lookup_asked_(
+			lookup, g_array_index(agents, pl_member_id_t, i));
+
+		if (!asked || !asked->answered ||
+		    asked->verdict != PL_FLOW_ABSENT)
+			return false;
+	}
+	return true;
+}
+
+bool pl_flow_roster_rules_out_(pl_flow_entry_t *entry, const lookup_t *lookup)
+{
+	const roster_t *roster =
+		g_hash_table_lookup(entry->rosters, &lookup->flow->service);
+
+	if (roster && roster->at >= lookup->started)
+		return all_absent_(lookup, roster->agents);
+	ask_(entry, lookup->flow->service);
+	return false;
+}
+
+void pl_flow_entry_roster(pl_flow_entry_t *entry, pl_service_id_t service,
+			  bool known, const pl_member_id_t *agents,
+			  size_t count)
+{
+	roster_t *roster;
+
+	if (entry->roster_asked != service)
+		return;
+	entry->roster_asked = 0;
+	if (!known)
+		return;
+	roster = g_new0(roster_t, 1);
+	roster->at = entry->roster_at;
+	roster->agents = g_array_new(FALSE, FALSE, sizeof(*agents));
+	g_array_append_vals(roster->agents, agents, (guint)count);
+	g_hash_table_replace(entry->rosters,
+			     g_memdup2(&service, sizeof(service)), roster);
+	pl_flow_lookup_check_dead_(entry);
+}
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -62,8 +62,9 @@
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to load_t */
 	pl_list_t lookups;
+	GHashTable *rosters; /**< service to roster_t */
 	pl_service_id_t roster_asked; /**< 0 when no question is open */
-	pl_ms_t roster_at; /**< time of the open question */
+	pl_ms_t roster_at; /**< time of the last question */
 	pl_timer_t sweep;
 	pl_flow_entry_stats_t stats;
 };
@@ -85,14 +86,23 @@
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_t *flow,
 			  const uint8_t *bytes, size_t len);
 
+/* entry_roster.c */
+void pl_flow_rosters_init_(pl_flow_entry_t *entry);
+/** Whether a lookup that found no owner is proof that the flow is dead; asks
+ * for the roster when the one known is older than the lookup. */
+bool pl_flow_roster_rules_out_(pl_flow_entry_t *entry, const lookup_t *lookup);
+
 /* entry_lookup.c */
+/** What @p agent said of the flow. */
+const asked_t *pl_flow_lookup_asked_(const lookup_t *lookup,
+				     pl_member_id_t agent);
+/** Ends the lookups whose flows are proved dead. */
+void pl_flow_lookup_check_dead_(pl_flow_entry_t *entry);
 /** Holds a packet back and starts to look for the flow's owner. */
 void pl_flow_lookup_add_(pl_flow_entry_t *entry, cached_t *flow, uint32_t ack,
 			 const uint8_t *bytes, size_t len);
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
 			     const pl_flow_message_t *message);
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
-/** Asks for the agents that lookups in vain did not know of. */
-void pl_flow_lookup_ask_roster_(pl_flow_entry_t *entry);
 
 #endif
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -300,8 +300,11 @@
 {
 	struct json_object *expect = first_(root, "expect");
 	struct json_object *write = first_(root, "writes");
-	const char *key = json_object_get_string(field_(write, "key"));
-	const item_t *item = g_hash_table_lookup(store->items, key);
+	const char *key =
+		write ? json_object_get_string(field_(write, "key")) : NULL;
+	const item_t *item =
+		key ? g_hash_table_lookup(store->items, key) : NULL;
+	struct json_object *gone = first_(root, "remove");
 	gsize len = 0;
 	guchar *bytes;
 	GBytes *value;
@@ -309,6 +312,11 @@
 	if (expect && json_object_get_uint64(field_(expect, "revision")) !=
 			      (item ? item->modify_index : 0))
 		return false;
+	if (gone &&
+	    g_hash_table_remove(store->items, json_object_get_string(gone)))
+		store->index++;
+	if (!write)
+		return true;
 	bytes = g_base64_decode(json_object_get_string(field_(write, "value")),
 				&len);
 	value = g_bytes_new_take(bytes, len);
@@ -345,7 +353,7 @@
 	struct json_object *root = json_tokener_parse(body);
 	enum MHD_Result result = MHD_NO;
 
-	if (!root || !first_(root, "writes")) {
+	if (!root || (!first_(root, "writes") && !first_(root, "remove"))) {
 		json_object_put(root);
 		return answer_(connection, MHD_HTTP_BAD_REQUEST, "{}");
 	}
