Work waits at the agent, in the order of what can still be in time

Cause: after an outage the crowd returns at once; servers queue 20 in order of arrival and shed the rest, so everything was late.

--- a/include/pimentolift/document.h
+++ b/include/pimentolift/document.h
@@ -65,6 +65,7 @@
 	char name[PL_NAME_MAX];
 	pl_addr_t *addresses;
 	size_t address_count;
+	pl_route_policy_t *routes; /**< of each address; NULL: none is known */
 	pl_service_policy_t policy;
 	pl_share_t *shares; /**< sorted by data centre; none: equal */
 	size_t share_count;
--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -35,6 +35,7 @@
 typedef enum {
 	PL_FLOW_FORWARD = 1, /**< entry to agent: a caller's packet */
 	PL_FLOW_LOCATE, /**< entry to agent: is the flow yours? */
+	PL_FLOW_CANCEL, /**< entry to agent: another server has the flow */
 	PL_FLOW_VERDICT, /**< agent to entry: what it knows of the flow */
 	PL_FLOW_TYPE_END,
 } pl_flow_type_t;
@@ -55,6 +56,8 @@
 	PL_FLOW_ABSENT, /**< its backend server certainly does not */
 	PL_FLOW_UNSURE, /**< the server is older than what the agent knows */
 	PL_FLOW_REFUSED, /**< an opening packet was not taken */
+	PL_FLOW_WAITS, /**< an opening packet waits for a slot */
+	PL_FLOW_ENDED, /**< its backend server's life ended; it was reset */
 	PL_FLOW_VERDICT_COUNT,
 } pl_flow_verdict_t;
 
@@ -75,6 +78,8 @@
 	pl_service_id_t service;
 	pl_flow_key_t flow;
 	unsigned int flags; /**< FORWARD; of @ref pl_flow_flag_t */
+	uint32_t due_ms; /**< FORWARD: until an answer is late; 0: it is */
+	uint32_t priority; /**< FORWARD: 0 is the most urgent */
 	uint32_t ack; /**< LOCATE: of the packet that is held back */
 	pl_flow_verdict_t verdict; /**< VERDICT */
 	pl_flow_load_t load; /**< VERDICT */
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -16,6 +16,7 @@
 #include <pimentolift/backend_report.h>
 #include <pimentolift/flow.h>
 #include <pimentolift/timer.h>
+#include <pimentolift/work_queue.h>
 
 typedef struct pl_flow_agent pl_flow_agent_t;
 
@@ -26,6 +27,7 @@
 	uint32_t flow_max_ms; /**< age at which a flow may be forgotten */
 	uint32_t report_ms; /**< interval of the backend server's reports */
 	const pl_packet_ops_t *packets;
+	const pl_work_order_t *order; /**< of work that waits */
 } pl_flow_agent_params_t;
 
 /** What the core asks of its owner. */
@@ -52,6 +54,7 @@
 	bool watched; /**< all flows of the backend server are known */
 	uint64_t taken; /**< opening packets handed to the server */
 	uint64_t refused; /**< opening packets handed back */
+	uint64_t waited; /**< requests that found no slot at once */
 	uint64_t bounced; /**< packets that the server handed back */
 	uint64_t trials; /**< flows that the server itself was asked for */
 	uint64_t resets; /**< flows reset because their server had ended */
--- a/include/pimentolift/flow_codec.h
+++ b/include/pimentolift/flow_codec.h
@@ -4,7 +4,7 @@
  *
  * Codec of @ref flow messages: a msgpack array [version, type, sender,
  * service, caller IP, caller port, service IP, service port, flags, ack,
- * verdict, slots, busy, mean busy, packet] followed by a code of
+ * verdict, slots, busy, mean busy, due, priority, packet] followed by a code of
  * @ref PL_MAC_BYTES with the key PL_KEY_DATAGRAM. A receiver ignores elements
  * past those it knows.
  * @{
--- a/include/pimentolift/packet.h
+++ b/include/pimentolift/packet.h
@@ -53,6 +53,8 @@
 
 /** How packets stand on the wire. */
 typedef struct {
+	/** Most data of one packet: one that is full has more behind it. */
+	uint16_t data_max;
 	/** Reads the head; false when the bytes are no packet. */
 	bool (*read)(const uint8_t *bytes, size_t len, pl_packet_t *packet);
 	/** Clears what a backend server added when it handed one back. */
--- a/include/pimentolift/routing.h
+++ b/include/pimentolift/routing.h
@@ -63,6 +63,13 @@
 	uint32_t answer_keep_ms; /**< how long an answer can be replayed */
 } pl_service_policy_t;
 
+/** What is known of the requests to one service address. */
+typedef struct {
+	uint32_t goal_ms; /**< answers are worth most within; 0: not said */
+	uint32_t timeout_ms; /**< and worth nothing after; 0: not said */
+	uint32_t priority; /**< 0 is the most urgent */
+} pl_route_policy_t;
+
 /** A service of a routing table. */
 typedef struct {
 	pl_service_id_t id;
@@ -86,6 +93,11 @@
 void pl_routing_builder_address(pl_routing_builder_t *builder,
 				pl_service_id_t service, const pl_addr_t *addr);
 
+/** Adds a service address whose requests have @p policy. */
+void pl_routing_builder_route(pl_routing_builder_t *builder,
+			      pl_service_id_t service, const pl_addr_t *addr,
+			      const pl_route_policy_t *policy);
+
 /** Adds an endpoint; one of a service that is not in the table is left out. */
 void pl_routing_builder_endpoint(pl_routing_builder_t *builder,
 				 const pl_endpoint_t *endpoint);
@@ -108,6 +120,10 @@
 const pl_route_service_t *pl_routing_by_address(const pl_routing_t *routing,
 						const pl_addr_t *addr);
 
+/** Policy of the service address @p addr, or NULL. */
+const pl_route_policy_t *pl_routing_route(const pl_routing_t *routing,
+					  const pl_addr_t *addr);
+
 /** Service @p id, or NULL. */
 const pl_route_service_t *pl_routing_by_id(const pl_routing_t *routing,
 					   pl_service_id_t id);
--- a/src/config/section.c
+++ b/src/config/section.c
@@ -15,6 +15,8 @@
 
 /** Elements of the outer array; a later release may append. */
 #define SECTION_ELEMENTS 5
+#define SECTION_ROUTES_ELEMENTS 6
+#define ROUTE_ELEMENTS 3
 #define POLICY_ELEMENTS 7
 #define SHARE_ELEMENTS 2
 #define OBJECTIVE_ELEMENTS 4
@@ -79,9 +81,24 @@
 		msgpack_pack_uint32(packer, values[i]);
 }
 
+static void pack_routes_(msgpack_packer *packer,
+			 const pl_service_config_t *service)
+{
+	msgpack_pack_array(packer, service->address_count);
+	for (size_t i = 0; i < service->address_count; i++) {
+		const pl_route_policy_t *route = &service->routes[i];
+
+		msgpack_pack_array(packer, ROUTE_ELEMENTS);
+		msgpack_pack_uint32(packer, route->goal_ms);
+		msgpack_pack_uint32(packer, route->timeout_ms);
+		msgpack_pack_uint32(packer, route->priority);
+	}
+}
+
 static void pack_(msgpack_packer *packer, const pl_service_config_t *service)
 {
-	msgpack_pack_array(packer, SECTION_ELEMENTS);
+	msgpack_pack_array(packer, service->routes ? SECTION_ROUTES_ELEMENTS :
+						     SECTION_ELEMENTS);
 	pack_text_(packer, service->name);
 	msgpack_pack_array(packer, service->address_count);
 	for (size_t i = 0; i < service->address_count; i++)
@@ -103,6 +120,8 @@
 		msgpack_pack_uint32(packer, objective->threshold_ms);
 		msgpack_pack_uint32(packer, objective->window_days);
 	}
+	if (service->routes)
+		pack_routes_(packer, service);
 }
 
 static bool is_array_(const msgpack_object *object, size_t min, size_t max)
@@ -233,6 +252,26 @@
 	return true;
 }
 
+static bool read_routes_(const msgpack_object *object,
+			 pl_service_config_t *service)
+{
+	if (!is_array_(object, service->address_count, service->address_count))
+		return false;
+	service->routes = g_new0(pl_route_policy_t, service->address_count);
+	for (size_t i = 0; i < service->address_count; i++) {
+		const msgpack_object *item = &object->via.array.ptr[i];
+		pl_route_policy_t *route = &service->routes[i];
+
+		if (!is_array_(item, ROUTE_ELEMENTS, UINT32_MAX) ||
+		    !read_number_(&item->via.array.ptr[0], &route->goal_ms) ||
+		    !read_number_(&item->via.array.ptr[1],
+				  &route->timeout_ms) ||
+		    !read_number_(&item->via.array.ptr[2], &route->priority))
+			return false;
+	}
+	return true;
+}
+
 static bool read_(const msgpack_object *object, pl_service_config_t *service)
 {
 	const msgpack_object *at = object->via.array.ptr;
@@ -242,7 +281,9 @@
 	       read_addresses_(&at[1], service) &&
 	       read_policy_(&at[2], &service->policy) &&
 	       read_shares_(&at[3], service) &&
-	       read_objectives_(&at[4], service);
+	       read_objectives_(&at[4], service) &&
+	       (object->via.array.size < SECTION_ROUTES_ELEMENTS ||
+		read_routes_(&at[5], service));
 }
 
 static void release_(pl_ref_t *ref)
@@ -250,6 +291,7 @@
 	pl_section_t *section = PL_CONTAINER_OF(ref, pl_section_t, ref);
 
 	g_free(section->service.addresses);
+	g_free(section->service.routes);
 	g_free(section->service.shares);
 	g_free(section->service.objectives);
 	g_free(section->bytes);
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -142,6 +142,7 @@
 		.flow_max_ms = (uint32_t)(flows->flow_max_s * MS_PER_S),
 		.report_ms = flows->report_ms,
 		.packets = &pl_platform_packets,
+		.order = &pl_work_order_due,
 	};
 
 	return pl_flow_agent_new(&params, &ops_, role,
@@ -231,6 +232,7 @@
 	add_(status, "busy", stats.load.busy);
 	add_(status, "taken", stats.taken);
 	add_(status, "refused", stats.refused);
+	add_(status, "waited", stats.waited);
 	add_(status, "bounced", stats.bounced);
 	add_(status, "trials", stats.trials);
 	add_(status, "resets", stats.resets);
--- a/src/daemon/routing_build.c
+++ b/src/daemon/routing_build.c
@@ -119,6 +119,8 @@
 static void add_services_(pl_routing_builder_t *builder,
 			  const pl_document_t *document)
 {
+	const pl_route_policy_t none = { 0 };
+
 	for (size_t i = 0; i < pl_document_count(document); i++) {
 		const pl_service_config_t *config =
 			pl_section_service(pl_document_at(document, i));
@@ -127,8 +129,9 @@
 		pl_routing_builder_service(builder, config->name,
 					   &config->policy);
 		for (size_t k = 0; k < config->address_count; k++)
-			pl_routing_builder_address(builder, id,
-						   &config->addresses[k]);
+			pl_routing_builder_route(
+				builder, id, &config->addresses[k],
+				config->routes ? &config->routes[k] : &none);
 	}
 }
 
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -43,6 +43,7 @@
 	agent->flows = pl_flow_table_new(sizeof(flow_t), FLOWS_MAX,
 					 pl_flow_released_, agent);
 	pl_flow_backend_init_(agent);
+	pl_flow_work_init_(agent);
 	pl_timer_init(&agent->sweep, sweep_, agent);
 	pl_timer_arm(timers, &agent->sweep,
 		     pl_timer_service_now(timers) + SWEEP_MS);
@@ -54,10 +55,21 @@
 	if (!agent)
 		return;
 	pl_timer_cancel(agent->timers, &agent->sweep);
+	pl_timer_cancel(agent->timers, &agent->check);
 	pl_flow_table_delete(agent->flows);
 	g_free(agent);
 }
 
+/* What waits counts as work in progress. */
+static pl_flow_load_t load_(const pl_flow_agent_t *agent)
+{
+	pl_flow_load_t load =
+		pl_load_report(&agent->load, pl_flow_agent_now_(agent));
+
+	load.busy += (uint32_t)agent->queue.count;
+	return load;
+}
+
 void pl_flow_agent_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
 			    const pl_flow_key_t *key, pl_flow_verdict_t verdict,
 			    const uint8_t *packet, size_t len)
@@ -68,7 +80,7 @@
 		.service = agent->params.service,
 		.flow = *key,
 		.verdict = verdict,
-		.load = pl_load_report(&agent->load, pl_flow_agent_now_(agent)),
+		.load = load_(agent),
 		.packet = packet,
 		.packet_len = len,
 	};
@@ -114,34 +126,63 @@
 			       message->packet, message->packet_len);
 }
 
-static bool full_(const pl_flow_agent_t *agent)
+/* Time at which an answer to the message's request is late. */
+static pl_ms_t due_(const pl_flow_agent_t *agent,
+		    const pl_flow_message_t *message)
 {
-	return agent->load.slots > 0 && agent->load.busy >= agent->load.slots;
+	return pl_flow_agent_now_(agent) + message->due_ms;
 }
 
-/* An opening packet: taken while the server serves and has a slot. */
-static void open_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
-		  uint32_t ack)
+static void refuse_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
 {
-	flow_t *flow = find_(agent, &message->flow);
-	bool again = flow && flow->state != FLOW_ABSENT;
-	bool last = (message->flags & PL_FLOW_LAST) != 0;
-
-	(void)ack;
-	if (!again &&
-	    (!pl_flow_backend_takes_(agent) || (full_(agent) && !last))) {
-		agent->stats.refused++;
-		hand_back_(agent, message, PL_FLOW_REFUSED);
+	agent->stats.refused++;
+	hand_back_(agent, message, PL_FLOW_REFUSED);
+}
+
+/* An opening packet that is new here: taken while the server serves and has
+ * a slot. When no other server would take it, it waits for a slot. */
+static void open_new_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
+{
+	bool room = pl_flow_work_has_room_(agent);
+	flow_t *flow;
+
+	if (!pl_flow_backend_takes_(agent) ||
+	    (!room && !(message->flags & PL_FLOW_LAST))) {
+		refuse_(agent, message);
 		return;
 	}
 	flow = pl_flow_get_(agent, &message->flow);
-	if (!again)
-		pl_flow_set_state_(agent, flow, FLOW_NEW);
+	pl_flow_set_state_(agent, flow, FLOW_NEW);
 	flow->entry = message->sender;
+	flow->ended = false;
+	flow->due = due_(agent, message);
 	agent->stats.taken++;
+	if (!room) {
+		pl_parking_add(&flow->held, message->packet,
+			       message->packet_len);
+		pl_flow_work_wait_(agent, flow, flow->due, message->priority);
+		pl_flow_agent_verdict_(agent, message->sender, &message->flow,
+				       PL_FLOW_WAITS, NULL, 0);
+		return;
+	}
+	pl_flow_work_reserve_(agent, flow);
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
+static void open_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
+{
+	flow_t *flow = find_(agent, &message->flow);
+
+	if (!flow || flow->state == FLOW_ABSENT) {
+		open_new_(agent, message);
+		return;
+	}
+	flow->entry = message->sender;
+	if (!pl_work_waits(&flow->work))
+		agent->ops->deliver(agent->ctx, message->packet,
+				    message->packet_len);
+}
+
 static void note_caller_(pl_flow_agent_t *agent, flow_t *flow,
 			 const pl_flow_message_t *message,
 			 const pl_packet_t *packet)
@@ -151,8 +192,17 @@
 			    pl_flow_agent_now_(agent));
 	if (packet->flags & PL_PACKET_ACK)
 		flow->caller_ack = packet->ack;
-	if (packet->data_len > 0)
-		pl_flow_set_busy_(agent, flow, true);
+	if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
+		flow->ended = true;
+}
+
+/* Whether the packet ends a request, which the server can work on then. What
+ * fills a packet has more behind it, and a long request takes many. */
+static bool ends_request_(const pl_flow_agent_t *agent,
+			  const pl_packet_t *packet)
+{
+	return packet->data_len > 0 &&
+	       packet->data_len < agent->params.packets->data_max;
 }
 
 /* A packet of a flow that this agent does not know, while its server is
@@ -165,6 +215,39 @@
 	flow->known = (message->flags & PL_FLOW_KNOWN) != 0;
 	pl_flow_start_trial_(agent, flow);
 	note_caller_(agent, flow, message, packet);
+	if (ends_request_(agent, packet))
+		pl_flow_work_start_(agent, flow);
+	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
+}
+
+/* A packet of a flow that is here: at once, unless it begins a request that
+ * finds no slot, or follows one that waits. */
+static void pass_(pl_flow_agent_t *agent, flow_t *flow,
+		  const pl_flow_message_t *message, const pl_packet_t *packet)
+{
+	bool begins =
+		ends_request_(agent, packet) && (!flow->busy || flow->reserved);
+	pl_ms_t due = flow->due ? flow->due : due_(agent, message);
+
+	if (pl_work_waits(&flow->work)) {
+		pl_parking_add(&flow->held, message->packet,
+			       message->packet_len);
+		return;
+	}
+	if (begins && !flow->busy && !pl_flow_work_has_room_(agent)) {
+		pl_parking_add(&flow->held, message->packet,
+			       message->packet_len);
+		pl_flow_work_wait_(agent, flow, due, message->priority);
+		flow->due = 0;
+		return;
+	}
+	if (begins) {
+		pl_flow_work_start_(agent, flow);
+		flow->due = 0;
+	} else if (packet->data_len > 0 && flow->reserved) {
+		/* a long request takes its slot when it is whole */
+		pl_flow_work_end_(agent, flow);
+	}
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
@@ -183,13 +266,15 @@
 		hand_back_(agent, message, verdict);
 		return;
 	}
-	if (flow->state == FLOW_OFFERED)
+	if (flow->state == FLOW_OFFERED) {
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
+		pl_flow_work_opened_(agent, flow);
+	}
 	if (!(message->flags & PL_FLOW_KNOWN) && flow->state == FLOW_OPEN)
 		pl_flow_agent_verdict_(agent, message->sender, &message->flow,
 				       PL_FLOW_OWNED, NULL, 0);
 	note_caller_(agent, flow, message, packet);
-	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
+	pass_(agent, flow, message, packet);
 }
 
 static void locate_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
@@ -200,6 +285,19 @@
 			       verdict_(agent, flow, message->ack), NULL, 0);
 }
 
+/* Another server has the flow: neither slot nor place is needed. */
+static void cancel_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
+{
+	flow_t *flow = find_(agent, &message->flow);
+
+	if (!flow || flow->state == FLOW_OPEN || flow->state == FLOW_TRIAL)
+		return;
+	if (pl_work_waits(&flow->work))
+		pl_flow_table_remove(agent->flows, &flow->node);
+	else
+		pl_flow_work_end_(agent, flow);
+}
+
 void pl_flow_agent_message(pl_flow_agent_t *agent,
 			   const pl_flow_message_t *message)
 {
@@ -216,6 +314,10 @@
 		locate_(agent, message);
 		return;
 	}
+	if (message->type == PL_FLOW_CANCEL) {
+		cancel_(agent, message);
+		return;
+	}
 	if (message->type != PL_FLOW_FORWARD ||
 	    !agent->params.packets->read(message->packet, message->packet_len,
 					 &packet)) {
@@ -223,7 +325,7 @@
 		return;
 	}
 	if (pl_packet_opens(&packet))
-		open_(agent, message, packet.ack);
+		open_(agent, message);
 	else
 		forward_(agent, message, &packet);
 }
@@ -264,9 +366,12 @@
 		/* the server speaks for it, so it holds it */
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
 	}
-	if (packet->data_len > 0 ||
-	    (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST)))
-		pl_flow_set_busy_(agent, flow, false);
+	if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
+		flow->ended = true;
+	if (packet->data_len > 0)
+		pl_flow_work_answered_(agent, flow);
+	else if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
+		pl_flow_work_end_(agent, flow);
 }
 
 void pl_flow_agent_packet(pl_flow_agent_t *agent, uint8_t *bytes, size_t len)
@@ -296,7 +401,7 @@
 			PL_CONTAINER_OF(link, pl_flow_node_t, link), flow_t,
 			node);
 
-		count += flow->state == FLOW_OPEN;
+		count += flow->state == FLOW_OPEN && !flow->ended;
 	}
 	return count;
 }
@@ -306,7 +411,7 @@
 {
 	*stats = agent->stats;
 	stats->flows = open_flows_(agent);
-	stats->load = pl_load_report(&agent->load, pl_flow_agent_now_(agent));
+	stats->load = load_(agent);
 	stats->serving = pl_flow_backend_takes_(agent);
 	stats->watched = agent->watched;
 }
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -36,6 +36,8 @@
 
 	agent->stats.resets++;
 	agent->ops->to_caller(agent->ctx, &flow->node.key, bytes, len);
+	pl_flow_agent_verdict_(agent, flow->entry, &flow->node.key,
+			       PL_FLOW_ENDED, NULL, 0);
 }
 
 /* The server's life ended, so every flow that it held is dead. Their callers
@@ -49,7 +51,7 @@
 			PL_CONTAINER_OF(link, pl_flow_node_t, link);
 		const flow_t *flow = PL_CONTAINER_OF(node, flow_t, node);
 
-		if (flow->state == FLOW_OPEN)
+		if (flow->state == FLOW_OPEN && !flow->ended)
 			reset_(agent, flow);
 		pl_flow_table_remove(agent->flows, node);
 	}
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -21,26 +21,20 @@
 		pl_flow_table_get(agent->flows, key, pl_flow_agent_now_(agent));
 	flow_t *flow = PL_CONTAINER_OF(node, flow_t, node);
 
-	if (!flow->trial.fire)
+	if (!flow->trial.fire) {
 		pl_timer_init(&flow->trial, trial_over_, agent);
+		pl_flow_work_flow_init_(agent, flow);
+	}
 	return flow;
 }
 
-void pl_flow_set_busy_(pl_flow_agent_t *agent, flow_t *flow, bool busy)
-{
-	if (flow->busy == busy)
-		return;
-	flow->busy = busy;
-	pl_load_change(&agent->load, busy ? 1 : -1, pl_flow_agent_now_(agent));
-}
-
 void pl_flow_set_state_(pl_flow_agent_t *agent, flow_t *flow,
 			flow_state_t state)
 {
 	if (state != FLOW_TRIAL)
 		pl_timer_cancel(agent->timers, &flow->trial);
 	if (state == FLOW_ABSENT)
-		pl_flow_set_busy_(agent, flow, false);
+		pl_flow_work_forget_(agent, flow);
 	flow->state = state;
 }
 
@@ -65,5 +59,5 @@
 	flow_t *flow = PL_CONTAINER_OF(node, flow_t, node);
 
 	pl_timer_cancel(agent->timers, &flow->trial);
-	pl_flow_set_busy_(agent, flow, false);
+	pl_flow_work_forget_(agent, flow);
 }
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -12,6 +12,11 @@
 #define SWEEP_MS 1000
 #define RESET_BYTES 64
 #define BITS_PER_BYTE 8
+/** Time in which an answer is worth most when the route does not say. */
+#define GOAL_DEFAULT_MS 200
+/** Callers send copies of an opening packet after these times. */
+#define COPY_1_MS 200
+#define COPY_2_MS 600
 
 pl_ms_t pl_flow_entry_now_(const pl_flow_entry_t *entry)
 {
@@ -34,6 +39,7 @@
 	if (now > entry->params.flow_max_ms)
 		pl_flow_table_expire(entry->flows,
 				     now - entry->params.flow_max_ms);
+	pl_flow_retries_expire_(entry);
 	pl_timer_arm(entry->timers, timer, now + SWEEP_MS);
 }
 
@@ -53,6 +59,7 @@
 					 released_, entry);
 	pl_flow_loads_init_(entry);
 	pl_flow_rosters_init_(entry);
+	pl_flow_retries_init_(entry);
 	pl_timer_init(&entry->sweep, sweep_, entry);
 	pl_timer_arm(timers, &entry->sweep,
 		     pl_timer_service_now(timers) + SWEEP_MS);
@@ -67,6 +74,7 @@
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
 	g_hash_table_destroy(entry->rosters);
+	g_hash_table_destroy(entry->retries);
 	if (entry->routing)
 		pl_routing_put(entry->routing);
 	g_free(entry);
@@ -80,6 +88,17 @@
 	entry->routing = routing;
 }
 
+/* Time left until an answer is late. Once a flow's owner is known, each
+ * request counts from its own first packet. */
+static uint32_t due_ms_(const pl_flow_entry_t *entry, const cached_t *flow)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+
+	if (flow->owner != 0)
+		return flow->goal_ms;
+	return flow->due > now ? (uint32_t)(flow->due - now) : 0;
+}
+
 void pl_flow_entry_forward_(pl_flow_entry_t *entry, const cached_t *flow,
 			    pl_member_id_t agent, unsigned int flags,
 			    const uint8_t *bytes, size_t len)
@@ -90,6 +109,8 @@
 		.service = flow->service,
 		.flow = flow->node.key,
 		.flags = flags,
+		.due_ms = due_ms_(entry, flow),
+		.priority = flow->priority,
 		.packet = bytes,
 		.packet_len = len,
 	};
@@ -118,39 +139,76 @@
 	return addr;
 }
 
+static void note_route_(const pl_flow_entry_t *entry, cached_t *flow)
+{
+	const pl_addr_t addr = service_addr_(&flow->node.key);
+	const pl_route_policy_t *route =
+		pl_routing_route(entry->routing, &addr);
+
+	flow->goal_ms =
+		route && route->goal_ms ? route->goal_ms : GOAL_DEFAULT_MS;
+	flow->priority = route ? route->priority : 0;
+	flow->due = pl_flow_entry_now_(entry) + flow->goal_ms;
+}
+
+/* Time since a caller sent the first copy of an opening packet. */
+static pl_ms_t copy_age_ms_(uint32_t copy)
+{
+	if (copy == 0)
+		return 0;
+	return copy == 1 ? COPY_1_MS : COPY_2_MS;
+}
+
+/* What the first sign of a flow tells about the age of its request. */
+static void note_age_(pl_flow_entry_t *entry, cached_t *flow, uint32_t copy)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+	pl_ms_t due =
+		now + flow->goal_ms - MIN(copy_age_ms_(copy), flow->goal_ms);
+
+	if (copy == 0 && pl_flow_retries_take_(entry, flow->node.key.caller_ip))
+		due = now;
+	flow->due = MIN(flow->due, due);
+}
+
 static cached_t *get_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
-		      pl_service_id_t service)
+		      const pl_route_service_t *service)
 {
 	pl_flow_node_t *node =
 		pl_flow_table_get(entry->flows, key, pl_flow_entry_now_(entry));
 	cached_t *flow = PL_CONTAINER_OF(node, cached_t, node);
 
-	if (flow->service == 0)
-		flow->service = service;
+	if (flow->service == 0) {
+		flow->service = service->id;
+		note_route_(entry, flow);
+	}
 	return flow;
 }
 
 /* An opening packet or a copy of it. A copy goes to another endpoint: the
  * first one may be dead. */
 static void open_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
-		  pl_service_id_t service, const uint8_t *bytes, size_t len)
+		  const pl_route_service_t *service, uint32_t copy,
+		  const uint8_t *bytes, size_t len)
 {
 	cached_t *flow = get_(entry, key, service);
 
-	if (flow->service != service) {
+	if (flow->service != service->id) {
 		/* the route was given to another service meanwhile */
 		pl_flow_table_remove(entry->flows, &flow->node);
 		flow = get_(entry, key, service);
 	}
+	if (flow->offered_count == 0)
+		note_age_(entry, flow, copy);
 	if (flow->owner != 0)
 		pl_flow_entry_forward_(entry, flow, flow->owner, PL_FLOW_KNOWN,
 				       bytes, len);
-	else
+	else if (flow->waits_at == 0)
 		pl_flow_entry_place_(entry, flow, bytes, len);
 }
 
 static void pass_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
-		  pl_service_id_t service, const pl_packet_t *packet,
+		  const pl_route_service_t *service, const pl_packet_t *packet,
 		  const uint8_t *bytes, size_t len)
 {
 	cached_t *flow = get_(entry, key, service);
@@ -195,21 +253,30 @@
 		return;
 	}
 	if (pl_packet_opens(&packet))
-		open_(entry, &key, service->id, bytes, len);
+		open_(entry, &key, service, packet.ack, bytes, len);
 	else
-		pass_(entry, &key, service->id, &packet, bytes, len);
+		pass_(entry, &key, service, &packet, bytes, len);
 }
 
 /* An agent did not take an opening packet: another one is offered it. */
 static void refused_(pl_flow_entry_t *entry, cached_t *flow,
 		     const pl_flow_message_t *message)
 {
-	if (message->packet_len == 0 || flow->owner != 0)
+	if (flow->waits_at == message->sender)
+		flow->waits_at = 0;
+	if (message->packet_len == 0 || flow->owner != 0 || flow->waits_at != 0)
 		return;
 	entry->stats.replaced++;
 	pl_flow_entry_place_(entry, flow, message->packet, message->packet_len);
 }
 
+/* The agent reset the flow: its caller comes back at once. */
+static void ended_(pl_flow_entry_t *entry, cached_t *flow)
+{
+	pl_flow_retries_note_(entry, flow->node.key.caller_ip);
+	pl_flow_table_remove(entry->flows, &flow->node);
+}
+
 /* The agent that was taken for the owner does not own the flow. */
 static void not_owner_(pl_flow_entry_t *entry, cached_t *flow,
 		       const pl_flow_message_t *message)
@@ -230,6 +297,13 @@
 				    message->packet_len);
 }
 
+static void owned_(pl_flow_entry_t *entry, cached_t *flow, pl_member_id_t owner)
+{
+	flow->owner = owner;
+	flow->waits_at = 0;
+	pl_flow_entry_cancel_offers_(entry, flow);
+}
+
 void pl_flow_entry_message(pl_flow_entry_t *entry,
 			   const pl_flow_message_t *message)
 {
@@ -247,12 +321,16 @@
 	flow = PL_CONTAINER_OF(node, cached_t, node);
 	if (flow->service != message->service)
 		return;
-	if (message->verdict == PL_FLOW_REFUSED)
+	if (message->verdict == PL_FLOW_ENDED)
+		ended_(entry, flow);
+	else if (message->verdict == PL_FLOW_REFUSED)
 		refused_(entry, flow, message);
+	else if (message->verdict == PL_FLOW_WAITS)
+		flow->waits_at = flow->owner == 0 ? message->sender : 0;
 	else if (flow->lookup)
 		pl_flow_lookup_verdict_(entry, flow->lookup, message);
 	else if (message->verdict == PL_FLOW_OWNED)
-		flow->owner = message->sender;
+		owned_(entry, flow, message->sender);
 	else
 		not_owner_(entry, flow, message);
 }
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -92,8 +92,7 @@
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
 	pl_timer_cancel(entry->timers, &lookup->timer);
-	pl_list_for_each_safe(link, &lookup->parked)
-		g_free(PL_CONTAINER_OF(link, parked_t, link));
+	pl_parking_clear(&lookup->parked);
 	pl_list_remove(&lookup->link);
 	g_array_free(lookup->asked, TRUE);
 	lookup->flow->lookup = NULL;
@@ -107,9 +106,12 @@
 	cached_t *flow = lookup->flow;
 
 	flow->owner = owner;
+	flow->waits_at = 0;
+	pl_flow_entry_cancel_offers_(entry, flow);
 	entry->stats.found++;
-	pl_list_for_each(link, &lookup->parked) {
-		const parked_t *parked = PL_CONTAINER_OF(link, parked_t, link);
+	pl_list_for_each(link, &lookup->parked.list) {
+		const pl_parked_t *parked =
+			PL_CONTAINER_OF(link, pl_parked_t, link);
 
 		pl_flow_entry_forward_(entry, flow, owner, PL_FLOW_KNOWN,
 				       parked->bytes, parked->len);
@@ -146,8 +148,7 @@
 
 static void try_(pl_flow_entry_t *entry, lookup_t *lookup, asked_t *asked)
 {
-	const parked_t *parked =
-		PL_CONTAINER_OF(pl_list_first(&lookup->parked), parked_t, link);
+	const pl_parked_t *parked = pl_parking_first(&lookup->parked);
 
 	asked->tried = true;
 	lookup->trial = true;
@@ -219,7 +220,7 @@
 	pl_event(event, "flow %s after %" PRIu64 " ms, %zu packets:%s",
 		 pl_flow_format(&lookup->flow->node.key, name),
 		 pl_flow_entry_now_(entry) - lookup->started,
-		 lookup->parked_count, answers);
+		 lookup->parked.count, answers);
 	g_free(answers);
 }
 
@@ -256,7 +257,7 @@
 	lookup->ack = ack;
 	lookup->started = pl_flow_entry_now_(entry);
 	lookup->asked = g_array_new(FALSE, TRUE, sizeof(asked_t));
-	pl_list_init(&lookup->parked);
+	pl_parking_init(&lookup->parked);
 	pl_list_append(&entry->lookups, &lookup->link);
 	pl_timer_init(&lookup->timer, on_timer_, entry);
 	flow->lookup = lookup;
@@ -272,20 +273,13 @@
 			 const uint8_t *bytes, size_t len)
 {
 	lookup_t *lookup = flow->lookup;
-	parked_t *parked;
 
 	if (!lookup) {
 		if (entry->stats.lookups_open >= LOOKUPS_MAX)
 			return;
 		lookup = start_(entry, flow, ack);
 	}
-	if (lookup->parked_count == PL_FLOW_PARKED_MAX)
-		return;
-	parked = g_malloc(sizeof(*parked) + len);
-	parked->len = len;
-	memcpy(parked->bytes, bytes, len);
-	pl_list_append(&lookup->parked, &parked->link);
-	lookup->parked_count++;
+	pl_parking_add(&lookup->parked, bytes, len);
 }
 
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
@@ -313,6 +307,7 @@
 	entry->stats.dead++;
 	log_end_(entry, lookup, PL_EVENT_FLOW_DEAD);
 	pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
+	pl_flow_retries_note_(entry, flow->node.key.caller_ip);
 	pl_flow_lookup_end_(entry, lookup);
 	pl_flow_table_remove(entry->flows, &flow->node);
 }
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -87,6 +87,12 @@
 	return count;
 }
 
+static bool is_full_(const pl_flow_candidate_t *candidate)
+{
+	return candidate->load.slots > 0 &&
+	       candidate->load.busy + candidate->sent >= candidate->load.slots;
+}
+
 /* The endpoint for an opening packet, or NULL; @p last tells that there is
  * no other one to offer it to. */
 static const pl_endpoint_t *choose_(pl_flow_entry_t *entry,
@@ -96,6 +102,7 @@
 		pl_routing_by_id(entry->routing, flow->service);
 	pl_flow_candidate_t candidates[CANDIDATES_MAX];
 	ranked_t ranked[CANDIDATES_MAX];
+	size_t chosen;
 	size_t count;
 
 	if (!service)
@@ -115,8 +122,28 @@
 				entry->params.datacentre,
 		};
 	}
-	return ranked[entry->params.placement->choose(candidates, count)]
-		.endpoint;
+	chosen = entry->params.placement->choose(candidates, count);
+	/* when even the best one is full, the rest need not be asked */
+	if (is_full_(&candidates[chosen]))
+		*last = true;
+	return ranked[chosen].endpoint;
+}
+
+void pl_flow_entry_cancel_offers_(pl_flow_entry_t *entry, cached_t *flow)
+{
+	pl_flow_message_t message = {
+		.type = PL_FLOW_CANCEL,
+		.sender = entry->params.self,
+		.service = flow->service,
+		.flow = flow->node.key,
+	};
+
+	for (size_t i = 0; i < flow->offered_count; i++) {
+		if (flow->offered[i] != flow->owner)
+			entry->ops->send(entry->ctx, flow->offered[i],
+					 &message);
+	}
+	flow->offered_count = 0;
 }
 
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_t *flow,
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -7,13 +7,11 @@
 #define PL_FLOW_ENTRY_PRIVATE_H
 
 #include "private/flow_table.h"
+#include "private/parked.h"
 
 #include <glib.h>
 #include <pimentolift/flow_entry.h>
 
-/** Packets of one flow that are held back; a caller has no more in flight. */
-#define PL_FLOW_PARKED_MAX 16
-
 /** An agent asked for a flow. */
 typedef struct {
 	pl_member_id_t agent;
@@ -22,13 +20,6 @@
 	pl_flow_verdict_t verdict;
 } asked_t;
 
-/** A packet that is held back. */
-typedef struct {
-	pl_list_t link;
-	size_t len;
-	uint8_t bytes[];
-} parked_t;
-
 /** Search for the owner of a flow. */
 typedef struct {
 	pl_list_t link; /**< on entry->lookups */
@@ -36,8 +27,7 @@
 	pl_timer_t timer;
 	pl_ms_t started;
 	GArray *asked; /**< asked_t */
-	pl_list_t parked;
-	size_t parked_count;
+	pl_parking_t parked;
 	uint32_t ack; /**< of the first packet */
 	bool trial; /**< a backend server is being asked */
 	bool exhausted; /**< nobody who was asked owns it */
@@ -50,6 +40,10 @@
 	pl_member_id_t owner; /**< 0 while not known */
 	pl_member_id_t offered[PL_FLOW_OFFERS_MAX]; /**< opening packets */
 	size_t offered_count;
+	pl_member_id_t waits_at; /**< agent that lets it wait, or 0 */
+	pl_ms_t due; /**< of the first request, from its first sign on */
+	uint32_t goal_ms; /**< of its route */
+	uint32_t priority;
 	lookup_t *lookup; /**< NULL when none is open */
 } cached_t;
 
@@ -62,6 +56,7 @@
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to load_t */
 	pl_list_t lookups;
+	GHashTable *retries; /**< caller's IP to retry_t */
 	GHashTable *rosters; /**< service to roster_t */
 	pl_service_id_t roster_asked; /**< 0 when no question is open */
 	pl_ms_t roster_at; /**< time of the last question */
@@ -77,11 +72,23 @@
 void pl_flow_entry_reset_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
 			  uint32_t seq);
 
+/* entry_retry.c */
+void pl_flow_retries_init_(pl_flow_entry_t *entry);
+/** A flow of the caller @p ip was reset: its next one is a retry. */
+void pl_flow_retries_note_(pl_flow_entry_t *entry, uint32_t ip);
+/** Whether a new flow of the caller @p ip is a retry; counts it. */
+bool pl_flow_retries_take_(pl_flow_entry_t *entry, uint32_t ip);
+/** Forgets callers that did not come back. */
+void pl_flow_retries_expire_(pl_flow_entry_t *entry);
+
 /* entry_place.c */
 void pl_flow_loads_init_(pl_flow_entry_t *entry);
 /** Takes note of what an agent said of its load. */
 void pl_flow_loads_note_(pl_flow_entry_t *entry, pl_member_id_t agent,
 			 const pl_flow_load_t *load);
+/** The flow has an owner: other endpoints that were offered it need not wait
+ * for it. */
+void pl_flow_entry_cancel_offers_(pl_flow_entry_t *entry, cached_t *flow);
 /** Sends an opening packet to an endpoint that was not offered it yet. */
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_t *flow,
 			  const uint8_t *bytes, size_t len);
--- a/src/proto/flow_codec.c
+++ b/src/proto/flow_codec.c
@@ -10,11 +10,11 @@
 
 #include <glib.h>
 
-#define FIELDS 15
+#define FIELDS 17
 #define ZONE_BYTES 2048
 
-const char *const pl_flow_verdict_names[] = { "owned", "absent", "unsure",
-					      "refused" };
+const char *const pl_flow_verdict_names[] = { "owned",	 "absent", "unsure",
+					      "refused", "waits",  "ended" };
 static_assert(G_N_ELEMENTS(pl_flow_verdict_names) == PL_FLOW_VERDICT_COUNT,
 	      "a name for each verdict");
 
@@ -52,6 +52,8 @@
 	msgpack_pack_uint32(&packer, message->ack);
 	msgpack_pack_uint32(&packer, message->verdict);
 	pack_load_(&packer, &message->load);
+	msgpack_pack_uint32(&packer, message->due_ms);
+	msgpack_pack_uint32(&packer, message->priority);
 	msgpack_pack_bin(&packer, message->packet_len);
 	packed = msgpack_pack_bin_body(&packer, message->packet,
 				       message->packet_len);
@@ -116,11 +118,13 @@
 	    !u32_(&at[11], &message->load.slots) ||
 	    !u32_(&at[12], &message->load.busy) ||
 	    !u32_(&at[13], &message->load.mean_busy) ||
-	    at[14].type != MSGPACK_OBJECT_BIN)
+	    !u32_(&at[14], &message->due_ms) ||
+	    !u32_(&at[15], &message->priority) ||
+	    at[16].type != MSGPACK_OBJECT_BIN)
 		return false;
 	message->verdict = (pl_flow_verdict_t)verdict;
-	message->packet = (const uint8_t *)at[14].via.bin.ptr;
-	message->packet_len = at[14].via.bin.size;
+	message->packet = (const uint8_t *)at[16].via.bin.ptr;
+	message->packet_len = at[16].via.bin.size;
 	return message->packet_len <= PL_PACKET_MAX;
 }
 
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -20,7 +20,7 @@
 	GArray *services; /**< pl_route_service_t, in the order added */
 	GArray *endpoints; /**< pl_endpoint_t by service index and agent */
 	GArray *addresses; /**< address_t, keys of by_address */
-	GHashTable *by_address; /**< pl_addr_t to service index */
+	GHashTable *by_address; /**< pl_addr_t to its index in addresses */
 	GHashTable *by_id; /**< service identity to service index */
 	GHashTable *by_agent; /**< agent to endpoint index */
 };
@@ -32,6 +32,7 @@
 typedef struct {
 	pl_addr_t addr;
 	guint service;
+	pl_route_policy_t policy;
 } address_t;
 
 pl_service_id_t pl_service_id(const char *name)
@@ -137,7 +138,16 @@
 void pl_routing_builder_address(pl_routing_builder_t *builder,
 				pl_service_id_t service, const pl_addr_t *addr)
 {
-	address_t entry = { .addr = *addr };
+	const pl_route_policy_t none = { 0 };
+
+	pl_routing_builder_route(builder, service, addr, &none);
+}
+
+void pl_routing_builder_route(pl_routing_builder_t *builder,
+			      pl_service_id_t service, const pl_addr_t *addr,
+			      const pl_route_policy_t *policy)
+{
+	address_t entry = { .addr = *addr, .policy = *policy };
 
 	if (service_index_(builder->routing, service, &entry.service))
 		g_array_append_val(builder->routing->addresses, entry);
@@ -217,7 +227,7 @@
 		 * check; the first one keeps it */
 		if (!g_hash_table_contains(routing->by_address, &entry->addr))
 			g_hash_table_insert(routing->by_address, &entry->addr,
-					    GUINT_TO_POINTER(entry->service));
+					    GUINT_TO_POINTER(i));
 	}
 }
 
@@ -270,7 +280,19 @@
 
 	if (!find_(routing->by_address, addr, &index))
 		return NULL;
-	return pl_routing_service_at(routing, index);
+	return pl_routing_service_at(
+		routing,
+		g_array_index(routing->addresses, address_t, index).service);
+}
+
+const pl_route_policy_t *pl_routing_route(const pl_routing_t *routing,
+					  const pl_addr_t *addr)
+{
+	guint index = 0;
+
+	if (!find_(routing->by_address, addr, &index))
+		return NULL;
+	return &g_array_index(routing->addresses, address_t, index).policy;
 }
 
 const pl_route_service_t *pl_routing_by_id(const pl_routing_t *routing,
