Repeated requests take no slot

Cause: after an outage callers repeat requests that the server has already answered or acknowledged; each took a slot for up to 3 s at the agent, so work queued in front of idle servers. Ruled out: slow servers (means of work were unchanged), lookups (none open).

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -205,6 +205,19 @@
 	       packet->data_len < agent->params.packets->data_max;
 }
 
+/* Whether a request was not seen before; a caller repeats what was not
+ * acknowledged in time. Notes it. */
+static bool is_new_(flow_t *flow, const pl_packet_t *packet)
+{
+	uint32_t end = packet->seq + packet->data_len;
+
+	if (flow->requested && (int32_t)(end - flow->request_end) <= 0)
+		return false;
+	flow->requested = true;
+	flow->request_end = end;
+	return true;
+}
+
 /* A packet of a flow that this agent does not know, while its server is
  * older than what it knows: the server tells. */
 static void try_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
@@ -215,8 +228,9 @@
 	flow->known = (message->flags & PL_FLOW_KNOWN) != 0;
 	pl_flow_start_trial_(agent, flow);
 	note_caller_(agent, flow, message, packet);
+	/* most are repeated: they take no slot, nor do their copies */
 	if (ends_request_(agent, packet))
-		pl_flow_work_start_(agent, flow);
+		is_new_(flow, packet);
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
@@ -225,8 +239,8 @@
 static void pass_(pl_flow_agent_t *agent, flow_t *flow,
 		  const pl_flow_message_t *message, const pl_packet_t *packet)
 {
-	bool begins =
-		ends_request_(agent, packet) && (!flow->busy || flow->reserved);
+	bool begins = ends_request_(agent, packet) && is_new_(flow, packet) &&
+		      (!flow->busy || flow->reserved);
 	pl_ms_t due = flow->due ? flow->due : due_(agent, message);
 
 	if (pl_work_waits(&flow->work)) {
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -19,8 +19,11 @@
 #define RESERVED_MAX_MS 150
 /** Answer time of callers that was not measured yet. */
 #define ANSWER_DEFAULT_MS 15
-/** A request without an answer loses its slot: its answer was lost, or the
- * server is stuck; no request works that long. */
+/** A request without an answer loses its slot after so many times the mean:
+ * its answer was lost, or the server is stuck. The tail of the work is about
+ * eleven times as long as its mean on a cold server. */
+#define BUSY_TIMES 12
+#define BUSY_MIN_MS 500
 #define BUSY_MAX_MS 3000
 /** Work that was not measured yet counts as this long. */
 #define WORK_DEFAULT_MS 20
@@ -98,7 +101,9 @@
 	if (flow->reserved)
 		flow->busy_since = pl_flow_agent_now_(agent);
 	flow->reserved = false;
-	take_(agent, flow, BUSY_MAX_MS);
+	take_(agent, flow,
+	      CLAMP((pl_ms_t)(agent->work_ms * BUSY_TIMES), BUSY_MIN_MS,
+		    BUSY_MAX_MS));
 }
 
 static void release_slot_(pl_flow_agent_t *agent, flow_t *flow)
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -31,6 +31,8 @@
 	uint32_t caller_ack; /**< last acknowledgement seen from the caller */
 	pl_member_id_t entry; /**< that sent the last packet */
 	pl_timer_t trial; /**< until a packet must have come back */
+	uint32_t request_end; /**< sequence after the last request */
+	bool requested; /**< @c request_end holds */
 	bool known; /**< the entry took this agent for the owner */
 	bool ended; /**< one end closed or reset it */
 	/* agent_work.c */
