--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -79,8 +79,18 @@
 				     pl_timer_service_t *timers);
 void pl_config_sync_delete(pl_config_sync_t *sync);
 
-/** Sets how many members of each data centre watch the platform. */
-void pl_config_sync_set_watchers(pl_config_sync_t *sync, unsigned int watchers);
+/** What may be set. */
+typedef struct {
+	unsigned int watchers; /**< members of each data centre that watch */
+	/** A member that has nothing reads the platform again after this time,
+	 * and up to as much later. */
+	pl_ms_t read_ms;
+	bool read_again; /**< and so on until it has something */
+} pl_config_sync_params_t;
+
+/** Sets @p params in place of what a large fleet needs. */
+void pl_config_sync_set(pl_config_sync_t *sync,
+			const pl_config_sync_params_t *params);
 
 /**
  * Starts; call it once the membership was joined, or could not be within a
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -4,6 +4,9 @@
  */
 #include "private/sync_private.h"
 
+/** In a fleet that starts together the watchers' news comes first. */
+#define READ_DEFAULT_MS 1500
+
 #include <assert.h>
 #include <pimentolift/event.h>
 #include <string.h>
@@ -113,6 +116,12 @@
 	pl_sync_adopted(sync, before);
 }
 
+void pl_config_sync_set(pl_config_sync_t *sync,
+			const pl_config_sync_params_t *params)
+{
+	sync->params = *params;
+}
+
 pl_config_sync_t *pl_config_sync_new(pl_member_id_t self,
 				     pl_datacentre_id_t datacentre,
 				     const pl_config_sync_ops_t *ops, void *ctx,
@@ -125,6 +134,10 @@
 	sync->self = self;
 	sync->datacentre = datacentre;
 	sync->ops = ops;
+	sync->params = (pl_config_sync_params_t){
+		.watchers = PL_CONFIG_WATCHERS,
+		.read_ms = READ_DEFAULT_MS,
+	};
 	sync->ctx = ctx;
 	sync->timers = timers;
 	sync->phase = PHASE_IDLE;
--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -62,7 +62,7 @@
 typedef struct {
 	pl_timer_t evaluate;
 	pl_timer_t retry;
-	unsigned int watchers; /**< in each data centre */
+
 	bool wanted; /**< this member is a watcher */
 	bool open;
 	pl_ms_t opened;
@@ -77,6 +77,7 @@
 	const pl_config_sync_ops_t *ops;
 	void *ctx;
 	pl_timer_service_t *timers;
+	pl_config_sync_params_t params;
 	phase_t phase;
 	pl_holding_t *holding;
 	GArray *peers; /**< peer_t */
--- a/src/config/sync_start.c
+++ b/src/config/sync_start.c
@@ -6,11 +6,6 @@
 
 /** Longest wait for the peers and the platform that were asked. */
 #define START_WAIT_MS 1000
-/** A newcomer that heard of nothing reads the platform after this time, and
- * up to the spread later: in a fleet that starts together the watchers' news
- * comes first. */
-#define START_READ_DELAY_MS 1500
-#define START_READ_SPREAD_MS 2000
 
 static void on_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now);
 
@@ -40,6 +35,13 @@
 	return false;
 }
 
+static void read_later_(pl_config_sync_t *sync)
+{
+	pl_timer_arm(sync->timers, &sync->start.timer,
+		     pl_sync_now(sync) + sync->params.read_ms +
+			     pl_sync_random(sync, sync->params.read_ms));
+}
+
 /* Puts the newest of what was offered in force, or pulls it. */
 static void decide_(pl_config_sync_t *sync)
 {
@@ -55,10 +57,7 @@
 	} else if (offered > 0) {
 		pl_sync_pull(sync);
 	} else if (!sync->start.reading) {
-		pl_timer_arm(
-			sync->timers, &sync->start.timer,
-			pl_sync_now(sync) + START_READ_DELAY_MS +
-				pl_sync_random(sync, START_READ_SPREAD_MS));
+		read_later_(sync);
 	}
 	pl_sync_watch_evaluate_soon(sync);
 }
@@ -79,7 +78,7 @@
 	if (sync->phase == PHASE_STARTING)
 		decide_(sync);
 	else if (pl_config_sync_revision(sync) == 0 &&
-		 sync->target.revision == 0)
+		 sync->target.revision == 0 && !sync->start.reading)
 		read_(sync);
 }
 
@@ -128,6 +127,8 @@
 	if (sync->phase == PHASE_RUNNING) {
 		if (document)
 			pl_sync_take(sync, document);
+		else if (sync->params.read_again)
+			read_later_(sync);
 		return;
 	}
 	if (document) {
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -22,16 +22,10 @@
 
 void pl_sync_watch_init(pl_config_sync_t *sync)
 {
-	sync->watch.watchers = PL_CONFIG_WATCHERS;
 	pl_timer_init(&sync->watch.evaluate, on_evaluate_, sync);
 	pl_timer_init(&sync->watch.retry, on_retry_, sync);
 }
 
-void pl_config_sync_set_watchers(pl_config_sync_t *sync, unsigned int watchers)
-{
-	sync->watch.watchers = watchers;
-}
-
 void pl_sync_watch_finish(pl_config_sync_t *sync)
 {
 	pl_timer_cancel(sync->timers, &sync->watch.evaluate);
@@ -58,7 +52,7 @@
 		    score_(peer->id, sync->datacentre) > own)
 			higher++;
 	}
-	return higher < sync->watch.watchers;
+	return higher < sync->params.watchers;
 }
 
 static void open_(pl_config_sync_t *sync)
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -14,8 +14,14 @@
 /** A newcomer that found no peer by now asks the platform alone. */
 #define JOIN_WAIT_MS 1500
 
-/** Entries of each data centre that watch the store. */
-#define FLOW_WATCHERS 1
+/** One entry of each data centre watches the store: the others hear of a
+ * change from several of them. An entry without a document serves nobody, so
+ * it asks again soon. */
+static const pl_config_sync_params_t flow_params_ = {
+	.watchers = 1,
+	.read_ms = 100,
+	.read_again = true,
+};
 /** A watch that went deaf ends within this part of the time in which a
  * change must be in force; the rest is for spreading. */
 #define WATCH_PERCENT 70
@@ -170,7 +176,7 @@
 		config->watch_ms =
 			MIN(settings->flows.config_ms * WATCH_PERCENT / PERCENT,
 			    PL_KV_WAIT_MS);
-		pl_config_sync_set_watchers(config->sync, FLOW_WATCHERS);
+		pl_config_sync_set(config->sync, &flow_params_);
 	}
 	pl_timer_init(&config->poll, poll_, config);
 	return config;
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -67,8 +67,8 @@
 	pl_flow_load_t load =
 		pl_load_report(&agent->load, pl_flow_agent_now_(agent));
 
-	load.busy += (uint32_t)pl_work_queue_in_time(
-		&agent->queue, pl_flow_agent_now_(agent));
+	load.busy += (uint32_t)pl_work_queue_in_time(&agent->queue,
+						     pl_flow_agent_now_(agent));
 	return load;
 }
 
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -8,8 +8,8 @@
 static void open_flows_(world_t *world, call_t **calls, int count)
 {
 	for (int i = 0; i < count; i++) {
-		calls[i] = world_call(world, 1 + (uint32_t)i, SMALL_BYTES,
-				      true);
+		calls[i] =
+			world_call(world, 1 + (uint32_t)i, SMALL_BYTES, true);
 		world_run(world, 20);
 	}
 	world_run(world, 300);
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -14,8 +14,8 @@
 		due += per_s;
 		for (; due >= 1000; due -= 1000)
 			world_call(world,
-				   1 + (uint32_t)g_rand_int_range(
-					       world->random, 0, 400),
+				   1 + (uint32_t)g_rand_int_range(world->random,
+								  0, 400),
 				   SMALL_BYTES, false);
 	}
 }
@@ -100,8 +100,8 @@
 
 	(void)state;
 	for (int i = 0; i < 30; i++) {
-		calls[i] = world_call(world, 1 + (uint32_t)i, SMALL_BYTES,
-				      true);
+		calls[i] =
+			world_call(world, 1 + (uint32_t)i, SMALL_BYTES, true);
 		world_run(world, 30);
 	}
 	world_run(world, 300);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -57,8 +57,15 @@
 typedef struct {
 	pl_timer_t timer;
 	world_t *world;
-	enum { TO_ENTRY, TO_ENTRY_MESSAGE, TO_AGENT, TO_SERVER, FROM_SERVER,
-	       TO_CALLER, ROSTER } kind;
+	enum {
+		TO_ENTRY,
+		TO_ENTRY_MESSAGE,
+		TO_AGENT,
+		TO_SERVER,
+		FROM_SERVER,
+		TO_CALLER,
+		ROSTER
+	} kind;
 	int index;
 	unsigned int life;
 	pl_flow_message_t message;
@@ -290,11 +297,10 @@
 	event_t *event;
 
 	assert_non_null(node);
-	event = send_(from->world,
-		      message->type == PL_FLOW_VERDICT ? TO_ENTRY_MESSAGE :
-							 TO_AGENT,
-		      node->index, LINK_MS, message->packet,
-		      message->packet_len);
+	event = send_(
+		from->world,
+		message->type == PL_FLOW_VERDICT ? TO_ENTRY_MESSAGE : TO_AGENT,
+		node->index, LINK_MS, message->packet, message->packet_len);
 	event->message = *message;
 	event->message.packet = event->bytes;
 }
@@ -638,10 +644,9 @@
 		call->state = CALL_DONE;
 		call->took = call->world->now - call->started;
 		pl_timer_cancel(call->world->timers, &call->timer);
-		from_caller_(call,
-			     PL_PACKET_ACK | (call->keep ? 0 : PL_PACKET_FIN),
-			     call->seq + (uint32_t)call->bytes,
-			     call->server_seq, 0);
+		from_caller_(
+			call, PL_PACKET_ACK | (call->keep ? 0 : PL_PACKET_FIN),
+			call->seq + (uint32_t)call->bytes, call->server_seq, 0);
 	}
 }
 
@@ -651,8 +656,7 @@
 		call_t *call = world->calls->pdata[i];
 
 		if (call->ip == packet->dst.ip &&
-		    call->port == packet->dst.port &&
-		    call->state <= CALL_SENT)
+		    call->port == packet->dst.port && call->state <= CALL_SENT)
 			to_call_(call, packet);
 	}
 }
@@ -791,8 +795,8 @@
 		if (call->started < from)
 			continue;
 		all++;
-		in_time += call->state == CALL_DONE &&
-			   call->took <= WORLD_GOAL_MS;
+		in_time +=
+			call->state == CALL_DONE && call->took <= WORLD_GOAL_MS;
 	}
 	return all ? (double)in_time / (double)all : 1;
 }
--- /dev/null
+++ b/test/platform/call_test.c
@@ -0,0 +1,104 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <platform/platform.h>
+#include <stdio.h>
+#include <string.h>
+
+static const char path_[] = "/v1/instances/i-7f3a91c2";
+
+static pl_platform_call_t read_(const char *method, const char *path,
+				const char *body)
+{
+	pl_platform_call_t call;
+
+	pl_platform_call_read(method, path, body, strlen(body), &call);
+	return call;
+}
+
+static void heartbeat_is_read(void **state)
+{
+	pl_platform_call_t call = read_(
+		"PUT", path_,
+		"{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\","
+		"\"zone\":\"z\",\"version\":\"v1\",\"max_concurrency\":5,"
+		"\"state\":\"ready\",\"warmup_left_ms\":1200,\"sequence\":4,"
+		"\"born\":1767638575470,\"new_field\":[1,2]}");
+
+	(void)state;
+	assert_int_equal(call.type, PL_PLATFORM_CALL_REPORT);
+	assert_string_equal(call.report.id, "i-7f3a91c2");
+	assert_string_equal(call.report.service, "huvo11a");
+	assert_int_equal(call.report.born_ms, 1767638575470);
+	assert_int_equal(call.report.sequence, 4);
+	assert_int_equal(call.report.slots, 5);
+	assert_int_equal(call.report.warmup_ms, 1200);
+	assert_false(call.report.draining);
+}
+
+static void other_calls_are_told_apart(void **state)
+{
+	(void)state;
+	assert_int_equal(read_("GET", "/v1/ready", "").type,
+			 PL_PLATFORM_CALL_READY);
+	assert_int_equal(read_("POST", "/v1/ready", "").type,
+			 PL_PLATFORM_CALL_METHOD);
+	assert_int_equal(read_("DELETE", path_, "").type,
+			 PL_PLATFORM_CALL_LEAVE);
+	assert_int_equal(read_("POST", path_, "").type,
+			 PL_PLATFORM_CALL_METHOD);
+	assert_int_equal(read_("GET", "/other", "").type,
+			 PL_PLATFORM_CALL_UNKNOWN);
+	assert_int_equal(read_("PUT", "/v1/instances/", "{}").type,
+			 PL_PLATFORM_CALL_MALFORMED);
+}
+
+/* Another writer's report names no backend server to use. */
+static void malformed_heartbeats_are_refused(void **state)
+{
+	static const char *const bodies[] = {
+		"",
+		"{",
+		"[]",
+		"7",
+		"{}",
+		"\xff\xfe\x00",
+		"{\"service\":7,\"max_concurrency\":5,\"state\":\"ready\","
+		"\"warmup_left_ms\":0,\"sequence\":4}",
+		"{\"service\":\"\",\"max_concurrency\":5,\"state\":\"ready\","
+		"\"warmup_left_ms\":0,\"sequence\":4}",
+		"{\"service\":\"a\",\"max_concurrency\":-5,"
+		"\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":4}",
+		"{\"service\":\"a\",\"max_concurrency\":\"5\","
+		"\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":4}",
+		"{\"service\":\"a\",\"max_concurrency\":5,"
+		"\"state\":\"resting\",\"warmup_left_ms\":0,\"sequence\":4}",
+		"{\"service\":\"a\",\"max_concurrency\":5,\"state\":\"ready\","
+		"\"warmup_left_ms\":0,\"sequence\":1.5}",
+		"{\"service\":\"a\",\"max_concurrency\":5,\"state\":null,"
+		"\"warmup_left_ms\":0,\"sequence\":1}",
+	};
+	char long_name[400];
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++)
+		assert_int_equal(read_("PUT", path_, bodies[i]).type,
+				 PL_PLATFORM_CALL_MALFORMED);
+	snprintf(long_name, sizeof(long_name), "/v1/instances/%0300d", 7);
+	assert_int_equal(read_("DELETE", long_name, "").type,
+			 PL_PLATFORM_CALL_MALFORMED);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(heartbeat_is_read),
+		cmocka_unit_test(other_calls_are_told_apart),
+		cmocka_unit_test(malformed_heartbeats_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/platform/config_test.c
@@ -0,0 +1,106 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <platform/platform.h>
+#include <string.h>
+
+static pl_result_t decode_(const char *text, pl_document_t **document,
+			   size_t *skipped)
+{
+	pl_error_t err = PL_ERROR_INIT;
+
+	return pl_platform_config_decode(text, strlen(text), document, skipped,
+					 &err);
+}
+
+static void routes_become_sections(void **state)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":["
+		"{\"name\":\"a\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
+		"\"kind\":\"safe\",\"timeout_ms\":3000,\"goal_ms\":200,"
+		"\"priority\":2,\"service\":\"s1\"},"
+		"{\"name\":\"b\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+		"\"timeout_ms\":4000,\"goal_ms\":250.0,\"priority\":1,"
+		"\"service\":\"s1\"},"
+		"{\"name\":\"c\",\"host\":\"198.18.0.2\",\"prefix\":\"/443/\","
+		"\"backends\":[{\"service\":\"s1\",\"weight\":10},"
+		"{\"service\":\"s2\",\"weight\":90}]}],"
+		"\"services\":[],\"limits\":{}}";
+	const pl_service_config_t *service;
+	pl_document_t *document;
+	size_t skipped;
+
+	(void)state;
+	assert_int_equal(decode_(text, &document, &skipped), PL_OK);
+	assert_int_equal(skipped, 0);
+	assert_int_equal(pl_document_revision(document), 7);
+	assert_int_equal(pl_document_count(document), 2);
+	service = pl_section_service(pl_document_find(document, "s1"));
+	assert_int_equal(service->address_count, 2);
+	assert_int_equal(service->addresses[0].port, 8080);
+	assert_int_equal(service->routes[0].goal_ms, 250);
+	assert_int_equal(service->routes[0].priority, 1);
+	assert_int_equal(service->routes[1].goal_ms, 200);
+	service = pl_section_service(pl_document_find(document, "s2"));
+	assert_int_equal(service->addresses[0].port, 443);
+	pl_document_put(document);
+}
+
+static void routes_that_cannot_be_read_are_left_out(void **state)
+{
+	static const char text[] =
+		"{\"version\":3,\"routes\":[7,null,{},"
+		"{\"host\":\"x\",\"prefix\":\"/1/\",\"service\":\"s\"},"
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"/99999/\",\"service\":\"s\"},"
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"80\",\"service\":\"s\"},"
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\",\"service\":7},"
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\",\"service\":\"s\"}]}";
+	pl_document_t *document;
+	size_t skipped;
+
+	(void)state;
+	assert_int_equal(decode_(text, &document, &skipped), PL_OK);
+	assert_int_equal(skipped, 7);
+	assert_int_equal(pl_document_count(document), 1);
+	pl_document_put(document);
+}
+
+static void other_bytes_are_no_configuration(void **state)
+{
+	static const char *const texts[] = {
+		"",
+		"{",
+		"[]",
+		"7",
+		"{\"version\":0,\"routes\":[]}",
+		"{\"version\":-1,\"routes\":[]}",
+		"{\"version\":\"7\",\"routes\":[]}",
+		"{\"version\":7}",
+		"{\"version\":7,\"routes\":{}}",
+	};
+	pl_document_t *document;
+	size_t skipped;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		assert_int_equal(decode_(texts[i], &document, &skipped),
+				 PL_ERR_MALFORMED);
+		assert_null(document);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(routes_become_sections),
+		cmocka_unit_test(routes_that_cannot_be_read_are_left_out),
+		cmocka_unit_test(other_bytes_are_no_configuration),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/proto/flow_codec_test.c
@@ -0,0 +1,111 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <pimentolift/flow_codec.h>
+#include <string.h>
+
+#define ROUNDS 20000
+
+static pl_key_t key_(void)
+{
+	pl_key_t key;
+
+	pl_key_derive("a secret of the fleet", "trial", PL_KEY_DATAGRAM, &key);
+	return key;
+}
+
+static pl_flow_message_t message_(const uint8_t *packet, size_t len)
+{
+	return (pl_flow_message_t){
+		.type = PL_FLOW_FORWARD,
+		.sender = 0x0a0000011f40ULL,
+		.service = 0x1122334455667788ULL,
+		.flow = { 0x64400007, 0xc6120001, 40001, 443 },
+		.flags = PL_FLOW_KNOWN | PL_FLOW_LAST,
+		.ack = 0xfffffff0U,
+		.verdict = PL_FLOW_ENDED,
+		.load = { 5, 7, 4321 },
+		.due_ms = 250,
+		.priority = 2,
+		.packet = packet,
+		.packet_len = len,
+	};
+}
+
+static void message_round_trips(void **state)
+{
+	uint8_t packet[PL_PACKET_MAX];
+	uint8_t buf[PL_WIRE_DATAGRAM_MAX];
+	pl_key_t key = key_();
+	pl_flow_decoder_t *decoder = pl_flow_decoder_new(&key);
+	pl_flow_message_t sent = message_(packet, 1234);
+	pl_flow_message_t got;
+	size_t len;
+
+	(void)state;
+	memset(packet, 0x5a, sizeof(packet));
+	len = pl_flow_encode(&key, &sent, buf, sizeof(buf));
+	assert_true(len > 0);
+	assert_int_equal(pl_flow_decode(decoder, buf, len, &got), PL_OK);
+	assert_memory_equal(got.packet, packet, 1234);
+	got.packet = sent.packet;
+	assert_int_equal(got.type, sent.type);
+	assert_int_equal(got.sender, sent.sender);
+	assert_int_equal(got.service, sent.service);
+	assert_memory_equal(&got.flow, &sent.flow, sizeof(sent.flow));
+	assert_int_equal(got.flags, sent.flags);
+	assert_int_equal(got.ack, sent.ack);
+	assert_int_equal(got.verdict, sent.verdict);
+	assert_memory_equal(&got.load, &sent.load, sizeof(sent.load));
+	assert_int_equal(got.due_ms, sent.due_ms);
+	assert_int_equal(got.priority, sent.priority);
+	pl_flow_decoder_delete(decoder);
+}
+
+/* Whatever arrives, the decoder ends with a result and reads no further. */
+static void changed_bytes_are_refused(void **state)
+{
+	uint8_t packet[100] = { 1, 2, 3 };
+	uint8_t buf[PL_WIRE_DATAGRAM_MAX];
+	pl_key_t key = key_();
+	pl_flow_decoder_t *decoder = pl_flow_decoder_new(&key);
+	pl_flow_message_t sent = message_(packet, sizeof(packet));
+	size_t len = pl_flow_encode(&key, &sent, buf, sizeof(buf));
+	GRand *random = g_rand_new_with_seed(7);
+	pl_flow_message_t got;
+
+	(void)state;
+	for (size_t cut = 0; cut < len; cut++)
+		assert_int_not_equal(pl_flow_decode(decoder, buf, cut, &got),
+				     PL_OK);
+	for (int i = 0; i < ROUNDS; i++) {
+		uint8_t changed[PL_WIRE_DATAGRAM_MAX];
+		size_t at = (size_t)g_rand_int_range(random, 0, (gint32)len);
+
+		memcpy(changed, buf, len);
+		changed[at] ^= (uint8_t)g_rand_int_range(random, 1, 256);
+		assert_int_not_equal(
+			pl_flow_decode(decoder, changed, len, &got), PL_OK);
+		/* the same with a code that fits */
+		pl_mac(&key, changed, len - PL_MAC_BYTES,
+		       changed + len - PL_MAC_BYTES);
+		if (pl_flow_decode(decoder, changed, len, &got) == PL_OK)
+			assert_true(got.packet_len <= len);
+	}
+	g_rand_free(random);
+	pl_flow_decoder_delete(decoder);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(message_round_trips),
+		cmocka_unit_test(changed_bytes_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
