Questions of many lookups in one datagram, within a part of the link

Cause: a lookup asked up to 61 agents one by one, and all silent ones again with each change of the routing table; beside small entries (10 Mbit/s) the questions filled the link and nothing was answered any more.

--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -34,7 +34,8 @@
 /** Type of a message. */
 typedef enum {
 	PL_FLOW_FORWARD = 1, /**< entry to agent: a caller's packet */
-	PL_FLOW_LOCATE, /**< entry to agent: is the flow yours? */
+	PL_FLOW_LOCATE, /**< entry to agent: which of the flows are yours? */
+	PL_FLOW_LOCATED, /**< agent to entry: the answer */
 	PL_FLOW_CANCEL, /**< entry to agent: another server has the flow */
 	PL_FLOW_LOAD, /**< agent to entry: how busy its server is */
 	PL_FLOW_VERDICT, /**< agent to entry: what it knows of the flow */
@@ -72,6 +73,16 @@
 	uint32_t mean_busy; /**< in thousandths, over the last second or so */
 } pl_flow_load_t;
 
+/** Flows in one message. */
+#define PL_FLOW_ITEMS_MAX 32
+
+/** A flow that is asked for, or answered. */
+typedef struct {
+	pl_flow_key_t flow;
+	uint32_t ack; /**< of the packet that is held back */
+	pl_flow_verdict_t verdict; /**< in the answer */
+} pl_flow_item_t;
+
 /** A message; @c type says which fields hold. */
 typedef struct {
 	pl_flow_type_t type;
@@ -81,11 +92,13 @@
 	unsigned int flags; /**< FORWARD; of @ref pl_flow_flag_t */
 	uint32_t due_ms; /**< FORWARD: until an answer is late; 0: it is */
 	uint32_t priority; /**< FORWARD: 0 is the most urgent */
-	uint32_t ack; /**< LOCATE: of the packet that is held back */
+
 	pl_flow_verdict_t verdict; /**< VERDICT */
 	pl_flow_load_t load; /**< VERDICT */
 	const uint8_t *packet; /**< FORWARD; VERDICT: handed back, or NULL */
 	size_t packet_len;
+	const pl_flow_item_t *items; /**< LOCATE, LOCATED */
+	size_t item_count;
 } pl_flow_message_t;
 
 #endif
--- a/include/pimentolift/flow_codec.h
+++ b/include/pimentolift/flow_codec.h
@@ -3,9 +3,10 @@
  * @defgroup flow_codec Inner protocol: messages about flows
  *
  * Codec of @ref flow messages: a msgpack array [version, type, sender,
- * service, caller IP, caller port, service IP, service port, flags, ack,
- * verdict, slots, busy, mean busy, due, priority, packet] followed by a code of
- * @ref PL_MAC_BYTES with the key PL_KEY_DATAGRAM. A receiver ignores elements
+ * service, caller IP, caller port, service IP, service port, flags, verdict,
+ * slots, busy, mean busy, due, priority, items, packet] followed by a code of
+ * @ref PL_MAC_BYTES with the key PL_KEY_DATAGRAM. An item is an array of the
+ * four parts of its flow, ack and verdict. A receiver ignores elements
  * past those it knows.
  * @{
  */
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -41,6 +41,7 @@
 	pl_member_id_t self;
 	pl_datacentre_id_t datacentre;
 	uint32_t flow_max_ms; /**< age at which a flow may be forgotten */
+	uint64_t link_bytes; /**< that the entry's link carries in a second */
 	size_t flows_max; /**< flows in the cache */
 	const pl_packet_ops_t *packets;
 	const pl_flow_placement_t *placement;
--- a/include/pimentolift/settings.h
+++ b/include/pimentolift/settings.h
@@ -78,6 +78,7 @@
 	/** Callers' packets arrive here; callers listen on the same port. */
 	pl_addr_t listen;
 	pl_addr_t ready; /**< HTTP: whether routers may send packets here */
+	double link_mbps; /**< of the process's machine */
 	uint32_t config_ms; /**< a change of the document is in force within */
 	double flow_max_s; /**< age at which a flow may be forgotten */
 	/* of an agent */
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -23,6 +23,8 @@
 #define PORT_MAX 65535
 #define FLOW_DEFAULT_S 60.0
 #define FLOW_MAX_S 86400.0
+#define LINK_DEFAULT_MBPS 1000
+#define LINK_MAX_MBPS 1000000
 #define CONFIG_DEFAULT_MS 3000
 #define CONFIG_MIN_MS 100
 #define CONFIG_MAX_MS 600000
@@ -58,6 +60,7 @@
 	settings->agent.backend_listen = any_port;
 	settings->agent.memory_max_mb = AGENT_MEMORY_DEFAULT_MB;
 	settings->flows.flow_max_s = FLOW_DEFAULT_S;
+	settings->flows.link_mbps = LINK_DEFAULT_MBPS;
 	settings->flows.config_ms = CONFIG_DEFAULT_MS;
 	settings->flows.report_ms = REPORT_DEFAULT_MS;
 }
@@ -215,6 +218,8 @@
 		       &flows->ready);
 	pl_reader_real(problems, table, "flow_max_s", PL_KEY_OPTIONAL, 0,
 		       FLOW_MAX_S, &flows->flow_max_s);
+	pl_reader_real(problems, table, "link_mbps", PL_KEY_OPTIONAL, 0,
+		       LINK_MAX_MBPS, &flows->link_mbps);
 	pl_reader_real(problems, table, "config_ms", PL_KEY_OPTIONAL,
 		       CONFIG_MIN_MS, CONFIG_MAX_MS, &config_ms);
 	flows->config_ms = (uint32_t)config_ms;
@@ -349,6 +354,7 @@
 	g_string_append(out, "\n[flows]\n");
 	print_addr_(out, "listen", &flows->listen);
 	print_addr_(out, "ready", &flows->ready);
+	g_string_append_printf(out, "link_mbps = %g\n", flows->link_mbps);
 	g_string_append_printf(out, "config_ms = %u\n", flows->config_ms);
 	g_string_append_printf(out, "flow_max_s = %g\n", flows->flow_max_s);
 	if (settings->role != PL_ROLE_AGENT)
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -13,6 +13,7 @@
 /** Flows in the cache: about 30 MB. */
 #define FLOWS_MAX 200000
 #define MS_PER_S 1000
+#define BYTES_PER_MBIT 125000
 /** After a stop was asked for, routers notice by two probes half a second
  * apart that this entry is not ready; packets on their way follow. */
 #define LEAVE_MS 2000
@@ -99,6 +100,8 @@
 		.flow_max_ms =
 			(uint32_t)(settings->flows.flow_max_s * MS_PER_S),
 		.flows_max = FLOWS_MAX,
+		.link_bytes =
+			(uint64_t)(settings->flows.link_mbps * BYTES_PER_MBIT),
 		.packets = &pl_platform_packets,
 		.placement = &pl_flow_placement_load,
 	};
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -301,10 +301,22 @@
 
 static void locate_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
 {
-	const flow_t *flow = find_(agent, &message->flow);
+	pl_flow_item_t items[PL_FLOW_ITEMS_MAX];
+	const pl_flow_message_t answer = {
+		.type = PL_FLOW_LOCATED,
+		.sender = agent->params.self,
+		.service = agent->params.service,
+		.load = pl_flow_agent_load_(agent),
+		.items = items,
+		.item_count = message->item_count,
+	};
 
-	pl_flow_agent_verdict_(agent, message->sender, &message->flow,
-			       verdict_(agent, flow, message->ack), NULL, 0);
+	for (size_t i = 0; i < message->item_count; i++) {
+		items[i] = message->items[i];
+		items[i].verdict = verdict_(agent, find_(agent, &items[i].flow),
+					    items[i].ack);
+	}
+	agent->ops->send(agent->ctx, message->sender, &answer);
 }
 
 /* Another server has the flow: neither slot nor place is needed. */
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -61,6 +61,7 @@
 	pl_flow_rosters_init_(entry);
 	pl_flow_retries_init_(entry);
 	pl_flow_hold_init_(entry);
+	pl_flow_ask_init_(entry);
 	pl_timer_init(&entry->sweep, sweep_, entry);
 	pl_timer_arm(timers, &entry->sweep,
 		     pl_timer_service_now(timers) + SWEEP_MS);
@@ -73,6 +74,7 @@
 		return;
 	pl_timer_cancel(entry->timers, &entry->sweep);
 	pl_flow_hold_finish_(entry);
+	pl_timer_cancel(entry->timers, &entry->ask_timer);
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
 	g_hash_table_destroy(entry->rosters);
@@ -88,6 +90,7 @@
 	if (entry->routing)
 		pl_routing_put(entry->routing);
 	entry->routing = routing;
+	pl_flow_ask_newcomers_(entry);
 	pl_flow_hold_retry_(entry);
 }
 
@@ -313,18 +316,36 @@
 	pl_flow_entry_cancel_offers_(entry, flow);
 }
 
+static void located_(pl_flow_entry_t *entry, const pl_flow_message_t *message)
+{
+	for (size_t i = 0; i < message->item_count; i++) {
+		const pl_flow_item_t *item = &message->items[i];
+		pl_flow_node_t *node =
+			pl_flow_table_find(entry->flows, &item->flow);
+		const cached_t *flow =
+			node ? PL_CONTAINER_OF(node, cached_t, node) : NULL;
+
+		if (flow && flow->lookup && flow->service == message->service)
+			pl_flow_lookup_verdict_(entry, flow->lookup,
+						message->sender, item->verdict);
+	}
+}
+
 void pl_flow_entry_message(pl_flow_entry_t *entry,
 			   const pl_flow_message_t *message)
 {
 	pl_flow_node_t *node;
 	cached_t *flow;
 
-	if (message->type != PL_FLOW_VERDICT && message->type != PL_FLOW_LOAD) {
+	if (message->type != PL_FLOW_VERDICT && message->type != PL_FLOW_LOAD &&
+	    message->type != PL_FLOW_LOCATED) {
 		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
 		return;
 	}
 	pl_flow_loads_note_(entry, message->sender, &message->load);
-	if (message->type == PL_FLOW_LOAD)
+	if (message->type == PL_FLOW_LOCATED)
+		located_(entry, message);
+	if (message->type != PL_FLOW_VERDICT)
 		return;
 	node = pl_flow_table_find(entry->flows, &message->flow);
 	if (!node)
@@ -339,7 +360,8 @@
 	else if (message->verdict == PL_FLOW_WAITS)
 		flow->waits_at = flow->owner == 0 ? message->sender : 0;
 	else if (flow->lookup)
-		pl_flow_lookup_verdict_(entry, flow->lookup, message);
+		pl_flow_lookup_verdict_(entry, flow->lookup, message->sender,
+					message->verdict);
 	else if (message->verdict == PL_FLOW_OWNED)
 		owned_(entry, flow, message->sender);
 	else
--- /dev/null
+++ b/src/flow/entry_ask.c
@@ -0,0 +1,205 @@
+/**
+ * @file
+ * Questions to agents, gathered for a moment.
+ *
+ * When the routers move their flows, an entry looks for hundreds of owners at
+ * once, and each of them may be any of dozens of agents. One datagram to an
+ * agent carries the questions of many lookups, so that a small link carries
+ * the answers as well.
+ */
+#include "private/entry_private.h"
+
+#include <pimentolift/hash.h>
+
+/** Questions wait this long for others. */
+#define GATHER_MS 5
+/** A question is repeated after this time, doubled each time, so often. */
+#define AGAIN_MS 100
+#define SENDINGS_MAX 4
+/** Part of the link that questions may take, in percent: on a full one they
+ * would crowd out the answers and the packets. */
+#define LINK_PERCENT 20
+#define PERCENT 100
+/** Bytes of one question, and of its answer. */
+#define ITEM_BYTES 50
+#define MS_PER_S 1000
+/** Of a large service these come first, in the flow's own order: new flows
+ * are given to the first 16, and a few of them may have come or gone since. */
+#define NEAR_MAX 20
+
+/** Questions for one agent. */
+typedef struct {
+	pl_service_id_t service;
+	size_t count;
+	pl_flow_item_t items[PL_FLOW_ITEMS_MAX];
+} batch_t;
+
+static void send_(pl_flow_entry_t *entry, pl_member_id_t agent, batch_t *batch)
+{
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_LOCATE,
+		.sender = entry->params.self,
+		.service = batch->service,
+		.items = batch->items,
+		.item_count = batch->count,
+	};
+
+	if (batch->count > 0)
+		entry->ops->send(entry->ctx, agent, &message);
+	batch->count = 0;
+}
+
+static void add_(pl_flow_entry_t *entry, GHashTable *batches,
+		 const lookup_t *lookup, pl_member_id_t agent)
+{
+	batch_t *batch = g_hash_table_lookup(batches, &agent);
+
+	if (!batch) {
+		batch = g_new0(batch_t, 1);
+		batch->service = lookup->flow->service;
+		g_hash_table_insert(batches, g_memdup2(&agent, sizeof(agent)),
+				    batch);
+	}
+	/* an agent has one service; a change of it ends the batch */
+	if (batch->service != lookup->flow->service ||
+	    batch->count == PL_FLOW_ITEMS_MAX) {
+		send_(entry, agent, batch);
+		batch->service = lookup->flow->service;
+	}
+	batch->items[batch->count++] = (pl_flow_item_t){
+		.flow = lookup->flow->node.key,
+		.ack = lookup->ack,
+	};
+}
+
+/* Whether the budget has room for one more question. */
+static bool may_ask_(pl_flow_entry_t *entry)
+{
+	if (entry->ask_tokens < ITEM_BYTES * MS_PER_S)
+		return false;
+	entry->ask_tokens -= ITEM_BYTES * MS_PER_S;
+	return true;
+}
+
+static void refill_(pl_flow_entry_t *entry, pl_ms_t now)
+{
+	uint64_t per_s = entry->params.link_bytes * LINK_PERCENT / PERCENT;
+	uint64_t most = per_s * MS_PER_S / 2;
+
+	entry->ask_tokens += (now - entry->ask_refilled) * per_s;
+	entry->ask_tokens = MIN(entry->ask_tokens, most);
+	entry->ask_refilled = now;
+}
+
+static bool is_due_(const asked_t *asked, pl_ms_t now)
+{
+	return !asked->answered && asked->sendings < SENDINGS_MAX &&
+	       now >= asked->ask_at;
+}
+
+/* Adds what is due of one lookup; true when something is left for later. */
+static bool gather_(pl_flow_entry_t *entry, GHashTable *batches,
+		    const lookup_t *lookup, pl_ms_t now)
+{
+	bool left = false;
+
+	for (guint i = 0; i < lookup->asked->len; i++) {
+		asked_t *asked = &g_array_index(lookup->asked, asked_t, i);
+
+		left = left ||
+		       (!asked->answered && asked->sendings < SENDINGS_MAX);
+		if (!is_due_(asked, now) || !may_ask_(entry))
+			continue;
+		asked->ask_at = now + ((pl_ms_t)AGAIN_MS << asked->sendings);
+		asked->sendings++;
+		add_(entry, batches, lookup, asked->agent);
+	}
+	return left;
+}
+
+static void arm_(pl_flow_entry_t *entry)
+{
+	if (!pl_timer_armed(&entry->ask_timer))
+		pl_timer_arm(entry->timers, &entry->ask_timer,
+			     pl_flow_entry_now_(entry) + GATHER_MS);
+}
+
+static void on_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_flow_entry_t *entry = ctx;
+	GHashTable *batches = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, g_free);
+	GHashTableIter iter;
+	gpointer agent;
+	gpointer batch;
+	bool left = false;
+
+	(void)timer;
+	refill_(entry, now);
+	pl_list_for_each(link, &entry->lookups)
+		left |= gather_(entry, batches,
+				PL_CONTAINER_OF(link, lookup_t, link), now);
+	g_hash_table_iter_init(&iter, batches);
+	while (g_hash_table_iter_next(&iter, &agent, &batch))
+		send_(entry, *(pl_member_id_t *)agent, batch);
+	g_hash_table_destroy(batches);
+	if (left)
+		arm_(entry);
+}
+
+void pl_flow_ask_init_(pl_flow_entry_t *entry)
+{
+	pl_timer_init(&entry->ask_timer, on_timer_, entry);
+}
+
+static void add_target_(lookup_t *lookup, pl_member_id_t agent)
+{
+	asked_t asked = { .agent = agent };
+
+	if (!pl_flow_lookup_asked_(lookup, agent))
+		g_array_append_val(lookup->asked, asked);
+}
+
+static void add_targets_(pl_flow_entry_t *entry, lookup_t *lookup)
+{
+	const pl_route_service_t *service =
+		pl_routing_by_id(entry->routing, lookup->flow->service);
+	pl_flow_ranked_t ranked[NEAR_MAX];
+	size_t count;
+
+	if (!service)
+		return;
+	if (lookup->wide || service->endpoint_count <= NEAR_MAX) {
+		for (size_t i = 0; i < service->endpoint_count; i++)
+			add_target_(lookup, service->endpoints[i].agent);
+		return;
+	}
+	count = pl_flow_rank_(service, &lookup->flow->node.key, NULL, NULL,
+			      ranked, NEAR_MAX);
+	for (size_t i = 0; i < count; i++)
+		add_target_(lookup, ranked[i].endpoint->agent);
+	/* those that were offered the flow may own it whatever their rank */
+	for (size_t i = 0; i < lookup->flow->offered_count; i++)
+		add_target_(lookup, lookup->flow->offered[i]);
+}
+
+void pl_flow_ask_newcomers_(pl_flow_entry_t *entry)
+{
+	pl_list_for_each(link, &entry->lookups) {
+		lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
+
+		if (pl_flow_ask_(entry, lookup))
+			lookup->exhausted = false;
+	}
+}
+
+bool pl_flow_ask_(pl_flow_entry_t *entry, lookup_t *lookup)
+{
+	guint before = lookup->asked->len;
+
+	add_targets_(entry, lookup);
+	if (lookup->asked->len == before)
+		return false;
+	arm_(entry);
+	return true;
+}
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -13,8 +13,8 @@
 #include <pimentolift/event.h>
 #include <string.h>
 
-/** Pause until agents that did not answer are asked again. */
-#define ASK_AGAIN_MS 60
+/** Pause until a lookup is looked at again. */
+#define LOOK_AGAIN_MS 60
 /** After this time agents that did not answer count as silent. */
 #define SILENT_MS 30
 /** A lookup without an owner ends after this time; by then the caller has
@@ -47,42 +47,6 @@
 	return asked_(lookup, agent);
 }
 
-static void ask_(pl_flow_entry_t *entry, const lookup_t *lookup,
-		 pl_member_id_t agent)
-{
-	const pl_flow_message_t message = {
-		.type = PL_FLOW_LOCATE,
-		.sender = entry->params.self,
-		.service = lookup->flow->service,
-		.flow = lookup->flow->node.key,
-		.ack = lookup->ack,
-	};
-
-	entry->ops->send(entry->ctx, agent, &message);
-}
-
-/* Asks each agent of the service that is new, or did not answer yet; true
- * when there was one. */
-static bool ask_all_(pl_flow_entry_t *entry, lookup_t *lookup)
-{
-	const pl_route_service_t *service =
-		pl_routing_by_id(entry->routing, lookup->flow->service);
-	bool asks = false;
-
-	for (size_t i = 0; service && i < service->endpoint_count; i++) {
-		asked_t new = { .agent = service->endpoints[i].agent };
-		const asked_t *asked = asked_(lookup, new.agent);
-
-		if (!asked)
-			g_array_append_val(lookup->asked, new);
-		if (asked && asked->answered)
-			continue;
-		ask_(entry, lookup, new.agent);
-		asks = true;
-	}
-	return asks;
-}
-
 static void arm_(pl_flow_entry_t *entry, lookup_t *lookup, pl_ms_t pause)
 {
 	pl_timer_arm(entry->timers, &lookup->timer,
@@ -160,34 +124,42 @@
 /* Goes on as far as the answers allow. */
 static void step_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
-	pl_ms_t age = pl_flow_entry_now_(entry) - lookup->started;
+	pl_ms_t age = pl_flow_entry_now_(entry) - lookup->started_wide;
 	rest_t rest = rest_(lookup);
 
 	if (lookup->trial || lookup->exhausted)
 		return;
 	/* a table that names no endpoint is that of a newcomer */
 	if (lookup->asked->len == 0) {
-		arm_(entry, lookup, ASK_AGAIN_MS);
+		arm_(entry, lookup, LOOK_AGAIN_MS);
 		return;
 	}
 	if (rest.silent > 0 && age < SILENT_MS) {
 		arm_(entry, lookup, SILENT_MS - age);
 		return;
 	}
+	if (!lookup->wide) {
+		lookup->wide = true;
+		if (pl_flow_ask_(entry, lookup)) {
+			lookup->started_wide = pl_flow_entry_now_(entry);
+			arm_(entry, lookup, SILENT_MS);
+			return;
+		}
+	}
 	if (rest.next &&
 	    (rest.silent == 0 || rest.tried < TRIALS_WHILE_SILENT)) {
 		try_(entry, lookup, rest.next);
 		return;
 	}
 	if (rest.silent > 0 || rest.unsure > 0) {
-		arm_(entry, lookup, ASK_AGAIN_MS);
+		arm_(entry, lookup, LOOK_AGAIN_MS);
 		return;
 	}
 	lookup->exhausted = true;
 	if (pl_flow_roster_rules_out_(entry, lookup))
 		dead_(entry, lookup);
 	else
-		arm_(entry, lookup, ASK_AGAIN_MS);
+		arm_(entry, lookup, LOOK_AGAIN_MS);
 }
 
 /* What each agent said, for the log. */
@@ -236,14 +208,14 @@
 		return;
 	}
 	lookup->trial = false;
-	if (now - lookup->started >= ASK_AGAIN_MS && ask_all_(entry, lookup))
+	if (pl_flow_ask_(entry, lookup))
 		lookup->exhausted = false;
 	if (lookup->exhausted && pl_flow_roster_rules_out_(entry, lookup)) {
 		dead_(entry, lookup);
 		return;
 	}
 	if (lookup->exhausted) {
-		arm_(entry, lookup, ASK_AGAIN_MS);
+		arm_(entry, lookup, LOOK_AGAIN_MS);
 		return;
 	}
 	step_(entry, lookup);
@@ -264,7 +236,8 @@
 	flow->owner = 0;
 	entry->stats.lookups++;
 	entry->stats.lookups_open++;
-	ask_all_(entry, lookup);
+	lookup->started_wide = lookup->started;
+	pl_flow_ask_(entry, lookup);
 	arm_(entry, lookup, SILENT_MS);
 	return lookup;
 }
@@ -283,20 +256,20 @@
 }
 
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
-			     const pl_flow_message_t *message)
+			     pl_member_id_t agent, pl_flow_verdict_t verdict)
 {
-	asked_t *asked = asked_(lookup, message->sender);
+	asked_t *asked = asked_(lookup, agent);
 
-	if (message->verdict == PL_FLOW_OWNED) {
-		found_(entry, lookup, message->sender);
+	if (verdict == PL_FLOW_OWNED) {
+		found_(entry, lookup, agent);
 		return;
 	}
-	if (!asked || message->verdict == PL_FLOW_REFUSED)
+	if (!asked || verdict == PL_FLOW_REFUSED)
 		return;
-	if (asked->tried && message->verdict == PL_FLOW_ABSENT)
+	if (asked->tried && verdict == PL_FLOW_ABSENT)
 		lookup->trial = false;
 	asked->answered = true;
-	asked->verdict = message->verdict;
+	asked->verdict = verdict;
 	step_(entry, lookup);
 }
 
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -22,12 +22,6 @@
 	unsigned int next; /**< place of the next one */
 } load_t;
 
-/** An endpoint with its rank for one flow. */
-typedef struct {
-	const pl_endpoint_t *endpoint;
-	uint64_t rank;
-} ranked_t;
-
 void pl_flow_loads_init_(pl_flow_entry_t *entry)
 {
 	entry->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -79,35 +73,39 @@
 	return false;
 }
 
-/* Keeps the @p max endpoints that rank highest for the flow, in order. */
-static size_t rank_(const pl_route_service_t *service, const cached_t *flow,
-		    ranked_t *ranked, size_t max)
+size_t
+pl_flow_rank_(const pl_route_service_t *service, const pl_flow_key_t *key,
+	      bool (*fits)(const void *ctx, const pl_endpoint_t *endpoint),
+	      const void *ctx, pl_flow_ranked_t *ranked, size_t max)
 {
-	uint64_t seed = pl_hash(&flow->node.key, sizeof(flow->node.key), 0);
+	uint64_t seed = pl_hash(key, sizeof(*key), 0);
 	size_t count = 0;
 
 	for (size_t i = 0; i < service->endpoint_count; i++) {
 		const pl_endpoint_t *endpoint = &service->endpoints[i];
 		uint64_t rank = pl_hash(&endpoint->agent,
 					sizeof(endpoint->agent), seed);
-		size_t at = count < max ? count++ : max;
+		size_t at;
 
-		if (endpoint->state != PL_ENDPOINT_SERVING ||
-		    was_offered_(flow, endpoint->agent)) {
-			count = at;
+		if (fits && !fits(ctx, endpoint))
+			continue;
+		if (count == max && ranked[max - 1].rank >= rank)
 			continue;
-		}
-		while (at > 0 && ranked[at - 1].rank < rank) {
-			if (at < max)
-				ranked[at] = ranked[at - 1];
-			at--;
-		}
-		if (at < max)
-			ranked[at] = (ranked_t){ endpoint, rank };
+		at = count < max ? count++ : max - 1;
+		for (; at > 0 && ranked[at - 1].rank < rank; at--)
+			ranked[at] = ranked[at - 1];
+		ranked[at] = (pl_flow_ranked_t){ endpoint, rank };
 	}
 	return count;
 }
 
+/* Whether a new flow may be offered to the endpoint. */
+static bool takes_(const void *ctx, const pl_endpoint_t *endpoint)
+{
+	return endpoint->state == PL_ENDPOINT_SERVING &&
+	       !was_offered_(ctx, endpoint->agent);
+}
+
 static bool is_full_(const pl_flow_candidate_t *candidate)
 {
 	return candidate->load.slots > 0 &&
@@ -122,13 +120,14 @@
 	const pl_route_service_t *service =
 		pl_routing_by_id(entry->routing, flow->service);
 	pl_flow_candidate_t candidates[CANDIDATES_MAX];
-	ranked_t ranked[CANDIDATES_MAX];
+	pl_flow_ranked_t ranked[CANDIDATES_MAX];
 	size_t chosen;
 	size_t count;
 
 	if (!service)
 		return NULL;
-	count = rank_(service, flow, ranked, CANDIDATES_MAX);
+	count = pl_flow_rank_(service, &flow->node.key, takes_, flow, ranked,
+			      CANDIDATES_MAX);
 	*last = count <= 1 || flow->offered_count + 1 >= PL_FLOW_OFFERS_MAX;
 	if (count == 0)
 		return NULL;
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -15,6 +15,8 @@
 /** An agent asked for a flow. */
 typedef struct {
 	pl_member_id_t agent;
+	unsigned int sendings; /**< of the question */
+	pl_ms_t ask_at; /**< when it is repeated */
 	bool answered;
 	bool tried; /**< its backend server was asked by a packet */
 	pl_flow_verdict_t verdict;
@@ -26,9 +28,13 @@
 	struct cached *flow;
 	pl_timer_t timer;
 	pl_ms_t started;
+	pl_ms_t started_wide; /**< when the last agents were first asked */
+
 	GArray *asked; /**< asked_t */
 	pl_parking_t parked;
 	uint32_t ack; /**< of the first packet */
+	bool wide; /**< all agents of the service are asked */
+
 	bool trial; /**< a backend server is being asked */
 	bool exhausted; /**< nobody who was asked owns it */
 } lookup_t;
@@ -56,6 +62,9 @@
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to load_t */
 	pl_list_t lookups;
+	pl_timer_t ask_timer;
+	uint64_t ask_tokens; /**< thousandths of bytes that may be sent */
+	pl_ms_t ask_refilled;
 	GHashTable *retries; /**< caller's IP to retry_t */
 	GHashTable *rosters; /**< service to roster_t */
 	pl_service_id_t roster_asked; /**< 0 when no question is open */
@@ -110,6 +119,30 @@
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_t *flow,
 			  const uint8_t *bytes, size_t len);
 
+/** An endpoint with its rank for one flow. */
+typedef struct {
+	const pl_endpoint_t *endpoint;
+	uint64_t rank;
+} pl_flow_ranked_t;
+
+/**
+ * The endpoints of @p service that come first in the flow's own order, @p max
+ * at the most; only those that @p fits takes, unless it is NULL.
+ */
+size_t
+pl_flow_rank_(const pl_route_service_t *service, const pl_flow_key_t *key,
+	      bool (*fits)(const void *ctx, const pl_endpoint_t *endpoint),
+	      const void *ctx, pl_flow_ranked_t *ranked, size_t max);
+
+/* entry_ask.c */
+void pl_flow_ask_init_(pl_flow_entry_t *entry);
+/** Asks the agents that may own the flow; true when there are new ones. Those
+ * that do not answer are asked again. */
+bool pl_flow_ask_(pl_flow_entry_t *entry, lookup_t *lookup);
+
+/** Asks agents that a new routing table names for the flows looked for. */
+void pl_flow_ask_newcomers_(pl_flow_entry_t *entry);
+
 /* entry_roster.c */
 void pl_flow_rosters_init_(pl_flow_entry_t *entry);
 /** Whether a lookup that found no owner is proof that the flow is dead; asks
@@ -126,7 +159,7 @@
 void pl_flow_lookup_add_(pl_flow_entry_t *entry, cached_t *flow, uint32_t ack,
 			 const uint8_t *bytes, size_t len);
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
-			     const pl_flow_message_t *message);
+			     pl_member_id_t agent, pl_flow_verdict_t verdict);
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
 
 #endif
--- a/src/proto/flow_codec.c
+++ b/src/proto/flow_codec.c
@@ -8,9 +8,11 @@
 #include "private/element.h"
 #include "private/seal.h"
 
+#include <assert.h>
 #include <glib.h>
 
 #define FIELDS 17
+#define ITEM_FIELDS 6
 #define ZONE_BYTES 2048
 
 const char *const pl_flow_verdict_names[] = { "owned",	 "absent", "unsure",
@@ -21,8 +23,30 @@
 struct pl_flow_decoder {
 	pl_key_t key;
 	msgpack_zone zone;
+	pl_flow_item_t items[PL_FLOW_ITEMS_MAX];
 };
 
+static void pack_flow_(msgpack_packer *packer, const pl_flow_key_t *flow)
+{
+	msgpack_pack_uint32(packer, flow->caller_ip);
+	msgpack_pack_uint16(packer, flow->caller_port);
+	msgpack_pack_uint32(packer, flow->service_ip);
+	msgpack_pack_uint16(packer, flow->service_port);
+}
+
+static void pack_items_(msgpack_packer *packer, const pl_flow_item_t *items,
+			size_t count)
+{
+	assert(count <= PL_FLOW_ITEMS_MAX);
+	msgpack_pack_array(packer, count);
+	for (size_t i = 0; i < count; i++) {
+		msgpack_pack_array(packer, ITEM_FIELDS);
+		pack_flow_(packer, &items[i].flow);
+		msgpack_pack_uint32(packer, items[i].ack);
+		msgpack_pack_uint32(packer, items[i].verdict);
+	}
+}
+
 static void pack_load_(msgpack_packer *packer, const pl_flow_load_t *load)
 {
 	msgpack_pack_uint32(packer, load->slots);
@@ -34,7 +58,6 @@
 		      uint8_t *buf, size_t cap)
 {
 	pl_sealed_t out = { .buf = buf, .cap = cap };
-	const pl_flow_key_t *flow = &message->flow;
 	msgpack_packer packer;
 	int packed;
 
@@ -44,16 +67,13 @@
 	msgpack_pack_uint8(&packer, (uint8_t)(PL_WIRE_FLOW + message->type));
 	msgpack_pack_uint64(&packer, message->sender);
 	msgpack_pack_uint64(&packer, message->service);
-	msgpack_pack_uint32(&packer, flow->caller_ip);
-	msgpack_pack_uint16(&packer, flow->caller_port);
-	msgpack_pack_uint32(&packer, flow->service_ip);
-	msgpack_pack_uint16(&packer, flow->service_port);
+	pack_flow_(&packer, &message->flow);
 	msgpack_pack_uint32(&packer, message->flags);
-	msgpack_pack_uint32(&packer, message->ack);
 	msgpack_pack_uint32(&packer, message->verdict);
 	pack_load_(&packer, &message->load);
 	msgpack_pack_uint32(&packer, message->due_ms);
 	msgpack_pack_uint32(&packer, message->priority);
+	pack_items_(&packer, message->items, message->item_count);
 	msgpack_pack_bin(&packer, message->packet_len);
 	packed = msgpack_pack_bin_body(&packer, message->packet,
 				       message->packet_len);
@@ -106,29 +126,70 @@
 	       u16_(&at[3], &flow->service_port);
 }
 
-static bool fields_(const msgpack_object *at, pl_flow_message_t *message)
+static bool verdict_(const msgpack_object *object, pl_flow_verdict_t *verdict)
+{
+	uint64_t value;
+
+	if (!pl_element_uint(object, PL_FLOW_VERDICT_COUNT - 1, &value))
+		return false;
+	*verdict = (pl_flow_verdict_t)value;
+	return true;
+}
+
+static bool items_(pl_flow_decoder_t *decoder, const msgpack_object *object,
+		   pl_flow_message_t *message)
 {
-	uint64_t verdict;
+	const msgpack_object_array *array = &object->via.array;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    array->size > PL_FLOW_ITEMS_MAX)
+		return false;
+	for (uint32_t i = 0; i < array->size; i++) {
+		const msgpack_object *item = &array->ptr[i];
+		const msgpack_object *at = item->via.array.ptr;
+
+		if (item->type != MSGPACK_OBJECT_ARRAY ||
+		    item->via.array.size < ITEM_FIELDS ||
+		    !flow_(at, &decoder->items[i].flow) ||
+		    !u32_(&at[4], &decoder->items[i].ack) ||
+		    !verdict_(&at[5], &decoder->items[i].verdict))
+			return false;
+	}
+	message->items = decoder->items;
+	message->item_count = array->size;
+	return true;
+}
+
+static bool load_(const msgpack_object *at, pl_flow_load_t *load)
+{
+	return u32_(&at[0], &load->slots) && u32_(&at[1], &load->busy) &&
+	       u32_(&at[2], &load->mean_busy);
+}
 
-	if (!pl_element_uint(&at[2], UINT64_MAX, &message->sender) ||
-	    !pl_element_uint(&at[3], UINT64_MAX, &message->service) ||
-	    !flow_(&at[4], &message->flow) || !u32_(&at[8], &message->flags) ||
-	    !u32_(&at[9], &message->ack) ||
-	    !pl_element_uint(&at[10], PL_FLOW_VERDICT_COUNT - 1, &verdict) ||
-	    !u32_(&at[11], &message->load.slots) ||
-	    !u32_(&at[12], &message->load.busy) ||
-	    !u32_(&at[13], &message->load.mean_busy) ||
-	    !u32_(&at[14], &message->due_ms) ||
-	    !u32_(&at[15], &message->priority) ||
-	    at[16].type != MSGPACK_OBJECT_BIN)
+static bool packet_(const msgpack_object *object, pl_flow_message_t *message)
+{
+	if (object->type != MSGPACK_OBJECT_BIN)
 		return false;
-	message->verdict = (pl_flow_verdict_t)verdict;
-	message->packet = (const uint8_t *)at[16].via.bin.ptr;
-	message->packet_len = at[16].via.bin.size;
+	message->packet = (const uint8_t *)object->via.bin.ptr;
+	message->packet_len = object->via.bin.size;
 	return message->packet_len <= PL_PACKET_MAX;
 }
 
-static pl_result_t read_(const msgpack_object *object,
+static bool fields_(pl_flow_decoder_t *decoder, const msgpack_object *at,
+		    pl_flow_message_t *message)
+{
+	return pl_element_uint(&at[2], UINT64_MAX, &message->sender) &&
+	       pl_element_uint(&at[3], UINT64_MAX, &message->service) &&
+	       flow_(&at[4], &message->flow) && u32_(&at[8], &message->flags) &&
+	       verdict_(&at[9], &message->verdict) &&
+	       load_(&at[10], &message->load) &&
+	       u32_(&at[13], &message->due_ms) &&
+	       u32_(&at[14], &message->priority) &&
+	       items_(decoder, &at[15], message) && packet_(&at[16], message);
+}
+
+static pl_result_t read_(pl_flow_decoder_t *decoder,
+			 const msgpack_object *object,
 			 pl_flow_message_t *message)
 {
 	const msgpack_object_array *array = &object->via.array;
@@ -143,7 +204,7 @@
 	    type >= PL_WIRE_FLOW + PL_FLOW_TYPE_END)
 		return PL_ERR_VERSION;
 	message->type = (pl_flow_type_t)(type - PL_WIRE_FLOW);
-	if (array->size < FIELDS || !fields_(array->ptr, message))
+	if (array->size < FIELDS || !fields_(decoder, array->ptr, message))
 		return PL_ERR_MALFORMED;
 	return PL_OK;
 }
@@ -155,5 +216,5 @@
 	pl_result_t result = pl_sealed_open(&decoder->key, &decoder->zone, buf,
 					    len, &object);
 
-	return result == PL_OK ? read_(&object, message) : result;
+	return result == PL_OK ? read_(decoder, &object, message) : result;
 }
