SIGHUP reads the settings file anew; agents without a backend server stay out of the roster

Cause: SIGHUP ended the process. After a power loss the agent of a machine whose server had left registered itself, so no flow could be proved dead for a minute, and took flows for its own because nothing came back. Test: agent_without_a_server_owns_nothing.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -29,6 +29,10 @@
 	  "an internal invariant was broken; the step was refused")           \
 	X(PL_EVENT_PAUSED, 104, "paused", WARNING,                            \
 	  "the process was not scheduled for longer than a lease")            \
+	X(PL_EVENT_RELOADED, 105, "reloaded", INFO,                           \
+	  "the settings file was read anew")                                  \
+	X(PL_EVENT_RELOAD_REFUSED, 106, "reload-refused", WARNING,            \
+	  "the settings file is not valid; nothing changed")                  \
 	X(PL_EVENT_SERVICE_MISMATCH, 200, "service-mismatch", ERROR,          \
 	  "a datagram of one service reached an agent of another")            \
 	X(PL_EVENT_BACKEND_UP, 210, "backend-up", INFO,                       \
--- a/include/pimentolift/settings.h
+++ b/include/pimentolift/settings.h
@@ -91,6 +91,7 @@
 
 /** Effective settings. */
 typedef struct {
+	char *path; /**< file that they were read from, or NULL */
 	pl_role_t role;
 	pl_traffic_t traffic;
 	char name[PL_NAME_MAX];
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -303,6 +303,8 @@
 		return PL_ERR_CONFIG;
 	}
 	result = pl_settings_parse(text, len, settings, problems);
+	if (result == PL_OK)
+		(*settings)->path = g_strdup(path);
 	g_free(text);
 	return result;
 }
@@ -313,6 +315,7 @@
 		return;
 	if (settings->secret)
 		explicit_bzero(settings->secret, strlen(settings->secret));
+	g_free(settings->path);
 	g_free(settings->secret);
 	g_free(settings->seeds.at);
 	g_free(settings->platform.url);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -15,6 +15,7 @@
 #include <pimentolift/event.h>
 #include <pimentolift/fault.h>
 #include <pimentolift/peer_net.h>
+#include <pimentolift/problem.h>
 #include <pimentolift/udp.h>
 
 #include <assert.h>
@@ -321,7 +322,7 @@
 	node->attr.service = service;
 	node->attr.slots = slots;
 	node->serving = serving;
-	/* after it said that it ends, a backend server may start anew */
+	/* an agent whose machine has lost its backend server stays out */
 	if (serving && !node->registered)
 		pl_node_roster_enter(node->roster, service, registered_, node);
 	announce_endpoint_(node);
@@ -442,6 +443,17 @@
 		 name);
 }
 
+static void add_seeds_(pl_node_t *node, const pl_settings_t *settings)
+{
+	for (size_t i = 0; i < settings->seeds.count; i++) {
+		pl_addr_t seed = settings->seeds.at[i];
+
+		if (settings->seed_port != 0)
+			seed.port = (uint16_t)settings->seed_port;
+		pl_member_add_seed(node->members, &seed);
+	}
+}
+
 static uint64_t random_(void *ctx)
 {
 	return pl_random_identity();
@@ -571,13 +583,38 @@
 	pl_timer_arm(timers_(node), timer, now + STOP_POLL_MS);
 }
 
+/* Reads the settings file anew. Seeds are taken over; everything else belongs
+ * to sockets and identities and waits for a restart. A file that is not valid
+ * changes nothing. */
+static void reload_(pl_node_t *node)
+{
+	pl_problems_t *problems = pl_problems_new(node->settings->path);
+	pl_settings_t *settings = NULL;
+
+	if (pl_settings_load(node->settings->path, &settings, problems) ==
+	    PL_OK) {
+		add_seeds_(node, settings);
+		pl_event(PL_EVENT_RELOADED, "%s, %zu seeds",
+			 node->settings->path, settings->seeds.count);
+	} else {
+		pl_event(PL_EVENT_RELOAD_REFUSED, "%s",
+			 pl_problems_at(problems, 0));
+	}
+	pl_settings_free(settings);
+	pl_problems_delete(problems);
+}
+
 static void signal_ready_(void *ctx, uint32_t events)
 {
 	pl_node_t *node = ctx;
 	struct signalfd_siginfo info;
 
-	while (read(node->signal_fd, &info, sizeof(info)) == sizeof(info))
-		pl_node_stop(node);
+	while (read(node->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			reload_(node);
+		else
+			pl_node_stop(node);
+	}
 }
 
 static pl_result_t open_signals_(pl_node_t *node, pl_error_t *err)
@@ -587,6 +624,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	/* blocked before any thread starts, so that all inherit it */
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	node->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
@@ -617,13 +655,7 @@
 		      &params.key);
 	node->members =
 		pl_member_table_new(&params, &member_ops_, node, timers_(node));
-	for (size_t i = 0; i < settings->seeds.count; i++) {
-		pl_addr_t seed = settings->seeds.at[i];
-
-		if (settings->seed_port != 0)
-			seed.port = (uint16_t)settings->seed_port;
-		pl_member_add_seed(node->members, &seed);
-	}
+	add_seeds_(node, settings);
 	if (settings->traffic == PL_TRAFFIC_FLOWS &&
 	    settings->role == PL_ROLE_AGENT)
 		pl_node_set_endpoint_now(
@@ -731,10 +763,7 @@
 	pl_member_join(node->members);
 	pl_node_config_start(node->config);
 	pl_node_seeds_start(node->seeds);
-	if (node->roster && node->settings->role == PL_ROLE_AGENT)
-		pl_node_roster_enter(node->roster, node->attr.service,
-				     registered_, node);
-	else if (node->roster)
+	if (node->roster && node->settings->role == PL_ROLE_ENTRY)
 		pl_node_roster_contact(node->roster);
 	print_ready_(node, listening);
 	g_string_free(listening, TRUE);
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -422,6 +422,7 @@
 		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
 		return;
 	}
+	agent->heard = true;
 	if (packet.flags & PL_PACKET_BOUNCED) {
 		bounced_(agent, &packet, bytes, len);
 		return;
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -115,6 +115,7 @@
 	}
 	if (first && report->sequence <= FIRST_SEQUENCE)
 		agent->watched = true;
+	agent->heard = true;
 	agent->report = *report;
 	agent->reported = pl_flow_agent_now_(agent);
 	set_serving_(agent, !report->draining);
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -7,12 +7,16 @@
 /** A backend server hands back at once what it does not hold. */
 #define TRIAL_MS 15
 
+/* A packet that does not come back from a server that lives is its own. Of a
+ * server that gave no sign of life yet, only an answer tells. */
 static void trial_over_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
+	const pl_flow_agent_t *agent = ctx;
 	flow_t *flow = PL_CONTAINER_OF(timer, flow_t, trial);
 
 	(void)now;
-	pl_flow_trial_done_(ctx, flow);
+	if (agent->heard)
+		pl_flow_trial_done_(ctx, flow);
 }
 
 flow_t *pl_flow_get_(pl_flow_agent_t *agent, const pl_flow_key_t *key)
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -20,8 +20,12 @@
 /** A lookup without an owner ends after this time; by then the caller has
  * sent its packet anew. */
 #define LOOKUP_MS 1500
+/** After this time the roster is asked although agents are silent. */
+#define PATIENCE_MS 200
 /** A trial whose answer is lost is given up. */
 #define TRIAL_MS 100
+/** Agents that a log line names. */
+#define NAMED_MAX 6
 /** Lookups that are open at the same time. */
 #define LOOKUPS_MAX 4096
 /** While an agent is silent, which may be the owner's, so many servers that
@@ -127,7 +131,7 @@
 	pl_ms_t age = pl_flow_entry_now_(entry) - lookup->started_wide;
 	rest_t rest = rest_(lookup);
 
-	if (lookup->trial || lookup->exhausted)
+	if (lookup->trial)
 		return;
 	/* a table that names no endpoint is that of a newcomer */
 	if (lookup->asked->len == 0) {
@@ -151,21 +155,23 @@
 		try_(entry, lookup, rest.next);
 		return;
 	}
-	if (rest.silent > 0 || rest.unsure > 0) {
-		arm_(entry, lookup, LOOK_AGAIN_MS);
-		return;
-	}
-	lookup->exhausted = true;
-	if (pl_flow_roster_rules_out_(entry, lookup))
+	/* agents that cannot say may be gone; the roster tells whether they
+	 * matter, and each look at it costs */
+	lookup->exhausted =
+		(rest.silent == 0 && rest.unsure == 0) || age >= PATIENCE_MS;
+	if (lookup->exhausted && pl_flow_roster_rules_out_(entry, lookup))
 		dead_(entry, lookup);
 	else
 		arm_(entry, lookup, LOOK_AGAIN_MS);
 }
 
-/* What each agent said, for the log. */
+/* What the agents said, for the log: how many ruled the flow out, and the
+ * first few of the others. */
 static char *answers_(const lookup_t *lookup)
 {
 	GString *text = g_string_new(NULL);
+	unsigned int absent = 0;
+	unsigned int named = 0;
 
 	for (guint i = 0; i < lookup->asked->len; i++) {
 		const asked_t *asked =
@@ -173,6 +179,12 @@
 		const pl_addr_t addr = pl_member_id_to_addr(asked->agent);
 		char name[PL_ADDR_TEXT_MAX];
 
+		if (asked->answered && asked->verdict == PL_FLOW_ABSENT) {
+			absent++;
+			continue;
+		}
+		if (++named > NAMED_MAX)
+			continue;
 		g_string_append_printf(
 			text, " %s=%s%s", pl_addr_format(&addr, name),
 			asked->answered ?
@@ -180,6 +192,7 @@
 				"silent",
 			asked->tried ? ",tried" : "");
 	}
+	g_string_append_printf(text, " absent=%u others=%u", absent, named);
 	return g_string_free(text, FALSE);
 }
 
@@ -208,16 +221,7 @@
 		return;
 	}
 	lookup->trial = false;
-	if (pl_flow_ask_(entry, lookup))
-		lookup->exhausted = false;
-	if (lookup->exhausted && pl_flow_roster_rules_out_(entry, lookup)) {
-		dead_(entry, lookup);
-		return;
-	}
-	if (lookup->exhausted) {
-		arm_(entry, lookup, LOOK_AGAIN_MS);
-		return;
-	}
+	pl_flow_ask_(entry, lookup);
 	step_(entry, lookup);
 }
 
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -72,6 +72,7 @@
 	pl_backend_report_t report; /**< last one; id is "" before the first */
 	pl_ms_t reported; /**< when */
 	bool serving;
+	bool heard; /**< the server gave a sign of life since the start */
 	bool watched;
 	pl_flow_agent_stats_t stats;
 };
--- a/src/flow/work_queue.c
+++ b/src/flow/work_queue.c
@@ -5,7 +5,7 @@
 #include <pimentolift/work_queue.h>
 
 /** Of so many pieces one is late work, so that none waits for ever. */
-#define LATE_SHARE 8
+#define LATE_SHARE 12
 /** Work that has less time left than this many times its mean counts as
  * late: much of it takes longer than the mean. */
 #define WORK_TIMES 2
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -363,6 +363,34 @@
 	world_delete(world);
 }
 
+/* Found on the users' bench: the agent of a machine whose backend server had
+ * left for good started again with the power, and took flows for its own
+ * because nothing came back. */
+static void agent_without_a_server_owns_nothing(void **state)
+{
+	world_t *world = world_new(1, 3, 15);
+	call_t *calls[CALLERS];
+	pl_ms_t from;
+
+	(void)state;
+	open_flows_(world, calls, CALLERS);
+	power_off_(world);
+	world_run(world, 300);
+	power_on_(world);
+	/* the first one's server does not come back */
+	world_kill_agent(world, 0);
+	world_crash_server(world, 0);
+	world_start_agent(world, 0);
+	world->agents[0].registered = false;
+	from = world->now;
+	again_(world, calls, CALLERS);
+	world_run(world, 1200);
+	assert_int_equal(world_served(world, from), CALLERS);
+	for (int i = 0; i < CALLERS; i++)
+		assert_int_equal(calls[i]->resets, 1);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -386,6 +414,7 @@
 		cmocka_unit_test(
 			copy_of_an_opening_packet_goes_to_another_server),
 		cmocka_unit_test(opening_packet_waits_for_the_first_endpoint),
+		cmocka_unit_test(agent_without_a_server_owns_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
