Soak of the flow roles: real processes, faults from outside, promises checked while it runs

Callers and backend servers of the tests' world speak to real entries and agents over loopback; kills, stops, freezes, reloads, servers that crash or leave, a store that is down, slow, deaf or loses answers. Checked: no request runs twice, no reset of a flow that a server holds, no new flow at a leaving server a second after the acknowledgement, no process ends by itself, all is served after the faults.

--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -17,6 +17,7 @@
 /* The fake's wire form: the head as it stands in memory, then the data. */
 #define HEAD_BYTES sizeof(pl_packet_t)
 #define DATA_MAX 1200
+#define BYTES_MAX 1300
 
 static bool read_(const uint8_t *bytes, size_t len, pl_packet_t *packet)
 {
@@ -53,6 +54,22 @@
 
 static const pl_packet_ops_t packets_ = { DATA_MAX, read_, clean_, reset_ };
 
+static void write_(const pl_packet_t *packet, uint8_t *bytes)
+{
+	memcpy(bytes, packet, HEAD_BYTES);
+}
+
+static const world_transport_t inside_ = {
+	.packets = &packets_,
+	.write = write_,
+	.head_bytes = HEAD_BYTES,
+};
+
+static const world_transport_t *transport_(const world_t *world)
+{
+	return world->transport ? world->transport : &inside_;
+}
+
 /* Something that arrives after a delay. */
 typedef struct {
 	pl_timer_t timer;
@@ -127,11 +144,15 @@
 
 static void from_server_(server_t *server, const pl_packet_t *packet)
 {
-	uint8_t bytes[HEAD_BYTES + DATA_MAX] = { 0 };
+	const world_transport_t *transport = transport_(server->world);
+	uint8_t bytes[BYTES_MAX] = { 0 };
+	size_t len = transport->head_bytes + packet->data_len;
 
-	memcpy(bytes, packet, HEAD_BYTES);
-	send_(server->world, FROM_SERVER, server->index, 0, bytes,
-	      HEAD_BYTES + packet->data_len);
+	transport->write(packet, bytes);
+	if (transport->from_server)
+		transport->from_server(server->world->ctx, server, bytes, len);
+	else
+		send_(server->world, FROM_SERVER, server->index, 0, bytes, len);
 }
 
 static pl_packet_t answer_(const server_flow_t *flow, unsigned int flags,
@@ -161,6 +182,10 @@
 	}
 	server->busy++;
 	server->runs++;
+	if (transport_(server->world)->runs)
+		transport_(server->world)
+			->runs(server->world->ctx, server, &flow->key,
+			       flow->expected);
 	flow->working = true;
 	pl_timer_arm(server->world->timers, &flow->timer,
 		     server->world->now + server->work_ms);
@@ -263,6 +288,12 @@
 
 	g_snprintf(report.id, sizeof(report.id), "s-%d-%u", server->index,
 		   server->life);
+	if (transport_(server->world)->report) {
+		if (server->up)
+			transport_(server->world)
+				->report(server->world->ctx, server, &report);
+		return;
+	}
 	if (node->up && server->up)
 		pl_flow_agent_report(node->agent, &report);
 }
@@ -314,6 +345,19 @@
 		       message->item_count * sizeof(event->items[0]));
 }
 
+/* Whether a server that lives holds the flow open. */
+static bool is_held_(const world_t *world, const pl_flow_key_t *flow)
+{
+	for (int i = 0; i < world->agent_count; i++) {
+		const server_flow_t *held =
+			g_hash_table_lookup(world->servers[i].flows, flow);
+
+		if (held && held->open)
+			return true;
+	}
+	return false;
+}
+
 static void op_to_caller_(void *ctx, const pl_flow_key_t *flow,
 			  const uint8_t *bytes, size_t len)
 {
@@ -322,13 +366,8 @@
 	pl_packet_t packet;
 
 	assert_true(read_(bytes, len, &packet));
-	for (int i = 0; i < world->agent_count; i++) {
-		const server_flow_t *held =
-			g_hash_table_lookup(world->servers[i].flows, flow);
-
-		if ((packet.flags & PL_PACKET_RST) && held && held->open)
-			world->false_resets++;
-	}
+	if ((packet.flags & PL_PACKET_RST) && is_held_(world, flow))
+		world->false_resets++;
 	send_(world, TO_CALLER, 0, CALLER_MS, bytes, len);
 }
 
@@ -517,7 +556,8 @@
 			 uint32_t ack, size_t len)
 {
 	const pl_flow_key_t key = call_key_(call);
-	uint8_t bytes[HEAD_BYTES + DATA_MAX] = { 0 };
+	const world_transport_t *transport = transport_(call->world);
+	uint8_t bytes[BYTES_MAX] = { 0 };
 	const pl_packet_t packet = {
 		.src = { key.caller_ip, key.caller_port },
 		.dst = { key.service_ip, key.service_port },
@@ -528,8 +568,11 @@
 	};
 	int entry = route_(call->world, &key);
 
-	memcpy(bytes, &packet, HEAD_BYTES);
-	if (entry >= 0)
+	transport->write(&packet, bytes);
+	if (transport->from_caller)
+		transport->from_caller(call->world->ctx, call->ip, call->port,
+				       bytes, transport->head_bytes + len);
+	else if (entry >= 0)
 		send_(call->world, TO_ENTRY, entry, CALLER_MS, bytes,
 		      HEAD_BYTES + len);
 }
@@ -718,7 +761,7 @@
 	g_free(event);
 }
 
-world_t *world_new(int entries, int agents, uint32_t seed)
+static world_t *new_(int servers, uint32_t seed)
 {
 	world_t *world = g_new0(world_t, 1);
 
@@ -730,9 +773,8 @@
 	world->store_up = true;
 	world->order = &pl_work_order_due;
 	world->placement = &pl_flow_placement_load;
-	world->entry_count = entries;
-	world->agent_count = agents;
-	for (int i = 0; i < agents; i++) {
+	world->agent_count = servers;
+	for (int i = 0; i < servers; i++) {
 		server_t *server = &world->servers[i];
 
 		world->agents[i] = (world_node_t){ .world = world,
@@ -747,6 +789,16 @@
 		server->flows = g_hash_table_new_full(key_hash_, key_equal_,
 						      NULL, flow_free_);
 		server->waiting = g_queue_new();
+	}
+	return world;
+}
+
+world_t *world_new(int entries, int agents, uint32_t seed)
+{
+	world_t *world = new_(agents, seed);
+
+	world->entry_count = entries;
+	for (int i = 0; i < agents; i++) {
 		world_start_agent(world, i);
 		world_start_server(world, i);
 	}
@@ -761,6 +813,37 @@
 	return world;
 }
 
+world_t *world_new_outside(int servers, uint32_t seed,
+			   const world_transport_t *transport, void *ctx)
+{
+	world_t *world = new_(servers, seed);
+
+	world->transport = transport;
+	world->ctx = ctx;
+	return world;
+}
+
+void world_server_packet(world_t *world, int index, uint8_t *bytes, size_t len)
+{
+	pl_packet_t packet;
+
+	if (transport_(world)->packets->read(bytes, len, &packet))
+		server_packet_(&world->servers[index], &packet);
+}
+
+void world_caller_packet(world_t *world, const uint8_t *bytes, size_t len)
+{
+	pl_packet_t packet;
+	pl_flow_key_t key;
+
+	if (!transport_(world)->packets->read(bytes, len, &packet))
+		return;
+	key = pl_packet_flow_back(&packet);
+	if ((packet.flags & PL_PACKET_RST) && is_held_(world, &key))
+		world->false_resets++;
+	to_caller_(world, &packet);
+}
+
 void world_delete(world_t *world)
 {
 	world_run(world, 10);
@@ -780,18 +863,25 @@
 	g_free(world);
 }
 
-void world_run(world_t *world, pl_ms_t ms)
+static void step_(world_t *world)
+{
+	world->now++;
+	pl_timer_service_advance(world->timers, world->now);
+	if (world->now % REPORT_MS != 0)
+		return;
+	for (int i = 0; i < world->agent_count; i++)
+		report_(&world->servers[i]);
+}
+
+void world_advance(world_t *world, pl_ms_t now)
 {
-	pl_ms_t until = world->now + ms;
+	while (world->now < now)
+		step_(world);
+}
 
-	while (world->now < until) {
-		world->now++;
-		pl_timer_service_advance(world->timers, world->now);
-		if (world->now % REPORT_MS != 0)
-			continue;
-		for (int i = 0; i < world->agent_count; i++)
-			report_(&world->servers[i]);
-	}
+void world_run(world_t *world, pl_ms_t ms)
+{
+	world_advance(world, world->now + ms);
 }
 
 double world_share_in_time(const world_t *world, pl_ms_t from)
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -20,7 +20,7 @@
 #include <pimentolift/flow_entry.h>
 #include <pimentolift/hash.h>
 
-#define WORLD_NODES_MAX 16
+#define WORLD_NODES_MAX 64
 #define WORLD_GOAL_MS 200
 #define WORLD_DEADLINE_MS 3000
 #define WORLD_SERVICE "desk"
@@ -61,6 +61,23 @@
 	unsigned int life;
 } world_node_t;
 
+/** Where packets go instead of through virtual time; for real processes. */
+typedef struct {
+	const pl_packet_ops_t *packets;
+	/** Writes a head; the data follows it. */
+	void (*write)(const pl_packet_t *packet, uint8_t *bytes);
+	size_t head_bytes;
+	void (*from_server)(void *ctx, const server_t *server,
+			    const uint8_t *bytes, size_t len);
+	void (*from_caller)(void *ctx, uint32_t ip, uint16_t port,
+			    const uint8_t *bytes, size_t len);
+	void (*report)(void *ctx, server_t *server,
+		       const pl_backend_report_t *report);
+	/** A server begins to work on what the caller sent from @p seq. */
+	void (*runs)(void *ctx, const server_t *server,
+		     const pl_flow_key_t *key, uint32_t seq);
+} world_transport_t;
+
 /** One request of a caller, with its tries. */
 typedef struct {
 	world_t *world;
@@ -80,6 +97,7 @@
 	pl_timer_t timer;
 	pl_ms_t took;
 	unsigned int resets;
+	bool followed; /* another request was made on its flow */
 } call_t;
 
 struct world {
@@ -100,13 +118,24 @@
 	const pl_work_order_t *order;
 	const pl_flow_placement_t *placement;
 	uint64_t false_resets; /* of flows whose server holds them */
-	unsigned int serial;
-	GHashTable *ignored; /* events of ended lives */
+	const world_transport_t *transport; /* NULL in virtual time */
+	void *ctx;
 };
 
 world_t *world_new(int entries, int agents, uint32_t seed);
 void world_delete(world_t *world);
 
+/** World of callers and servers whose entries and agents are elsewhere. */
+world_t *world_new_outside(int servers, uint32_t seed,
+			   const world_transport_t *transport, void *ctx);
+
+/** Moves the time of such a world on. */
+void world_advance(world_t *world, pl_ms_t now);
+
+/** A packet for a server, or for a caller, arrived from outside. */
+void world_server_packet(world_t *world, int index, uint8_t *bytes, size_t len);
+void world_caller_packet(world_t *world, const uint8_t *bytes, size_t len);
+
 /** Lets @p ms pass. */
 void world_run(world_t *world, pl_ms_t ms);
 
--- /dev/null
+++ b/test/soak/flow_soak.c
@@ -0,0 +1,342 @@
+#include "flow_soak.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <platform/platform.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define HEAD_BYTES 34
+#define CALLER_NET 0x7f010000U
+#define ENTRY_NET 0x7f000100U
+#define AGENT_NET 0x7f000200U
+#define CALM_MS 9000
+#define FAULT_MIN_MS 500
+#define FAULT_MAX_MS 2500
+#define NS_PER_MS 1000000
+
+void soak_breach(soak_t *soak, const char *format, ...)
+{
+	va_list args;
+
+	soak->breaches++;
+	printf("BREACH at %" G_GUINT64_FORMAT " ms, last fault %s: ",
+	       soak->world->now, soak->last);
+	va_start(args, format);
+	vprintf(format, args);
+	va_end(args);
+	printf("\n");
+}
+
+/* ---- packets ---- */
+
+static void put32_(uint8_t *at, uint32_t value)
+{
+	value = GUINT32_TO_LE(value);
+	memcpy(at, &value, sizeof(value));
+}
+
+static void put16_(uint8_t *at, uint16_t value)
+{
+	value = GUINT16_TO_LE(value);
+	memcpy(at, &value, sizeof(value));
+}
+
+/* The head as the platform's page lays it out. */
+static void write_(const pl_packet_t *packet, uint8_t *bytes)
+{
+	memset(bytes, 0, HEAD_BYTES);
+	put32_(bytes + 4, packet->src.ip);
+	put32_(bytes + 8, packet->dst.ip);
+	put16_(bytes + 12, packet->src.port);
+	put16_(bytes + 14, packet->dst.port);
+	put32_(bytes + 20, packet->seq);
+	put32_(bytes + 24, packet->ack);
+	put16_(bytes + 28, packet->data_len);
+	bytes[30] = (uint8_t)((packet->flags & PL_PACKET_RST ? 1 : 0) |
+			      (packet->flags & PL_PACKET_BOUNCED ? 4 : 0) |
+			      (packet->flags & PL_PACKET_SYN ? 8 : 0) |
+			      (packet->flags & PL_PACKET_ACK ? 32 : 0) |
+			      (packet->flags & PL_PACKET_FIN ? 64 : 0));
+}
+
+static struct sockaddr_in addr_(uint32_t ip, uint16_t port)
+{
+	return (struct sockaddr_in){ .sin_family = AF_INET,
+				     .sin_port = htons(port),
+				     .sin_addr.s_addr = htonl(ip) };
+}
+
+static int open_(uint32_t ip, uint16_t port)
+{
+	struct sockaddr_in addr = addr_(ip, port);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0) {
+		perror("bind");
+		exit(1);
+	}
+	return fd;
+}
+
+static void send_(int fd, uint32_t ip, uint16_t port, const uint8_t *bytes,
+		  size_t len)
+{
+	struct sockaddr_in addr = addr_(ip, port);
+
+	/* one that the kernel refuses is a lost one */
+	(void)sendto(fd, bytes, len, 0, (struct sockaddr *)&addr, sizeof(addr));
+}
+
+static void from_server_(void *ctx, const server_t *server,
+			 const uint8_t *bytes, size_t len)
+{
+	soak_t *soak = ctx;
+
+	send_(soak->server_fds[server->index],
+	      AGENT_NET + 1 + (uint32_t)server->index, soak->port + 2, bytes,
+	      len);
+}
+
+/* Routers hash over the entries in rotation, or over all when none is. */
+static void from_caller_(void *ctx, uint32_t ip, uint16_t port,
+			 const uint8_t *bytes, size_t len)
+{
+	soak_t *soak = ctx;
+	int up[SOAK_NODES_MAX];
+	int count = 0;
+
+	for (int pass = 0; pass < 2 && count == 0; pass++) {
+		for (int i = 0; i < soak->entries; i++) {
+			if (pass == 1 || soak->nodes[i].missed < 2)
+				up[count++] = i;
+		}
+	}
+	send_(soak->caller_fds[ip - CALLER_NET - 1],
+	      ENTRY_NET + 1 +
+		      (uint32_t)up[(ip * 31 + port * 2654435761U) %
+				   (unsigned int)count],
+	      soak->port, bytes, len);
+}
+
+static void runs_(void *ctx, const server_t *server, const pl_flow_key_t *key,
+		  uint32_t seq)
+{
+	soak_t *soak = ctx;
+	char *name = g_strdup_printf("%x:%u:%u", key->caller_ip,
+				     key->caller_port, seq);
+
+	if (!g_hash_table_add(soak->runs, name))
+		soak_breach(soak, "request %s ran twice", name);
+	(void)server;
+}
+
+static const world_transport_t transport_ = {
+	.packets = &pl_platform_packets,
+	.write = write_,
+	.head_bytes = HEAD_BYTES,
+	.from_server = from_server_,
+	.from_caller = from_caller_,
+	.report = soak_report,
+	.runs = runs_,
+};
+
+static void receive_(soak_t *soak)
+{
+	uint8_t bytes[2048];
+	ssize_t len;
+
+	for (int i = 0; i < SOAK_CALLERS; i++) {
+		while ((len = recv(soak->caller_fds[i], bytes, sizeof(bytes),
+				   0)) > 0)
+			world_caller_packet(soak->world, bytes, (size_t)len);
+	}
+	for (int i = 0; i < soak->agents; i++) {
+		while ((len = recv(soak->server_fds[i], bytes, sizeof(bytes),
+				   0)) > 0)
+			world_server_packet(soak->world, i, bytes, (size_t)len);
+	}
+}
+
+/* ---- the day ---- */
+
+static pl_ms_t clock_ms_(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (pl_ms_t)now.tv_sec * 1000 + (pl_ms_t)now.tv_nsec / NS_PER_MS;
+}
+
+static void check_drains_(soak_t *soak)
+{
+	for (int i = 0; i < soak->agents; i++) {
+		server_t *server = &soak->world->servers[i];
+
+		if (server->opened_while_draining > 0 &&
+		    soak->drained_since[i] != 0 &&
+		    soak->world->now - soak->drained_since[i] > SOAK_DRAIN_MS)
+			soak_breach(soak,
+				    "server %d took a new flow while it "
+				    "was leaving",
+				    i);
+		server->opened_while_draining = 0;
+	}
+}
+
+/* Starts requests: some on new flows, some on flows that are kept. */
+static void call_(soak_t *soak)
+{
+	GPtrArray *calls = soak->world->calls;
+	uint32_t ip = CALLER_NET + 1 +
+		      (uint32_t)g_rand_int_range(soak->random, 0, SOAK_CALLERS);
+	call_t *kept = NULL;
+
+	for (guint i = 0; i < MIN(calls->len, 20) && !kept; i++) {
+		call_t *call = calls->pdata[calls->len - 1 -
+					    (guint)g_rand_int_range(
+						    soak->random, 0,
+						    (gint)MIN(calls->len, 60))];
+
+		if (call->keep && call->state == CALL_DONE && !call->followed)
+			kept = call;
+	}
+	if (kept && g_rand_int_range(soak->random, 0, 3) > 0) {
+		kept->followed = true;
+		world_call_again(soak->world, kept);
+	} else {
+		world_call(soak->world, ip,
+			   g_rand_int_range(soak->random, 0, 10) == 0 ? 9000 :
+									200,
+			   g_rand_int_range(soak->random, 0, 2) == 0);
+	}
+}
+
+static void turn_(soak_t *soak, pl_ms_t start)
+{
+	struct pollfd fds[SOAK_CALLERS + SOAK_NODES_MAX];
+	nfds_t count = 0;
+
+	for (int i = 0; i < SOAK_CALLERS; i++)
+		fds[count++] =
+			(struct pollfd){ soak->caller_fds[i], POLLIN, 0 };
+	for (int i = 0; i < soak->agents; i++)
+		fds[count++] =
+			(struct pollfd){ soak->server_fds[i], POLLIN, 0 };
+	poll(fds, count, 1);
+	world_advance(soak->world, clock_ms_() - start + 1000);
+	receive_(soak);
+	soak_calls_step(soak);
+	soak_nodes_step(soak);
+	check_drains_(soak);
+	if (soak->world->false_resets > 0)
+		soak_breach(soak, "a flow was reset while its server holds it");
+	soak->world->false_resets = 0;
+}
+
+static void settle_(soak_t *soak)
+{
+	if (soak->store_up_at != 0 && soak->world->now >= soak->store_up_at) {
+		pl_store_command(soak->store, "up");
+		soak->store_up_at = 0;
+	}
+}
+
+static void run_(soak_t *soak, pl_ms_t ms, bool faults, int calls_per_s)
+{
+	pl_ms_t start = clock_ms_() - (soak->world->now - 1000);
+	pl_ms_t until = soak->world->now + ms;
+	pl_ms_t next_call = soak->world->now;
+	pl_ms_t next_probe = soak->world->now;
+	pl_ms_t next_fault = soak->world->now + FAULT_MIN_MS;
+
+	while (soak->world->now < until) {
+		turn_(soak, start);
+		settle_(soak);
+		for (; calls_per_s > 0 && soak->world->now >= next_call;
+		     next_call += (pl_ms_t)(1000 / calls_per_s))
+			call_(soak);
+		if (soak->world->now >= next_probe) {
+			soak_probe(soak);
+			next_probe += 500;
+		}
+		if (faults && soak->world->now >= next_fault) {
+			soak_fault(soak);
+			next_fault = soak->world->now +
+				     (pl_ms_t)g_rand_int_range(soak->random,
+							       FAULT_MIN_MS,
+							       FAULT_MAX_MS);
+		}
+	}
+}
+
+/* When the faults are over everything is served again. */
+static void check_recovery_(soak_t *soak)
+{
+	pl_ms_t from;
+	size_t failed;
+
+	pl_store_command(soak->store, "up");
+	soak->store_up_at = 0;
+	run_(soak, CALM_MS, false, 0);
+	from = soak->world->now;
+	run_(soak, 3000, false, 40);
+	run_(soak, 3500, false, 0);
+	failed = world_failed(soak->world, from);
+	printf("after the faults: %zu served, %zu failed\n",
+	       world_served(soak->world, from), failed);
+	if (failed > 0 || world_served(soak->world, from) == 0)
+		soak_breach(soak, "%zu requests failed after the faults",
+			    failed);
+}
+
+static long option_(int argc, char **argv, const char *name, long missing)
+{
+	for (int i = 1; i + 1 < argc; i++) {
+		if (strcmp(argv[i], name) == 0)
+			return atol(argv[i + 1]);
+	}
+	return missing;
+}
+
+int main(int argc, char **argv)
+{
+	uint32_t seed = (uint32_t)option_(argc, argv, "--seed", 1);
+	long seconds = option_(argc, argv, "--seconds", 15);
+	soak_t soak = { .last = "none" };
+
+	signal(SIGPIPE, SIG_IGN);
+	soak.entries = (int)option_(argc, argv, "--entries", 3);
+	soak.agents = (int)option_(argc, argv, "--agents", 5);
+	soak.port = (uint16_t)(20000 + (getpid() % 1500) * 16);
+	soak.random = g_rand_new_with_seed(seed);
+	soak.runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	soak.world = world_new_outside(MIN(soak.agents, WORLD_NODES_MAX), seed,
+				       &transport_, &soak);
+	soak.agents = MIN(soak.agents, WORLD_NODES_MAX);
+	for (int i = 0; i < SOAK_CALLERS; i++)
+		soak.caller_fds[i] =
+			open_(CALLER_NET + 1 + (uint32_t)i, soak.port);
+	for (int i = 0; i < soak.agents; i++)
+		soak.server_fds[i] =
+			open_(AGENT_NET + 1 + (uint32_t)i, soak.port + 6);
+	if (!soak_start(&soak)) {
+		printf("could not start\n");
+		return 1;
+	}
+	run_(&soak, 3000, false, 0);
+	run_(&soak, (pl_ms_t)seconds * 1000, true, 40);
+	check_recovery_(&soak);
+	printf("seed %u: %u faults, %u requests, %zu failed, %u breaches\n",
+	       seed, soak.faults, soak.world->calls->len,
+	       world_failed(soak.world, 0), soak.breaches);
+	if (soak.breaches > 0)
+		printf("traces in %s\n", soak.folder);
+	soak_stop(&soak);
+	return soak.breaches > 0 ? 1 : 0;
+}
