--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 FAULTS ?= all
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build check demo soak bench install format format-check lint clean sanitize race
+.PHONY: all deps build check demo soak soak-flows bench install format format-check lint clean sanitize race
 
 all: build
 
@@ -31,6 +31,10 @@
 soak: build
 	$(BUILD)/test/soak/pl_lab --seed $(SEED) --seconds $(SECONDS) --faults $(FAULTS)
 
+# Roles for flows; the lab above is the one of requests.
+soak-flows: build
+	$(BUILD)/test/soak/pl_flow_soak --seed $(SEED) --seconds $(SECONDS)
+
 bench: build
 	@for program in $$(find $(BUILD)/test -type f -name 'pl_bench_*' -perm -u+x | sort); do \
 		echo "== $$(basename $$program)"; $$program || exit 1; \
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -413,6 +413,22 @@
 		pl_flow_work_end_(agent, flow);
 }
 
+/* Whether the server's reset may go to the caller. One that only was offered
+ * the flow, or was tried for it, does not speak for it: another one holds it,
+ * or will. */
+static bool may_reset_(pl_flow_agent_t *agent, const pl_flow_key_t *key)
+{
+	flow_t *flow = find_(agent, key);
+
+	if (!flow || flow->certain || flow->known)
+		return true;
+	if (flow->state == FLOW_TRIAL)
+		pl_flow_agent_verdict_(agent, flow->entry, key, PL_FLOW_ABSENT,
+				       NULL, 0);
+	pl_flow_set_state_(agent, flow, FLOW_ABSENT);
+	return false;
+}
+
 void pl_flow_agent_packet(pl_flow_agent_t *agent, uint8_t *bytes, size_t len)
 {
 	pl_packet_t packet;
@@ -428,6 +444,8 @@
 		return;
 	}
 	key = pl_packet_flow_back(&packet);
+	if ((packet.flags & PL_PACKET_RST) && !may_reset_(agent, &key))
+		return;
 	answered_(agent, &key, &packet);
 	agent->ops->to_caller(agent->ctx, &key, bytes, len);
 }
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -391,6 +391,33 @@
 	world_delete(world);
 }
 
+/* Found on the users' bench (a drawn day of a large site): a server that was
+ * starting was tried for a flow and reset it, while its owner served it. */
+static void
+reset_of_a_server_that_does_not_hold_the_flow_is_kept_back(void **state)
+{
+	world_t *world = world_new(1, 4, 16);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	open_flows_(world, calls, CALLERS);
+	for (int i = 0; i < world->agent_count; i++) {
+		world_kill_agent(world, i);
+		world_start_agent(world, i);
+		world->servers[i].resets = true;
+	}
+	world_kill_entry(world, 0);
+	world_start_entry(world, 0);
+	world_publish(world);
+	again_(world, calls, CALLERS);
+	world_run(world, 1500);
+	assert_int_equal(world->false_resets, 0);
+	assert_int_equal(world_served(world, 0), 2 * CALLERS);
+	for (int i = 0; i < CALLERS; i++)
+		assert_int_equal(calls[i]->resets, 0);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -415,6 +442,8 @@
 			copy_of_an_opening_packet_goes_to_another_server),
 		cmocka_unit_test(opening_packet_waits_for_the_first_endpoint),
 		cmocka_unit_test(agent_without_a_server_owns_nothing),
+		cmocka_unit_test(
+			reset_of_a_server_that_does_not_hold_the_flow_is_kept_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -213,6 +213,16 @@
 	from_server_(server, packet);
 }
 
+static void reset_foreign_(server_t *server, const pl_packet_t *packet)
+{
+	const pl_packet_t answer = { .src = packet->dst,
+				     .dst = packet->src,
+				     .flags = PL_PACKET_RST,
+				     .seq = packet->ack };
+
+	from_server_(server, &answer);
+}
+
 static void server_open_(server_t *server, const pl_packet_t *packet)
 {
 	const pl_flow_key_t key = pl_packet_flow(packet);
@@ -248,7 +258,10 @@
 	flow = g_hash_table_lookup(server->flows, &key);
 	if (!flow || (!flow->open && packet->ack != flow->seq)) {
 		server->foreign++;
-		bounce_(server, packet);
+		if (server->resets)
+			reset_foreign_(server, packet);
+		else
+			bounce_(server, packet);
 		return;
 	}
 	flow->open = true;
