--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -68,6 +68,20 @@
 	  "calls to the platform's key-value service")                        \
 	X(PL_COUNTER_PLATFORM_ERRORS, "platform_errors",                      \
 	  "calls to the platform that failed")                                \
+	X(PL_COUNTER_FLOWS_PLACED, "flows_placed",                            \
+	  "opening packets sent to an agent")                                 \
+	X(PL_COUNTER_FLOWS_WAITED, "flows_waited",                            \
+	  "requests and new flows that found no slot at once")                \
+	X(PL_COUNTER_FLOWS_HANDED_BACK, "flows_handed_back",                  \
+	  "opening packets that an agent did not take")                       \
+	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                          \
+	  "packets that the backend server handed back")                      \
+	X(PL_COUNTER_FLOWS_FOUND, "flows_found",                              \
+	  "lookups that found the owner of a flow")                           \
+	X(PL_COUNTER_FLOWS_LOST, "flows_lost",                                \
+	  "lookups that ended without an owner")                              \
+	X(PL_COUNTER_FLOWS_RESET, "flows_reset",                              \
+	  "flows reset because nobody can own them")                          \
 	X(PL_COUNTER_INVARIANT_BROKEN, "invariant_broken",                    \
 	  "internal invariants that were broken")
 
@@ -84,6 +98,8 @@
 	X(PL_HISTOGRAM_REQUEST, "request_us",                            \
 	  "time from acceptance to answer of a request")                 \
 	X(PL_HISTOGRAM_QUEUE, "queue_us", "time in queue before a slot") \
+	X(PL_HISTOGRAM_LOOKUP, "lookup_us",                              \
+	  "time until the owner of a flow was found")                    \
 	X(PL_HISTOGRAM_NOTIFY, "notify_us",                              \
 	  "time from a backend notification to the caller's datagram")
 
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -140,6 +140,7 @@
 static void refuse_(pl_flow_agent_t *agent, const pl_flow_message_t *message)
 {
 	agent->stats.refused++;
+	pl_counter_add(PL_COUNTER_FLOWS_HANDED_BACK, 1);
 	hand_back_(agent, message, PL_FLOW_REFUSED);
 }
 
@@ -375,6 +376,7 @@
 	bool keep;
 
 	agent->stats.bounced++;
+	pl_counter_add(PL_COUNTER_FLOWS_BOUNCED, 1);
 	if (!flow)
 		return;
 	agent->params.packets->clean(bytes, len);
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -5,6 +5,7 @@
 #include "private/agent_private.h"
 
 #include <inttypes.h>
+#include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 #include <string.h>
 
@@ -35,6 +36,7 @@
 		&flow->node.key, flow->caller_ack, bytes, sizeof(bytes));
 
 	agent->stats.resets++;
+	pl_counter_add(PL_COUNTER_FLOWS_RESET, 1);
 	agent->ops->to_caller(agent->ctx, &flow->node.key, bytes, len);
 	pl_flow_agent_verdict_(agent, flow->entry, &flow->node.key,
 			       PL_FLOW_ENDED, NULL, 0);
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -10,6 +10,7 @@
 #include "private/agent_private.h"
 
 #include <glib.h>
+#include <pimentolift/counter.h>
 #include <math.h>
 
 /** A new flow whose caller sends nothing loses its slot after so many times
@@ -34,6 +35,7 @@
  * may know a server with less work by now. */
 #define OPENING_WAIT_MS 120
 #define OPENING_CHECK_MS 20
+#define US_PER_MS 1000
 
 static pl_work_t *work_(flow_t *flow)
 {
@@ -203,6 +205,8 @@
 
 	if (!work)
 		return NULL;
+	pl_histogram_record(PL_HISTOGRAM_QUEUE,
+			    (ask.now - work->since) * US_PER_MS);
 	dequeued_(agent, flow_of_(work));
 	return flow_of_(work);
 }
@@ -227,8 +231,10 @@
 {
 	pl_ms_t took = pl_flow_agent_now_(agent) - flow->busy_since;
 
-	if (flow->busy && !flow->reserved)
+	if (flow->busy && !flow->reserved) {
+		pl_histogram_record(PL_HISTOGRAM_REQUEST, took * US_PER_MS);
 		agent->work_ms = mean_(agent->work_ms, (double)took);
+	}
 	pl_flow_work_end_(agent, flow);
 }
 
@@ -274,6 +280,7 @@
 	flow->work.due = due;
 	flow->work.priority = priority;
 	agent->stats.waited++;
+	pl_counter_add(PL_COUNTER_FLOWS_WAITED, 1);
 	if (flow->state != FLOW_NEW) {
 		flow->request_waits = true;
 		agent->requests_waiting++;
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -10,6 +10,7 @@
 #include "private/entry_private.h"
 
 #include <inttypes.h>
+#include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 #include <string.h>
 
@@ -24,6 +25,7 @@
 #define PATIENCE_MS 200
 /** A trial whose answer is lost is given up. */
 #define TRIAL_MS 100
+#define US_PER_MS 1000
 /** Agents that a log line names. */
 #define NAMED_MAX 6
 /** Lookups that are open at the same time. */
@@ -77,6 +79,10 @@
 	flow->waits_at = 0;
 	pl_flow_entry_cancel_offers_(entry, flow);
 	entry->stats.found++;
+	pl_counter_add(PL_COUNTER_FLOWS_FOUND, 1);
+	pl_histogram_record(PL_HISTOGRAM_LOOKUP,
+			    (pl_flow_entry_now_(entry) - lookup->started) *
+				    US_PER_MS);
 	pl_list_for_each(link, &lookup->parked.list) {
 		const pl_parked_t *parked =
 			PL_CONTAINER_OF(link, pl_parked_t, link);
@@ -216,6 +222,7 @@
 
 	if (now - lookup->started >= LOOKUP_MS) {
 		entry->stats.lost++;
+		pl_counter_add(PL_COUNTER_FLOWS_LOST, 1);
 		log_end_(entry, lookup, PL_EVENT_FLOW_LOST);
 		pl_flow_lookup_end_(entry, lookup);
 		return;
@@ -282,6 +289,7 @@
 	cached_t *flow = lookup->flow;
 
 	entry->stats.dead++;
+	pl_counter_add(PL_COUNTER_FLOWS_RESET, 1);
 	log_end_(entry, lookup, PL_EVENT_FLOW_DEAD);
 	pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
 	pl_flow_retries_note_(entry, flow->node.key.caller_ip);
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -4,6 +4,7 @@
  */
 #include "private/entry_private.h"
 
+#include <pimentolift/counter.h>
 #include <pimentolift/hash.h>
 
 /** Endpoints compared for one flow; of a larger service, those that come
@@ -185,6 +186,7 @@
 	flow->offered[flow->offered_count++] = endpoint->agent;
 	note_sent_(entry, endpoint->agent);
 	entry->stats.placed++;
+	pl_counter_add(PL_COUNTER_FLOWS_PLACED, 1);
 	pl_flow_entry_forward_(entry, flow, endpoint->agent,
 			       last ? PL_FLOW_LAST : 0, bytes, len);
 }
--- a/test/config/settings_test.c
+++ b/test/config/settings_test.c
@@ -165,6 +165,50 @@
 	g_hash_table_destroy(lines);
 }
 
+static void flows_sections_are_checked(void **state)
+{
+	static const char text[] =
+		"role = \"agent\"\ntraffic = \"flows\"\nname = \"a\"\n"
+		"environment = \"e\"\ndatacentre = \"d\"\n"
+		"secret = \"1234567890123456\"\nseed_port = 70000\n"
+		"[platform]\nurl = \"ftp://x\"\n"
+		"[flows]\nlisten = \"1\"\nreport_ms = \"soon\"\nmore = 1\n";
+	pl_problems_t *problems = pl_problems_new("f");
+	pl_settings_t *settings;
+
+	(void)state;
+	assert_int_equal(
+		pl_settings_parse(text, strlen(text), &settings, problems),
+		PL_ERR_CONFIG);
+	/* port, URL, listen, five missing keys, interval, unknown key */
+	assert_int_equal(pl_problems_count(problems), 10);
+	pl_problems_delete(problems);
+}
+
+/* The platform renders whole numbers and fractions. */
+static void flows_take_fractions(void **state)
+{
+	static const char text[] =
+		"role = \"entry\"\ntraffic = \"flows\"\nname = \"a\"\n"
+		"environment = \"e\"\ndatacentre = \"d\"\n"
+		"secret = \"1234567890123456\"\nseed_port = 7720\n"
+		"seeds = [\"10.0.0.1:8166\"]\n"
+		"[platform]\nurl = \"http://10.0.0.9:1\"\n"
+		"[flows]\nlisten = \"10.0.0.2:1\"\nready = \"10.0.0.2:2\"\n"
+		"flow_max_s = 60.5\nconfig_ms = 2500.0\nlink_mbps = 4.8\n";
+	pl_problems_t *problems = pl_problems_new("f");
+	pl_settings_t *settings;
+
+	(void)state;
+	assert_int_equal(
+		pl_settings_parse(text, strlen(text), &settings, problems),
+		PL_OK);
+	assert_int_equal(settings->flows.config_ms, 2500);
+	assert_int_equal(settings->seed_port, 7720);
+	pl_settings_free(settings);
+	pl_problems_delete(problems);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -172,6 +216,8 @@
 		cmocka_unit_test(every_problem_is_found_in_one_pass),
 		cmocka_unit_test(broken_text_names_the_line),
 		cmocka_unit_test(locator_counts_arrays_of_tables),
+		cmocka_unit_test(flows_sections_are_checked),
+		cmocka_unit_test(flows_take_fractions),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
