Opening packets end with their callers' patience; several servers are tried at once

Cause: after all processes were killed, a large site looked for the owners of its flows one server after the other, at most two while anybody was silent; and opening packets whose callers had given up went on being offered, 2,000 a second from one entry, each keeping a slot from work that was wanted. Built: silent agents that are not in the roster do not count, four servers are tried at once, an entry drops what is older than 1.4 s.

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -17,6 +17,8 @@
 /** Callers send copies of an opening packet after these times. */
 #define COPY_1_MS 200
 #define COPY_2_MS 600
+/** A caller gives an opening packet up after this time. */
+#define OPEN_MS 1400
 
 pl_ms_t pl_flow_entry_now_(const pl_flow_entry_t *entry)
 {
@@ -172,6 +174,7 @@
 	pl_ms_t due =
 		now + flow->goal_ms - MIN(copy_age_ms_(copy), flow->goal_ms);
 
+	flow->opened = now - MIN(copy_age_ms_(copy), now);
 	if (copy == 0 && pl_flow_retries_take_(entry, flow->node.key.caller_ip))
 		due = now;
 	flow->due = MIN(flow->due, due);
@@ -278,6 +281,10 @@
 		flow->waits_at = 0;
 	if (message->packet_len == 0 || flow->owner != 0 || flow->waits_at != 0)
 		return;
+	/* its caller has given this try up: a server's offer would only keep
+	 * a slot from others */
+	if (pl_flow_entry_now_(entry) - flow->opened >= OPEN_MS)
+		return;
 	entry->stats.replaced++;
 	pl_flow_entry_place_(entry, flow, message->packet, message->packet_len);
 }
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -21,6 +21,8 @@
 /** A lookup without an owner ends after this time; by then the caller has
  * sent its packet anew. */
 #define LOOKUP_MS 1500
+/** Servers that are tried at the same time. */
+#define TRIALS_AT_ONCE 4
 /** After this time the roster is asked although agents are silent. */
 #define PATIENCE_MS 200
 /** A trial whose answer is lost is given up. */
@@ -96,12 +98,13 @@
 /* Agents that may still be the owner's. */
 typedef struct {
 	size_t silent;
+	size_t owners; /**< of them, those that may own flows */
 	size_t unsure;
 	size_t tried;
 	asked_t *next; /**< to be tried */
 } rest_t;
 
-static rest_t rest_(const lookup_t *lookup)
+static rest_t rest_(const pl_flow_entry_t *entry, const lookup_t *lookup)
 {
 	rest_t rest = { 0 };
 
@@ -111,6 +114,8 @@
 		rest.tried += asked->tried;
 		if (!asked->answered) {
 			rest.silent++;
+			rest.owners += pl_flow_roster_names_(entry, lookup,
+							     asked->agent);
 		} else if (asked->verdict == PL_FLOW_UNSURE) {
 			rest.unsure++;
 			if (!rest.next && !asked->tried)
@@ -125,19 +130,38 @@
 	const pl_parked_t *parked = pl_parking_first(&lookup->parked);
 
 	asked->tried = true;
-	lookup->trial = true;
+	lookup->trials++;
 	pl_flow_entry_forward_(entry, lookup->flow, asked->agent, PL_FLOW_TRIAL,
 			       parked->bytes, parked->len);
 	arm_(entry, lookup, TRIAL_MS);
 }
 
+/* When whoever may own the flow has answered, its owner is among those that
+ * are tried, so several may be at once. */
+static void try_some_(pl_flow_entry_t *entry, lookup_t *lookup, rest_t *rest)
+{
+	bool silent = rest->owners > 0;
+
+	if (silent && rest->tried >= TRIALS_WHILE_SILENT) {
+		pl_flow_roster_refresh_(entry, lookup);
+		arm_(entry, lookup, LOOK_AGAIN_MS);
+		return;
+	}
+	while (rest->next && lookup->trials < TRIALS_AT_ONCE) {
+		try_(entry, lookup, rest->next);
+		if (silent)
+			return;
+		*rest = rest_(entry, lookup);
+	}
+}
+
 /* Goes on as far as the answers allow. */
 static void step_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
 	pl_ms_t age = pl_flow_entry_now_(entry) - lookup->started_wide;
-	rest_t rest = rest_(lookup);
+	rest_t rest = rest_(entry, lookup);
 
-	if (lookup->trial)
+	if (lookup->trials >= TRIALS_AT_ONCE)
 		return;
 	/* a table that names no endpoint is that of a newcomer */
 	if (lookup->asked->len == 0) {
@@ -156,11 +180,12 @@
 			return;
 		}
 	}
-	if (rest.next &&
-	    (rest.silent == 0 || rest.tried < TRIALS_WHILE_SILENT)) {
-		try_(entry, lookup, rest.next);
+	if (rest.next) {
+		try_some_(entry, lookup, &rest);
 		return;
 	}
+	if (lookup->trials > 0)
+		return;
 	/* agents that cannot say may be gone; the roster tells whether they
 	 * matter, and each look at it costs */
 	lookup->exhausted =
@@ -227,7 +252,7 @@
 		pl_flow_lookup_end_(entry, lookup);
 		return;
 	}
-	lookup->trial = false;
+	lookup->trials = 0;
 	pl_flow_ask_(entry, lookup);
 	step_(entry, lookup);
 }
@@ -277,8 +302,8 @@
 	}
 	if (!asked || verdict == PL_FLOW_REFUSED)
 		return;
-	if (asked->tried && verdict == PL_FLOW_ABSENT)
-		lookup->trial = false;
+	if (asked->tried && verdict == PL_FLOW_ABSENT && lookup->trials > 0)
+		lookup->trials--;
 	asked->answered = true;
 	asked->verdict = verdict;
 	step_(entry, lookup);
--- a/src/flow/entry_roster.c
+++ b/src/flow/entry_roster.c
@@ -58,17 +58,44 @@
 	return true;
 }
 
-bool pl_flow_roster_rules_out_(pl_flow_entry_t *entry, const lookup_t *lookup)
+/* Roster that was read after the lookup began, or NULL. */
+static const roster_t *fresh_(const pl_flow_entry_t *entry,
+			      const lookup_t *lookup)
 {
 	const roster_t *roster =
 		g_hash_table_lookup(entry->rosters, &lookup->flow->service);
 
-	if (roster && roster->at >= lookup->started)
+	return roster && roster->at >= lookup->started ? roster : NULL;
+}
+
+bool pl_flow_roster_rules_out_(pl_flow_entry_t *entry, const lookup_t *lookup)
+{
+	const roster_t *roster = fresh_(entry, lookup);
+
+	if (roster)
 		return all_absent_(lookup, roster->agents);
 	ask_(entry, lookup->flow->service);
 	return false;
 }
 
+bool pl_flow_roster_names_(const pl_flow_entry_t *entry, const lookup_t *lookup,
+			   pl_member_id_t agent)
+{
+	const roster_t *roster = fresh_(entry, lookup);
+
+	for (guint i = 0; roster && i < roster->agents->len; i++) {
+		if (g_array_index(roster->agents, pl_member_id_t, i) == agent)
+			return true;
+	}
+	return !roster;
+}
+
+void pl_flow_roster_refresh_(pl_flow_entry_t *entry, const lookup_t *lookup)
+{
+	if (!fresh_(entry, lookup))
+		ask_(entry, lookup->flow->service);
+}
+
 void pl_flow_entry_roster(pl_flow_entry_t *entry, pl_service_id_t service,
 			  bool known, const pl_member_id_t *agents,
 			  size_t count)
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -35,7 +35,7 @@
 	uint32_t ack; /**< of the first packet */
 	bool wide; /**< all agents of the service are asked */
 
-	bool trial; /**< a backend server is being asked */
+	unsigned int trials; /**< backend servers that are being asked */
 	bool exhausted; /**< nobody who was asked owns it */
 } lookup_t;
 
@@ -48,6 +48,7 @@
 	size_t offered_count;
 	pl_member_id_t waits_at; /**< agent that lets it wait, or 0 */
 	pl_ms_t due; /**< of the first request, from its first sign on */
+	pl_ms_t opened; /**< when its caller sent the first opening packet */
 	uint32_t goal_ms; /**< of its route */
 	uint32_t priority;
 	lookup_t *lookup; /**< NULL when none is open */
@@ -148,6 +149,11 @@
 /** Whether a lookup that found no owner is proof that the flow is dead; asks
  * for the roster when the one known is older than the lookup. */
 bool pl_flow_roster_rules_out_(pl_flow_entry_t *entry, const lookup_t *lookup);
+/** Whether @p agent may own the flow; true while no roster tells. */
+bool pl_flow_roster_names_(const pl_flow_entry_t *entry, const lookup_t *lookup,
+			   pl_member_id_t agent);
+/** Asks for a roster that is not older than the lookup. */
+void pl_flow_roster_refresh_(pl_flow_entry_t *entry, const lookup_t *lookup);
 
 /* entry_lookup.c */
 /** What @p agent said of the flow. */
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -219,6 +219,40 @@
 	world_delete(world);
 }
 
+/* Found on the users' bench: under overload opening packets went on being
+ * offered after their callers had given up, and each kept a slot from work
+ * that was wanted. */
+static void opening_packets_end_with_their_callers_patience(void **state)
+{
+	world_t *world = world_new(1, 2, 27);
+	pl_flow_entry_stats_t before;
+	pl_flow_entry_stats_t after;
+	pl_flow_agent_stats_t stats;
+
+	(void)state;
+	for (int i = 0; i < 2; i++)
+		world->servers[i].work_ms = 60000;
+	arrive_(world, 100, 400);
+	/* the callers go away */
+	for (guint i = 0; i < world->calls->len; i++) {
+		call_t *call = world->calls->pdata[i];
+
+		call->state = CALL_FAILED;
+		pl_timer_cancel(world->timers, &call->timer);
+	}
+	world_run(world, 1700);
+	pl_flow_entry_stats(world->entries[0].entry, &before);
+	world_run(world, 500);
+	pl_flow_entry_stats(world->entries[0].entry, &after);
+	assert_int_equal(after.placed, before.placed);
+	world_run(world, 3500);
+	for (int i = 0; i < 2; i++) {
+		pl_flow_agent_stats(world->agents[i].agent, &stats);
+		assert_int_equal(stats.load.busy, 0);
+	}
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -230,6 +264,8 @@
 		cmocka_unit_test(unused_reservations_end),
 		cmocka_unit_test(load_is_spread),
 		cmocka_unit_test(nothing_waits_while_a_server_is_idle),
+		cmocka_unit_test(
+			opening_packets_end_with_their_callers_patience),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
