An opening packet's age survives that it is held

Cause: each new round of offers counted the packet as new, so the limit on its age never held; 200 offers a second went on for one caller that was gone. Test: opening_packets_end_with_their_callers_patience, red before (460 offers against 340).

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -174,7 +174,10 @@
 	pl_ms_t due =
 		now + flow->goal_ms - MIN(copy_age_ms_(copy), flow->goal_ms);
 
-	flow->opened = now - MIN(copy_age_ms_(copy), now);
+	/* one that is tried anew from hold is no new try of the caller */
+	if (flow->opened == 0 || (copy == 0 && entry->hold_since == 0 &&
+				  now - flow->opened >= OPEN_MS))
+		flow->opened = now - MIN(copy_age_ms_(copy), now);
 	if (copy == 0 && pl_flow_retries_take_(entry, flow->node.key.caller_ip))
 		due = now;
 	flow->due = MIN(flow->due, due);
