Held packets in a queue that the analyzer can follow

Cause: the analyzer took the list of held packets for memory used after it was freed: it can't see that the first link is replaced on removal. Ruled out: a real use after free (the soak under the sanitizers and test_flow are clean). A GQueue says the same with less code. The lint now reads platform/ as well.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	git ls-files '*.c' '*.h' '*.cpp' | xargs clang-format --dry-run -Werror
 
 lint: build
-	run-clang-tidy -quiet -p $(BUILD) -j $(JOBS) '(src|test)/.*\.c$$' > $(BUILD)/lint.log 2>&1 \
+	run-clang-tidy -quiet -p $(BUILD) -j $(JOBS) '(src|test|platform)/.*\.c$$' > $(BUILD)/lint.log 2>&1 \
 		|| { grep -E 'error:|warning:' $(BUILD)/lint.log | sort -u; exit 1; }
 
 sanitize:
--- a/src/flow/entry_hold.c
+++ b/src/flow/entry_hold.c
@@ -21,22 +21,15 @@
 
 /** A packet that is held. */
 typedef struct {
-	pl_list_t link;
 	pl_ms_t since;
 	size_t len;
 	uint8_t bytes[];
 } held_t;
 
-static void drop_(pl_flow_entry_t *entry, held_t *held)
-{
-	pl_list_remove(&held->link);
-	entry->held_count--;
-	g_free(held);
-}
-
 static void arm_(pl_flow_entry_t *entry)
 {
-	if (entry->held_count > 0 && !pl_timer_armed(&entry->hold_timer))
+	if (!g_queue_is_empty(&entry->held) &&
+	    !pl_timer_armed(&entry->hold_timer))
 		pl_timer_arm(entry->timers, &entry->hold_timer,
 			     pl_flow_entry_now_(entry) + RETRY_MS);
 }
@@ -45,34 +38,32 @@
 {
 	held_t *held;
 
-	if (entry->held_count >= HELD_MAX)
+	if (g_queue_get_length(&entry->held) >= HELD_MAX)
 		return;
 	held = g_malloc(sizeof(*held) + len);
 	held->since = entry->hold_since ? entry->hold_since :
 					  pl_flow_entry_now_(entry);
 	held->len = len;
 	memcpy(held->bytes, bytes, len);
-	pl_list_append(&entry->held, &held->link);
-	entry->held_count++;
+	g_queue_push_tail(&entry->held, held);
 	arm_(entry);
 }
 
 void pl_flow_hold_retry_(pl_flow_entry_t *entry)
 {
 	pl_ms_t now = pl_flow_entry_now_(entry);
-	size_t count = entry->held_count;
+	guint count = g_queue_get_length(&entry->held);
 
 	/* one that is held again is appended, and keeps its time */
-	for (size_t i = 0; i < count && entry->held_count > 0; i++) {
-		held_t *held = PL_CONTAINER_OF(pl_list_first(&entry->held),
-					       held_t, link);
+	for (guint i = 0; i < count; i++) {
+		held_t *held = g_queue_pop_head(&entry->held);
 
 		if (now - held->since < HOLD_MS) {
 			entry->hold_since = held->since;
 			pl_flow_entry_take_(entry, held->bytes, held->len);
 			entry->hold_since = 0;
 		}
-		drop_(entry, held);
+		g_free(held);
 	}
 	arm_(entry);
 }
@@ -86,13 +77,12 @@
 
 void pl_flow_hold_init_(pl_flow_entry_t *entry)
 {
-	pl_list_init(&entry->held);
+	g_queue_init(&entry->held);
 	pl_timer_init(&entry->hold_timer, on_timer_, entry);
 }
 
 void pl_flow_hold_finish_(pl_flow_entry_t *entry)
 {
 	pl_timer_cancel(entry->timers, &entry->hold_timer);
-	pl_list_for_each_safe(link, &entry->held)
-		drop_(entry, PL_CONTAINER_OF(link, held_t, link));
+	g_queue_clear_full(&entry->held, g_free);
 }
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -376,7 +376,7 @@
 {
 	const world_node_t *node = ctx;
 	world_t *world = node->world;
-	pl_packet_t packet;
+	pl_packet_t packet = { 0 };
 
 	assert_true(read_(bytes, len, &packet));
 	if ((packet.flags & PL_PACKET_RST) && is_held_(world, flow))
--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -107,7 +107,7 @@
 			 const uint8_t *bytes, size_t len)
 {
 	soak_t *soak = ctx;
-	int up[SOAK_NODES_MAX];
+	int up[SOAK_NODES_MAX] = { 0 };
 	int count = 0;
 
 	for (int pass = 0; pass < 2 && count == 0; pass++) {
@@ -119,7 +119,7 @@
 	send_(soak->caller_fds[ip - CALLER_NET - 1],
 	      ENTRY_NET + 1 +
 		      (uint32_t)up[(ip * 31 + port * 2654435761U) %
-				   (unsigned int)count],
+				   (unsigned int)MAX(count, 1)],
 	      soak->port, bytes, len);
 }
 
