--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -294,20 +294,29 @@
 			    failed);
 }
 
-static long option_(int argc, char **argv, const char *name, long missing)
+static const char *text_(int argc, char **argv, const char *name)
 {
 	for (int i = 1; i + 1 < argc; i++) {
 		if (strcmp(argv[i], name) == 0)
-			return atol(argv[i + 1]);
+			return argv[i + 1];
 	}
-	return missing;
+	return NULL;
+}
+
+static long option_(int argc, char **argv, const char *name, long missing)
+{
+	const char *text = text_(argc, argv, name);
+
+	return text ? atol(text) : missing;
 }
 
 int main(int argc, char **argv)
 {
 	uint32_t seed = (uint32_t)option_(argc, argv, "--seed", 1);
 	long seconds = option_(argc, argv, "--seconds", 15);
-	soak_t soak = { .last = "none" };
+	const char *wanted = text_(argc, argv, "--faults");
+	soak_t soak = { .last = "none",
+			.wanted = wanted ? g_strsplit(wanted, ",", -1) : NULL };
 
 	signal(SIGPIPE, SIG_IGN);
 	soak.entries = (int)option_(argc, argv, "--entries", 3);
@@ -338,5 +347,6 @@
 	if (soak.breaches > 0)
 		printf("traces in %s\n", soak.folder);
 	soak_stop(&soak);
+	g_strfreev(soak.wanted);
 	return soak.breaches > 0 ? 1 : 0;
 }
--- a/test/soak/flow_soak.h
+++ b/test/soak/flow_soak.h
@@ -50,6 +50,7 @@
 	unsigned int breaches;
 	unsigned int faults;
 	const char *last; /* fault injected last */
+	char **wanted; /* faults that are drawn; NULL: all */
 } soak_t;
 
 /** Reports a promise that was broken. */
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -169,6 +169,7 @@
 					    node->settings);
 			pl_process_delete(node->process);
 			node->process = NULL;
+			node->resume_at = 0;
 			node->restart_at = now + RESTART_MS;
 		}
 		if (node->restart_at != 0 && now >= node->restart_at &&
@@ -383,6 +384,12 @@
 			    (pl_ms_t)g_rand_int_range(soak->random, 500, 4000);
 }
 
+static bool wanted_(const soak_t *soak, const char *name)
+{
+	return !soak->wanted ||
+	       g_strv_contains((const char *const *)soak->wanted, name);
+}
+
 void soak_fault(soak_t *soak)
 {
 	static const struct {
@@ -401,8 +408,19 @@
 		{ "store", store_ },
 		{ "kill-all", kill_all_ },
 	};
-	int at = g_rand_int_range(soak->random, 0, G_N_ELEMENTS(faults));
+	size_t allowed[G_N_ELEMENTS(faults)];
+	int count = 0;
+	size_t at;
 
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		if (wanted_(soak, faults[i].name))
+			allowed[count++] = i;
+	}
+	if (count == 0) {
+		soak_breach(soak, "--faults names none that is known");
+		return;
+	}
+	at = allowed[g_rand_int_range(soak->random, 0, count)];
 	soak->faults++;
 	soak->last = faults[at].name;
 	faults[at].inject(soak);
