--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -4,8 +4,8 @@
  *
  * All agents of the service are asked at once, so that one that is dead or
  * cut off delays nobody. Those that cannot say because their server is older
- * than they are, are tried with one real packet, one after the other: the
- * server hands back what it does not hold.
+ * than they are, are tried with one real packet, a few at a time: the server
+ * hands back what it does not hold.
  */
 #include "private/entry_private.h"
 
