--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -870,8 +870,9 @@
 		g_hash_table_destroy(world->servers[i].flows);
 		g_queue_free(world->servers[i].waiting);
 	}
-	g_ptr_array_free(world->calls, TRUE);
+	/* first the timers, which are linked through the calls */
 	pl_timer_service_delete(world->timers);
+	g_ptr_array_free(world->calls, TRUE);
 	g_rand_free(world->random);
 	g_free(world);
 }
