Logs: generation of the store, watch positions and registrations

The logs could not tell whether the store came back with its data, from which position a watch of the configuration goes on, and in which state of the store an agent registered. Replies carry the generation of the store's data and its index as one position; 405 config-watch, 414 platform-restored and 415 roster-registered say the rest. The stand-in of the store can return to a copy: revisions and leases go back, waiting watches are cut, and a watch from a revision that it does not have gets 410, as the platform's pages say.

No change of logic.

--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -50,11 +50,12 @@
 	 */
 	void (*read)(void *ctx);
 	/**
-	 * Starts a watch of the document's key from @p index; with 0 it
-	 * returns the present value immediately. The owner reports the result
-	 * with pl_config_sync_watch_done(). At most one watch is open.
+	 * Starts a watch of the document's key for changes after @p after;
+	 * with index 0 it returns the present value immediately. The owner
+	 * reports the result with pl_config_sync_watch_done(). At most one
+	 * watch is open.
 	 */
-	void (*watch)(void *ctx, uint64_t index);
+	void (*watch)(void *ctx, pl_kv_position_t after);
 	/** Cancels the open watch; no result is reported. */
 	void (*unwatch)(void *ctx);
 	/** Returns a random number; tests use a seeded generator. */
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -80,6 +80,8 @@
 	  "a member holds a different document for the revision in force")     \
 	X(PL_EVENT_CONFIG_SKIPPED, 404, "config-skipped", WARNING,             \
 	  "unreadable parts of a configuration were skipped")                  \
+	X(PL_EVENT_CONFIG_WATCH, 405, "config-watch", INFO,                    \
+	  "this member starts or resumes its watch of the configuration")      \
 	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,               \
 	  "the platform's key-value service does not answer")                  \
 	X(PL_EVENT_ROSTER_FAILED, 412, "roster-failed", WARNING,               \
@@ -88,6 +90,10 @@
 	  "the roster entry of an agent that stayed dead was removed")         \
 	X(PL_EVENT_PLATFORM_UP, 411, "platform-up", INFO,                      \
 	  "the platform's key-value service answers again")                    \
+	X(PL_EVENT_PLATFORM_RESTORED, 414, "platform-restored", WARNING,       \
+	  "the key-value service lost changes: it restored an older copy")     \
+	X(PL_EVENT_ROSTER_REGISTERED, 415, "roster-registered", INFO,          \
+	  "an agent's entry was written to the roster in the store")           \
 	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                   \
 	  "an inner message failed authentication")
 
--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -40,6 +40,17 @@
 	uint64_t modify_index;
 } pl_kv_item_t;
 
+/** Position in the store's history of changes. */
+typedef struct {
+	/**
+	 * Generation of the store's data. It rises when the store comes back
+	 * from an older copy: later changes are lost, and their indexes are
+	 * assigned to other changes. 0: the store did not state it.
+	 */
+	uint64_t generation;
+	uint64_t index; /**< of the last change; 0: no position */
+} pl_kv_position_t;
+
 /**
  * Result of a call: PL_OK; PL_ERR_NOT_FOUND, the key does not exist or a watch
  * saw no change; PL_ERR_CONFLICT, the condition of the write does not hold;
@@ -53,7 +64,7 @@
 	const char *value; /**< followed by a NUL not counted in the length */
 	size_t value_len;
 	uint64_t modify_index; /**< of the value; 0 when the key is absent */
-	uint64_t watch_index; /**< index for the next watch */
+	pl_kv_position_t position; /**< of the store, for the next watch */
 	const pl_kv_item_t *items; /**< result of pl_kv_list() */
 	size_t item_count;
 	bool more; /**< further keys follow the last item */
@@ -85,8 +96,9 @@
 typedef struct {
 	pl_kv_call_t *(*get)(pl_kv_t *kv, const char *key, pl_kv_done_t done,
 			     void *ctx);
-	pl_kv_call_t *(*watch)(pl_kv_t *kv, const char *key, uint64_t index,
-			       uint32_t wait_ms, pl_kv_done_t done, void *ctx);
+	pl_kv_call_t *(*watch)(pl_kv_t *kv, const char *key,
+			       pl_kv_position_t after, uint32_t wait_ms,
+			       pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*put)(pl_kv_t *kv, const pl_kv_write_t *write,
 			     pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*remove)(pl_kv_t *kv, const char *key,
@@ -121,12 +133,12 @@
 			void *ctx);
 
 /**
- * Reads @p key as soon as it changes after @p index, or after @p wait_ms. The
- * read takes place immediately when @p index is 0 or when the store no longer
- * has the changes since @p index. A change whose notification was missed is
- * found when the wait ends.
+ * Reads @p key as soon as it changes after @p after, or after @p wait_ms. The
+ * read takes place immediately when the index in @p after is 0 or when the
+ * store no longer has the changes since then. A change whose notification was
+ * missed is found when the wait ends.
  */
-pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, uint64_t index,
+pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, pl_kv_position_t after,
 			  uint32_t wait_ms, pl_kv_done_t done, void *ctx);
 
 /** Writes a key if the condition in @p write holds. */
--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -66,7 +66,7 @@
 	bool is_watcher; /**< this member is a watcher */
 	bool open; /**< a watch is pending */
 	pl_ms_t opened_at; /**< start of the pending or last watch */
-	uint64_t index;
+	pl_kv_position_t position; /**< of the last result */
 	unsigned int failures;
 	uint64_t reported_revision; /**< last revision reported as invalid */
 } watch_t;
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -59,11 +59,21 @@
 	return higher < sync->params.watchers;
 }
 
+static void log_watch_(const pl_config_sync_t *sync)
+{
+	const pl_kv_position_t *position = &sync->watch.position;
+
+	pl_event(PL_EVENT_CONFIG_WATCH,
+		 "changes after index %" G_GUINT64_FORMAT
+		 " of generation %" G_GUINT64_FORMAT,
+		 position->index, position->generation);
+}
+
 static void open_watch_(pl_config_sync_t *sync)
 {
 	sync->watch.open = true;
 	sync->watch.opened_at = pl_sync_now(sync);
-	sync->ops->watch(sync->ctx, sync->watch.index);
+	sync->ops->watch(sync->ctx, sync->watch.position);
 }
 
 static void on_evaluate_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
@@ -79,8 +89,9 @@
 	if (is_watcher == watch->is_watcher)
 		return;
 	watch->is_watcher = is_watcher;
-	watch->index = 0;
+	watch->position = (pl_kv_position_t){ 0 };
 	if (is_watcher) {
+		log_watch_(sync);
 		open_watch_(sync);
 		return;
 	}
@@ -104,8 +115,11 @@
 
 	(void)timer;
 	(void)now;
-	if (sync->watch.is_watcher && !sync->watch.open)
-		open_watch_(sync);
+	if (!sync->watch.is_watcher || sync->watch.open)
+		return;
+	if (sync->watch.failures > 0)
+		log_watch_(sync);
+	open_watch_(sync);
 }
 
 static pl_ms_t failure_delay_(pl_config_sync_t *sync)
@@ -122,7 +136,7 @@
 }
 
 /* Delay until the next watch after a successful one. */
-static pl_ms_t success_delay_(pl_config_sync_t *sync, uint64_t index)
+static pl_ms_t success_delay_(pl_config_sync_t *sync, pl_kv_position_t position)
 {
 	watch_t *watch = &sync->watch;
 	pl_ms_t earliest = watch->opened_at + WATCH_INTERVAL_MS;
@@ -130,7 +144,9 @@
 
 	watch->failures = 0;
 	/* the index decreased: the store was reset, so start from 0 */
-	watch->index = index < watch->index ? 0 : index;
+	if (position.index < watch->position.index)
+		position.index = 0;
+	watch->position = position;
 	return earliest > now ? earliest - now : 0;
 }
 
@@ -228,7 +244,7 @@
 
 	sync->watch.open = false;
 	if (reply->result == PL_OK || reply->result == PL_ERR_NOT_FOUND)
-		delay = success_delay_(sync, reply->watch_index);
+		delay = success_delay_(sync, reply->position);
 	else
 		delay = failure_delay_(sync);
 	document = pl_sync_reply_document(sync, reply);
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -91,11 +91,11 @@
 	pl_config_sync_watch_done(config->sync, reply);
 }
 
-static void start_watch_(void *ctx, uint64_t index)
+static void start_watch_(void *ctx, pl_kv_position_t after)
 {
 	pl_node_config_t *config = ctx;
 
-	config->watch = pl_kv_watch(config->platform, config->key, index,
+	config->watch = pl_kv_watch(config->platform, config->key, after,
 				    config->watch_ms, on_watch_, config);
 }
 
--- a/src/daemon/node_roster.c
+++ b/src/daemon/node_roster.c
@@ -86,6 +86,16 @@
 	schedule_call_(roster, pause + pl_random_identity() % pause);
 }
 
+static void log_registered_(const pl_node_roster_t *roster, uint64_t generation)
+{
+	char *key = entry_key_(roster, roster->service);
+
+	pl_event(PL_EVENT_ROSTER_REGISTERED,
+		 "%s, generation %" G_GUINT64_FORMAT " of the store", key,
+		 generation);
+	g_free(key);
+}
+
 static void on_written_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_node_roster_t *roster = ctx;
@@ -104,6 +114,7 @@
 	roster->failures = 0;
 	roster->registered = true;
 	roster->written_at = now_(roster);
+	log_registered_(roster, reply->position.generation);
 	report_done_(roster);
 }
 
--- a/test/bench/config_bench.c
+++ b/test/bench/config_bench.c
@@ -134,7 +134,7 @@
 	(void)frame;
 }
 
-static void ignore_index_(void *ctx, uint64_t index)
+static void ignore_watch_(void *ctx, pl_kv_position_t after)
 {
 	(void)ctx;
 	(void)index;
@@ -158,7 +158,7 @@
 		.in_force = ignore_document_,
 		.send = ignore_frame_,
 		.read = ignore_call_,
-		.watch = ignore_index_,
+		.watch = ignore_watch_,
 		.unwatch = ignore_call_,
 		.random = return_zero_,
 	};
--- a/test/config/sync_fake.c
+++ b/test/config/sync_fake.c
@@ -36,8 +36,9 @@
 
 	memset(reply, 0, sizeof(*reply));
 	reply->message = "";
-	reply->watch_index = fake->frozen ? fake->frozen_index : fake->index;
-	reply->modify_index = reply->watch_index;
+	reply->position.generation = 1;
+	reply->position.index = fake->frozen ? fake->frozen_index : fake->index;
+	reply->modify_index = reply->position.index;
 	reply->result = fake->down || node->platform_blocked ?
 				PL_ERR_UNAVAILABLE :
 			value ? PL_OK :
@@ -126,16 +127,17 @@
 	schedule_delivery_(node, DELIVER_READ, PLATFORM_DELAY_MS);
 }
 
-static void watch_(void *ctx, uint64_t index)
+static void watch_(void *ctx, pl_kv_position_t after)
 {
 	node_t *node = ctx;
 	fake_t *fake = node->fake;
 	uint64_t present = fake->frozen ? fake->frozen_index : fake->index;
-	bool at_once = fake->down || node->platform_blocked || index != present;
+	bool at_once =
+		fake->down || node->platform_blocked || after.index != present;
 
 	node->watches++;
 	node->watching = true;
-	node->watch_index = index;
+	node->watch_index = after.index;
 	node->watch_serial++;
 	schedule_delivery_(node, DELIVER_WATCH,
 			   at_once ? PLATFORM_DELAY_MS : PL_KV_WAIT_MS);
--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -25,7 +25,7 @@
 	char *value;
 	size_t value_len;
 	uint64_t modify_index;
-	uint64_t watch_index;
+	pl_kv_position_t position;
 } outcome_t;
 
 static void on_done_(void *ctx, const pl_kv_reply_t *reply)
@@ -38,7 +38,7 @@
 	outcome->value = g_memdup2(reply->value, reply->value_len);
 	outcome->value_len = reply->value_len;
 	outcome->modify_index = reply->modify_index;
-	outcome->watch_index = reply->watch_index;
+	outcome->position = reply->position;
 }
 
 static int set_up_(void **state)
@@ -149,7 +149,7 @@
 
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
 	assert_int_equal(get_value_(f, &read), PL_OK);
-	pl_kv_watch(f->client, KEY, read.watch_index, PL_KV_WAIT_MS, on_done_,
+	pl_kv_watch(f->client, KEY, read.position, PL_KV_WAIT_MS, on_done_,
 		    &watch);
 	while (stats.watches_waiting == 0) {
 		pl_kv_wait(f->client, 10);
@@ -165,7 +165,7 @@
 	wait_for_calls_(f);
 	assert_int_equal(watch.calls, 1);
 	assert_memory_equal(watch.value, "two", 3);
-	assert_true(watch.watch_index > read.watch_index);
+	assert_true(watch.position.index > read.position.index);
 	g_free(read.value);
 	g_free(watch.value);
 }
@@ -223,7 +223,8 @@
 
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
 	/* 2: store revision after the first write */
-	pl_kv_watch(f->client, KEY, 2, PL_KV_WAIT_MS, on_done_, &watch);
+	pl_kv_watch(f->client, KEY, (pl_kv_position_t){ .index = 2 },
+		    PL_KV_WAIT_MS, on_done_, &watch);
 	while (stats.watches_waiting == 0) {
 		pl_kv_wait(f->client, 10);
 		pl_store_stats(f->server, &stats);
@@ -244,7 +245,7 @@
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
 	assert_int_equal(get_value_(f, &read), PL_OK);
 	pl_store_command(f->server, "deaf");
-	pl_kv_watch(f->client, KEY, read.watch_index, 100, on_done_, &watch);
+	pl_kv_watch(f->client, KEY, read.position, 100, on_done_, &watch);
 	pl_kv_wait(f->client, 10);
 	assert_int_equal(put_value_(f, "two", read.modify_index), PL_OK);
 	wait_for_calls_(f);
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -27,6 +27,14 @@
 	gint64 expires_us; /* monotonic time */
 } lease_t;
 
+/* State of the store at the time of `copy`. */
+typedef struct copy {
+	GHashTable *items;
+	GHashTable *leases;
+	uint64_t next_lease;
+	uint64_t index;
+} copy_t;
+
 struct pl_store {
 	struct MHD_Daemon *http;
 	GMutex lock;
@@ -36,6 +44,8 @@
 	GHashTable *leases; /* lease_t by lease ID */
 	uint64_t next_lease;
 	uint64_t index;
+	_Atomic uint64_t era; /* number of restores, plus 1 */
+	struct copy *copy; /* state that `restore` returns to, or NULL */
 	bool down;
 	uint32_t slow_ms;
 	uint32_t lose_answers;
@@ -88,20 +98,79 @@
 	return copy;
 }
 
+static GHashTable *leases_new_(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				     g_free);
+}
+
+static GHashTable *leases_copy_(GHashTable *leases)
+{
+	GHashTable *copy = leases_new_();
+	GHashTableIter iter;
+	gpointer id;
+	gpointer lease;
+
+	g_hash_table_iter_init(&iter, leases);
+	while (g_hash_table_iter_next(&iter, &id, &lease))
+		g_hash_table_insert(copy, g_memdup2(id, sizeof(uint64_t)),
+				    g_memdup2(lease, sizeof(lease_t)));
+	return copy;
+}
+
+static void copy_free_(copy_t *copy)
+{
+	g_hash_table_destroy(copy->items);
+	g_hash_table_destroy(copy->leases);
+	g_free(copy);
+}
+
+static void take_copy_(pl_store_t *store)
+{
+	g_clear_pointer(&store->copy, copy_free_);
+	store->copy = g_new0(copy_t, 1);
+	store->copy->items = items_copy_(store->items);
+	store->copy->leases = leases_copy_(store->leases);
+	store->copy->next_lease = store->next_lease;
+	store->copy->index = store->index;
+}
+
+/* Returns to the copy. Later changes and leases are lost, and their numbers are
+ * assigned again. Waiting watches end without a response. */
+static bool restore_copy_(pl_store_t *store)
+{
+	copy_t *copy = store->copy;
+
+	if (!copy)
+		return false;
+	g_hash_table_destroy(store->items);
+	g_hash_table_destroy(store->leases);
+	store->items = items_copy_(copy->items);
+	store->leases = leases_copy_(copy->leases);
+	store->next_lease = copy->next_lease;
+	store->index = copy->index;
+	store->era++;
+	return true;
+}
+
 static const item_t *find_item_(const pl_store_t *store, const char *key)
 {
 	return g_hash_table_lookup(store->frozen ? store->frozen : store->items,
 				   key);
 }
 
-static enum MHD_Result respond_(struct MHD_Connection *connection,
+static enum MHD_Result respond_(const pl_store_t *store,
+				struct MHD_Connection *connection,
 				unsigned int status, const char *body)
 {
+	char era[32];
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 		strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result result;
 
+	g_snprintf(era, sizeof(era), "%" G_GUINT64_FORMAT, store->era);
 	MHD_add_response_header(response, "Content-Type", "application/json");
+	MHD_add_response_header(response, "Store-Era", era);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -192,7 +261,7 @@
 		g_string_append_printf(
 			body, "%s\"store_revision\":%" G_GUINT64_FORMAT "}",
 			item ? "," : "{", store->index);
-		result = respond_(connection,
+		result = respond_(store, connection,
 				  item ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
 				  body->str);
 	}
@@ -238,7 +307,7 @@
 		"{\"%s\":[%s],\"has_more\":%s,"
 		"\"store_revision\":%" G_GUINT64_FORMAT "}",
 		name, items->str, more ? "true" : "false", store->index);
-	enum MHD_Result result = respond_(connection, MHD_HTTP_OK, body);
+	enum MHD_Result result = respond_(store, connection, MHD_HTTP_OK, body);
 
 	g_free(body);
 	return result;
@@ -249,6 +318,7 @@
 {
 	const char *prefix = get_text_argument_(connection, "prefix");
 	uint64_t after = get_number_argument_(connection, "after", 0);
+	uint64_t era = store->era;
 	gint64 deadline =
 		g_get_monotonic_time() +
 		(gint64)get_number_argument_(connection, "wait_ms", 0) * 1000;
@@ -256,15 +326,22 @@
 	enum MHD_Result result = MHD_NO;
 
 	g_mutex_lock(&store->lock);
+	era = store->era;
 	store->stats.watches++;
+	if (!store->down && after > store->index) {
+		result = respond_(store, connection, MHD_HTTP_GONE, "{}");
+		g_mutex_unlock(&store->lock);
+		g_string_free(items, TRUE);
+		return result;
+	}
 	store->stats.watches_waiting++;
-	while (!store->down &&
+	while (!store->down && store->era == era &&
 	       (store->ignore_watches ||
 		append_items_(store, items, prefix, after) == 0) &&
 	       g_cond_wait_until(&store->changed, &store->lock, deadline))
 		;
 	store->stats.watches_waiting--;
-	if (delay_response_(store))
+	if (store->era == era && delay_response_(store))
 		result = respond_items_(store, connection, "events", items,
 					false);
 	g_mutex_unlock(&store->lock);
@@ -397,7 +474,7 @@
 	else if (store->lose_answers > 0)
 		store->lose_answers--;
 	else
-		result = respond_(connection,
+		result = respond_(store, connection,
 				  applied ? MHD_HTTP_OK :
 					    MHD_HTTP_PRECONDITION_FAILED,
 				  body);
@@ -415,7 +492,7 @@
 	if (!root || (!get_first_element_(root, "writes") &&
 		      !get_first_element_(root, "remove"))) {
 		json_object_put(root);
-		return respond_(connection, MHD_HTTP_BAD_REQUEST, "{}");
+		return respond_(store, connection, MHD_HTTP_BAD_REQUEST, "{}");
 	}
 	g_mutex_lock(&store->lock);
 	store->stats.writes++;
@@ -459,7 +536,7 @@
 		lease->expires_us = now + (gint64)lease->ttl_ms * 1000;
 	response = g_strdup_printf("{\"lease\":%" G_GUINT64_FORMAT "}", id);
 	if (delay_response_(store))
-		result = respond_(connection,
+		result = respond_(store, connection,
 				  lease ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
 				  response);
 	g_mutex_unlock(&store->lock);
@@ -483,7 +560,7 @@
 			       ",\"value_bytes_out\":%" G_GUINT64_FORMAT "}\n",
 			       stats.reads, stats.writes, stats.watches,
 			       stats.watches_waiting, stats.value_bytes_out);
-	result = respond_(connection, MHD_HTTP_OK, text);
+	result = respond_(store, connection, MHD_HTTP_OK, text);
 	g_free(text);
 	return result;
 }
@@ -495,7 +572,8 @@
 		connection, MHD_GET_ARGUMENT_KIND, "command");
 	bool known = command && pl_store_command(store, command);
 
-	return respond_(connection, known ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+	return respond_(store, connection,
+			known ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
 			known ? "ok\n" : "not known\n");
 }
 
@@ -526,7 +604,7 @@
 	if (g_str_has_prefix(url, "/v1/kv-keep/"))
 		return handle_lease_(store, connection,
 				     url + strlen("/v1/kv-keep/"), body);
-	return respond_(connection, MHD_HTTP_NOT_FOUND, "{}");
+	return respond_(store, connection, MHD_HTTP_NOT_FOUND, "{}");
 }
 
 static enum MHD_Result on_request_(void *ctx, struct MHD_Connection *connection,
@@ -583,9 +661,9 @@
 	g_mutex_init(&store->lock);
 	g_cond_init(&store->changed);
 	store->items = items_new_();
-	store->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					      g_free, g_free);
+	store->leases = leases_new_();
 	store->index = 1;
+	store->era = 1;
 	store->http = MHD_start_daemon(
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
 		port, NULL, NULL, on_request_, store, MHD_OPTION_SOCK_ADDR,
@@ -608,6 +686,7 @@
 	g_hash_table_destroy(store->items);
 	g_hash_table_destroy(store->leases);
 	g_clear_pointer(&store->frozen, g_hash_table_destroy);
+	g_clear_pointer(&store->copy, copy_free_);
 	g_mutex_clear(&store->lock);
 	g_cond_clear(&store->changed);
 	g_free(store);
@@ -650,6 +729,10 @@
 		store->lose_writes = amount;
 	else if (sscanf(command, "page %u", &amount) == 1)
 		store->page = amount;
+	else if (strcmp(command, "copy") == 0)
+		take_copy_(store);
+	else if (strcmp(command, "restore") == 0)
+		known = restore_copy_(store);
 	else if (strcmp(command, "deaf") == 0)
 		store->ignore_watches = true;
 	else if (strcmp(command, "down-after-write") == 0)
--- a/test/standin/store/store.h
+++ b/test/standin/store/store.h
@@ -36,6 +36,10 @@
  * - `down-after-write`: the next write takes effect, then the store goes down
  * - `page N`: lists return at most N items per response; 0: no limit
  * - `deaf`: watches report no changes
+ * - `copy`: remembers the present state
+ * - `restore`: returns to the state of the last `copy`; false without one. All
+ *   later changes and leases are lost, their numbers are assigned again, and
+ *   the era in the responses rises
  * - `freeze`: reads return the state at the time of this command
  */
 bool pl_store_command(pl_store_t *store, const char *command);
