Tests: a watch goes on from the index of a lost change (failing)

Version 11 was acknowledged at about 16.8 s and in force at 21.50 s: all six watchers resumed at 19.4 to 19.9 s after index 15 of generation 1, which generation 2 had passed.

--- a/test/config/sync_fake.c
+++ b/test/config/sync_fake.c
@@ -36,7 +36,7 @@
 
 	memset(reply, 0, sizeof(*reply));
 	reply->message = "";
-	reply->position.generation = 1;
+	reply->position.generation = fake->generation;
 	reply->position.index = fake->frozen ? fake->frozen_index : fake->index;
 	reply->modify_index = reply->position.index;
 	reply->result = fake->down || node->platform_blocked ?
@@ -132,8 +132,9 @@
 	node_t *node = ctx;
 	fake_t *fake = node->fake;
 	uint64_t present = fake->frozen ? fake->frozen_index : fake->index;
-	bool at_once =
-		fake->down || node->platform_blocked || after.index != present;
+	bool at_once = fake->down || node->platform_blocked ||
+		       after.index == 0 || after.index > present ||
+		       (!fake->frozen && fake->changed_index > after.index);
 
 	node->watches++;
 	node->watching = true;
@@ -195,6 +196,7 @@
 	fake->rand = g_rand_new_with_seed(seed);
 	fake->nodes = g_new0(node_t, nodes);
 	fake->count = nodes;
+	fake->generation = 1;
 	fake->index = 1;
 	for (size_t i = 0; i < nodes; i++) {
 		fake->nodes[i].fake = fake;
@@ -221,6 +223,7 @@
 	g_free(fake->value);
 	g_free(fake->previous);
 	g_free(fake->frozen);
+	g_free(fake->copied_value);
 	g_free(fake);
 }
 
@@ -286,12 +289,41 @@
 	fake->previous = fake->value;
 	fake->value = pl_envelope_encode(&next);
 	fake->revision = next.revision;
-	fake->index++;
+	fake->changed_index = ++fake->index;
 	pl_envelope_finish(&next);
 	if (!fake->frozen)
 		answer_watches_(fake);
 }
 
+void fake_write_others(fake_t *fake, uint64_t count)
+{
+	fake->index += count;
+}
+
+void fake_copy(fake_t *fake)
+{
+	g_free(fake->copied_value);
+	fake->copied_value = g_strdup(fake->value);
+	fake->copied_index = fake->index;
+	fake->copied_changed_index = fake->changed_index;
+	fake->copied_revision = fake->revision;
+}
+
+void fake_restore(fake_t *fake)
+{
+	bool down = fake->down;
+
+	fake_set_down(fake, true);
+	fake_run(fake, 2 * STEP_MS);
+	g_free(fake->value);
+	fake->value = g_strdup(fake->copied_value);
+	fake->index = fake->copied_index;
+	fake->changed_index = fake->copied_changed_index;
+	fake->revision = fake->copied_revision;
+	fake->generation++;
+	fake_set_down(fake, down);
+}
+
 void fake_freeze(fake_t *fake, bool frozen)
 {
 	g_clear_pointer(&fake->frozen, g_free);
--- a/test/config/sync_fake.h
+++ b/test/config/sync_fake.h
@@ -50,8 +50,15 @@
 	pl_ms_t now;
 	/* state of the platform */
 	char *value;
-	uint64_t index;
+	uint64_t generation;
+	uint64_t index; /**< of the last write to any key */
+	uint64_t changed_index; /**< of the last write to the document */
 	char *previous; /**< value before the last write */
+	/* state that fake_restore() returns to */
+	char *copied_value;
+	uint64_t copied_index;
+	uint64_t copied_changed_index;
+	uint64_t copied_revision;
 	char *frozen; /**< value returned by reads instead, or NULL */
 	uint64_t frozen_index;
 	bool down; /**< the platform is unreachable for all members */
@@ -69,6 +76,15 @@
 /** Writes @p text to the platform as the next revision. */
 void fake_apply(fake_t *fake, const char *text);
 
+/** Writes other keys to the platform, @p count times. */
+void fake_write_others(fake_t *fake, uint64_t count);
+
+/** Remembers the platform's state for fake_restore(). */
+void fake_copy(fake_t *fake);
+/** Returns the platform to its state at fake_copy(): later writes are lost and
+ * their indexes are assigned again. Open watches fail. */
+void fake_restore(fake_t *fake);
+
 /** Makes reads return the present value despite later writes, or ends this. */
 void fake_freeze(fake_t *fake, bool frozen);
 
--- a/test/config/sync_test.c
+++ b/test/config/sync_test.c
@@ -140,6 +140,34 @@
 	fake_delete(fake);
 }
 
+/* The platform comes back from an older copy and counts past the index that the
+ * watchers had reached. A watch after that index missed the change. */
+static void change_after_a_restore_is_in_force_in_time(void **state)
+{
+	model_t model;
+	fake_t *fake = start_fleet_(13, 30, &model);
+
+	(void)state;
+	fake_copy(fake);
+	fake_write_others(fake, 10);
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 2));
+	fake_set_down(fake, true);
+	fake_run(fake, 5000);
+	fake_restore(fake);
+	/* the operators write the lost change again, then another one */
+	apply_model_(fake, &model);
+	model.deadline[0]++;
+	apply_model_(fake, &model);
+	fake_write_others(fake, 20);
+	fake_set_down(fake, false);
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, 3));
+	fake_delete(fake);
+}
+
 /* The platform refuses some watchers in every data centre. With one watcher per
  * data centre, all of them refused, a change was not noticed for eleven
  * seconds. */
@@ -571,6 +599,7 @@
 		cmocka_unit_test(starting_member_adopts_the_newest_offer),
 		cmocka_unit_test(
 			change_spreads_when_the_platform_refuses_watchers),
+		cmocka_unit_test(change_after_a_restore_is_in_force_in_time),
 		cmocka_unit_test(
 			replicas_restore_the_document_during_a_platform_outage),
 		cmocka_unit_test(
--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -12,6 +12,7 @@
 
 #define TIMEOUT_MS 300
 #define KEY "pimentolift/trial/document"
+#define KEY_OTHER "pimentolift/trial/seeds"
 
 typedef struct {
 	pl_store_t *server;
@@ -88,6 +89,20 @@
 	return outcome.result;
 }
 
+static pl_result_t put_other_key_(fixture_t *f)
+{
+	outcome_t outcome = { 0 };
+
+	pl_kv_put(f->client,
+		  &(pl_kv_write_t){ .key = KEY_OTHER,
+				    .value = "",
+				    .expected_index = PL_KV_ANY },
+		  on_done_, &outcome);
+	wait_for_calls_(f);
+	g_free(outcome.value);
+	return outcome.result;
+}
+
 static pl_result_t get_value_(fixture_t *f, outcome_t *outcome)
 {
 	g_free(outcome->value);
@@ -139,6 +154,70 @@
 	g_free(value);
 }
 
+/* Returns the store to the value "one", then writes "four" and another key, so
+ * that its index is above that of @p lost, which was read before. */
+static void restore_and_write_(fixture_t *f, outcome_t *lost)
+{
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	assert_true(pl_store_command(f->server, "copy"));
+	assert_int_equal(put_value_(f, "two", PL_KV_ANY), PL_OK);
+	assert_int_equal(put_value_(f, "three", PL_KV_ANY), PL_OK);
+	assert_int_equal(get_value_(f, lost), PL_OK);
+	assert_true(pl_store_command(f->server, "restore"));
+	assert_int_equal(put_value_(f, "four", PL_KV_ANY), PL_OK);
+	for (int i = 0; i < 5; i++)
+		assert_int_equal(put_other_key_(f), PL_OK);
+}
+
+/* After a restore the index of a lost change belongs to another change. A watch
+ * after it misses the changes with lower indexes. */
+static void watch_after_a_lost_change_reads_the_value(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+	outcome_t watch = { 0 };
+	pl_store_stats_t stats;
+
+	restore_and_write_(f, &read);
+	pl_kv_watch(f->client, KEY, read.position, 200, on_done_, &watch);
+	wait_for_calls_(f);
+	assert_int_equal(watch.result, PL_OK);
+	assert_memory_equal(watch.value, "four", 4);
+	assert_true(watch.position.generation > read.position.generation);
+	pl_store_stats(f->server, &stats);
+	assert_int_equal(stats.watches, 0);
+	g_free(read.value);
+	g_free(watch.value);
+}
+
+/* The store is restored before the client has received a response of the new
+ * generation, and has assigned the same index to the last change again. */
+static void watch_response_of_a_restored_store_reads_the_value(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+	outcome_t watch = { 0 };
+	fixture_t other = *f;
+	char url[64];
+
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/",
+		   pl_store_port(f->server));
+	other.client = pl_platform_store_new(url, TIMEOUT_MS);
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	assert_true(pl_store_command(f->server, "copy"));
+	assert_int_equal(put_value_(f, "two", PL_KV_ANY), PL_OK);
+	assert_int_equal(get_value_(f, &read), PL_OK);
+	assert_true(pl_store_command(f->server, "restore"));
+	assert_int_equal(put_value_(&other, "three", PL_KV_ANY), PL_OK);
+	pl_kv_watch(f->client, KEY, read.position, 100, on_done_, &watch);
+	wait_for_calls_(f);
+	assert_int_equal(watch.result, PL_OK);
+	assert_memory_equal(watch.value, "three", 5);
+	pl_kv_delete(other.client);
+	g_free(read.value);
+	g_free(watch.value);
+}
+
 static void watch_ends_when_the_value_changes(void **state)
 {
 	fixture_t *f = *state;
@@ -325,6 +404,8 @@
 		TEST_(compare_and_swap_accepts_one_writer),
 		TEST_(megabyte_value_round_trips),
 		TEST_(watch_ends_when_the_value_changes),
+		TEST_(watch_after_a_lost_change_reads_the_value),
+		TEST_(watch_response_of_a_restored_store_reads_the_value),
 		TEST_(lost_answer_is_an_unknown_outcome),
 		TEST_(outage_results_are_distinct_and_calls_recover),
 		TEST_(outage_ends_a_watch),
