A watch reads the present value after a failure or a restore of the store

The store had come back from an older copy.

Cause: a watcher resumed after the index that it had reached before. The number had been lost and assigned to another change, so the watch was accepted and missed every change below it until it ended by itself. Delays of retries, up to 3.75 s, came on top.

Ruled out: the spread between members (0.03 s once one watcher knew), the retry delay alone (all six watchers were back 2.6 to 3.1 s after the return, in time).

Change: a failed watch forgets its position, so that the next call reads the value; and a position is used only in the generation of the store that gave it. The literal position in outage_ends_a_watch now names the generation.

--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -134,8 +134,9 @@
 
 /**
  * Reads @p key as soon as it changes after @p after, or after @p wait_ms. The
- * read takes place immediately when the index in @p after is 0 or when the
- * store no longer has the changes since then. A change whose notification was
+ * read takes place immediately when the index in @p after is 0, when the store
+ * no longer has the changes since then, or when @p after belongs to another
+ * generation than the last response. A change whose notification was
  * missed is found when the wait ends.
  */
 pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, pl_kv_position_t after,
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -131,6 +131,9 @@
 	pl_ms_t delay = (pl_ms_t)WATCH_DELAY_MS << doublings;
 
 	watch->failures++;
+	/* The platform may return from an older copy, with fewer changes than
+	 * before: the next call reads the present value. */
+	watch->position = (pl_kv_position_t){ 0 };
 	return pl_sync_jitter(
 		sync, delay < WATCH_DELAY_MAX_MS ? delay : WATCH_DELAY_MAX_MS);
 }
--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -301,9 +301,9 @@
 	pl_store_stats_t stats = { 0 };
 
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
-	/* 2: store revision after the first write */
-	pl_kv_watch(f->client, KEY, (pl_kv_position_t){ .index = 2 },
-		    PL_KV_WAIT_MS, on_done_, &watch);
+	/* position of the store after the first write */
+	pl_kv_watch(f->client, KEY, (pl_kv_position_t){ 1, 2 }, PL_KV_WAIT_MS,
+		    on_done_, &watch);
 	while (stats.watches_waiting == 0) {
 		pl_kv_wait(f->client, 10);
 		pl_store_stats(f->server, &stats);
