roster: the registration of an agent is a module of its own

It depended on the daemon's node only for settings and timers, so it could not be tested without processes.

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -128,21 +128,22 @@
 	node->serving = serving;
 	/* register when the backend server first reports that it serves */
 	if (serving && !node->registered)
-		pl_node_roster_register(node->roster, service, on_registered_,
-					node);
+		pl_registration_register(node->registration, on_registered_,
+					 node);
 	announce_endpoint_(node);
 }
 
 void pl_node_backend_leaving_on_control_thread(pl_node_t *node)
 {
 	node->registered = false;
-	pl_node_roster_deregister(node->roster);
+	pl_registration_deregister(node->registration);
 	announce_endpoint_(node);
 }
 
 bool pl_node_is_deregistering(const pl_node_t *node)
 {
-	return node->roster && pl_node_roster_is_deregistering(node->roster);
+	return node->registration &&
+	       pl_registration_is_deregistering(node->registration);
 }
 
 static void on_roster_(void *ctx, pl_service_id_t service, bool known,
@@ -291,12 +292,27 @@
 	return PL_OK;
 }
 
+static pl_registration_t *new_registration_(const pl_node_t *node, pl_kv_t *kv)
+{
+	const pl_registration_params_t params = {
+		.environment = node->settings->environment,
+		.service = pl_service_id(node->settings->flows.service),
+		.agent = node->self,
+		.name = node->settings->name,
+		.kv = kv,
+		.timers = pl_node_timers_(node),
+		.random = pl_random_identity,
+	};
+
+	return pl_registration_new(&params);
+}
+
 static void init_rosters_(pl_node_t *node)
 {
 	pl_kv_t *kv = pl_node_config_platform(node->config);
 
 	if (node->settings->role == PL_ROLE_AGENT)
-		node->roster = pl_node_roster_new(node, kv);
+		node->registration = new_registration_(node, kv);
 	else
 		node->roster_reader =
 			pl_node_roster_reader_new(node, kv, on_roster_, node);
@@ -402,7 +418,7 @@
 		return;
 	pl_flow_ready_delete(node->ready);
 	pl_admin_delete(node->admin);
-	pl_node_roster_delete(node->roster);
+	pl_registration_delete(node->registration);
 	pl_node_roster_reader_delete(node->roster_reader);
 	pl_node_seeds_delete(node->seeds);
 	pl_node_config_delete(node->config);
--- a/src/daemon/node_members.c
+++ b/src/daemon/node_members.c
@@ -121,8 +121,8 @@
 						     member);
 	/* a higher incarnation of this agent's record may refute a report that
 	 * it is dead */
-	if (node->roster && pl_member_id(member) == node->self)
-		pl_node_roster_refresh(node->roster);
+	if (node->registration && pl_member_id(member) == node->self)
+		pl_registration_refresh(node->registration);
 	pl_node_schedule_rebuild_(node);
 }
 
--- a/src/daemon/node_roster_reader.c
+++ b/src/daemon/node_roster_reader.c
@@ -6,6 +6,7 @@
 
 #include <pimentolift/event.h>
 #include <pimentolift/hash.h>
+#include <pimentolift/registration.h>
 #include <pimentolift/roster_share.h>
 #include <string.h>
 
@@ -31,25 +32,6 @@
 	GArray *agents; /* pl_member_id_t */
 } roster_read_t;
 
-static char *roster_prefix_(const char *environment, pl_service_id_t service)
-{
-	return g_strdup_printf("pimentolift/%s/agents/%016" G_GINT64_MODIFIER
-			       "x/",
-			       environment, service);
-}
-
-char *pl_roster_key(const char *environment, pl_service_id_t service,
-		    pl_member_id_t agent)
-{
-	const pl_addr_t addr = pl_member_id_to_addr(agent);
-	char *prefix = roster_prefix_(environment, service);
-	char text[PL_ADDR_TEXT_MAX];
-	char *key = g_strconcat(prefix, pl_addr_format(&addr, text), NULL);
-
-	g_free(prefix);
-	return key;
-}
-
 static const char *environment_(const pl_node_roster_reader_t *reader)
 {
 	return pl_node_settings(reader->node)->environment;
@@ -150,8 +132,8 @@
 /* Requests the page after the key @p after; NULL: the first page. */
 static void request_page_(roster_read_t *roster_read, const char *after)
 {
-	char *prefix = roster_prefix_(environment_(roster_read->reader),
-				      roster_read->service);
+	char *prefix = pl_roster_prefix(environment_(roster_read->reader),
+					roster_read->service);
 
 	pl_kv_list(roster_read->reader->kv,
 		   &(pl_kv_range_t){ .prefix = prefix, .after = after },
--- a/src/daemon/private/node_roster_reader.h
+++ b/src/daemon/private/node_roster_reader.h
@@ -10,10 +10,6 @@
 
 #include <pimentolift/kv.h>
 
-/** The roster entry of an agent that stays dead for this long is removed. No
- * flow lives that long, and an agent that comes back writes its entry again. */
-#define PL_ROSTER_REMOVE_DEAD_MS 600000
-
 typedef struct pl_node_roster_reader pl_node_roster_reader_t;
 
 /** Receives the result of pl_node_roster_reader_request(); @p known is false if
@@ -23,10 +19,6 @@
 					const pl_member_id_t *agents,
 					size_t count);
 
-/** Key of @p agent in the roster of @p service; free with g_free(). */
-char *pl_roster_key(const char *environment, pl_service_id_t service,
-		    pl_member_id_t agent);
-
 pl_node_roster_reader_t *
 pl_node_roster_reader_new(pl_node_t *node, pl_kv_t *kv,
 			  pl_node_roster_result_t result, void *ctx);
--- a/src/daemon/private/node_state.h
+++ b/src/daemon/private/node_state.h
@@ -10,11 +10,11 @@
 #include "private/flow_ready.h"
 #include "private/node.h"
 #include "private/node_config.h"
-#include "private/node_roster.h"
 #include "private/node_roster_reader.h"
 #include "private/node_seeds.h"
 
 #include <pimentolift/peer_net.h>
+#include <pimentolift/registration.h>
 
 /** Agents of its own service that an agent probes at the faster rate. */
 #define WATCHED_AGENTS 2
@@ -42,7 +42,7 @@
 	size_t watched_count;
 	pl_node_config_t *config;
 	pl_node_seeds_t *seeds;
-	pl_node_roster_t *roster; /* on agents of flows */
+	pl_registration_t *registration; /* on agents of flows */
 	pl_node_roster_reader_t *roster_reader; /* on entries of flows */
 	bool serving; /* last reported by the backend server */
 	bool registered; /* in the roster, or registration timed out */
--- /dev/null
+++ b/src/roster/registration.c
@@ -0,0 +1,248 @@
+/**
+ * @file
+ * Registration of an agent in the roster of its service.
+ */
+#include <pimentolift/registration.h>
+
+#include <assert.h>
+#include <glib.h>
+#include <pimentolift/event.h>
+#include <string.h>
+
+/** Delay of the first retry of a failed call; it doubles with each failure. */
+#define RETRY_MS 200
+#define RETRY_DOUBLINGS_MAX 5
+/** While the store is unavailable an agent serves after this time without being
+ * registered: by then every entry knows it from the membership. */
+#define REGISTER_TIMEOUT_MS 2000
+/** An entry older than this is written again when membership may have declared
+ * the agent dead, because readers remove the entries of agents that stay dead
+ * for PL_ROSTER_REMOVE_DEAD_MS. */
+#define REFRESH_AGE_MS (PL_ROSTER_REMOVE_DEAD_MS / 2)
+
+struct pl_registration {
+	char *key;
+	char *name;
+	pl_kv_t *kv;
+	pl_timer_service_t *timers;
+	uint64_t (*random)(void);
+	bool wanted; /* the agent may own flows */
+	bool registered;
+	bool writing; /* a write is in progress */
+	bool removing; /* the entry is to be removed */
+	pl_ms_t written_at;
+	unsigned int failures;
+	pl_timer_t call_timer; /* starts the next write or removal */
+	pl_timer_t register_timeout;
+	pl_registration_done_t done;
+	void *ctx;
+};
+
+char *pl_roster_prefix(const char *environment, pl_service_id_t service)
+{
+	return g_strdup_printf("pimentolift/%s/agents/%016" G_GINT64_MODIFIER
+			       "x/",
+			       environment, service);
+}
+
+char *pl_roster_key(const char *environment, pl_service_id_t service,
+		    pl_member_id_t agent)
+{
+	const pl_addr_t addr = pl_member_id_to_addr(agent);
+	char *prefix = pl_roster_prefix(environment, service);
+	char text[PL_ADDR_TEXT_MAX];
+	char *key = g_strconcat(prefix, pl_addr_format(&addr, text), NULL);
+
+	g_free(prefix);
+	return key;
+}
+
+static pl_ms_t now_(const pl_registration_t *registration)
+{
+	return pl_timer_service_now(registration->timers);
+}
+
+static void schedule_call_(pl_registration_t *registration, pl_ms_t pause)
+{
+	pl_timer_arm(registration->timers, &registration->call_timer,
+		     now_(registration) + pause);
+}
+
+static void report_done_(pl_registration_t *registration)
+{
+	pl_registration_done_t done = registration->done;
+
+	pl_timer_cancel(registration->timers, &registration->register_timeout);
+	registration->done = NULL;
+	if (done)
+		done(registration->ctx);
+}
+
+static void schedule_retry_(pl_registration_t *registration,
+			    const pl_kv_reply_t *reply)
+{
+	unsigned int doublings =
+		MIN(registration->failures, RETRY_DOUBLINGS_MAX);
+	pl_ms_t pause = (pl_ms_t)RETRY_MS << doublings;
+
+	if (registration->failures == 0)
+		pl_event(PL_EVENT_ROSTER_FAILED, "%s: %s",
+			 pl_result_name(reply->result), reply->message);
+	registration->failures++;
+	schedule_call_(registration, pause + registration->random() % pause);
+}
+
+static void on_written_(void *ctx, const pl_kv_reply_t *reply)
+{
+	pl_registration_t *registration = ctx;
+
+	registration->writing = false;
+	/* deregistered during the write: remove the entry again */
+	if (!registration->wanted) {
+		registration->removing = true;
+		schedule_call_(registration, 0);
+		return;
+	}
+	if (reply->result != PL_OK) {
+		schedule_retry_(registration, reply);
+		return;
+	}
+	registration->failures = 0;
+	registration->registered = true;
+	registration->written_at = now_(registration);
+	pl_event(PL_EVENT_ROSTER_REGISTERED,
+		 "%s, generation %" G_GUINT64_FORMAT " of the store",
+		 registration->key, reply->position.generation);
+	report_done_(registration);
+}
+
+static void write_entry_(pl_registration_t *registration)
+{
+	registration->writing = true;
+	pl_kv_put(registration->kv,
+		  &(pl_kv_write_t){ .key = registration->key,
+				    .value = registration->name,
+				    .value_len = strlen(registration->name),
+				    .expected_index = PL_KV_ANY },
+		  on_written_, registration);
+}
+
+static void on_removed_(void *ctx, const pl_kv_reply_t *reply)
+{
+	pl_registration_t *registration = ctx;
+
+	/* on a conflict the entry is no longer the one that was read */
+	if (reply->result == PL_OK || reply->result == PL_ERR_CONFLICT)
+		registration->removing = false;
+	else if (registration->removing)
+		schedule_retry_(registration, reply);
+}
+
+/* Removes the entry only if it is still the one that was read: the store may
+ * execute the removal after a new backend server has started and the agent has
+ * registered again. */
+static void on_entry_read_(void *ctx, const pl_kv_reply_t *reply)
+{
+	pl_registration_t *registration = ctx;
+
+	if (!registration->removing)
+		return;
+	if (reply->result == PL_ERR_NOT_FOUND) {
+		registration->removing = false;
+		return;
+	}
+	if (reply->result != PL_OK) {
+		schedule_retry_(registration, reply);
+		return;
+	}
+	pl_kv_remove(registration->kv, registration->key, reply->modify_index,
+		     on_removed_, registration);
+}
+
+static void on_call_due_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_registration_t *registration = ctx;
+
+	(void)timer;
+	(void)now;
+	if (registration->removing)
+		pl_kv_get(registration->kv, registration->key, on_entry_read_,
+			  registration);
+	else if (registration->wanted && !registration->writing)
+		write_entry_(registration);
+}
+
+static void on_register_timeout_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	(void)timer;
+	(void)now;
+	report_done_(ctx);
+}
+
+pl_registration_t *pl_registration_new(const pl_registration_params_t *params)
+{
+	pl_registration_t *registration = g_new0(pl_registration_t, 1);
+
+	assert(params->kv && params->timers && params->random);
+	registration->key = pl_roster_key(params->environment, params->service,
+					  params->agent);
+	registration->name = g_strdup(params->name);
+	registration->kv = params->kv;
+	registration->timers = params->timers;
+	registration->random = params->random;
+	pl_timer_init(&registration->call_timer, on_call_due_, registration);
+	pl_timer_init(&registration->register_timeout, on_register_timeout_,
+		      registration);
+	return registration;
+}
+
+void pl_registration_delete(pl_registration_t *registration)
+{
+	if (!registration)
+		return;
+	pl_timer_cancel(registration->timers, &registration->call_timer);
+	pl_timer_cancel(registration->timers, &registration->register_timeout);
+	g_free(registration->key);
+	g_free(registration->name);
+	g_free(registration);
+}
+
+void pl_registration_register(pl_registration_t *registration,
+			      pl_registration_done_t done, void *ctx)
+{
+	if (registration->wanted && registration->registered) {
+		done(ctx);
+		return;
+	}
+	registration->done = done;
+	registration->ctx = ctx;
+	if (registration->wanted)
+		return;
+	registration->wanted = true;
+	registration->removing = false;
+	pl_timer_arm(registration->timers, &registration->register_timeout,
+		     now_(registration) + REGISTER_TIMEOUT_MS);
+	schedule_call_(registration, 0);
+}
+
+void pl_registration_refresh(pl_registration_t *registration)
+{
+	if (registration->registered &&
+	    now_(registration) - registration->written_at >= REFRESH_AGE_MS &&
+	    !registration->writing &&
+	    !pl_timer_armed(&registration->call_timer))
+		schedule_call_(registration, 0);
+}
+
+void pl_registration_deregister(pl_registration_t *registration)
+{
+	registration->removing = true;
+	registration->wanted = false;
+	registration->registered = false;
+	schedule_call_(registration, 0);
+}
+
+bool pl_registration_is_deregistering(const pl_registration_t *registration)
+{
+	return registration->removing;
+}
