Agents register again when the store comes back from an older copy

Cause: an agent writes its entry of the roster once a process. An entry that was written after the copy was made is gone for good, and the first premise of the proof that a flow is dead (whoever owns the flow is listed) is false from then on. An entry that was removed comes back and holds up proofs. The seed list goes back too, for up to three minutes.

Ruled out: leases (the product takes none) and agents that notice by themselves (they call the store twice in their life).

Change: the client of the store notes the highest generation in its responses; membership spreads it: all datagrams state a new one for 10 s, later only the digests do, so the steady state costs nothing. Watchers read the configuration at once and check the seed list a second later.

--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -147,6 +147,13 @@
 void pl_config_sync_watch_done(pl_config_sync_t *sync,
 			       const pl_kv_reply_t *reply);
 
+/**
+ * The store was restored from an older copy and is in @p generation: a watcher
+ * reads the document again instead of waiting for a change after a position
+ * that the store no longer has.
+ */
+void pl_config_sync_store_restored(pl_config_sync_t *sync, uint64_t generation);
+
 /** Revision in force, 0 for none. */
 uint64_t pl_config_sync_revision(const pl_config_sync_t *sync);
 
--- a/include/pimentolift/gossip.h
+++ b/include/pimentolift/gossip.h
@@ -6,9 +6,9 @@
  * frames.
  *
  * A datagram is a msgpack array [version, type, flags, sender, incarnation,
- * revision, sequence, target, records, digests] followed by a MAC of
- * @ref PL_MAC_BYTES over the array with the key PL_KEY_GOSSIP. A receiver
- * ignores elements beyond those it knows.
+ * revision, sequence, target, records, digests, store generation] followed by a
+ * MAC of @ref PL_MAC_BYTES over the array with the key PL_KEY_GOSSIP. The last
+ * element may be absent; a receiver ignores elements beyond those it knows.
  *
  * A record is an array: [flags, id, incarnation] for a change of state. A full
  * record appends [boot, data centre, age, service, endpoint state, slots,
@@ -86,6 +86,9 @@
 	pl_member_id_t sender;
 	uint64_t incarnation; /**< of the sender */
 	uint64_t revision; /**< configuration revision of the sender */
+	/** Highest generation of the store known to the sender; 0: not stated,
+	 * to keep datagrams short. */
+	uint64_t store_generation;
 	uint32_t sequence;
 	pl_member_id_t target; /**< in PING_REQ and INDIRECT_ACK, else 0 */
 	const pl_gossip_record_t *records;
--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -116,9 +116,17 @@
 	void (*destroy)(pl_kv_t *kv);
 } pl_kv_ops_t;
 
+/** Called when a generation of the store's data becomes known that is higher
+ * than @p before, which is 0 if none was known. */
+typedef void (*pl_kv_generation_changed_t)(void *ctx, uint64_t generation,
+					   uint64_t before);
+
 /** A store; implementations embed it as their first member. */
 struct pl_kv {
 	const pl_kv_ops_t *ops;
+	uint64_t generation; /**< highest known; 0: none */
+	pl_kv_generation_changed_t generation_changed;
+	void *generation_ctx;
 };
 
 /** A call in progress; implementations embed it as their first member. */
@@ -175,6 +183,21 @@
 /** Number of calls in progress. */
 size_t pl_kv_pending(const pl_kv_t *kv);
 
+/** Highest generation of the store's data known to the client; 0: none. */
+uint64_t pl_kv_generation(const pl_kv_t *kv);
+
+/**
+ * Notes that the store's data has reached @p generation. Implementations call
+ * it for every response, after the callback of the call; the owner calls it for
+ * generations that other members report. Lower generations are ignored.
+ */
+void pl_kv_note_generation(pl_kv_t *kv, uint64_t generation);
+
+/** Has @p changed called when a higher generation becomes known. It may start
+ * and cancel calls. */
+void pl_kv_on_generation(pl_kv_t *kv, pl_kv_generation_changed_t changed,
+			 void *ctx);
+
 /** Whether the most recently ended call failed to reach the store. */
 bool pl_kv_is_down(const pl_kv_t *kv);
 
--- a/include/pimentolift/member.h
+++ b/include/pimentolift/member.h
@@ -109,6 +109,11 @@
 	 * than every revision received or held before. May be NULL.
 	 */
 	void (*revision)(void *ctx, pl_member_id_t from, uint64_t revision);
+	/**
+	 * A member knows a higher generation of the store (@ref kv) than this
+	 * one did. May be NULL.
+	 */
+	void (*store_generation)(void *ctx, uint64_t generation);
 	/**
 	 * The process was not scheduled for @p gap_ms, so other members may
 	 * have declared it dead. Returns the new boot identity. Called before
@@ -217,6 +222,11 @@
 /** Sets the owner's configuration revision and gossips it at once. */
 void pl_member_set_revision(pl_member_table_t *table, uint64_t revision);
 
+/** Sets the highest generation of the store known to the owner; gossips it at
+ * once unless it is the first one. Lower generations are ignored. */
+void pl_member_set_store_generation(pl_member_table_t *table,
+				    uint64_t generation);
+
 /**
  * Probes the member @p id every 500 ms, so that its crash is detected sooner.
  * Meant for the few agents that hold replicas for one another. The member may
--- a/include/pimentolift/registration.h
+++ b/include/pimentolift/registration.h
@@ -57,6 +57,14 @@
  * wrote, because the backend server has shut down for good. */
 void pl_registration_deregister(pl_registration_t *registration);
 
+/**
+ * The store was restored from an older copy and is in @p generation: what this
+ * agent wrote or removed before may be undone, and is done again at a random
+ * time within @p spread_ms.
+ */
+void pl_registration_store_restored(pl_registration_t *registration,
+				    uint64_t generation, pl_ms_t spread_ms);
+
 /** Whether the removal of the entry is still in progress. */
 bool pl_registration_is_deregistering(const pl_registration_t *registration);
 
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -16,6 +16,9 @@
 #define WATCH_DELAY_MS 250
 /** Longest delay after a failed watch. */
 #define WATCH_DELAY_MAX_MS 3000
+/** Longest delay of the read after a restore of the platform, so that the
+ * watchers do not all read at once. */
+#define RESTORED_READ_MS 100
 /** Doublings after which the delay exceeds its maximum. */
 #define WATCH_DOUBLINGS_MAX 4
 
@@ -63,6 +66,10 @@
 {
 	const pl_kv_position_t *position = &sync->watch.position;
 
+	if (position->index == 0) {
+		pl_event(PL_EVENT_CONFIG_WATCH, "reads the present value");
+		return;
+	}
 	pl_event(PL_EVENT_CONFIG_WATCH,
 		 "changes after index %" G_GUINT64_FORMAT
 		 " of generation %" G_GUINT64_FORMAT,
@@ -258,3 +265,18 @@
 		pl_timer_arm(sync->timers, &sync->watch.retry,
 			     pl_sync_now(sync) + delay);
 }
+
+void pl_config_sync_store_restored(pl_config_sync_t *sync, uint64_t generation)
+{
+	watch_t *watch = &sync->watch;
+
+	if (!watch->is_watcher || watch->position.generation == generation)
+		return;
+	if (watch->open)
+		sync->ops->unwatch(sync->ctx);
+	watch->open = false;
+	watch->position = (pl_kv_position_t){ 0 };
+	pl_timer_arm(sync->timers, &watch->retry,
+		     pl_sync_now(sync) +
+			     pl_sync_random(sync, RESTORED_READ_MS));
+}
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -21,6 +21,10 @@
 #include <unistd.h>
 #include <urcu.h>
 
+/** After a restore of the store the members write to it again at random times
+ * within this time per member: 200 writes a second. */
+#define RESTORED_WRITE_MS_PER_MEMBER 5
+
 const pl_settings_t *pl_node_settings(const pl_node_t *node)
 {
 	return node->settings;
@@ -318,6 +322,25 @@
 			pl_node_roster_reader_new(node, kv, on_roster_, node);
 }
 
+/* What members wrote to the store since the copy that it was restored from is
+ * lost. */
+static void on_store_generation_(void *ctx, uint64_t generation,
+				 uint64_t before)
+{
+	pl_node_t *node = ctx;
+	size_t members = pl_member_count(node->members);
+
+	pl_member_set_store_generation(node->members, generation);
+	if (node->registration)
+		pl_registration_store_restored(
+			node->registration, generation,
+			members * RESTORED_WRITE_MS_PER_MEMBER);
+	if (before == 0)
+		return;
+	pl_node_config_store_restored(node->config, generation);
+	pl_node_seeds_store_restored(node->seeds);
+}
+
 static const pl_role_ops_t *select_role_ops_(const pl_settings_t *settings)
 {
 	bool entry = settings->role == PL_ROLE_ENTRY;
@@ -350,6 +373,8 @@
 	node->config =
 		pl_node_config_new(node, pl_node_document_in_force_, node);
 	node->seeds = pl_node_seeds_new(node, node->config);
+	pl_kv_on_generation(pl_node_config_platform(node->config),
+			    on_store_generation_, node);
 	node->admin_addr = settings->admin;
 	node->admin = pl_admin_new(node, &node->admin_addr, err);
 	if (!node->admin)
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -271,6 +271,12 @@
 	return stats.watcher;
 }
 
+void pl_node_config_store_restored(pl_node_config_t *config,
+				   uint64_t generation)
+{
+	pl_config_sync_store_restored(config->sync, generation);
+}
+
 uint64_t pl_node_config_revision(const pl_node_config_t *config)
 {
 	return pl_config_sync_revision(config->sync);
--- a/src/daemon/node_members.c
+++ b/src/daemon/node_members.c
@@ -134,6 +134,15 @@
 		pl_node_config_peer_revision(node->config, from, revision);
 }
 
+static void member_store_generation_(void *ctx, uint64_t generation)
+{
+	pl_node_t *node = ctx;
+
+	if (node->config)
+		pl_kv_note_generation(pl_node_config_platform(node->config),
+				      generation);
+}
+
 static uint64_t member_paused_(void *ctx, pl_ms_t gap_ms)
 {
 	pl_node_t *node = ctx;
@@ -175,6 +184,7 @@
 	.send_frame = member_send_frame_,
 	.changed = member_changed_,
 	.revision = member_revision_,
+	.store_generation = member_store_generation_,
 	.paused = member_paused_,
 	.datacentre = member_datacentre_,
 	.absent = member_absent_,
--- a/src/daemon/node_seeds.c
+++ b/src/daemon/node_seeds.c
@@ -15,6 +15,8 @@
 #define UNJOINED_DOUBLINGS_MAX 5
 /** Interval of reads once joined. */
 #define JOINED_READ_MS 120000
+/** Delay of the read after a restore of the store, for a joined node. */
+#define RESTORED_READ_MS 1000
 #define JITTER_DIVISOR 2
 
 struct pl_node_seeds {
@@ -178,3 +180,9 @@
 		     pl_timer_service_now(timers_(seeds)) +
 			     (has_seeds ? JOIN_TIMEOUT_MS : 0));
 }
+
+void pl_node_seeds_store_restored(pl_node_seeds_t *seeds)
+{
+	if (joined_(seeds))
+		schedule_read_(seeds, RESTORED_READ_MS);
+}
--- a/src/daemon/private/node_config.h
+++ b/src/daemon/private/node_config.h
@@ -34,6 +34,10 @@
  * platform's store. */
 bool pl_node_config_is_watcher(const pl_node_config_t *config);
 
+/** The store was restored from an older copy and is in @p generation. */
+void pl_node_config_store_restored(pl_node_config_t *config,
+				   uint64_t generation);
+
 /** Revision of the document in force; 0 if there is none. */
 uint64_t pl_node_config_revision(const pl_node_config_t *config);
 
--- a/src/daemon/private/node_seeds.h
+++ b/src/daemon/private/node_seeds.h
@@ -22,4 +22,8 @@
 /** Call after pl_member_join(). */
 void pl_node_seeds_start(pl_node_seeds_t *seeds);
 
+/** The store was restored from an older copy: a joined watcher checks the list
+ * soon. */
+void pl_node_seeds_store_restored(pl_node_seeds_t *seeds);
+
 #endif
--- a/src/kv/kv.c
+++ b/src/kv/kv.c
@@ -5,6 +5,8 @@
 #include <pimentolift/kv.h>
 
 #include <assert.h>
+#include <glib.h>
+#include <pimentolift/event.h>
 
 void pl_kv_delete(pl_kv_t *kv)
 {
@@ -82,3 +84,31 @@
 {
 	return kv->ops->is_down(kv);
 }
+
+uint64_t pl_kv_generation(const pl_kv_t *kv)
+{
+	return kv->generation;
+}
+
+void pl_kv_note_generation(pl_kv_t *kv, uint64_t generation)
+{
+	uint64_t before = kv->generation;
+
+	if (generation <= before)
+		return;
+	if (before != 0)
+		pl_event(PL_EVENT_PLATFORM_RESTORED,
+			 "generation %" G_GUINT64_FORMAT
+			 " after %" G_GUINT64_FORMAT,
+			 generation, before);
+	kv->generation = generation;
+	if (kv->generation_changed)
+		kv->generation_changed(kv->generation_ctx, generation, before);
+}
+
+void pl_kv_on_generation(pl_kv_t *kv, pl_kv_generation_changed_t changed,
+			 void *ctx)
+{
+	kv->generation_changed = changed;
+	kv->generation_ctx = ctx;
+}
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -182,7 +182,9 @@
 	int64_t tokens; /* thousandths of a byte */
 	pl_ms_t refilled_at;
 	pl_ms_t next_gossip;
-	unsigned int revision_rounds;
+	unsigned int urgent_rounds; /* rounds even without queued changes */
+	uint64_t store_generation;
+	pl_ms_t generation_stated_until; /* in all datagrams */
 	uint64_t revision;
 	uint64_t revision_heard;
 	uint64_t bytes_in;
@@ -293,6 +295,10 @@
 void pl_member_spread_on_timer_(pl_member_table_t *table);
 /** Sends queued changes to @p fanout random members now. */
 void pl_member_spread_now_(pl_member_table_t *table, unsigned int fanout);
+
+/** Sets a higher generation of the store; if @p urgent, gossips it at once. */
+void pl_member_raise_generation_(pl_member_table_t *table, uint64_t generation,
+				 bool urgent);
 /** Whether the budget allows datagrams other than probes now. */
 bool pl_member_has_budget_(pl_member_table_t *table);
 /** Refills the token bucket to one second's budget, for messages that must go
--- a/src/member/receive.c
+++ b/src/member/receive.c
@@ -283,6 +283,20 @@
 				    message->revision);
 }
 
+static void note_store_generation_(pl_member_table_t *table,
+				   const pl_gossip_message_t *message)
+{
+	uint64_t generation = message->store_generation;
+
+	if (generation <= table->store_generation)
+		return;
+	/* digests repeat what other datagrams stated when it was new */
+	pl_member_raise_generation_(table, generation,
+				    message->type != PL_GOSSIP_DIGEST);
+	if (table->ops.store_generation)
+		table->ops.store_generation(table->ctx, generation);
+}
+
 /* Handles the message by type; true when an answer with @p opts was sent. */
 static bool handle_type_(pl_member_table_t *table,
 			 const pl_gossip_message_t *message,
@@ -333,6 +347,7 @@
 		opts.correction = table->correction;
 	check_sender_(table, message, &opts);
 	note_revision_(table, message);
+	note_store_generation_(table, message);
 	if (!handle_type_(table, message, &opts) &&
 	    (opts.own_record || opts.flags || opts.subject || opts.correction))
 		pl_member_send_(table, message->sender, &update, &opts);
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -19,8 +19,12 @@
  * logarithm of the number of members. */
 #define TRANSMITS_BASE 4
 #define TRANSMITS_PER_LN 2.0
-/** Gossip intervals with datagrams for a new configuration revision. */
-#define REVISION_ROUNDS 6
+/** Gossip intervals with datagrams for a new revision of the configuration or
+ * generation of the store. */
+#define URGENT_ROUNDS 6
+/** Time for which all datagrams state a new generation of the store; after that
+ * only the digests do. */
+#define GENERATION_STATED_MS 10000
 /** Largest debt of the token bucket with which datagrams still go to the ring,
  * as time of the send budget. */
 #define DEBT_MS 250
@@ -286,6 +290,9 @@
 	message->sender = table->self->id;
 	message->incarnation = table->self->incarnation;
 	message->revision = table->revision;
+	if (table->now < table->generation_stated_until ||
+	    message->type == PL_GOSSIP_DIGEST)
+		message->store_generation = table->store_generation;
 	if (table->leaving)
 		message->flags |= PL_GOSSIP_LEAVING;
 	if (opts)
@@ -362,10 +369,10 @@
 	if (table->updates_queued > 0 && !pl_member_has_budget_(table))
 		table->next_sync =
 			MIN(table->next_sync, table->now + SHORTAGE_SYNC_MS);
-	if (table->updates_queued == 0 && table->revision_rounds == 0)
+	if (table->updates_queued == 0 && table->urgent_rounds == 0)
 		return;
-	if (table->revision_rounds > 0)
-		table->revision_rounds--;
+	if (table->urgent_rounds > 0)
+		table->urgent_rounds--;
 	pl_member_spread_now_(table, PL_MEMBER_GOSSIP_FANOUT);
 }
 
@@ -376,7 +383,28 @@
 	table->revision = revision;
 	table->self->revision = revision;
 	table->revision_heard = MAX(table->revision_heard, revision);
-	table->revision_rounds = REVISION_ROUNDS;
+	table->urgent_rounds = URGENT_ROUNDS;
 	if (table->join != PL_JOIN_IDLE)
 		pl_member_spread_now_(table, PL_MEMBER_GOSSIP_FANOUT);
 }
+
+void pl_member_raise_generation_(pl_member_table_t *table, uint64_t generation,
+				 bool urgent)
+{
+	table->store_generation = generation;
+	if (!urgent)
+		return;
+	table->generation_stated_until = table->now + GENERATION_STATED_MS;
+	table->urgent_rounds = URGENT_ROUNDS;
+	if (table->join != PL_JOIN_IDLE)
+		pl_member_spread_now_(table, PL_MEMBER_GOSSIP_FANOUT);
+}
+
+void pl_member_set_store_generation(pl_member_table_t *table,
+				    uint64_t generation)
+{
+	/* the first generation that a starting member knows is no news */
+	if (generation > table->store_generation)
+		pl_member_raise_generation_(table, generation,
+					    table->store_generation != 0);
+}
--- a/src/proto/gossip.c
+++ b/src/proto/gossip.c
@@ -13,7 +13,9 @@
 #include <string.h>
 
 /** Elements of the array in a datagram. */
-#define MESSAGE_ELEMENTS 10
+#define MESSAGE_ELEMENTS 11
+/** Elements in a datagram that does not state the store's generation. */
+#define MESSAGE_ELEMENTS_MIN 10
 /** Elements of a record: change of state, full, full with names. */
 #define RECORD_STATE_ELEMENTS 3
 #define RECORD_FULL_ELEMENTS 10
@@ -144,7 +146,9 @@
 	assert(message->record_count <= PL_GOSSIP_RECORDS_MAX);
 	assert(message->digest_count <= PL_GOSSIP_DATACENTRES_MAX);
 	msgpack_packer_init(&packer, &sink, sink_write_);
-	msgpack_pack_array(&packer, MESSAGE_ELEMENTS);
+	msgpack_pack_array(&packer, message->store_generation != 0 ?
+					    MESSAGE_ELEMENTS :
+					    MESSAGE_ELEMENTS_MIN);
 	msgpack_pack_uint32(&packer, PL_WIRE_VERSION);
 	msgpack_pack_uint32(&packer, message->type);
 	msgpack_pack_uint32(&packer, message->flags);
@@ -155,6 +159,8 @@
 	msgpack_pack_uint64(&packer, message->target);
 	pack_records_(&packer, message->records, message->record_count);
 	pack_digests_(&packer, message);
+	if (message->store_generation != 0)
+		msgpack_pack_uint64(&packer, message->store_generation);
 	if (sink.len + PL_MAC_BYTES > cap)
 		return 0;
 	pl_mac(key, buf, sink.len, buf + sink.len);
@@ -411,6 +417,16 @@
 	       message->sender != 0;
 }
 
+static bool read_store_generation_(const msgpack_object *datagram,
+				   pl_gossip_message_t *message)
+{
+	if (datagram->via.array.size < MESSAGE_ELEMENTS)
+		return true;
+	return pl_element_get_uint(
+		&datagram->via.array.ptr[MESSAGE_ELEMENTS - 1], UINT64_MAX,
+		&message->store_generation);
+}
+
 pl_result_t pl_gossip_decode(pl_gossip_decoder_t *decoder, const uint8_t *buf,
 			     size_t len, pl_gossip_message_t *message)
 {
@@ -424,12 +440,13 @@
 	pl_mac(&decoder->key, buf, len, mac);
 	if (!pl_mac_equal(mac, buf + len, PL_MAC_BYTES))
 		return PL_ERR_AUTH;
-	result = unpack_(decoder, buf, len, MESSAGE_ELEMENTS, &at);
+	result = unpack_(decoder, buf, len, MESSAGE_ELEMENTS_MIN, &at);
 	if (result != PL_OK)
 		return result;
 	memset(message, 0, sizeof(*message));
 	if (!read_header_(at, message) || !read_records_(decoder, &at[8]) ||
-	    !read_digests_(decoder, message->type, &at[9]))
+	    !read_digests_(decoder, message->type, &at[9]) ||
+	    !read_store_generation_(&decoder->unpacked.data, message))
 		return PL_ERR_MALFORMED;
 	message->records = (pl_gossip_record_t *)decoder->records->data;
 	message->record_count = decoder->records->len;
--- a/src/roster/registration.c
+++ b/src/roster/registration.c
@@ -30,6 +30,9 @@
 	bool registered;
 	bool writing; /* a write is in progress */
 	bool removing; /* the entry is to be removed */
+	bool removed;
+	uint64_t generation; /* of the store that wrote or removed the entry */
+	uint64_t read_generation; /* of the store that read it for removal */
 	pl_ms_t written_at;
 	unsigned int failures;
 	pl_timer_t call_timer; /* starts the next write or removal */
@@ -109,6 +112,7 @@
 	}
 	registration->failures = 0;
 	registration->registered = true;
+	registration->generation = reply->position.generation;
 	registration->written_at = now_(registration);
 	pl_event(PL_EVENT_ROSTER_REGISTERED,
 		 "%s, generation %" G_GUINT64_FORMAT " of the store",
@@ -127,14 +131,29 @@
 		  on_written_, registration);
 }
 
+static void removal_done_(pl_registration_t *registration,
+			  const pl_kv_reply_t *reply)
+{
+	registration->removing = false;
+	registration->removed = true;
+	registration->failures = 0;
+	registration->generation = reply->position.generation;
+}
+
 static void on_removed_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_registration_t *registration = ctx;
 
-	/* on a conflict the entry is no longer the one that was read */
-	if (reply->result == PL_OK || reply->result == PL_ERR_CONFLICT)
-		registration->removing = false;
-	else if (registration->removing)
+	if (!registration->removing)
+		return;
+	/* On a conflict the entry is no longer the one that was read: another
+	 * process wrote it, or a restore of the store changed its index. */
+	if (reply->result == PL_ERR_CONFLICT &&
+	    reply->position.generation != registration->read_generation)
+		schedule_call_(registration, 0);
+	else if (reply->result == PL_OK || reply->result == PL_ERR_CONFLICT)
+		removal_done_(registration, reply);
+	else
 		schedule_retry_(registration, reply);
 }
 
@@ -148,13 +167,14 @@
 	if (!registration->removing)
 		return;
 	if (reply->result == PL_ERR_NOT_FOUND) {
-		registration->removing = false;
+		removal_done_(registration, reply);
 		return;
 	}
 	if (reply->result != PL_OK) {
 		schedule_retry_(registration, reply);
 		return;
 	}
+	registration->read_generation = reply->position.generation;
 	pl_kv_remove(registration->kv, registration->key, reply->modify_index,
 		     on_removed_, registration);
 }
@@ -220,6 +240,7 @@
 		return;
 	registration->wanted = true;
 	registration->removing = false;
+	registration->removed = false;
 	pl_timer_arm(registration->timers, &registration->register_timeout,
 		     now_(registration) + REGISTER_TIMEOUT_MS);
 	schedule_call_(registration, 0);
@@ -242,6 +263,19 @@
 	schedule_call_(registration, 0);
 }
 
+void pl_registration_store_restored(pl_registration_t *registration,
+				    uint64_t generation, pl_ms_t spread_ms)
+{
+	/* a call in progress fails or ends in the new generation */
+	if (generation <= registration->generation || registration->writing ||
+	    registration->removing || pl_timer_armed(&registration->call_timer))
+		return;
+	if (!registration->registered && !registration->removed)
+		return;
+	registration->removing = registration->removed;
+	schedule_call_(registration, registration->random() % (spread_ms + 1));
+}
+
 bool pl_registration_is_deregistering(const pl_registration_t *registration)
 {
 	return registration->removing;
--- a/test/member/fleet.c
+++ b/test/member/fleet.c
@@ -114,6 +114,13 @@
 	node->revision_heard = revision;
 }
 
+static void on_store_generation_(void *ctx, uint64_t generation)
+{
+	node_t *node = ctx;
+
+	node->generation_heard = generation;
+}
+
 static uint64_t on_paused_(void *ctx, pl_ms_t gap)
 {
 	node_t *node = ctx;
@@ -201,6 +208,7 @@
 		.send_frame = send_frame_,
 		.changed = on_member_changed_,
 		.revision = on_revision_,
+		.store_generation = on_store_generation_,
 		.paused = on_paused_,
 		.datacentre = on_datacentre_,
 		.absent = on_absent_,
--- a/test/member/fleet.h
+++ b/test/member/fleet.h
@@ -29,6 +29,7 @@
 	unsigned int group; /* nodes in different groups cannot communicate */
 	uint64_t boot;
 	uint64_t revision_heard;
+	uint64_t generation_heard;
 	unsigned int paused_calls;
 	unsigned int partition_calls;
 	unsigned int absent_calls;
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -571,6 +571,25 @@
 	fleet_delete(fleet);
 }
 
+/* Agents hardly call the store. One that does not learn that the store was
+ * restored does not register again. */
+static void store_generation_reaches_all_nodes(void **state)
+{
+	fleet_t *fleet = fleet_new(12, 100, 4);
+
+	(void)state;
+	fleet_start_all(fleet);
+	pl_member_set_store_generation(fleet->nodes[5].table, 1);
+	fleet_run(fleet, 5000);
+	pl_member_set_store_generation(fleet->nodes[5].table, 2);
+	fleet_run(fleet, 1000);
+	for (size_t i = 0; i < fleet->count; i++) {
+		if (i != 5)
+			assert_int_equal(fleet->nodes[i].generation_heard, 2);
+	}
+	fleet_delete(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -600,6 +619,7 @@
 		cmocka_unit_test(node_with_wrong_key_cannot_join),
 		cmocka_unit_test(drain_reaches_all_nodes),
 		cmocka_unit_test(revision_reaches_all_nodes),
+		cmocka_unit_test(store_generation_reaches_all_nodes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/proto/gossip_test.c
+++ b/test/proto/gossip_test.c
@@ -62,6 +62,7 @@
 		.sender = 0x0a0000021b58,
 		.incarnation = 1700000001,
 		.revision = 12,
+		.store_generation = 300,
 		.sequence = 99,
 		.target = 5,
 		.records = fixture->records,
@@ -109,6 +110,7 @@
 	assert_int_equal(got.sender, want->sender);
 	assert_int_equal(got.incarnation, want->incarnation);
 	assert_int_equal(got.revision, want->revision);
+	assert_int_equal(got.store_generation, want->store_generation);
 	assert_int_equal(got.sequence, want->sequence);
 	assert_int_equal(got.target, want->target);
 	assert_int_equal(got.record_count, 3);
