Answers from before a restore of the store are refused

Callers would see: resets of flows that live, or a change that is in force late.

Cause: an answer that the store gave before it went back was used as if it held: it confirmed a registration that was gone, or set a watch position that was ahead of the store.

Change: a read whose answer states a lower generation than the highest known one fails, a write has an unknown outcome; both are tried again by their callers.

Tests: response_from_before_a_restore_is_refused and entry_lost_while_it_is_written_is_written_again, both red before.

--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -193,6 +193,15 @@
  */
 void pl_kv_note_generation(pl_kv_t *kv, uint64_t generation);
 
+/**
+ * Result of a call that ended with @p result in @p generation. If a higher one
+ * is known, a restore of the store has undone what the response says: a read
+ * fails with PL_ERR_UNAVAILABLE, a write (@p write) with
+ * PL_ERR_UNKNOWN_OUTCOME.
+ */
+pl_result_t pl_kv_result_in_generation(const pl_kv_t *kv, pl_result_t result,
+				       uint64_t generation, bool write);
+
 /** Has @p changed called when a higher generation becomes known. It may start
  * and cancel calls. */
 void pl_kv_on_generation(pl_kv_t *kv, pl_kv_generation_changed_t changed,
--- a/src/kv/kv.c
+++ b/src/kv/kv.c
@@ -106,6 +106,15 @@
 		kv->generation_changed(kv->generation_ctx, generation, before);
 }
 
+pl_result_t pl_kv_result_in_generation(const pl_kv_t *kv, pl_result_t result,
+				       uint64_t generation, bool write)
+{
+	/* a failed call may state no generation */
+	if (generation == 0 || generation >= kv->generation)
+		return result;
+	return write ? PL_ERR_UNKNOWN_OUTCOME : PL_ERR_UNAVAILABLE;
+}
+
 void pl_kv_on_generation(pl_kv_t *kv, pl_kv_generation_changed_t changed,
 			 void *ctx)
 {
--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -218,6 +218,30 @@
 	g_free(watch.value);
 }
 
+/* A member reports a restore while a response of the store before it is on its
+ * way: what it says may be undone. */
+static void response_from_before_a_restore_is_refused(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t get = { 0 };
+	outcome_t put = { 0 };
+
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	pl_kv_get(f->client, KEY, on_done_, &get);
+	pl_kv_put(f->client,
+		  &(pl_kv_write_t){ .key = KEY_OTHER,
+				    .value = "",
+				    .expected_index = PL_KV_ANY },
+		  on_done_, &put);
+	pl_kv_note_generation(f->client, 2);
+	wait_for_calls_(f);
+	assert_int_equal(get.result, PL_ERR_UNAVAILABLE);
+	assert_int_equal(put.result, PL_ERR_UNKNOWN_OUTCOME);
+	assert_false(pl_kv_is_down(f->client));
+	g_free(get.value);
+	g_free(put.value);
+}
+
 static void watch_ends_when_the_value_changes(void **state)
 {
 	fixture_t *f = *state;
@@ -406,6 +430,7 @@
 		TEST_(watch_ends_when_the_value_changes),
 		TEST_(watch_after_a_lost_change_reads_the_value),
 		TEST_(watch_response_of_a_restored_store_reads_the_value),
+		TEST_(response_from_before_a_restore_is_refused),
 		TEST_(lost_answer_is_an_unknown_outcome),
 		TEST_(outage_results_are_distinct_and_calls_recover),
 		TEST_(outage_ends_a_watch),
--- a/test/roster/kv_fake.c
+++ b/test/roster/kv_fake.c
@@ -105,8 +105,7 @@
 	fake->index++;
 	if (call->type == CALL_PUT)
 		g_hash_table_replace(fake->items, g_strdup(call->key),
-				     g_memdup2(&fake->index,
-					       sizeof(uint64_t)));
+				     g_memdup2(&fake->index, sizeof(uint64_t)));
 	else
 		g_hash_table_remove(fake->items, call->key);
 	return PL_OK;
@@ -127,6 +126,9 @@
 			reply.position = (pl_kv_position_t){ fake->generation,
 							     fake->index };
 		reply.modify_index = find_(fake, call->key);
+		reply.result = pl_kv_result_in_generation(
+			kv, reply.result, reply.position.generation,
+			call->type == CALL_PUT || call->type == CALL_REMOVE);
 		call->done(call->ctx, &reply);
 		call_free_(call);
 		pl_kv_note_generation(kv, reply.position.generation);
--- a/test/roster/registration_test.c
+++ b/test/roster/registration_test.c
@@ -101,7 +101,8 @@
 
 /* The agent reports that it may serve although the store is unavailable, and
  * its entry is written once the store is back. */
-static void registration_without_the_store_times_out_and_is_retried(void **state)
+static void
+registration_without_the_store_times_out_and_is_retried(void **state)
 {
 	fixture_t *f = *state;
 
@@ -129,6 +130,22 @@
 	assert_true(kv_fake_has(f->store, f->key));
 }
 
+/* The restore takes place while the write of the entry is on its way. */
+static void entry_lost_while_it_is_written_is_written_again(void **state)
+{
+	fixture_t *f = *state;
+
+	kv_fake_copy(f->store);
+	pl_registration_register(f->registration, on_done_, f);
+	pl_timer_service_advance(f->timers, f->now += STEP_MS);
+	pl_kv_note_generation(&f->store->kv, 2);
+	/* executed by the old generation, then lost */
+	pl_kv_poll(&f->store->kv);
+	kv_fake_restore(f->store);
+	run_(f, SPREAD_MS + 1000);
+	assert_true(kv_fake_has(f->store, f->key));
+}
+
 /* An entry of an agent that no longer owns flows holds up proofs. */
 static void entry_that_a_restore_brings_back_is_removed_again(void **state)
 {
@@ -177,6 +194,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST_(registration_without_the_store_times_out_and_is_retried),
 		TEST_(entry_lost_in_a_restore_is_written_again),
+		TEST_(entry_lost_while_it_is_written_is_written_again),
 		TEST_(entry_that_a_restore_brings_back_is_removed_again),
 		TEST_(removal_across_a_restore_reads_the_entry_again),
 	};
