A roster counts only in a generation of the store in which all agents registered

Callers would see: resets of flows whose server lives (FLOW), after a restore of the store and before the agents registered again, or when a roster of several pages was read across the restore.

Cause: a roster proves that nobody else owns a flow, so it must name every agent. A restored store lacks the latest ones, and an entry that starts then knows nothing of the restore.

Ruled out: an entry's memory of earlier rosters (gone when all are killed, which is when resets are needed); a wait at each start (3 s for every loss of power, restore or not); leases (the store may revoke them).

Change: a key in the store names the generation in which the agents have had the time to register: 2 s and 5 ms a member. Entries write it by compare-and-swap; it outlives them and goes back together with the roster. Reads of the roster move into a module of their own, which uses a roster only in that generation.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -94,6 +94,10 @@
 	  "the key-value service lost changes: it restored an older copy")     \
 	X(PL_EVENT_ROSTER_REGISTERED, 415, "roster-registered", INFO,          \
 	  "an agent's entry was written to the roster in the store")           \
+	X(PL_EVENT_ROSTER_CONFIRMED, 416, "roster-confirmed", INFO,            \
+	  "all agents have registered since the store was last restored")      \
+	X(PL_EVENT_ROSTER_UNCONFIRMED, 417, "roster-unconfirmed", WARNING,     \
+	  "a roster may lack agents since a restore and was not used")         \
 	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                   \
 	  "an inner message failed authentication")
 
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -21,9 +21,11 @@
 #include <unistd.h>
 #include <urcu.h>
 
-/** After a restore of the store the members write to it again at random times
- * within this time per member: 200 writes a second. */
-#define RESTORED_WRITE_MS_PER_MEMBER 5
+/** After a restore of the store the agents register again at random times within
+ * this time per member: 200 writes a second. */
+#define REGISTRATION_MS_PER_MEMBER 5
+/** Time in which all agents know of a restore, with retries of their writes. */
+#define RESTORE_KNOWN_MS 2000
 
 const pl_settings_t *pl_node_settings(const pl_node_t *node)
 {
@@ -322,19 +324,29 @@
 			pl_node_roster_reader_new(node, kv, on_roster_, node);
 }
 
+static pl_ms_t registration_spread_ms_(const pl_node_t *node)
+{
+	return pl_member_count(node->members) * REGISTRATION_MS_PER_MEMBER;
+}
+
+pl_ms_t pl_node_registration_ms(const pl_node_t *node)
+{
+	return RESTORE_KNOWN_MS + registration_spread_ms_(node);
+}
+
 /* What members wrote to the store since the copy that it was restored from is
  * lost. */
 static void on_store_generation_(void *ctx, uint64_t generation,
 				 uint64_t before)
 {
 	pl_node_t *node = ctx;
-	size_t members = pl_member_count(node->members);
 
 	pl_member_set_store_generation(node->members, generation);
 	if (node->registration)
-		pl_registration_store_restored(
-			node->registration, generation,
-			members * RESTORED_WRITE_MS_PER_MEMBER);
+		pl_registration_store_restored(node->registration, generation,
+					       registration_spread_ms_(node));
+	if (node->roster_reader)
+		pl_node_roster_reader_generation_changed(node->roster_reader);
 	if (before == 0)
 		return;
 	pl_node_config_store_restored(node->config, generation);
--- a/src/daemon/node_roster_reader.c
+++ b/src/daemon/node_roster_reader.c
@@ -7,6 +7,7 @@
 #include <pimentolift/event.h>
 #include <pimentolift/hash.h>
 #include <pimentolift/registration.h>
+#include <pimentolift/roster_reader.h>
 #include <pimentolift/roster_share.h>
 #include <string.h>
 
@@ -17,6 +18,7 @@
 struct pl_node_roster_reader {
 	pl_node_t *node;
 	pl_kv_t *kv;
+	pl_roster_reader_t *reads;
 	pl_roster_share_t *share;
 	pl_datacentre_id_t datacentre;
 	GHashTable *dead_since; /* agent to time in ms */
@@ -24,14 +26,6 @@
 	void *ctx;
 };
 
-/* A read in progress; a large roster takes several pages. Every agent that is
- * registered throughout the read is found, whatever changes between pages. */
-typedef struct {
-	pl_node_roster_reader_t *reader;
-	pl_service_id_t service;
-	GArray *agents; /* pl_member_id_t */
-} roster_read_t;
-
 static const char *environment_(const pl_node_roster_reader_t *reader)
 {
 	return pl_node_settings(reader->node)->environment;
@@ -42,26 +36,6 @@
 	return pl_timer_service_now(pl_loop_timers(pl_node_loop(reader->node)));
 }
 
-/* Appends the agents of a list; false if the call failed or a key contains no
- * valid address. */
-static bool parse_agents_(const pl_kv_reply_t *reply, GArray *agents)
-{
-	if (reply->result != PL_OK)
-		return false;
-	for (size_t i = 0; i < reply->item_count; i++) {
-		const char *name = strrchr(reply->items[i].key, '/');
-		pl_member_id_t agent;
-		pl_addr_t addr;
-
-		if (!name || pl_addr_parse(name + 1, &addr, NULL) != PL_OK ||
-		    addr.family != PL_ADDR_IPV4)
-			return false;
-		agent = pl_member_id_from_addr(&addr);
-		g_array_append_val(agents, agent);
-	}
-	return true;
-}
-
 static void on_removed_(void *ctx, const pl_kv_reply_t *reply)
 {
 	(void)ctx;
@@ -106,75 +80,53 @@
 	return since && now - *since >= remove_after_ms_(reader);
 }
 
-/* Removes the entries of agents that have been dead for so long that they are
- * not expected to return. */
-static void remove_dead_agents_(pl_node_roster_reader_t *reader,
-				pl_service_id_t service,
-				const pl_kv_reply_t *reply,
-				const pl_member_id_t *agents)
+/* Removes the entry of an agent that has been dead for so long that it is not
+ * expected to return. */
+static void op_entry_(void *ctx, pl_service_id_t service, pl_member_id_t agent,
+		      uint64_t modify_index)
 {
-	for (size_t i = 0; i < reply->item_count; i++) {
-		char *key;
-
-		if (!is_dead_for_long_(reader, agents[i]))
-			continue;
-		key = pl_roster_key(environment_(reader), service, agents[i]);
-		pl_event(PL_EVENT_ROSTER_FORGOTTEN, "%s", key);
-		pl_kv_remove(reader->kv, key, reply->items[i].modify_index,
-			     on_removed_, reader);
-		g_hash_table_remove(reader->dead_since, &agents[i]);
-		g_free(key);
-	}
+	pl_node_roster_reader_t *reader = ctx;
+	char *key;
+
+	if (!is_dead_for_long_(reader, agent))
+		return;
+	key = pl_roster_key(environment_(reader), service, agent);
+	pl_event(PL_EVENT_ROSTER_FORGOTTEN, "%s", key);
+	pl_kv_remove(reader->kv, key, modify_index, on_removed_, reader);
+	g_hash_table_remove(reader->dead_since, &agent);
+	g_free(key);
 }
 
-static void on_page_(void *ctx, const pl_kv_reply_t *reply);
+static void op_read_done_(void *ctx, pl_service_id_t service, bool known,
+			  const pl_member_id_t *agents, size_t count)
+{
+	pl_node_roster_reader_t *reader = ctx;
 
-/* Requests the page after the key @p after; NULL: the first page. */
-static void request_page_(roster_read_t *roster_read, const char *after)
+	pl_roster_share_read_done(reader->share, service, known, agents, count);
+}
+
+static pl_ms_t op_registration_ms_(void *ctx)
 {
-	char *prefix = pl_roster_prefix(environment_(roster_read->reader),
-					roster_read->service);
+	pl_node_roster_reader_t *reader = ctx;
 
-	pl_kv_list(roster_read->reader->kv,
-		   &(pl_kv_range_t){ .prefix = prefix, .after = after },
-		   on_page_, roster_read);
-	g_free(prefix);
+	return pl_node_registration_ms(reader->node);
 }
 
-static void on_page_(void *ctx, const pl_kv_reply_t *reply)
+static uint64_t op_random_(void *ctx)
 {
-	roster_read_t *roster_read = ctx;
-	pl_node_roster_reader_t *reader = roster_read->reader;
-	GArray *agents = roster_read->agents;
-	guint before = agents->len;
-	bool known = parse_agents_(reply, agents);
-
-	if (known)
-		remove_dead_agents_(
-			reader, roster_read->service, reply,
-			&g_array_index(agents, pl_member_id_t, before));
-	if (known && reply->more && reply->item_count == 0)
-		known = false;
-	if (known && reply->more) {
-		request_page_(roster_read,
-			      reply->items[reply->item_count - 1].key);
-		return;
-	}
-	pl_roster_share_read_done(reader->share, roster_read->service, known,
-				  (const pl_member_id_t *)agents->data,
-				  known ? agents->len : 0);
-	g_array_free(agents, TRUE);
-	g_free(roster_read);
+	(void)ctx;
+	return pl_random_identity();
 }
 
+static const pl_roster_reader_ops_t reader_ops_ = { op_entry_, op_read_done_,
+						    op_registration_ms_,
+						    op_random_ };
+
 static void op_read_(void *ctx, pl_service_id_t service)
 {
-	roster_read_t *roster_read = g_new0(roster_read_t, 1);
+	pl_node_roster_reader_t *reader = ctx;
 
-	roster_read->reader = ctx;
-	roster_read->service = service;
-	roster_read->agents = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
-	request_page_(roster_read, NULL);
+	pl_roster_reader_read(reader->reads, service);
 }
 
 static void op_send_(void *ctx, const pl_peer_frame_t *frame)
@@ -208,6 +160,9 @@
 	reader->datacentre = pl_hash_text(pl_node_settings(node)->datacentre);
 	reader->dead_since = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   g_free, g_free);
+	reader->reads = pl_roster_reader_new(
+		environment_(reader), kv, &reader_ops_, reader,
+		pl_loop_timers(pl_node_loop(node)));
 	reader->share =
 		pl_roster_share_new(pl_node_self(node), &share_ops_, reader,
 				    pl_loop_timers(pl_node_loop(node)));
@@ -219,6 +174,7 @@
 	if (!reader)
 		return;
 	pl_roster_share_delete(reader->share);
+	pl_roster_reader_delete(reader->reads);
 	g_hash_table_destroy(reader->dead_since);
 	g_free(reader);
 }
@@ -260,7 +216,7 @@
 	pl_node_roster_reader_t *reader = ctx;
 	GArray *agents = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
 
-	parse_agents_(reply, agents);
+	pl_roster_parse_agents(reply, agents);
 	for (guint i = 0; i < MIN(agents->len, CONTACTS_MAX); i++) {
 		const pl_addr_t addr = pl_member_id_to_addr(
 			g_array_index(agents, pl_member_id_t, i));
@@ -270,6 +226,11 @@
 	g_array_free(agents, TRUE);
 }
 
+void pl_node_roster_reader_generation_changed(pl_node_roster_reader_t *reader)
+{
+	pl_roster_reader_generation_changed(reader->reads);
+}
+
 void pl_node_roster_reader_contact_agents(pl_node_roster_reader_t *reader)
 {
 	char *prefix =
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -131,6 +131,10 @@
  * result arrives by pl_role_ops_t.roster. */
 void pl_node_request_roster(pl_node_t *node, pl_service_id_t service);
 
+/** Time in which all agents register again after a restore of the store; on the
+ * control thread. */
+pl_ms_t pl_node_registration_ms(const pl_node_t *node);
+
 /** Has the membership probe the agent @p agent, which should answer and does
  * not; from any thread. If it is dead or unreachable, pl_role_ops_t.agent_dead
  * follows. */
--- a/src/daemon/private/node_roster_reader.h
+++ b/src/daemon/private/node_roster_reader.h
@@ -37,6 +37,9 @@
 void pl_node_roster_reader_frame_failed(pl_node_roster_reader_t *reader,
 					const pl_peer_frame_t *frame);
 
+/** The generation of the store has risen. */
+void pl_node_roster_reader_generation_changed(pl_node_roster_reader_t *reader);
+
 /** Contacts the agents in the rosters of all services, so that they join the
  * membership: after a power loss of the whole fleet only the store still knows
  * their addresses. */
--- a/test/roster/kv_fake.c
+++ b/test/roster/kv_fake.c
@@ -4,10 +4,16 @@
 
 typedef enum { CALL_GET, CALL_PUT, CALL_REMOVE, CALL_LIST } call_type_t;
 
+typedef struct {
+	char *value;
+	uint64_t index;
+} item_t;
+
 typedef struct {
 	pl_kv_call_t call;
 	call_type_t type;
-	char *key;
+	char *key; /* of a list: the prefix */
+	char *value; /* of a list: the key before the page, or NULL */
 	uint64_t expected_index;
 	pl_kv_done_t done;
 	void *ctx;
@@ -18,9 +24,28 @@
 	return (kv_fake_t *)kv;
 }
 
+static void item_free_(gpointer data)
+{
+	item_t *item = data;
+
+	g_free(item->value);
+	g_free(item);
+}
+
 static GHashTable *items_new_(void)
 {
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     item_free_);
+}
+
+static void items_put_(GHashTable *items, const char *key, const char *value,
+		       uint64_t index)
+{
+	item_t *item = g_new0(item_t, 1);
+
+	item->value = g_strdup(value);
+	item->index = index;
+	g_hash_table_replace(items, g_strdup(key), item);
 }
 
 static GHashTable *items_copy_(GHashTable *items)
@@ -28,20 +53,20 @@
 	GHashTable *copy = items_new_();
 	GHashTableIter iter;
 	gpointer key;
-	gpointer index;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, items);
-	while (g_hash_table_iter_next(&iter, &key, &index))
-		g_hash_table_insert(copy, g_strdup(key),
-				    g_memdup2(index, sizeof(uint64_t)));
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const item_t *item = value;
+
+		items_put_(copy, key, item->value, item->index);
+	}
 	return copy;
 }
 
-static uint64_t find_(const kv_fake_t *fake, const char *key)
+static const item_t *find_(const kv_fake_t *fake, const char *key)
 {
-	const uint64_t *index = g_hash_table_lookup(fake->items, key);
-
-	return index ? *index : 0;
+	return g_hash_table_lookup(fake->items, key);
 }
 
 static call_t *start_(pl_kv_t *kv, call_type_t type, const char *key,
@@ -71,6 +96,7 @@
 	call_t *call = start_(kv, CALL_PUT, write->key, done, ctx);
 
 	call->expected_index = write->expected_index;
+	call->value = g_strndup(write->value, write->value_len);
 	return &call->call;
 }
 
@@ -83,34 +109,97 @@
 	return &call->call;
 }
 
+static pl_kv_call_t *list_(pl_kv_t *kv, const pl_kv_range_t *range,
+			   pl_kv_done_t done, void *ctx)
+{
+	call_t *call = start_(kv, CALL_LIST, range->prefix, done, ctx);
+
+	call->value = g_strdup(range->after);
+	return &call->call;
+}
+
 static void call_free_(gpointer data)
 {
 	call_t *call = data;
 
 	g_free(call->key);
+	g_free(call->value);
 	g_free(call);
 }
 
 static pl_result_t apply_(kv_fake_t *fake, const call_t *call)
 {
-	uint64_t present = find_(fake, call->key);
+	const item_t *item = find_(fake, call->key);
 
 	if (fake->down)
 		return PL_ERR_UNAVAILABLE;
+	if (call->type == CALL_LIST)
+		return PL_OK;
 	if (call->type == CALL_GET)
-		return present ? PL_OK : PL_ERR_NOT_FOUND;
+		return item ? PL_OK : PL_ERR_NOT_FOUND;
 	if (call->expected_index != PL_KV_ANY &&
-	    call->expected_index != present)
+	    call->expected_index != (item ? item->index : 0))
 		return PL_ERR_CONFLICT;
 	fake->index++;
 	if (call->type == CALL_PUT)
-		g_hash_table_replace(fake->items, g_strdup(call->key),
-				     g_memdup2(&fake->index, sizeof(uint64_t)));
+		items_put_(fake->items, call->key, call->value, fake->index);
 	else
 		g_hash_table_remove(fake->items, call->key);
 	return PL_OK;
 }
 
+/* Appends a page of items to @p out; returns whether there are more. */
+static bool append_page_(const kv_fake_t *fake, const call_t *call, GArray *out)
+{
+	GList *keys = g_list_sort(g_hash_table_get_keys(fake->items),
+				  (GCompareFunc)strcmp);
+	bool more = false;
+
+	for (GList *at = keys; at && !more; at = at->next) {
+		const item_t *item = find_(fake, at->data);
+		pl_kv_item_t row = { .key = at->data,
+				     .value = item->value,
+				     .value_len = strlen(item->value),
+				     .modify_index = item->index };
+
+		if (!g_str_has_prefix(at->data, call->key) ||
+		    (call->value && strcmp(at->data, call->value) <= 0))
+			continue;
+		more = fake->page > 0 && out->len == fake->page;
+		if (!more)
+			g_array_append_val(out, row);
+	}
+	g_list_free(keys);
+	return more;
+}
+
+static void end_call_(kv_fake_t *fake, const call_t *call)
+{
+	pl_kv_reply_t reply = { .result = apply_(fake, call), .message = "" };
+	const item_t *item = find_(fake, call->key);
+	GArray *page = g_array_new(FALSE, FALSE, sizeof(pl_kv_item_t));
+
+	if (!fake->down)
+		reply.position =
+			(pl_kv_position_t){ fake->generation, fake->index };
+	reply.result = pl_kv_result_in_generation(
+		&fake->kv, reply.result, reply.position.generation,
+		call->type == CALL_PUT || call->type == CALL_REMOVE);
+	if (call->type == CALL_GET && item) {
+		reply.value = item->value;
+		reply.value_len = strlen(item->value);
+		reply.modify_index = item->index;
+	}
+	if (call->type == CALL_LIST && reply.result == PL_OK) {
+		reply.more = append_page_(fake, call, page);
+		reply.items = (pl_kv_item_t *)page->data;
+		reply.item_count = page->len;
+	}
+	call->done(call->ctx, &reply);
+	g_array_free(page, TRUE);
+	pl_kv_note_generation(&fake->kv, reply.position.generation);
+}
+
 static void poll_(pl_kv_t *kv)
 {
 	kv_fake_t *fake = fake_of_(kv);
@@ -119,19 +208,8 @@
 
 	fake->calls = g_queue_new();
 	while ((call = g_queue_pop_head(due)) != NULL) {
-		pl_kv_reply_t reply = { .result = apply_(fake, call),
-					.message = "" };
-
-		if (!fake->down)
-			reply.position = (pl_kv_position_t){ fake->generation,
-							     fake->index };
-		reply.modify_index = find_(fake, call->key);
-		reply.result = pl_kv_result_in_generation(
-			kv, reply.result, reply.position.generation,
-			call->type == CALL_PUT || call->type == CALL_REMOVE);
-		call->done(call->ctx, &reply);
+		end_call_(fake, call);
 		call_free_(call);
-		pl_kv_note_generation(kv, reply.position.generation);
 	}
 	g_queue_free(due);
 }
@@ -140,6 +218,7 @@
 	.get = get_,
 	.put = put_,
 	.remove = remove_,
+	.list = list_,
 	.poll = poll_,
 };
 
@@ -165,7 +244,12 @@
 
 bool kv_fake_has(const kv_fake_t *fake, const char *key)
 {
-	return find_(fake, key) != 0;
+	return find_(fake, key) != NULL;
+}
+
+void kv_fake_put(kv_fake_t *fake, const char *key)
+{
+	items_put_(fake->items, key, "", ++fake->index);
 }
 
 void kv_fake_write_others(kv_fake_t *fake, uint64_t count)
--- a/test/roster/kv_fake.h
+++ b/test/roster/kv_fake.h
@@ -11,11 +11,12 @@
 
 typedef struct {
 	pl_kv_t kv;
-	GHashTable *items; /* key to its modify index, as uint64_t */
+	GHashTable *items; /* by key */
 	GHashTable *copy; /* items at kv_fake_copy() */
 	uint64_t index;
 	uint64_t copied_index;
 	uint64_t generation;
+	guint page; /* most items in a reply to a list; 0: no limit */
 	bool down; /* calls fail and do nothing */
 	GQueue *calls; /* started, not ended */
 } kv_fake_t;
@@ -25,6 +26,9 @@
 
 bool kv_fake_has(const kv_fake_t *fake, const char *key);
 
+/** Writes @p key at once. */
+void kv_fake_put(kv_fake_t *fake, const char *key);
+
 /** Writes another key @p count times. */
 void kv_fake_write_others(kv_fake_t *fake, uint64_t count);
 
