config: an invalid document after a restore of the platform is reported

Cause: the line is written once a revision of the store, and the revision of a reported document is assigned again after a restore.

Test: invalid_document_after_a_restore_is_reported, red before.

--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -270,6 +270,8 @@
 {
 	watch_t *watch = &sync->watch;
 
+	/* the platform assigns the revisions of lost documents again */
+	watch->reported_revision = 0;
 	if (!watch->is_watcher || watch->position.generation == generation)
 		return;
 	if (watch->open)
--- a/src/roster/roster_reader.c
+++ b/src/roster/roster_reader.c
@@ -84,9 +84,9 @@
 		return;
 	reader->seen = generation;
 	reader->seen_at = now_(reader);
-	schedule_confirmation_(reader,
-			       reader->seen_at + reader->ops->registration_ms(
-							 reader->ctx));
+	schedule_confirmation_(
+		reader,
+		reader->seen_at + reader->ops->registration_ms(reader->ctx));
 }
 
 /* Whether a reply to a read of the confirmation names the generation in which
@@ -253,8 +253,8 @@
 	roster_read_t *read = ctx;
 	uint64_t generation = reply->position.generation;
 
-	bool answered = reply->result == PL_OK ||
-			reply->result == PL_ERR_NOT_FOUND;
+	bool answered =
+		reply->result == PL_OK || reply->result == PL_ERR_NOT_FOUND;
 
 	if (read_confirmation_(read->reader, reply) ||
 	    (answered && generation == 0)) {
--- a/test/config/sync_test.c
+++ b/test/config/sync_test.c
@@ -352,6 +352,47 @@
 }
 
 /* One random step of random_interleavings_never_revert(). */
+/* Counts the log lines of refused documents. */
+static GLogWriterOutput count_refusals_(GLogLevelFlags level,
+					const GLogField *fields, gsize count,
+					gpointer data)
+{
+	unsigned int *refusals = data;
+
+	(void)level;
+	for (gsize i = 0; i < count; i++) {
+		if (strcmp(fields[i].key, "PL_NAME") == 0 &&
+		    strcmp(fields[i].value, "config-refused") == 0)
+			(*refusals)++;
+	}
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* The index of an invalid document that was reported is assigned again after a
+ * restore of the platform. */
+static void invalid_document_after_a_restore_is_reported(void **state)
+{
+	static unsigned int refusals;
+	model_t model;
+	fake_t *fake = start_fleet_(14, 1, &model);
+	unsigned int before;
+
+	(void)state;
+	g_log_set_writer_func(count_refusals_, &refusals, NULL);
+	fake_copy(fake);
+	fake_apply(fake, "format = 1\n[[service]]\nname = \"x\"\n");
+	fake_run(fake, IN_FORCE_MS);
+	before = refusals;
+	assert_true(before > 0);
+	fake_restore(fake);
+	pl_config_sync_store_restored(fake->nodes[0].sync, fake->generation);
+	fake_run(fake, IN_FORCE_MS);
+	fake_apply(fake, "format = 1\n[[service]]\nname = \"y\"\n");
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(refusals > before);
+	fake_delete(fake);
+}
+
 static void random_step_(fake_t *fake, model_t *model)
 {
 	size_t node =
@@ -608,6 +649,7 @@
 		cmocka_unit_test(older_frame_is_ignored),
 		cmocka_unit_test(invalid_document_is_not_put_in_force),
 		cmocka_unit_test(random_interleavings_never_revert),
+		cmocka_unit_test(invalid_document_after_a_restore_is_reported),
 		cmocka_unit_test(pulls_of_one_member_are_bounded),
 		cmocka_unit_test(changed_sections_yield_the_whole_document),
 		cmocka_unit_test(mutated_frames_are_refused),
--- a/test/roster/roster_reader_test.c
+++ b/test/roster/roster_reader_test.c
@@ -140,7 +140,8 @@
 }
 
 /* A roster that lacks an agent lets entries reset flows of its server. */
-static void roster_is_unknown_until_agents_registered_after_a_restore(void **state)
+static void
+roster_is_unknown_until_agents_registered_after_a_restore(void **state)
 {
 	fixture_t *f = *state;
 
@@ -162,7 +163,8 @@
 
 /* All members restart right after the restore, so that nobody remembers the
  * generation before it. */
-static void restarted_reader_does_not_use_a_roster_of_a_restored_store(void **state)
+static void
+restarted_reader_does_not_use_a_roster_of_a_restored_store(void **state)
 {
 	fixture_t *f = *state;
 
