--- a/src/roster/roster_reader.c
+++ b/src/roster/roster_reader.c
@@ -9,9 +9,13 @@
 #include <pimentolift/registration.h>
 #include <string.h>
 
-/** Delay of another attempt to confirm a generation; a random delay of up to
- * the same length is added, so that one reader writes and the others read. */
+/** Delay of another attempt to confirm a generation; doubles with each failed
+ * one. */
 #define CONFIRM_RETRY_MS 500
+#define CONFIRM_DOUBLINGS_MAX 4
+/** Longest random delay of an attempt, so that one reader writes and the others
+ * read. */
+#define CONFIRM_JITTER_MS 500
 
 struct pl_roster_reader {
 	char *environment;
@@ -23,6 +27,7 @@
 	uint64_t confirmed; /* generation of complete rosters; 0: none */
 	uint64_t seen; /* generation last seen */
 	pl_ms_t seen_at;
+	unsigned int confirm_failures;
 	bool confirming; /* a call for the confirmation is in progress */
 	pl_timer_t confirm_timer;
 };
@@ -63,14 +68,25 @@
 
 static void schedule_confirmation_(pl_roster_reader_t *reader, pl_ms_t due)
 {
-	pl_ms_t jitter = reader->ops->random(reader->ctx) % CONFIRM_RETRY_MS;
+	pl_ms_t jitter = reader->ops->random(reader->ctx) % CONFIRM_JITTER_MS;
 
 	pl_timer_arm(reader->timers, &reader->confirm_timer, due + jitter);
 }
 
+static void retry_confirmation_(pl_roster_reader_t *reader)
+{
+	unsigned int doublings =
+		MIN(reader->confirm_failures, CONFIRM_DOUBLINGS_MAX);
+
+	reader->confirm_failures++;
+	schedule_confirmation_(reader, now_(reader) + ((pl_ms_t)CONFIRM_RETRY_MS
+						       << doublings));
+}
+
 static void confirm_(pl_roster_reader_t *reader, uint64_t generation)
 {
 	reader->confirmed = generation;
+	reader->confirm_failures = 0;
 	pl_timer_cancel(reader->timers, &reader->confirm_timer);
 	pl_event(PL_EVENT_ROSTER_CONFIRMED, "generation %" G_GUINT64_FORMAT,
 		 generation);
@@ -117,7 +133,7 @@
 	    reply->position.generation == reader->seen)
 		confirm_(reader, reader->seen);
 	else
-		schedule_confirmation_(reader, now_(reader) + CONFIRM_RETRY_MS);
+		retry_confirmation_(reader);
 }
 
 static void write_confirmation_(pl_roster_reader_t *reader,
@@ -145,7 +161,7 @@
 		return;
 	due = reader->seen_at + reader->ops->registration_ms(reader->ctx);
 	if (reply->result != PL_OK && reply->result != PL_ERR_NOT_FOUND)
-		schedule_confirmation_(reader, now_(reader) + CONFIRM_RETRY_MS);
+		retry_confirmation_(reader);
 	else if (reply->position.generation == reader->seen &&
 		 now_(reader) >= due)
 		write_confirmation_(reader, reply->modify_index);
--- a/test/roster/kv_fake.c
+++ b/test/roster/kv_fake.c
@@ -80,6 +80,7 @@
 	call->expected_index = PL_KV_ANY;
 	call->done = done;
 	call->ctx = ctx;
+	fake_of_(kv)->started++;
 	g_queue_push_tail(fake_of_(kv)->calls, call);
 	return call;
 }
--- a/test/roster/kv_fake.h
+++ b/test/roster/kv_fake.h
@@ -17,6 +17,7 @@
 	uint64_t copied_index;
 	uint64_t generation;
 	guint page; /* most items in a reply to a list; 0: no limit */
+	unsigned int started; /* number of calls */
 	bool down; /* calls fail and do nothing */
 	GQueue *calls; /* started, not ended */
 } kv_fake_t;
--- a/test/roster/roster_reader_test.c
+++ b/test/roster/roster_reader_test.c
@@ -225,6 +225,20 @@
 	assert_false(read_(f));
 }
 
+static void outage_causes_few_attempts_to_confirm(void **state)
+{
+	fixture_t *f = *state;
+
+	f->store->down = true;
+	/* another member reports the generation */
+	pl_kv_note_generation(&f->store->kv, 1);
+	run_(f, 60000);
+	assert_in_range(f->store->started, 1, 12);
+	f->store->down = false;
+	run_(f, 10000);
+	assert_true(read_(f));
+}
+
 /* Generation 0: the store states none, so a restore cannot be noticed. */
 static void roster_of_a_store_without_generations_is_used(void **state)
 {
@@ -245,6 +259,7 @@
 		TEST_(restarted_reader_uses_a_confirmed_generation_at_once),
 		TEST_(roster_whose_pages_span_a_restore_is_unknown),
 		TEST_(failed_read_is_unknown),
+		TEST_(outage_causes_few_attempts_to_confirm),
 		TEST_(roster_of_a_store_without_generations_is_used),
 	};
 
