pimentoctl: a document written after a restore of the store comes into force

Operators saw: apply confirmed a revision after a restore, and no daemon put it in force; equal bytes made no new revision although daemons held a later one.

Cause: the next revision was counted from the document in the store. The restore had taken back the last ones, so the number had been given out before.

Change: the stored form names the generation of the store. When the store is in a higher one, the next revision is 1000 above the one in it, more than operators write in the seconds that a copy lacks, and equal bytes are written too.

Test: revision_after_a_restore_exceeds_lost_ones, red before.

--- a/include/pimentolift/envelope.h
+++ b/include/pimentolift/envelope.h
@@ -8,6 +8,7 @@
  * by which a writer recognises its own write. `history` lists the operation
  * identifiers of earlier writes, newest first, so that a writer whose response
  * was lost finds its write even after a later write replaced the value.
+ * `generation` is that of the store (@ref kv) when the document was written.
  * @{
  */
 #ifndef PIMENTOLIFT_ENVELOPE_H
@@ -30,6 +31,7 @@
 /** A document with its metadata, as stored on the platform. */
 typedef struct {
 	uint64_t revision;
+	uint64_t generation; /**< of the store; 0: not known */
 	char operation[PL_OPERATION_TEXT_MAX];
 	char author[PL_AUTHOR_MAX];
 	char hash[PL_SHA256_TEXT_MAX]; /**< SHA-256 of @c text */
--- a/include/pimentolift/publish.h
+++ b/include/pimentolift/publish.h
@@ -25,6 +25,7 @@
 /** Value of the document's key, as read from the store. */
 typedef struct {
 	uint64_t modify_index; /**< 0 when the key is absent or not known */
+	uint64_t generation; /**< of the store that was read; 0: unknown */
 	pl_envelope_t envelope; /**< empty when the key is absent */
 } pl_stored_document_t;
 
--- a/src/config/envelope.c
+++ b/src/config/envelope.c
@@ -64,6 +64,10 @@
 
 	json_object_object_add(root, "revision",
 			       json_object_new_uint64(envelope->revision));
+	if (envelope->generation != 0)
+		json_object_object_add(
+			root, "generation",
+			json_object_new_uint64(envelope->generation));
 	put_string_(root, "operation", envelope->operation,
 		    strlen(envelope->operation));
 	put_string_(root, "author", envelope->author, strlen(envelope->author));
@@ -91,18 +95,27 @@
 	return g_strlcpy(out, json_object_get_string(value), size) < size;
 }
 
-static bool get_revision_(struct json_object *root, uint64_t *revision)
+/* Reads a positive number; false when absent or invalid. */
+static bool get_number_(struct json_object *root, const char *key,
+			uint64_t *number)
 {
 	struct json_object *value = NULL;
 
-	if (!json_object_object_get_ex(root, "revision", &value) ||
+	if (!json_object_object_get_ex(root, key, &value) ||
 	    !json_object_is_type(value, json_type_int) ||
 	    json_object_get_int64(value) < 1)
 		return false;
-	*revision = json_object_get_uint64(value);
+	*number = json_object_get_uint64(value);
 	return true;
 }
 
+/* An absent generation counts as unknown. */
+static bool get_generation_(struct json_object *root, uint64_t *generation)
+{
+	return !json_object_object_get_ex(root, "generation", NULL) ||
+	       get_number_(root, "generation", generation);
+}
+
 static bool get_document_(struct json_object *root, pl_envelope_t *envelope)
 {
 	struct json_object *value = NULL;
@@ -139,7 +152,8 @@
 static bool read_envelope_(struct json_object *root, pl_envelope_t *envelope)
 {
 	return root && json_object_is_type(root, json_type_object) &&
-	       get_revision_(root, &envelope->revision) &&
+	       get_number_(root, "revision", &envelope->revision) &&
+	       get_generation_(root, &envelope->generation) &&
 	       get_string_(root, "operation", envelope->operation,
 			   sizeof(envelope->operation)) &&
 	       get_string_(root, "author", envelope->author,
--- a/src/kv/publish.c
+++ b/src/kv/publish.c
@@ -11,6 +11,12 @@
 
 /** Delay between two attempts to write. */
 #define RETRY_DELAY_MS 200
+/**
+ * Added to the revision of the first document after a restore of the store:
+ * more than the revisions that were lost with the last seconds. Members ignore
+ * a document whose revision is not above the one in force.
+ */
+#define RESTORED_REVISION_GAP 1000
 /** Longest wait in one call of pl_kv_wait(). */
 #define WAIT_MS 100
 
@@ -50,6 +56,8 @@
 	call->done = true;
 	call->result = reply->result;
 	call->message = g_strdup(reply->message);
+	if (call->stored)
+		call->stored->generation = reply->position.generation;
 	if (reply->result != PL_OK || !call->stored)
 		return;
 	call->stored->modify_index = reply->modify_index;
@@ -86,16 +94,19 @@
 	char *key = document_key_(environment);
 	pending_call_t call = { .stored = stored };
 	pl_result_t result;
+	uint64_t generation;
 
 	memset(stored, 0, sizeof(*stored));
 	pl_kv_get(platform, key, on_done_, &call);
 	result = wait_for_call_(platform, &call, err);
+	generation = stored->generation;
 	g_free(key);
 	if (result == PL_ERR_NOT_FOUND)
 		pl_error_set(err, result, "the environment %s has no document",
 			     environment);
 	if (result != PL_OK)
 		pl_stored_document_finish(stored);
+	stored->generation = generation;
 	return result;
 }
 
@@ -214,12 +225,20 @@
 	return unresolved_error_(write);
 }
 
+/* Whether the store was restored since the document in it was written, so that
+ * later documents may be lost. */
+static bool is_restored_(const pl_stored_document_t *stored)
+{
+	return stored->envelope.generation != 0 &&
+	       stored->envelope.generation < stored->generation;
+}
+
 static bool is_stored_already_(const pl_stored_document_t *stored,
 			       const pl_publish_params_t *publish)
 {
 	char hash[PL_SHA256_TEXT_MAX];
 
-	if (stored->modify_index == 0 ||
+	if (stored->modify_index == 0 || is_restored_(stored) ||
 	    stored->envelope.revision <= publish->above)
 		return false;
 	pl_envelope_hash(publish->text, publish->text_len, hash);
@@ -235,6 +254,9 @@
 	pl_envelope_init(&write->next,
 			 base->modify_index > 0 ? &base->envelope : NULL,
 			 publish->author, publish->text, publish->text_len);
+	write->next.generation = base->generation;
+	if (is_restored_(base))
+		write->next.revision += RESTORED_REVISION_GAP;
 	if (write->next.revision <= publish->above)
 		write->next.revision = publish->above + 1;
 	write->key = document_key_(publish->environment);
--- a/test/kv/publish_test.c
+++ b/test/kv/publish_test.c
@@ -264,6 +264,27 @@
 	assert_int_equal(f->stored.envelope.revision, written);
 }
 
+/* Members keep the highest revision in force. A document written after a restore
+ * of the store got the revision of a lost one, and no member put it in force. */
+static void revision_after_a_restore_exceeds_lost_ones(void **state)
+{
+	fixture_t *f = *state;
+	uint64_t lost;
+
+	assert_int_equal(apply_document_(f, "one", 0), PL_OK);
+	assert_true(pl_store_command(f->store, "copy"));
+	assert_int_equal(apply_document_(f, "two", 1), PL_OK);
+	assert_int_equal(apply_document_(f, "three", 2), PL_OK);
+	lost = f->stored.envelope.revision;
+	assert_true(pl_store_command(f->store, "restore"));
+	/* also the document that the store has: members hold a later one */
+	assert_int_equal(apply_document_(f, "one", 1), PL_OK);
+	assert_true(f->stored.envelope.revision > lost);
+	lost = f->stored.envelope.revision;
+	assert_int_equal(apply_document_(f, "four", lost), PL_OK);
+	assert_int_equal(f->stored.envelope.revision, lost + 1);
+}
+
 static void revision_exceeds_the_given_minimum(void **state)
 {
 	fixture_t *f = *state;
@@ -352,6 +373,7 @@
 		TEST_(outage_is_reported_as_unavailable_or_timeout),
 		TEST_(outage_after_the_write_is_an_unknown_outcome),
 		TEST_(concurrent_operators_lose_no_revision),
+		TEST_(revision_after_a_restore_exceeds_lost_ones),
 		TEST_(revision_exceeds_the_given_minimum),
 		TEST_(seeds_are_rewritten_only_when_most_are_stale),
 	};
