soak: the store goes back to a copy; the roster is checked at the end

The fault store-back takes the store away and returns it from its last copy, whose first one is older than the agents' registrations; the operators' text is written again. After the faults every agent whose server serves must be in the roster.

--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -269,16 +269,6 @@
 	soak->world->false_resets = 0;
 }
 
-static void restore_when_due_(soak_t *soak)
-{
-	if (soak->store_restore_at != 0 &&
-	    soak->world->now >= soak->store_restore_at) {
-		pl_store_command(soak->store, "up");
-		soak->store_restore_at = 0;
-	}
-	soak_step_servers(soak);
-}
-
 static void run_for_(soak_t *soak, pl_ms_t ms, bool faults, int calls_per_s)
 {
 	pl_ms_t start = monotonic_ms_() - (soak->world->now - 1000);
@@ -289,7 +279,8 @@
 
 	while (soak->world->now < until) {
 		step_(soak, start);
-		restore_when_due_(soak);
+		soak_step_store(soak);
+		soak_step_servers(soak);
 		for (; calls_per_s > 0 && soak->world->now >= next_call;
 		     next_call += (pl_ms_t)(1000 / calls_per_s))
 			start_request_(soak);
@@ -313,9 +304,9 @@
 	pl_ms_t from;
 	size_t failed;
 
-	pl_store_command(soak->store, "up");
-	soak->store_restore_at = 0;
+	soak->store_up_at = soak->world->now;
 	run_for_(soak, RECOVERY_MS, false, 0);
+	soak_check_roster(soak);
 	from = soak->world->now;
 	run_for_(soak, 3000, false, 40);
 	run_for_(soak, 3500, false, 0);
--- a/test/soak/flow_soak.h
+++ b/test/soak/flow_soak.h
@@ -54,7 +54,8 @@
 	GHashTable *started_requests; /* caller address, port and sequence */
 	GRand *random;
 	CURLM *multi;
-	pl_ms_t store_restore_at; /* 0: the store has no fault */
+	pl_ms_t store_up_at; /* 0: the store has no fault */
+	bool store_goes_back; /* it comes back from its last copy */
 	unsigned int breaches;
 	unsigned int faults;
 	const char *last_fault;
@@ -77,6 +78,13 @@
 
 bool soak_node_start(soak_t *soak, soak_node_t *node);
 
+/** Writes the operators' configuration to the store. */
+bool soak_store_config(soak_t *soak);
+/** Ends the fault of the store when due. */
+void soak_step_store(soak_t *soak);
+/** Reports each agent whose server serves and that the roster lacks. */
+void soak_check_roster(soak_t *soak);
+
 /** Restarts and resumes processes when due, and finds those that ended. */
 void soak_step_nodes(soak_t *soak);
 
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -5,6 +5,7 @@
 #include "flow_soak.h"
 
 #include <glib/gstdio.h>
+#include <pimentolift/registration.h>
 #include <platform/platform.h>
 #include <signal.h>
 #include <stdio.h>
@@ -92,7 +93,7 @@
 }
 
 /* Stores the operators' configuration, which has one route. */
-static bool store_config_(soak_t *soak)
+bool soak_store_config(soak_t *soak)
 {
 	static const char text[] =
 		"{\"version\":1,\"routes\":[{\"name\":\"r\","
@@ -122,8 +123,9 @@
 	soak->multi = curl_multi_init();
 	soak->dir = g_dir_make_tmp("flow-soak-XXXXXX", NULL);
 	soak->store = pl_store_new(0);
-	if (!soak->store || !store_config_(soak))
+	if (!soak->store || !soak_store_config(soak))
 		return false;
+	pl_store_command(soak->store, "copy");
 	for (int i = 0; i < soak->entries; i++) {
 		if (!add_node_(soak, i, true, i))
 			return false;
@@ -430,9 +432,52 @@
 	pl_store_command(soak->store,
 			 commands[g_rand_int_range(soak->random, 0,
 						   G_N_ELEMENTS(commands))]);
-	soak->store_restore_at =
-		soak->world->now +
-		(pl_ms_t)g_rand_int_range(soak->random, 500, 4000);
+	soak->store_up_at = soak->world->now +
+			    (pl_ms_t)g_rand_int_range(soak->random, 500, 4000);
+}
+
+/* The store goes away and comes back from its last copy. The first copy is older
+ * than the registrations of all agents. */
+static void restore_store_(soak_t *soak)
+{
+	if (g_rand_int_range(soak->random, 0, 3) == 0)
+		pl_store_command(soak->store, "copy");
+	pl_store_command(soak->store, "down");
+	soak->store_goes_back = true;
+	soak->store_up_at = soak->world->now +
+			    (pl_ms_t)g_rand_int_range(soak->random, 50, 2000);
+}
+
+void soak_step_store(soak_t *soak)
+{
+	if (soak->store_up_at == 0 || soak->world->now < soak->store_up_at)
+		return;
+	soak->store_up_at = 0;
+	if (soak->store_goes_back)
+		pl_store_command(soak->store, "restore");
+	pl_store_command(soak->store, "up");
+	/* the operators write again what the store lost */
+	if (soak->store_goes_back)
+		soak_store_config(soak);
+	soak->store_goes_back = false;
+}
+
+void soak_check_roster(soak_t *soak)
+{
+	for (int i = 0; i < soak->agents; i++) {
+		const pl_addr_t inner = { .family = PL_ADDR_IPV4,
+					  .ip = { 127, 0, 2, (uint8_t)(i + 1) },
+					  .port = (uint16_t)(soak->port + 3) };
+		char *key = pl_roster_key("soak", pl_service_id(WORLD_SERVICE),
+					  pl_member_id_from_addr(&inner));
+
+		if (soak->server_restart_at[i] == 0 &&
+		    !soak->world->servers[i].draining &&
+		    !pl_store_has(soak->store, key))
+			soak_report_breach(soak, "the roster lacks agent %d",
+					   i);
+		g_free(key);
+	}
 }
 
 static bool is_allowed_(const soak_t *soak, const char *name)
@@ -457,6 +502,7 @@
 		{ "server", drain_or_crash_server_ },
 		{ "server", drain_or_crash_server_ },
 		{ "store", fail_store_ },
+		{ "store-back", restore_store_ },
 		{ "kill-all", kill_all_nodes_ },
 	};
 	size_t allowed[G_N_ELEMENTS(faults)];
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -746,6 +746,16 @@
 	return known;
 }
 
+bool pl_store_has(pl_store_t *store, const char *key)
+{
+	bool found;
+
+	g_mutex_lock(&store->lock);
+	found = g_hash_table_contains(store->items, key);
+	g_mutex_unlock(&store->lock);
+	return found;
+}
+
 void pl_store_stats(pl_store_t *store, pl_store_stats_t *stats)
 {
 	g_mutex_lock(&store->lock);
--- a/test/standin/store/store.h
+++ b/test/standin/store/store.h
@@ -44,6 +44,9 @@
  */
 bool pl_store_command(pl_store_t *store, const char *command);
 
+/** Whether the store has a value for @p key. */
+bool pl_store_has(pl_store_t *store, const char *key);
+
 void pl_store_stats(pl_store_t *store, pl_store_stats_t *stats);
 
 #endif
