flow: a lookup that waits for one late answer ends with it

Callers saw: dead flows reset late when an agent was silent for 0.7 s while others, unsure of the flow, were lost (10 of 40 not reset 1.5 s after the lookups began).

Traced to its end: the late agent is queried at 0, 205, 605 and 1,405 ms and answers the last one. Until then two probes are open, which is the limit while an agent is silent. After the answer the lookup probed the remaining unsure agents, although membership had declared them dead (100 ms); with that mended, the answer itself was not looked at before the next check, up to 400 ms later, because the queries to the dead agents are never answered.

Ruled out: the roster (fresh), membership (deaths known at 700 ms), the two queries that each dead agent is given (done at 800 ms).

Change: an unsure agent that was declared dead is not probed, and an answer to a lookup that has asked everybody is looked at when it comes.

--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -130,7 +130,8 @@
 				entry, lookup, query->agent);
 		} else if (query->verdict == PL_FLOW_UNSURE) {
 			pending.unsure++;
-			if (!pending.to_probe && !query->probed)
+			if (!pending.to_probe && !query->probed &&
+			    !pl_flow_liveness_is_dead_(entry, query->agent))
 				pending.to_probe = query;
 		}
 	}
@@ -376,8 +377,9 @@
 	query->requery = false;
 	query->answered_at = pl_flow_entry_now_(entry);
 	query->verdict = verdict;
-	/* agents that do not answer are handled by the timer */
-	if (lookup->unanswered == 0 || query->probed)
+	/* Agents that do not answer are handled by the timer. An exhausted
+	 * lookup waits for this answer alone if the others are dead. */
+	if (lookup->unanswered == 0 || query->probed || lookup->exhausted)
 		advance_lookup_(entry, lookup);
 }
 
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -560,10 +560,10 @@
 	/* one agent is silent for a while, so that few servers are probed */
 	world->agents[11].up = false;
 	send_next_requests_(world, calls, CALLERS);
-	world->agents[11].up = true;
 	world_run(world, 300);
 	for (int i = 0; i < 5; i++)
 		lose_machine_(world, i);
+	world->agents[11].up = true;
 	world_run(world, 1200);
 	assert_int_equal(count_unserved_(calls, CALLERS, &reset), 0);
 	assert_int_equal(reset, CALLERS);
