pimentoctl: a write across a restore of the store replaces no other document

The store was restored between the write, whose answer was lost, and the read that settles its outcome; the other document had the index of the one that was read first, so the write was sent again over it.

Cause: an index compared without the generation that it belongs to.

Change: read-back compares both. A restore between read and write cannot be excluded by the condition of the write; its answer shows it, and apply reports an unknown outcome.

Tests: write_across_a_restore_replaces_no_other_document, write_after_a_restore_reports_what_it_replaced, both red before. The store in memory moves to test/kv/.

--- a/src/kv/publish.c
+++ b/src/kv/publish.c
@@ -24,6 +24,7 @@
 typedef struct {
 	bool done;
 	pl_result_t result;
+	uint64_t generation; /* of the store that answered */
 	char *message;
 	/* destination of a read, NULL for a write */
 	pl_stored_document_t *stored;
@@ -36,6 +37,8 @@
 	char *key;
 	char *value;
 	uint64_t expected_index;
+	uint64_t generation; /* of the store that has the expected index */
+	uint64_t written_generation;
 	pl_envelope_t next;
 	gint64 deadline_us;
 	bool maybe_written; /* an attempt had an unknown outcome */
@@ -55,9 +58,10 @@
 
 	call->done = true;
 	call->result = reply->result;
+	call->generation = reply->position.generation;
 	call->message = g_strdup(reply->message);
 	if (call->stored)
-		call->stored->generation = reply->position.generation;
+		call->stored->generation = call->generation;
 	if (reply->result != PL_OK || !call->stored)
 		return;
 	call->stored->modify_index = reply->modify_index;
@@ -120,7 +124,9 @@
 				    .value_len = strlen(write->value),
 				    .expected_index = write->expected_index },
 		  on_done_, &call);
-	return wait_for_call_(write->platform, &call, write->err);
+	wait_for_call_(write->platform, &call, write->err);
+	write->written_generation = call.generation;
+	return call.result;
 }
 
 static bool before_deadline_(const write_t *write)
@@ -144,6 +150,16 @@
 			    write->publish->environment);
 }
 
+static pl_result_t restored_error_(const write_t *write)
+{
+	return pl_error_set(write->err, PL_ERR_UNKNOWN_OUTCOME,
+			    "the platform was restored from an older copy "
+			    "while operation %s was written as revision "
+			    "%" G_GUINT64_FORMAT "; it may have replaced "
+			    "another document",
+			    write->next.operation, write->next.revision);
+}
+
 static pl_result_t unresolved_error_(const write_t *write)
 {
 	if (!write->maybe_written)
@@ -181,7 +197,9 @@
 	if (pl_envelope_includes(&write->stored->envelope,
 				 write->next.operation))
 		return READBACK_WRITTEN;
-	return write->stored->modify_index == write->expected_index ?
+	/* after a restore another document may have the expected index */
+	return write->stored->modify_index == write->expected_index &&
+			       write->stored->generation == write->generation ?
 		       READBACK_UNCHANGED :
 		       READBACK_CONFLICT;
 }
@@ -192,6 +210,11 @@
 	readback_t readback;
 
 	*result = put_value_(write);
+	if (*result == PL_OK &&
+	    write->written_generation != write->generation) {
+		*result = restored_error_(write);
+		return true;
+	}
 	if (*result == PL_OK || *result == PL_ERR_LIMIT)
 		return true;
 	if (*result == PL_ERR_UNAVAILABLE && !write->maybe_written)
@@ -262,6 +285,7 @@
 	write->key = document_key_(publish->environment);
 	write->value = pl_envelope_encode(&write->next);
 	write->expected_index = base->modify_index;
+	write->generation = base->generation;
 	write->deadline_us = g_get_monotonic_time() + (gint64)timeout_ms * 1000;
 }
 
--- a/test/roster/kv_fake.c
+++ b/test/kv/kv_fake.c
@@ -186,6 +186,10 @@
 	reply.result = pl_kv_result_in_generation(
 		&fake->kv, reply.result, reply.position.generation,
 		call->type == CALL_PUT || call->type == CALL_REMOVE);
+	if (call->type == CALL_PUT && fake->lose_answers > 0) {
+		fake->lose_answers--;
+		reply.result = PL_ERR_UNKNOWN_OUTCOME;
+	}
 	if (call->type == CALL_GET && item) {
 		reply.value = item->value;
 		reply.value_len = strlen(item->value);
@@ -215,12 +219,23 @@
 	g_queue_free(due);
 }
 
+static void wait_(pl_kv_t *kv, uint32_t wait_ms)
+{
+	kv_fake_t *fake = fake_of_(kv);
+
+	(void)wait_ms;
+	if (fake->before_wait)
+		fake->before_wait(fake->wait_ctx);
+	poll_(kv);
+}
+
 static const pl_kv_ops_t ops_ = {
 	.get = get_,
 	.put = put_,
 	.remove = remove_,
 	.list = list_,
 	.poll = poll_,
+	.wait = wait_,
 };
 
 kv_fake_t *kv_fake_new(void)
@@ -248,9 +263,9 @@
 	return find_(fake, key) != NULL;
 }
 
-void kv_fake_put(kv_fake_t *fake, const char *key)
+void kv_fake_put(kv_fake_t *fake, const char *key, const char *value)
 {
-	items_put_(fake->items, key, "", ++fake->index);
+	items_put_(fake->items, key, value, ++fake->index);
 }
 
 void kv_fake_write_others(kv_fake_t *fake, uint64_t count)
--- a/test/roster/kv_fake.h
+++ b/test/kv/kv_fake.h
@@ -18,6 +18,9 @@
 	uint64_t generation;
 	guint page; /* most items in a reply to a list; 0: no limit */
 	unsigned int started; /* number of calls */
+	unsigned int lose_answers; /* writes that take effect without answer */
+	void (*before_wait)(void *ctx); /* called by pl_kv_wait(), or NULL */
+	void *wait_ctx;
 	bool down; /* calls fail and do nothing */
 	GQueue *calls; /* started, not ended */
 } kv_fake_t;
@@ -28,7 +31,7 @@
 bool kv_fake_has(const kv_fake_t *fake, const char *key);
 
 /** Writes @p key at once. */
-void kv_fake_put(kv_fake_t *fake, const char *key);
+void kv_fake_put(kv_fake_t *fake, const char *key, const char *value);
 
 /** Writes another key @p count times. */
 void kv_fake_write_others(kv_fake_t *fake, uint64_t count);
--- a/test/kv/publish_test.c
+++ b/test/kv/publish_test.c
@@ -8,6 +8,7 @@
 #include <pimentolift/publish.h>
 #include <platform/platform.h>
 #include <pimentolift/seeds.h>
+#include <kv_fake.h>
 #include <store.h>
 #include <string.h>
 
@@ -285,6 +286,89 @@
 	assert_int_equal(f->stored.envelope.revision, lost + 1);
 }
 
+/* A restore of the store and the write of another operator, between two calls of
+ * pl_publish_apply(). */
+typedef struct {
+	kv_fake_t *store;
+	unsigned int calls;
+	unsigned int before_call;
+	char *other;
+} interruption_t;
+
+static void restore_before_call_(void *ctx)
+{
+	interruption_t *interruption = ctx;
+
+	if (++interruption->calls != interruption->before_call)
+		return;
+	kv_fake_restore(interruption->store);
+	kv_fake_put(interruption->store, "pimentolift/trial/document",
+		    interruption->other);
+}
+
+static char *encode_document_(const char *text)
+{
+	pl_envelope_t envelope;
+	char *value;
+
+	pl_envelope_init(&envelope, NULL, "other", text, strlen(text));
+	value = pl_envelope_encode(&envelope);
+	pl_envelope_finish(&envelope);
+	return value;
+}
+
+/* Writes a document while the store is restored before the call @p before_call;
+ * the answers to @p lost writes are lost. */
+static pl_result_t apply_across_a_restore_(unsigned int before_call,
+					   unsigned int lost)
+{
+	kv_fake_t *store = kv_fake_new();
+	interruption_t interruption = { .store = store,
+					.before_call = before_call,
+					.other = encode_document_("other") };
+	const pl_publish_params_t publish = {
+		.environment = "trial",
+		.author = "test",
+		.text = "two",
+		.text_len = 3,
+		.expect = PL_PUBLISH_ANY_REVISION,
+	};
+	char *first = encode_document_("one");
+	pl_stored_document_t stored;
+	pl_error_t err = PL_ERROR_INIT;
+	pl_result_t result;
+
+	kv_fake_copy(store);
+	kv_fake_put(store, "pimentolift/trial/document", first);
+	store->lose_answers = lost;
+	store->before_wait = restore_before_call_;
+	store->wait_ctx = &interruption;
+	result = pl_publish_apply(&store->kv, &publish, &stored, &err);
+	assert_true(interruption.calls >= before_call);
+	pl_stored_document_finish(&stored);
+	g_free(first);
+	g_free(interruption.other);
+	kv_fake_delete(store);
+	return result;
+}
+
+/* After the restore the document of another operator has the index of the one
+ * that was read. A write whose answer was lost was sent again over it. */
+static void write_across_a_restore_replaces_no_other_document(void **state)
+{
+	(void)state;
+	/* the calls: read, write, read back */
+	assert_int_equal(apply_across_a_restore_(3, 1), PL_ERR_CONFLICT);
+}
+
+/* The restore between read and write cannot be excluded by the condition of the
+ * write; the operator is told. */
+static void write_after_a_restore_reports_what_it_replaced(void **state)
+{
+	(void)state;
+	assert_int_equal(apply_across_a_restore_(2, 0), PL_ERR_UNKNOWN_OUTCOME);
+}
+
 static void revision_exceeds_the_given_minimum(void **state)
 {
 	fixture_t *f = *state;
@@ -374,6 +458,8 @@
 		TEST_(outage_after_the_write_is_an_unknown_outcome),
 		TEST_(concurrent_operators_lose_no_revision),
 		TEST_(revision_after_a_restore_exceeds_lost_ones),
+		TEST_(write_across_a_restore_replaces_no_other_document),
+		TEST_(write_after_a_restore_reports_what_it_replaced),
 		TEST_(revision_exceeds_the_given_minimum),
 		TEST_(seeds_are_rewritten_only_when_most_are_stale),
 	};
--- a/test/roster/registration_test.c
+++ b/test/roster/registration_test.c
@@ -1,4 +1,4 @@
-#include "kv_fake.h"
+#include <kv_fake.h>
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/test/roster/roster_reader_test.c
+++ b/test/roster/roster_reader_test.c
@@ -1,4 +1,4 @@
-#include "kv_fake.h"
+#include <kv_fake.h>
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -118,7 +118,7 @@
 {
 	char *key = pl_roster_key("trial", SERVICE, agent);
 
-	kv_fake_put(f->store, key);
+	kv_fake_put(f->store, key, "");
 	g_free(key);
 }
 
