--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -318,7 +318,7 @@
 {
 	const char *prefix = get_text_argument_(connection, "prefix");
 	uint64_t after = get_number_argument_(connection, "after", 0);
-	uint64_t era = store->era;
+	uint64_t era;
 	gint64 deadline =
 		g_get_monotonic_time() +
 		(gint64)get_number_argument_(connection, "wait_ms", 0) * 1000;
