--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -337,6 +337,44 @@
 	assert_int_equal(watch.result, PL_ERR_UNAVAILABLE);
 }
 
+static void restore_ends_a_waiting_watch(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t read = { 0 };
+	outcome_t watch = { 0 };
+	pl_store_stats_t stats = { 0 };
+
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	assert_true(pl_store_command(f->server, "copy"));
+	assert_int_equal(get_value_(f, &read), PL_OK);
+	pl_kv_watch(f->client, KEY, read.position, PL_KV_WAIT_MS, on_done_,
+		    &watch);
+	while (stats.watches_waiting == 0) {
+		pl_kv_wait(f->client, 10);
+		pl_store_stats(f->server, &stats);
+	}
+	assert_true(pl_store_command(f->server, "restore"));
+	wait_for_calls_(f);
+	assert_int_equal(watch.result, PL_ERR_UNAVAILABLE);
+	g_free(read.value);
+	g_free(watch.value);
+}
+
+/* The store answers 410 to a watch after an index that it does not have. */
+static void watch_ahead_of_the_store_reads_the_value(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t watch = { 0 };
+
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	pl_kv_watch(f->client, KEY, (pl_kv_position_t){ 1, 99 }, PL_KV_WAIT_MS,
+		    on_done_, &watch);
+	wait_for_calls_(f);
+	assert_int_equal(watch.result, PL_OK);
+	assert_memory_equal(watch.value, "one", 3);
+	g_free(watch.value);
+}
+
 /* The store does not notify a waiting watch of a change; the watch finds the
  * change when its wait ends. */
 static void watch_without_notification_finds_the_change_at_its_end(void **state)
@@ -434,6 +472,8 @@
 		TEST_(lost_answer_is_an_unknown_outcome),
 		TEST_(outage_results_are_distinct_and_calls_recover),
 		TEST_(outage_ends_a_watch),
+		TEST_(restore_ends_a_waiting_watch),
+		TEST_(watch_ahead_of_the_store_reads_the_value),
 		TEST_(watch_without_notification_finds_the_change_at_its_end),
 		TEST_(list_comes_in_pages),
 	};
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -313,12 +313,32 @@
 	return result;
 }
 
+/*
+ * Waits until an item under @p prefix changes after revision @p after, or until
+ * @p deadline. False if the store has no answer: it is down, or it was restored
+ * while the watch was waiting. The lock is held.
+ */
+static bool wait_for_change_(pl_store_t *store, GString *items,
+			     const char *prefix, uint64_t after,
+			     gint64 deadline)
+{
+	uint64_t era = store->era;
+
+	store->stats.watches_waiting++;
+	while (!store->down && store->era == era &&
+	       (store->ignore_watches ||
+		append_items_(store, items, prefix, after) == 0) &&
+	       g_cond_wait_until(&store->changed, &store->lock, deadline))
+		;
+	store->stats.watches_waiting--;
+	return store->era == era && delay_response_(store);
+}
+
 static enum MHD_Result handle_watch_(pl_store_t *store,
 				     struct MHD_Connection *connection)
 {
 	const char *prefix = get_text_argument_(connection, "prefix");
 	uint64_t after = get_number_argument_(connection, "after", 0);
-	uint64_t era;
 	gint64 deadline =
 		g_get_monotonic_time() +
 		(gint64)get_number_argument_(connection, "wait_ms", 0) * 1000;
@@ -326,22 +346,10 @@
 	enum MHD_Result result = MHD_NO;
 
 	g_mutex_lock(&store->lock);
-	era = store->era;
 	store->stats.watches++;
-	if (!store->down && after > store->index) {
+	if (!store->down && after > store->index)
 		result = respond_(store, connection, MHD_HTTP_GONE, "{}");
-		g_mutex_unlock(&store->lock);
-		g_string_free(items, TRUE);
-		return result;
-	}
-	store->stats.watches_waiting++;
-	while (!store->down && store->era == era &&
-	       (store->ignore_watches ||
-		append_items_(store, items, prefix, after) == 0) &&
-	       g_cond_wait_until(&store->changed, &store->lock, deadline))
-		;
-	store->stats.watches_waiting--;
-	if (store->era == era && delay_response_(store))
+	else if (wait_for_change_(store, items, prefix, after, deadline))
 		result = respond_items_(store, connection, "events", items,
 					false);
 	g_mutex_unlock(&store->lock);
