roster: no confirmation is read from a store that states no generation

Cause: a store without generations is never confirmed, so each read of a roster was preceded by a read of the confirmation.

Ruled out: reads after failed watches (no watch failed there).

Change: an answer without a generation is remembered. Test: roster_of_a_store_without_generations_is_used counts the calls, red before.

--- a/src/roster/roster_reader.c
+++ b/src/roster/roster_reader.c
@@ -28,6 +28,7 @@
 	uint64_t seen; /* generation last seen */
 	pl_ms_t seen_at;
 	unsigned int confirm_failures;
+	bool no_generations; /* the store states none */
 	bool confirming; /* a call for the confirmation is in progress */
 	pl_timer_t confirm_timer;
 };
@@ -272,8 +273,9 @@
 	bool answered =
 		reply->result == PL_OK || reply->result == PL_ERR_NOT_FOUND;
 
+	read->reader->no_generations = answered && generation == 0;
 	if (read_confirmation_(read->reader, reply) ||
-	    (answered && generation == 0)) {
+	    read->reader->no_generations) {
 		request_page_(read, NULL);
 		return;
 	}
@@ -282,6 +284,14 @@
 	finish_read_(read, false);
 }
 
+/* Whether a page that is read now belongs to a complete roster, unless the store
+ * is restored before. */
+static bool is_confirmed_(const pl_roster_reader_t *reader)
+{
+	return reader->confirmed == pl_kv_generation(reader->kv) &&
+	       (reader->confirmed != 0 || reader->no_generations);
+}
+
 void pl_roster_reader_read(pl_roster_reader_t *reader, pl_service_id_t service)
 {
 	roster_read_t *read = g_new0(roster_read_t, 1);
@@ -289,8 +299,7 @@
 	read->reader = reader;
 	read->service = service;
 	read->agents = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
-	if (reader->confirmed != 0 &&
-	    reader->confirmed == pl_kv_generation(reader->kv))
+	if (is_confirmed_(reader))
 		request_page_(read, NULL);
 	else
 		pl_kv_get(reader->kv, reader->confirmation_key,
--- a/test/roster/roster_reader_test.c
+++ b/test/roster/roster_reader_test.c
@@ -244,10 +244,21 @@
 {
 	fixture_t *f = *state;
 
+	unsigned int calls;
+
 	f->store->generation = 0;
 	register_agent_(f, AGENT_A);
 	assert_true(read_(f));
 	assert_int_equal(f->count, 1);
+	/* no further call for a confirmation */
+	calls = f->store->started;
+	assert_true(read_(f));
+	assert_int_equal(f->store->started, calls + 1);
+	/* the store is upgraded */
+	f->store->generation = 1;
+	assert_false(read_(f));
+	run_(f, CONFIRMED_MS);
+	assert_true(read_(f));
 }
 
 int main(void)
