--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -55,7 +55,7 @@
 #define RESENDS_MAX 8
 #define READY_PROBE_MS 500
 #define CALL_TIMEOUT_MS 1000
-#define SHORT_FLOWS_PER_CLIENT 30000
+#define FLOWS_PER_CLIENT 30000
 #define PORT_FIRST 20000
 #define REQUESTS_MAX 131072
 #define STOP_MS 8000
@@ -103,7 +103,6 @@
 	int resend_ms;
 	char request[160];
 	size_t request_len;
-	bool once; /**< closed after its first answer */
 } flow_t;
 
 typedef enum { HELD_HALF, HELD_OPEN, HELD_ENDED } held_state_t;
@@ -248,11 +247,6 @@
 	return &counts_;
 }
 
-void world_clear_counts(void)
-{
-	memset(&counts_, 0, sizeof(counts_));
-}
-
 /* ---- packets ---- */
 
 static uint32_t get32_(const uint8_t *at)
@@ -446,12 +440,12 @@
 /* Flows have one number, which gives their client and port. */
 static int client_of_(int number)
 {
-	return number / SHORT_FLOWS_PER_CLIENT;
+	return number / FLOWS_PER_CLIENT;
 }
 
 static uint16_t port_of_(int number)
 {
-	return (uint16_t)(PORT_FIRST + number % SHORT_FLOWS_PER_CLIENT);
+	return (uint16_t)(PORT_FIRST + number % FLOWS_PER_CLIENT);
 }
 
 static int flow_number_(uint32_t client_ip, uint16_t port)
@@ -460,7 +454,7 @@
 
 	if (port < PORT_FIRST || client < 0)
 		return -1;
-	return client * SHORT_FLOWS_PER_CLIENT + port - PORT_FIRST;
+	return client * FLOWS_PER_CLIENT + port - PORT_FIRST;
 }
 
 static flow_t *flow_of_packet_(uint32_t client_ip, uint16_t port)
@@ -540,9 +534,8 @@
 			flow->owner = endpoint_of_(endpoint);
 			flow->owner_born = endpoint->born;
 			flow->open_at_owner = world_now_ms();
-			if (!flow->once)
-				world_note("flow %d is open at endpoint %d",
-					   (int)(flow - flows_), flow->owner);
+			world_note("flow %d is open at endpoint %d",
+				   (int)(flow - flows_), flow->owner);
 		}
 	}
 	if (held->answer_len > 0 &&
@@ -710,7 +703,7 @@
 	return NULL;
 }
 
-void world_start_endpoint(int agent)
+static void start_endpoint_(int agent)
 {
 	endpoint_t *endpoint = &endpoints_[agent];
 
@@ -731,21 +724,6 @@
 	atomic_store(&endpoint->up, true);
 }
 
-void world_crash_endpoint(int agent)
-{
-	endpoint_t *endpoint = &endpoints_[agent];
-
-	atomic_store(&endpoint->up, false);
-	close(endpoint->fd);
-	close(endpoint->listener);
-	for (int i = 0; i < 8; i++) {
-		if (endpoint->connections[i] >= 0)
-			close(endpoint->connections[i]);
-		endpoint->connections[i] = -1;
-	}
-	world_note("endpoint %d crashes", agent);
-}
-
 const char *world_endpoint_id(int agent)
 {
 	return endpoints_[agent].id;
@@ -874,11 +852,6 @@
 	return flow_count_++;
 }
 
-void world_open_short_flow(const char *host, uint16_t port)
-{
-	flows_[world_open_flow(host, port, 0)].once = true;
-}
-
 int world_flow_owner(int flow)
 {
 	return flows_[flow].owner;
@@ -969,10 +942,7 @@
 		flow->waiting = false;
 		flow->next_request = world_now_ms() + flow->every_ms;
 	}
-	client_send_(flow, flow->once ? FLAG_ACK | FLAG_FIN : FLAG_ACK,
-		     flow->seq, flow->server_seq, NULL, 0);
-	if (flow->once && !flow->waiting)
-		flow->state = FLOW_ENDED;
+	client_send_(flow, FLAG_ACK, flow->seq, flow->server_seq, NULL, 0);
 }
 
 static void client_on_packet_(const uint8_t *bytes, size_t len)
@@ -1295,7 +1265,7 @@
 {
 	endpoint_t *endpoint = &endpoints_[agent];
 
-	world_start_endpoint(agent);
+	start_endpoint_(agent);
 	pthread_create(&endpoint->beats, NULL, beats_main_, endpoint);
 }
 
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -79,8 +79,6 @@
 /** Opens a flow to the route @p host:@p port. Requests follow, each @p every_ms
  * after the answer to the one before. Returns the number of the flow. */
 int world_open_flow(const char *host, uint16_t port, int every_ms);
-/** Opens a flow for one request; its client closes it after the answer. */
-void world_open_short_flow(const char *host, uint16_t port);
 /** Index of the agent whose endpoint holds the flow, or -1. */
 int world_flow_owner(int flow);
 
@@ -99,16 +97,9 @@
 void world_restart_entry(int entry, int delay_ms);
 void world_restart_agent(int agent, int delay_ms);
 
-/** The endpoint crashes: it discards its flows and closes its sockets. */
-void world_crash_endpoint(int agent);
-/** The endpoint starts again at its address. */
-void world_start_endpoint(int agent);
-
 bool world_trouble(void);
 void world_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 const world_counts_t *world_counts(void);
-/** Clears the counts. */
-void world_clear_counts(void);
 int64_t world_now_ms(void);
 
 #endif
