flow agent: a malformed or foreign report changes nothing

Cause: the parser read a start time that is missing or of another type as 0 and did not read address, data centre and version at all. A start time of 0 passed the check for outdated reports and looked like another process, so the agent reset the flows of a process that it took for ended.

Ruled out: the entries (no flow-dead in their logs) and the listener watch (no refused connection); the agent's own line flows-ended names the reset.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -54,6 +54,8 @@
 	  "all agents denied that they own a flow; the flow was reset")        \
 	X(PL_EVENT_REPORT_MALFORMED, 241, "report-malformed", WARNING,         \
 	  "a report from a backend server could not be parsed")                \
+	X(PL_EVENT_REPORT_FOREIGN, 244, "report-foreign", WARNING,             \
+	  "a report of another backend server was ignored")                    \
 	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,           \
 	  "a caller was told that the outcome of its request is unknown")      \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                  \
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -23,6 +23,8 @@
 typedef struct {
 	pl_member_id_t self;
 	pl_service_id_t service;
+	pl_datacentre_id_t datacentre;
+	pl_addr_t backend; /**< address of the backend server */
 	/** Idle time after which the record of a flow may be deleted. */
 	uint32_t flow_idle_max_ms;
 	uint32_t report_ms; /**< interval of the backend server's reports */
@@ -79,10 +81,20 @@
 /** Handles a packet of the backend server; may modify its bytes. */
 void pl_flow_agent_packet(pl_flow_agent_t *agent, uint8_t *bytes, size_t len);
 
-/** Handles a report of the backend server. Returns false if the report is
- * outdated or of another service. */
-bool pl_flow_agent_report(pl_flow_agent_t *agent,
-			  const pl_backend_report_t *report);
+/** Outcome of a report; only an accepted one changes the agent's state. */
+typedef enum {
+	PL_FLOW_REPORT_ACCEPTED,
+	/** Overtaken by a later report of the same process, or sent by an
+	 * earlier process. */
+	PL_FLOW_REPORT_OUTDATED,
+	/** Describes a backend server that is not this agent's, or one that
+	 * cannot exist. */
+	PL_FLOW_REPORT_FOREIGN,
+} pl_flow_report_result_t;
+
+/** Handles a report of the backend server. */
+pl_flow_report_result_t pl_flow_agent_report(pl_flow_agent_t *agent,
+					     const pl_backend_report_t *report);
 
 /** Reports that a connection to the backend server's address was refused. The
  * agent then treats the server as ended, unless the server is leaving and has
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -8,12 +8,14 @@
 
 #include <pimentolift/event.h>
 #include <pimentolift/flow_agent.h>
+#include <pimentolift/hash.h>
 #include <pimentolift/listener_watch.h>
 #include <platform/platform.h>
 
 #include <microhttpd.h>
 
 #define MS_PER_S 1000
+#define US_PER_MS 1000
 #define STATS_INTERVAL_MS 200
 /** Longest wait of a shutdown for the store to remove the agent's roster entry;
  * readers of the roster remove an entry that is left behind. */
@@ -98,9 +100,22 @@
 	return (pl_http_response_t){ status, pl_http_json, g_strdup("{}") };
 }
 
-static void log_malformed_report_(const char *path)
+static void log_malformed_report_(const char *path, const char *field)
 {
-	pl_event(PL_EVENT_REPORT_MALFORMED, "%s", path);
+	char *text = g_strescape(path, NULL);
+
+	pl_event(PL_EVENT_REPORT_MALFORMED, "%s: invalid %s", text, field);
+	g_free(text);
+}
+
+/* A report overtaken by a newer one is acknowledged, too. */
+static pl_http_response_t handle_report_(flow_agent_role_t *role,
+					 pl_backend_report_t *report)
+{
+	report->received_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
+	if (pl_flow_agent_report(role->core, report) == PL_FLOW_REPORT_FOREIGN)
+		return json_response_(MHD_HTTP_BAD_REQUEST);
+	return json_response_(MHD_HTTP_OK);
 }
 
 static pl_http_response_t on_request_(void *ctx,
@@ -116,15 +131,14 @@
 				  &platform_request);
 	switch (platform_request.type) {
 	case PL_PLATFORM_REQUEST_REPORT:
-		/* a report overtaken by a newer one is acknowledged, too */
-		pl_flow_agent_report(role->core, &platform_request.report);
-		return json_response_(MHD_HTTP_OK);
+		return handle_report_(role, &platform_request.report);
 	case PL_PLATFORM_REQUEST_DEREGISTER:
 		pl_flow_agent_backend_leaving(role->core,
 					      platform_request.report.id);
 		return json_response_(MHD_HTTP_OK);
 	case PL_PLATFORM_REQUEST_MALFORMED:
-		log_malformed_report_(pl_http_path(request));
+		log_malformed_report_(pl_http_path(request),
+				      platform_request.invalid_field);
 		return json_response_(MHD_HTTP_BAD_REQUEST);
 	case PL_PLATFORM_REQUEST_WRONG_METHOD:
 		return json_response_(MHD_HTTP_METHOD_NOT_ALLOWED);
@@ -152,11 +166,14 @@
 }
 
 static pl_flow_agent_t *core_new_(flow_agent_role_t *role, pl_node_t *node,
-				  const pl_settings_flows_t *flows)
+				  const pl_settings_t *settings)
 {
+	const pl_settings_flows_t *flows = &settings->flows;
 	const pl_flow_agent_params_t params = {
 		.self = pl_node_self(node),
 		.service = pl_service_id(flows->service),
+		.datacentre = pl_hash_text(settings->datacentre),
+		.backend = flows->backend,
 		.flow_idle_max_ms = (uint32_t)(flows->flow_max_s * MS_PER_S),
 		.report_ms = flows->report_ms,
 		.packets = &pl_platform_packets,
@@ -182,7 +199,7 @@
 	    pl_flow_thread_listen(&role->thread, &outbound, on_packet_, err) !=
 		    PL_OK)
 		return NULL;
-	role->core = core_new_(role, node, flows);
+	role->core = core_new_(role, node, settings);
 	if (flows->backend_listens)
 		role->listener = pl_listener_watch_new(role->thread.loop,
 						       &flows->backend,
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -7,6 +7,7 @@
 #include <inttypes.h>
 #include <pimentolift/counter.h>
 #include <pimentolift/event.h>
+#include <pimentolift/hash.h>
 #include <string.h>
 
 /** Missed reports in a row after which the server no longer counts as
@@ -19,6 +20,10 @@
 #define REFUSED_VALID_MS 500
 /** Sequence number of the first report of a server process. */
 #define FIRST_SEQUENCE 1
+/** How far the start of a new server process may lie ahead of this machine's
+ * clock. The clocks of a machine's processes agree, but the time of day may be
+ * set back by a while after the process has started. */
+#define START_AHEAD_MAX_MS (24 * 60 * 60 * UINT64_C(1000))
 /** Buffer for a reset packet. */
 #define RESET_BYTES 64
 
@@ -108,7 +113,39 @@
 		return false;
 	if (same_process_(last, report))
 		return report->sequence <= last->sequence;
-	return report->born_ms != 0 && report->born_ms < last->born_ms;
+	return report->born_ms <= last->born_ms;
+}
+
+/* Returns why the report does not describe this agent's backend server, or
+ * NULL. */
+static const char *foreign_reason_(const pl_flow_agent_t *agent,
+				   const pl_backend_report_t *report)
+{
+	const pl_flow_agent_params_t *params = &agent->params;
+
+	if (pl_service_id(report->service) != params->service)
+		return "service";
+	if (!pl_addr_equal(&report->address, &params->backend))
+		return "address";
+	if (pl_hash_text(report->datacentre) != params->datacentre)
+		return "data centre";
+	/* a later process ends the known one, so its start has to be credible */
+	if (!same_process_(&agent->report, report) &&
+	    report->born_ms > report->received_ms + START_AHEAD_MAX_MS)
+		return "start time";
+	return NULL;
+}
+
+static void log_foreign_(const pl_backend_report_t *report, const char *reason)
+{
+	char address[PL_ADDR_TEXT_MAX];
+
+	pl_event(PL_EVENT_REPORT_FOREIGN,
+		 "%s differs: backend server %s at %s of service %s in data "
+		 "centre %s, started at %" PRIu64 ", report %" PRIu64,
+		 reason, report->id, pl_addr_format(&report->address, address),
+		 report->service, report->datacentre, report->born_ms,
+		 report->sequence);
 }
 
 static void set_serving_(pl_flow_agent_t *agent, bool serving)
@@ -127,20 +164,18 @@
 	agent->ops->backend_changed(agent->ctx, serving, agent->report.slots);
 }
 
-bool pl_flow_agent_report(pl_flow_agent_t *agent,
-			  const pl_backend_report_t *report)
+pl_flow_report_result_t pl_flow_agent_report(pl_flow_agent_t *agent,
+					     const pl_backend_report_t *report)
 {
 	bool first = agent->report.id[0] == '\0';
+	const char *foreign = foreign_reason_(agent, report);
 
-	if (is_outdated_(agent, report))
-		return false;
-	if (pl_service_id(report->service) != agent->params.service) {
-		pl_event(PL_EVENT_SERVICE_MISMATCH,
-			 "backend server %s reports service %s, "
-			 "which this agent does not serve",
-			 report->id, report->service);
-		return false;
+	if (foreign) {
+		log_foreign_(report, foreign);
+		return PL_FLOW_REPORT_FOREIGN;
 	}
+	if (is_outdated_(agent, report))
+		return PL_FLOW_REPORT_OUTDATED;
 	if (!first && !same_process_(&agent->report, report)) {
 		reset_all_flows_(agent);
 		agent->flows_complete = true;
@@ -154,7 +189,7 @@
 	agent->report = *report;
 	agent->report_at = pl_flow_agent_now_(agent);
 	set_serving_(agent, !report->draining);
-	return true;
+	return PL_FLOW_REPORT_ACCEPTED;
 }
 
 void pl_flow_agent_backend_leaving(pl_flow_agent_t *agent, const char *id)
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -875,21 +875,62 @@
 static void report_of_an_earlier_process_is_ignored(void **state)
 {
 	world_t *world = world_new(1, 1, 11);
-	pl_backend_report_t report = { .service = WORLD_SERVICE,
-				       .born_ms = 1,
-				       .sequence = 99,
-				       .slots = 3,
-				       .draining = true };
+	pl_backend_report_t report = world_report(world, 0);
 	pl_flow_agent_stats_t stats;
 
 	(void)state;
 	g_strlcpy(report.id, "s-0-old", sizeof(report.id));
-	assert_false(pl_flow_agent_report(world->agents[0].agent, &report));
+	report.born_ms = 1;
+	report.sequence = 99;
+	report.draining = true;
+	assert_int_equal(pl_flow_agent_report(world->agents[0].agent, &report),
+			 PL_FLOW_REPORT_OUTDATED);
 	pl_flow_agent_stats(world->agents[0].agent, &stats);
 	assert_true(stats.serving);
 	world_delete(world);
 }
 
+/* Guards against a report that describes another backend server, or one that
+ * cannot have started yet: the agent took its server for restarted and reset
+ * all flows that the server held. */
+static void foreign_reports_change_nothing(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_with_flows_(1, 1, 38, calls, CALLERS);
+	pl_flow_agent_t *agent = world->agents[0].agent;
+	pl_backend_report_t reports[] = { world_report(world, 0),
+					  world_report(world, 0),
+					  world_report(world, 0),
+					  world_report(world, 0),
+					  world_report(world, 0) };
+	pl_flow_agent_stats_t stats;
+
+	(void)state;
+	g_strlcpy(reports[0].service, "other", PL_NAME_MAX);
+	reports[1].address.port++;
+	g_strlcpy(reports[2].datacentre, "other", PL_NAME_MAX);
+	reports[3].born_ms = UINT64_C(1) << 52;
+	/* two processes cannot have started at the same time */
+	reports[4].born_ms = world->servers[0].born_ms;
+	for (size_t i = 0; i < G_N_ELEMENTS(reports); i++) {
+		g_strlcpy(reports[i].id, "s-other", PL_NAME_MAX);
+		if (i < 3)
+			reports[i].born_ms = world->now;
+		reports[i].draining = true;
+		assert_int_not_equal(pl_flow_agent_report(agent, &reports[i]),
+				     PL_FLOW_REPORT_ACCEPTED);
+	}
+	pl_flow_agent_stats(agent, &stats);
+	assert_int_equal(stats.resets, 0);
+	assert_int_equal(stats.flows, CALLERS);
+	assert_true(stats.serving);
+	send_next_requests_(world, calls, CALLERS);
+	world_run(world, 500);
+	assert_int_equal(world_served(world, 0), 2 * CALLERS);
+	assert_int_equal(world->false_resets, 0);
+	world_delete(world);
+}
+
 static void packet_of_another_service_is_not_delivered(void **state)
 {
 	world_t *world = world_new(1, 1, 12);
@@ -1047,6 +1088,7 @@
 		cmocka_unit_test(
 			draining_server_keeps_its_flows_and_gets_no_new_ones),
 		cmocka_unit_test(report_of_an_earlier_process_is_ignored),
+		cmocka_unit_test(foreign_reports_change_nothing),
 		cmocka_unit_test(packet_of_another_service_is_not_delivered),
 		cmocka_unit_test(
 			retransmitted_opening_packet_goes_to_another_server),
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -16,6 +16,8 @@
 #define ATTEMPTS_MAX 3
 /* Membership declares an agent that never answered dead after this time. */
 #define PROBE_TIMEOUT_MS 1500
+#define LOOPBACK_NET 127
+#define SERVER_PORT_FIRST 9000
 
 /* Headers of UDP and IPv4. */
 #define UDP_HEADER_BYTES 28
@@ -304,21 +306,44 @@
 	pl_flow_agent_backend_down(world->agents[index].agent);
 }
 
-static void send_report_(server_t *server)
+pl_addr_t world_server_address(int index)
+{
+	pl_addr_t addr = { .family = PL_ADDR_IPV4,
+			   .port = (uint16_t)(SERVER_PORT_FIRST + index) };
+
+	addr.ip[0] = LOOPBACK_NET;
+	addr.ip[3] = 1;
+	return addr;
+}
+
+pl_backend_report_t world_report(const world_t *world, int index)
 {
+	const server_t *server = &world->servers[index];
 	pl_backend_report_t report = {
 		.service = WORLD_SERVICE,
+		.datacentre = WORLD_DATACENTRE,
+		.address = world_server_address(index),
+		.received_ms = world->now,
 		.born_ms = server->born_ms,
-		.sequence = ++server->sequence,
+		.sequence = server->sequence + 1,
 		.slots = server->slots,
 		.draining = server->draining,
 	};
+
+	g_snprintf(report.id, sizeof(report.id), "s-%d-%u", index,
+		   server->generation);
+	return report;
+}
+
+static void send_report_(server_t *server)
+{
+	const pl_backend_report_t report =
+		world_report(server->world, server->index);
 	world_node_t *node = &server->world->agents[server->index];
 
+	server->sequence = report.sequence;
 	if (server->sends_no_reports)
 		return;
-	g_snprintf(report.id, sizeof(report.id), "s-%d-%u", server->index,
-		   server->generation);
 	if (transport_(server->world)->report) {
 		if (server->up)
 			transport_(server->world)
@@ -497,6 +522,8 @@
 	const pl_flow_agent_params_t params = {
 		.self = node->id,
 		.service = pl_service_id(WORLD_SERVICE),
+		.datacentre = pl_hash_text(WORLD_DATACENTRE),
+		.backend = world_server_address(node->index),
 		.flow_idle_max_ms = FLOW_IDLE_MAX_MS,
 		.report_ms = REPORT_MS,
 		.packets = &packet_ops_,
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -26,6 +26,7 @@
 #define WORLD_GOAL_MS 200
 #define WORLD_DEADLINE_MS 3000
 #define WORLD_SERVICE "desk"
+#define WORLD_DATACENTRE "east"
 
 typedef struct world world_t;
 
@@ -173,6 +174,12 @@
 void world_crash_server(world_t *world, int index);
 void world_start_server(world_t *world, int index);
 
+/** Address that the server @p index reports. */
+pl_addr_t world_server_address(int index);
+
+/** The next report of the server @p index. */
+pl_backend_report_t world_report(const world_t *world, int index);
+
 /** Notifies the agent that its backend server does not listen. */
 void world_report_backend_down(world_t *world, int index);
 
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -246,10 +246,13 @@
 		return;
 	g_free(node->request_body);
 	node->request_body = g_strdup_printf(
-		"{\"service\":\"%s\",\"max_concurrency\":%u,\"state\":\"%s\","
+		"{\"service\":\"%s\",\"address\":\"127.0.2.%d:%u\","
+		"\"zone\":\"dc-%d\",\"version\":\"v1\","
+		"\"max_concurrency\":%u,\"state\":\"%s\","
 		"\"warmup_left_ms\":0,\"sequence\":%" G_GUINT64_FORMAT
 		",\"born\":%" G_GUINT64_FORMAT "}",
-		report->service, report->slots,
+		report->service, server->index + 1, soak->port + 6U,
+		server->index % 3, report->slots,
 		report->draining ? "draining" : "ready", report->sequence,
 		report->born_ms);
 	node->request_drains = report->draining;
