roster: an unreadable entry names no agent, and the others hold

With a key of another writer under the roster's prefix each read of the roster failed, so flows of ended servers were never reset and their callers waited for their deadlines.

Cause: the parser of a page gave up at the first key without an address.

Ruled out: keys written by agents; they are always in canonical form.

Change: a key counts if it is exactly the one that its agent writes; other keys are skipped and logged (418 roster-invalid). The value of an entry does not matter. A confirmation must be the generation and nothing else. The generation of a read is that of its first page, also if no key of that page names an agent.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -100,6 +100,8 @@
 	  "all agents have registered since the store was last restored")      \
 	X(PL_EVENT_ROSTER_UNCONFIRMED, 417, "roster-unconfirmed", WARNING,     \
 	  "a roster may lack agents since a restore and was not used")         \
+	X(PL_EVENT_ROSTER_INVALID, 418, "roster-invalid", WARNING,             \
+	  "keys among the roster's entries name no agent and were skipped")    \
 	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                   \
 	  "an inner message failed authentication")
 
--- a/include/pimentolift/registration.h
+++ b/include/pimentolift/registration.h
@@ -42,6 +42,11 @@
 char *pl_roster_key(const char *environment, pl_service_id_t service,
 		    pl_member_id_t agent);
 
+/** Reads the service and the agent from the key of an entry; false unless
+ * pl_roster_key() returns exactly this key for them. */
+bool pl_roster_parse_key(const char *environment, const char *key,
+			 pl_service_id_t *service, pl_member_id_t *agent);
+
 pl_registration_t *pl_registration_new(const pl_registration_params_t *params);
 void pl_registration_delete(pl_registration_t *registration);
 
--- a/include/pimentolift/roster_reader.h
+++ b/include/pimentolift/roster_reader.h
@@ -52,9 +52,5 @@
  * register again, the reader confirms that unless another one has done so. */
 void pl_roster_reader_generation_changed(pl_roster_reader_t *reader);
 
-/** Appends the agents in a list of roster entries to @p agents (pl_member_id_t);
- * false if the call failed or a key contains no valid address. */
-bool pl_roster_parse_agents(const pl_kv_reply_t *reply, GArray *agents);
-
 #endif
 /** @} */
--- a/src/daemon/node_roster_reader.c
+++ b/src/daemon/node_roster_reader.c
@@ -214,16 +214,21 @@
 static void on_agents_listed_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_node_roster_reader_t *reader = ctx;
-	GArray *agents = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
-
-	pl_roster_parse_agents(reply, agents);
-	for (guint i = 0; i < MIN(agents->len, CONTACTS_MAX); i++) {
-		const pl_addr_t addr = pl_member_id_to_addr(
-			g_array_index(agents, pl_member_id_t, i));
-
+	size_t contacts = 0;
+
+	for (size_t i = 0; i < reply->item_count && contacts < CONTACTS_MAX;
+	     i++) {
+		pl_service_id_t service;
+		pl_member_id_t agent;
+		pl_addr_t addr;
+
+		if (!pl_roster_parse_key(environment_(reader),
+					 reply->items[i].key, &service, &agent))
+			continue;
+		addr = pl_member_id_to_addr(agent);
 		pl_member_contact(pl_node_members(reader->node), &addr);
+		contacts++;
 	}
-	g_array_free(agents, TRUE);
 }
 
 void pl_node_roster_reader_generation_changed(pl_node_roster_reader_t *reader)
--- a/src/roster/registration.c
+++ b/src/roster/registration.c
@@ -12,6 +12,7 @@
 /** Delay of the first retry of a failed call; it doubles with each failure. */
 #define RETRY_MS 200
 #define RETRY_DOUBLINGS_MAX 5
+#define HEX 16
 /** While the store is unavailable an agent serves after this time without being
  * registered: by then every entry knows it from the membership. */
 #define REGISTER_TIMEOUT_MS 2000
@@ -60,6 +61,27 @@
 	return key;
 }
 
+bool pl_roster_parse_key(const char *environment, const char *key,
+			 pl_service_id_t *service, pl_member_id_t *agent)
+{
+	const char *name = strrchr(key, '/');
+	pl_addr_t addr;
+	char *expected;
+	bool valid;
+
+	if (!name || pl_addr_parse(name + 1, &addr, NULL) != PL_OK ||
+	    addr.family != PL_ADDR_IPV4 || addr.port == 0)
+		return false;
+	while (name > key && name[-1] != '/')
+		name--;
+	*service = g_ascii_strtoull(name, NULL, HEX);
+	*agent = pl_member_id_from_addr(&addr);
+	expected = pl_roster_key(environment, *service, *agent);
+	valid = strcmp(key, expected) == 0;
+	g_free(expected);
+	return valid;
+}
+
 static pl_ms_t now_(const pl_registration_t *registration)
 {
 	return pl_timer_service_now(registration->timers);
--- a/src/roster/roster_reader.c
+++ b/src/roster/roster_reader.c
@@ -38,6 +38,7 @@
 typedef struct {
 	pl_roster_reader_t *reader;
 	pl_service_id_t service;
+	bool started; /* the first page has arrived */
 	uint64_t generation; /* of the first page */
 	GArray *agents; /* pl_member_id_t */
 } roster_read_t;
@@ -47,24 +48,6 @@
 	return pl_timer_service_now(reader->timers);
 }
 
-bool pl_roster_parse_agents(const pl_kv_reply_t *reply, GArray *agents)
-{
-	if (reply->result != PL_OK)
-		return false;
-	for (size_t i = 0; i < reply->item_count; i++) {
-		const char *name = strrchr(reply->items[i].key, '/');
-		pl_member_id_t agent;
-		pl_addr_t addr;
-
-		if (!name || pl_addr_parse(name + 1, &addr, NULL) != PL_OK ||
-		    addr.family != PL_ADDR_IPV4)
-			return false;
-		agent = pl_member_id_from_addr(&addr);
-		g_array_append_val(agents, agent);
-	}
-	return true;
-}
-
 /* ---- confirmation ---- */
 
 static void schedule_confirmation_(pl_roster_reader_t *reader, pl_ms_t due)
@@ -106,6 +89,16 @@
 		reader->seen_at + reader->ops->registration_ms(reader->ctx));
 }
 
+static bool names_generation_(const pl_kv_reply_t *reply, uint64_t generation)
+{
+	char *expected = g_strdup_printf("%" G_GUINT64_FORMAT, generation);
+	bool same = reply->value_len == strlen(expected) &&
+		    memcmp(reply->value, expected, reply->value_len) == 0;
+
+	g_free(expected);
+	return same;
+}
+
 /* Whether a reply to a read of the confirmation names the generation in which
  * it was read. */
 static bool read_confirmation_(pl_roster_reader_t *reader,
@@ -117,7 +110,7 @@
 		return false;
 	note_generation_(reader, generation);
 	if (reply->result != PL_OK || generation == 0 ||
-	    g_ascii_strtoull(reply->value, NULL, 10) != generation)
+	    !names_generation_(reply, generation))
 		return false;
 	if (reader->confirmed != generation)
 		confirm_(reader, generation);
@@ -199,6 +192,16 @@
 		 generation, reader->confirmed);
 }
 
+static void log_invalid_(const pl_kv_reply_t *reply, size_t count)
+{
+	char *first = g_strescape(reply->items[0].key, NULL);
+
+	pl_event(PL_EVENT_ROSTER_INVALID,
+		 "%zu of %zu keys from %s on name no agent", count,
+		 reply->item_count, first);
+	g_free(first);
+}
+
 static void finish_read_(roster_read_t *read, bool known)
 {
 	pl_roster_reader_t *reader = read->reader;
@@ -225,12 +228,13 @@
 }
 
 /* Whether a page read in @p generation belongs to a complete roster. */
-static bool is_complete_(roster_read_t *read, uint64_t generation, bool first)
+static bool is_complete_(roster_read_t *read, uint64_t generation)
 {
 	pl_roster_reader_t *reader = read->reader;
 
-	if (first)
+	if (!read->started)
 		read->generation = generation;
+	read->started = true;
 	note_generation_(reader, generation);
 	if (read->generation != generation ||
 	    (generation != 0 && generation != reader->confirmed)) {
@@ -240,23 +244,41 @@
 	return true;
 }
 
+/* Adds the agents of a page. A key that no agent writes names no agent. */
+static void add_agents_(roster_read_t *read, const pl_kv_reply_t *reply)
+{
+	pl_roster_reader_t *reader = read->reader;
+	size_t invalid = 0;
+
+	for (size_t i = 0; i < reply->item_count; i++) {
+		const pl_kv_item_t *item = &reply->items[i];
+		pl_service_id_t service;
+		pl_member_id_t agent;
+
+		if (!pl_roster_parse_key(reader->environment, item->key,
+					 &service, &agent)) {
+			invalid++;
+			continue;
+		}
+		g_array_append_val(read->agents, agent);
+		reader->ops->entry(reader->ctx, service, agent,
+				   item->modify_index);
+	}
+	if (invalid > 0)
+		log_invalid_(reply, invalid);
+}
+
 static void on_page_(void *ctx, const pl_kv_reply_t *reply)
 {
 	roster_read_t *read = ctx;
-	pl_roster_reader_t *reader = read->reader;
-	guint before = read->agents->len;
 
-	if (!pl_roster_parse_agents(reply, read->agents) ||
-	    !is_complete_(read, reply->position.generation, before == 0) ||
+	if (reply->result != PL_OK ||
+	    !is_complete_(read, reply->position.generation) ||
 	    (reply->more && reply->item_count == 0)) {
 		finish_read_(read, false);
 		return;
 	}
-	for (guint i = before; i < read->agents->len; i++)
-		reader->ops->entry(
-			reader->ctx, read->service,
-			g_array_index(read->agents, pl_member_id_t, i),
-			reply->items[i - before].modify_index);
+	add_agents_(read, reply);
 	if (reply->more)
 		request_page_(read, reply->items[reply->item_count - 1].key);
 	else
--- a/test/roster/roster_reader_test.c
+++ b/test/roster/roster_reader_test.c
@@ -261,6 +261,78 @@
 	assert_true(read_(f));
 }
 
+/* Guards against a key of another writer that made every read of the roster
+ * fail, so that flows of ended servers were not reset. */
+static void keys_of_other_writers_name_no_agent(void **state)
+{
+	static const char *const names[] = { "!",
+					     "x",
+					     "10.0.0.1",
+					     "10.0.0.1:",
+					     "10.0.0.1:0",
+					     "10.0.0.1: 7000",
+					     "10.0.0.1:+7000",
+					     "10.0.0.1:07000",
+					     "10.0.0.1:70000",
+					     "[::1]:7000",
+					     "10.0.0.1:7000/x",
+					     "~" };
+	fixture_t *f = *state;
+	char *prefix = pl_roster_prefix("trial", SERVICE);
+
+	register_agent_(f, AGENT_A);
+	register_agent_(f, AGENT_B);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char *key = g_strconcat(prefix, names[i], NULL);
+
+		kv_fake_put(f->store, key, "");
+		g_free(key);
+	}
+	g_free(prefix);
+	confirm_(f);
+	assert_true(read_(f));
+	assert_int_equal(f->count, 2);
+	f->store->page = 3;
+	assert_true(read_(f));
+	assert_int_equal(f->count, 2);
+}
+
+/* The first page holds no agent; the store is restored before the second. */
+static void restore_after_a_page_without_agents_is_noticed(void **state)
+{
+	fixture_t *f = *state;
+	char *prefix = pl_roster_prefix("trial", SERVICE);
+	char *key = g_strconcat(prefix, "!", NULL);
+
+	kv_fake_put(f->store, key, "");
+	register_agent_(f, AGENT_A);
+	confirm_(f);
+	kv_fake_copy(f->store);
+	f->store->page = 1;
+	f->results = 0;
+	pl_roster_reader_read(f->reader, SERVICE);
+	pl_kv_poll(&f->store->kv);
+	kv_fake_restore(f->store);
+	for (int i = 0; i < 10 && f->results == 0; i++)
+		pl_kv_poll(&f->store->kv);
+	assert_int_equal(f->results, 1);
+	assert_false(f->known);
+	g_free(key);
+	g_free(prefix);
+}
+
+/* A confirmation that is not exactly a generation confirms nothing. */
+static void malformed_confirmation_confirms_nothing(void **state)
+{
+	fixture_t *f = *state;
+
+	register_agent_(f, AGENT_A);
+	kv_fake_put(f->store, "pimentolift/trial/roster-generation", "1x");
+	assert_false(read_(f));
+	run_(f, CONFIRMED_MS);
+	assert_true(read_(f));
+}
+
 int main(void)
 {
 #define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
@@ -272,6 +344,9 @@
 		TEST_(failed_read_is_unknown),
 		TEST_(outage_causes_few_attempts_to_confirm),
 		TEST_(roster_of_a_store_without_generations_is_used),
+		TEST_(keys_of_other_writers_name_no_agent),
+		TEST_(restore_after_a_page_without_agents_is_noticed),
+		TEST_(malformed_confirmation_confirms_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
