--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -96,6 +96,8 @@
 typedef struct {
 	pl_flow_type_t type;
 	pl_member_id_t sender;
+	/** Of the receiving agent, or of the sending one; LOCATE: 0 if the
+	 * sender does not know it. */
 	pl_service_id_t service;
 	pl_flow_key_t flow;
 	unsigned int flags; /**< FORWARD; bits of @ref pl_flow_flag_t */
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -5,7 +5,7 @@
  * Places new flows on endpoints and looks up the owners of unknown flows,
  * because the routers may send any packet to any entry. An entry caches the
  * owners that agents report. On a cache miss the entry queues the packet and
- * queries the agents of the service. The module uses no sockets, threads or
+ * queries the agents, also those of services that the route no longer names. The module uses no sockets, threads or
  * clock of its own.
  * @{
  */
@@ -61,12 +61,11 @@
 	void (*send_to_caller)(void *ctx, const pl_flow_key_t *flow,
 			       const uint8_t *bytes, size_t len);
 	/**
-	 * Requests the roster of @p service: all agents that may own its flows
+	 * Requests the roster: all agents of all services that may own flows
 	 * now, including those that membership does not list. The reply is
-	 * pl_flow_entry_set_roster(). At most one request of this entry,
-	 * for any service, is pending.
+	 * pl_flow_entry_set_roster(). At most one request is pending.
 	 */
-	void (*request_roster)(void *ctx, pl_service_id_t service);
+	void (*request_roster)(void *ctx);
 	/**
 	 * Asks membership to check whether @p agent is alive, because it may
 	 * own flows and does not answer. If it is dead, membership calls
@@ -109,11 +108,10 @@
 
 /**
  * Replies to pl_flow_entry_ops_t.request_roster with all agents that may own
- * flows of @p service; @p known is false if the roster could not be obtained.
+ * flows; @p known is false if the roster could not be obtained.
  */
-void pl_flow_entry_set_roster(pl_flow_entry_t *entry, pl_service_id_t service,
-			      bool known, const pl_member_id_t *agents,
-			      size_t count);
+void pl_flow_entry_set_roster(pl_flow_entry_t *entry, bool known,
+			      const pl_member_id_t *agents, size_t count);
 
 /**
  * Reports that membership declared @p agent dead. The agent counts as dead
--- a/include/pimentolift/peer.h
+++ b/include/pimentolift/peer.h
@@ -21,18 +21,18 @@
 #define PL_PEER_BODY_MAX (1024 * 1024)
 
 /** All frame types: identifier, number, name. */
-#define PL_PEER_TABLE(X)                            \
-	X(PL_PEER_TABLE_PULL, 1, "table-pull")      \
-	X(PL_PEER_TABLE_PUSH, 2, "table-push")      \
-	X(PL_PEER_CONFIG_PULL, 3, "config-pull")    \
-	X(PL_PEER_CONFIG_PUSH, 4, "config-push")    \
-	X(PL_PEER_VIEW_OFFER, 5, "view-offer")      \
-	X(PL_PEER_VIEW_ACCEPT, 6, "view-accept")    \
-	X(PL_PEER_VIEW_COPY, 7, "view-copy")        \
-	X(PL_PEER_VIEW_FORGET, 8, "view-forget")    \
-	X(PL_PEER_VIEW_COPIED, 9, "view-copied")    \
-	X(PL_PEER_ROSTER_REQUEST, 10, "roster-ask") \
-	X(PL_PEER_ROSTER, 11, "roster")
+#define PL_PEER_TABLE(X)                                \
+	X(PL_PEER_TABLE_PULL, 1, "table-pull")          \
+	X(PL_PEER_TABLE_PUSH, 2, "table-push")          \
+	X(PL_PEER_CONFIG_PULL, 3, "config-pull")        \
+	X(PL_PEER_CONFIG_PUSH, 4, "config-push")        \
+	X(PL_PEER_VIEW_OFFER, 5, "view-offer")          \
+	X(PL_PEER_VIEW_ACCEPT, 6, "view-accept")        \
+	X(PL_PEER_VIEW_COPY, 7, "view-copy")            \
+	X(PL_PEER_VIEW_FORGET, 8, "view-forget")        \
+	X(PL_PEER_VIEW_COPIED, 9, "view-copied")        \
+	X(PL_PEER_ROSTER_REQUEST, 12, "roster-request") \
+	X(PL_PEER_ROSTER, 13, "roster-response")
 
 typedef enum {
 #define PL_PEER_ENUM_(id, number, name) id = (number),
--- a/include/pimentolift/registration.h
+++ b/include/pimentolift/registration.h
@@ -35,8 +35,8 @@
 	uint64_t (*random)(void); /**< spreads retries */
 } pl_registration_params_t;
 
-/** Prefix of the keys in the roster of @p service; free with g_free(). */
-char *pl_roster_prefix(const char *environment, pl_service_id_t service);
+/** Prefix of the keys of all entries in the roster; free with g_free(). */
+char *pl_roster_prefix(const char *environment);
 
 /** Key of an agent's entry; free with g_free(). */
 char *pl_roster_key(const char *environment, pl_service_id_t service,
--- a/include/pimentolift/roster_reader.h
+++ b/include/pimentolift/roster_reader.h
@@ -2,8 +2,8 @@
  * @file
  * @defgroup roster_reader Reads of the roster
  *
- * Reads the roster of a service from the key-value store. An entry concludes
- * from a roster that no other agent owns a flow, so a roster must be complete.
+ * Reads the roster, which lists the agents of all services, from the key-value
+ * store. An entry concludes from a roster that no other agent owns a flow, so a roster must be complete.
  * After a restore of the store (@ref kv) it is not: entries written since the
  * copy are lost until their agents register again. Therefore a key in the store
  * names the generation in which all agents have had the time to do that. It is
@@ -32,8 +32,8 @@
 		      uint64_t modify_index);
 	/** Result of pl_roster_reader_read(); @p known is false if the roster
 	 * could not be read or may be incomplete. */
-	void (*done)(void *ctx, pl_service_id_t service, bool known,
-		     const pl_member_id_t *agents, size_t count);
+	void (*done)(void *ctx, bool known, const pl_member_id_t *agents,
+		     size_t count);
 	/** Time in which all agents register again after a restore. */
 	pl_ms_t (*registration_ms)(void *ctx);
 	uint64_t (*random)(void *ctx);
@@ -45,8 +45,8 @@
 					 void *ctx, pl_timer_service_t *timers);
 void pl_roster_reader_delete(pl_roster_reader_t *reader);
 
-/** Reads the roster of @p service. */
-void pl_roster_reader_read(pl_roster_reader_t *reader, pl_service_id_t service);
+/** Reads the roster. */
+void pl_roster_reader_read(pl_roster_reader_t *reader);
 
 /** The generation of the store has risen. Once all agents have had the time to
  * register again, the reader confirms that unless another one has done so. */
--- a/include/pimentolift/roster_share.h
+++ b/include/pimentolift/roster_share.h
@@ -2,13 +2,13 @@
  * @file
  * @defgroup roster_share Shared reads of the roster
  *
- * The roster of a service lists all agents that may own its flows. To reset a
- * flow of unknown owner, an entry needs a roster that was read from the store
- * after the lookup of the flow began: every agent that this roster or
- * membership lists must rule the flow out. After a power failure every entry
- * needs such a roster several times a second. So the entries of a data centre
- * select one of them as the reader of each service by rendezvous hashing; one
- * read serves all requests that arrived before it began. A reader that does not
+ * The roster lists all agents that may own flows. To reset a flow of unknown
+ * owner, an entry needs a roster that was read from the store after the lookup
+ * of the flow began: every agent that this roster or membership lists must rule
+ * the flow out. After a power failure every entry needs such a roster several
+ * times a second. So the entries of a data centre select one of them as the
+ * reader by rendezvous hashing; one read serves all requests that arrived
+ * before it began. A reader that does not
  * answer in time, cannot be reached or reports a failed read is skipped for a
  * second. The module uses no sockets, threads or clock of its own.
  * @{
@@ -29,14 +29,13 @@
 	 * reports a frame that cannot be delivered by
 	 * pl_roster_share_frame_failed(). */
 	void (*send)(void *ctx, const pl_peer_frame_t *frame);
-	/** Reads the roster of @p service from the store; the owner passes the
-	 * result to pl_roster_share_read_done(). At most one read of a service
-	 * is in progress. */
-	void (*read)(void *ctx, pl_service_id_t service);
+	/** Reads the roster from the store; the owner passes the result to
+	 * pl_roster_share_read_done(). At most one read is in progress. */
+	void (*read)(void *ctx);
 	/** Result of pl_roster_share_request(); @p known is false if the roster
 	 * could not be read. */
-	void (*result)(void *ctx, pl_service_id_t service, bool known,
-		       const pl_member_id_t *agents, size_t count);
+	void (*result)(void *ctx, bool known, const pl_member_id_t *agents,
+		       size_t count);
 } pl_roster_share_ops_t;
 
 /** Creates the state of the entry @p self; @p ops and @p timers must outlive
@@ -51,12 +50,11 @@
 void pl_roster_share_peer_down(pl_roster_share_t *share, pl_member_id_t peer);
 
 /** Requests a roster whose read begins after this call. */
-void pl_roster_share_request(pl_roster_share_t *share, pl_service_id_t service);
+void pl_roster_share_request(pl_roster_share_t *share);
 
 /** Passes the result of a read that the read callback started; @p known is
  * false if it failed. */
-void pl_roster_share_read_done(pl_roster_share_t *share,
-			       pl_service_id_t service, bool known,
+void pl_roster_share_read_done(pl_roster_share_t *share, bool known,
 			       const pl_member_id_t *agents, size_t count);
 
 /** Handles a frame of type PL_PEER_ROSTER_REQUEST or PL_PEER_ROSTER. */
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -221,8 +221,8 @@
 {
 }
 
-static void roster_(void *ctx, pl_service_id_t service, bool known,
-		    const pl_member_id_t *agents, size_t count)
+static void roster_(void *ctx, bool known, const pl_member_id_t *agents,
+		    size_t count)
 {
 }
 
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -33,7 +33,6 @@
 typedef struct {
 	flow_entry_role_t *role;
 	pl_routing_t *routing;
-	pl_service_id_t service;
 	bool known;
 	size_t count;
 	pl_member_id_t agents[];
@@ -55,11 +54,11 @@
 	pl_flow_thread_send_to_caller(&role->thread, flow, bytes, len);
 }
 
-static void op_request_roster_(void *ctx, pl_service_id_t service)
+static void op_request_roster_(void *ctx)
 {
 	flow_entry_role_t *role = ctx;
 
-	pl_node_request_roster(role->thread.node, service);
+	pl_node_request_roster(role->thread.node);
 }
 
 static void op_check_agent_(void *ctx, pl_member_id_t agent)
@@ -168,19 +167,18 @@
 {
 	task_t *task = ctx;
 
-	pl_flow_entry_set_roster(task->role->core, task->service, task->known,
-				 task->agents, task->count);
+	pl_flow_entry_set_roster(task->role->core, task->known, task->agents,
+				 task->count);
 	g_free(task);
 }
 
-static void roster_(void *ctx, pl_service_id_t service, bool known,
-		    const pl_member_id_t *agents, size_t count)
+static void roster_(void *ctx, bool known, const pl_member_id_t *agents,
+		    size_t count)
 {
 	flow_entry_role_t *role = ctx;
 	task_t *task = g_malloc0(sizeof(*task) + count * sizeof(*agents));
 
 	task->role = role;
-	task->service = service;
 	task->known = known;
 	task->count = count;
 	for (size_t i = 0; i < count; i++)
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -152,20 +152,18 @@
 	       pl_registration_is_deregistering(node->registration);
 }
 
-static void on_roster_(void *ctx, pl_service_id_t service, bool known,
-		       const pl_member_id_t *agents, size_t count)
+static void on_roster_(void *ctx, bool known, const pl_member_id_t *agents,
+		       size_t count)
 {
 	pl_node_t *node = ctx;
 
 	if (node->role)
-		node->role_ops->roster(node->role, service, known, agents,
-				       count);
+		node->role_ops->roster(node->role, known, agents, count);
 }
 
-void pl_node_request_roster_on_control_thread(pl_node_t *node,
-					      pl_service_id_t service)
+void pl_node_request_roster_on_control_thread(pl_node_t *node)
 {
-	pl_node_roster_reader_request(node->roster_reader, service);
+	pl_node_roster_reader_request(node->roster_reader);
 }
 
 static void on_frame_(void *ctx, const pl_peer_frame_t *frame)
--- a/src/daemon/node_post.c
+++ b/src/daemon/node_post.c
@@ -107,16 +107,14 @@
 {
 	task_t *task = ctx;
 
-	pl_node_request_roster_on_control_thread(task->node, task->service);
+	pl_node_request_roster_on_control_thread(task->node);
 	task_free_(task);
 }
 
-void pl_node_request_roster(pl_node_t *node, pl_service_id_t service)
+void pl_node_request_roster(pl_node_t *node)
 {
-	task_t *task = task_new_(node, NULL, 0);
-
-	task->service = service;
-	pl_loop_post(pl_node_loop(node), run_request_roster_, task);
+	pl_loop_post(pl_node_loop(node), run_request_roster_,
+		     task_new_(node, NULL, 0));
 }
 
 static void run_check_agent_(void *ctx)
--- a/src/daemon/node_roster_reader.c
+++ b/src/daemon/node_roster_reader.c
@@ -1,6 +1,6 @@
 /**
  * @file
- * Reader of rosters, for entries.
+ * Reader of the roster, for entries.
  */
 #include "private/node_roster_reader.h"
 
@@ -97,12 +97,12 @@
 	g_free(key);
 }
 
-static void op_read_done_(void *ctx, pl_service_id_t service, bool known,
-			  const pl_member_id_t *agents, size_t count)
+static void op_read_done_(void *ctx, bool known, const pl_member_id_t *agents,
+			  size_t count)
 {
 	pl_node_roster_reader_t *reader = ctx;
 
-	pl_roster_share_read_done(reader->share, service, known, agents, count);
+	pl_roster_share_read_done(reader->share, known, agents, count);
 }
 
 static pl_ms_t op_registration_ms_(void *ctx)
@@ -122,11 +122,11 @@
 						    op_registration_ms_,
 						    op_random_ };
 
-static void op_read_(void *ctx, pl_service_id_t service)
+static void op_read_(void *ctx)
 {
 	pl_node_roster_reader_t *reader = ctx;
 
-	pl_roster_reader_read(reader->reads, service);
+	pl_roster_reader_read(reader->reads);
 }
 
 static void op_send_(void *ctx, const pl_peer_frame_t *frame)
@@ -136,12 +136,12 @@
 	pl_node_send_frame(reader->node, frame);
 }
 
-static void op_result_(void *ctx, pl_service_id_t service, bool known,
-		       const pl_member_id_t *agents, size_t count)
+static void op_result_(void *ctx, bool known, const pl_member_id_t *agents,
+		       size_t count)
 {
 	pl_node_roster_reader_t *reader = ctx;
 
-	reader->result(reader->ctx, service, known, agents, count);
+	reader->result(reader->ctx, known, agents, count);
 }
 
 static const pl_roster_share_ops_t share_ops_ = { op_send_, op_read_,
@@ -179,10 +179,9 @@
 	g_free(reader);
 }
 
-void pl_node_roster_reader_request(pl_node_roster_reader_t *reader,
-				   pl_service_id_t service)
+void pl_node_roster_reader_request(pl_node_roster_reader_t *reader)
 {
-	pl_roster_share_request(reader->share, service);
+	pl_roster_share_request(reader->share);
 }
 
 void pl_node_roster_reader_member_changed(pl_node_roster_reader_t *reader,
@@ -238,8 +237,7 @@
 
 void pl_node_roster_reader_contact_agents(pl_node_roster_reader_t *reader)
 {
-	char *prefix =
-		g_strdup_printf("pimentolift/%s/agents/", environment_(reader));
+	char *prefix = pl_roster_prefix(environment_(reader));
 
 	/* agents missing from a stale list become known by gossip */
 	pl_kv_list(reader->kv,
--- a/src/daemon/node_routing.c
+++ b/src/daemon/node_routing.c
@@ -114,8 +114,9 @@
 						       node->members));
 		return;
 	}
-	routing = pl_routing_build(document, node->members,
-				   (uint32_t)time(NULL), &ramping);
+	routing = pl_routing_build(
+		document, node->members, (uint32_t)time(NULL),
+		node->settings->traffic == PL_TRAFFIC_FLOWS, &ramping);
 	publish_routing_(node, routing);
 	watch_neighbours_(node, routing);
 	node->rebuild_earliest =
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -38,12 +38,11 @@
 	void (*routing)(void *role, pl_routing_t *routing,
 			pl_entry_list_t *entries);
 	/**
-	 * Result of pl_node_request_roster(): the agents that may own flows of
-	 * @p service; @p known is false if the roster could not be read. May be
-	 * NULL.
+	 * Result of pl_node_request_roster(): the agents that may own flows;
+	 * @p known is false if the roster could not be read. May be NULL.
 	 */
-	void (*roster)(void *role, pl_service_id_t service, bool known,
-		       const pl_member_id_t *agents, size_t count);
+	void (*roster)(void *role, bool known, const pl_member_id_t *agents,
+		       size_t count);
 	/** A frame of a type that the control thread does not handle itself. */
 	void (*frame)(void *role, const pl_peer_frame_t *frame);
 	void (*frame_failed)(void *role, const pl_peer_frame_t *frame);
@@ -127,9 +126,9 @@
  * pl_node_backend_leaving(); on the control thread. */
 bool pl_node_is_deregistering(const pl_node_t *node);
 
-/** Requests the agents that may own flows of @p service; from any thread. The
- * result arrives by pl_role_ops_t.roster. */
-void pl_node_request_roster(pl_node_t *node, pl_service_id_t service);
+/** Requests the agents that may own flows; from any thread. The result arrives
+ * by pl_role_ops_t.roster. */
+void pl_node_request_roster(pl_node_t *node);
 
 /** Time in which all agents register again after a restore of the store; on the
  * control thread. */
--- a/src/daemon/private/node_post.h
+++ b/src/daemon/private/node_post.h
@@ -26,7 +26,6 @@
 void pl_node_backend_leaving_on_control_thread(pl_node_t *node);
 
 /** See pl_node_request_roster(). */
-void pl_node_request_roster_on_control_thread(pl_node_t *node,
-					      pl_service_id_t service);
+void pl_node_request_roster_on_control_thread(pl_node_t *node);
 
 #endif
--- a/src/daemon/private/node_roster_reader.h
+++ b/src/daemon/private/node_roster_reader.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Reads rosters for an entry; one entry of each data centre reads them for all
+ * Reads the roster for an entry; one entry of each data centre reads it for all
  * entries there (pl_roster_share_t).
  */
 #ifndef PIMENTOLIFT_DAEMON_NODE_ROSTER_READER_H
@@ -14,8 +14,7 @@
 
 /** Receives the result of pl_node_roster_reader_request(); @p known is false if
  * the roster could not be read. */
-typedef void (*pl_node_roster_result_t)(void *ctx, pl_service_id_t service,
-					bool known,
+typedef void (*pl_node_roster_result_t)(void *ctx, bool known,
 					const pl_member_id_t *agents,
 					size_t count);
 
@@ -24,9 +23,8 @@
 			  pl_node_roster_result_t result, void *ctx);
 void pl_node_roster_reader_delete(pl_node_roster_reader_t *reader);
 
-/** Requests the roster of @p service, by a read that starts after this call. */
-void pl_node_roster_reader_request(pl_node_roster_reader_t *reader,
-				   pl_service_id_t service);
+/** Requests the roster, by a read that starts after this call. */
+void pl_node_roster_reader_request(pl_node_roster_reader_t *reader);
 
 void pl_node_roster_reader_member_changed(pl_node_roster_reader_t *reader,
 					  const pl_member_t *member);
@@ -40,7 +38,7 @@
 /** The generation of the store has risen. */
 void pl_node_roster_reader_generation_changed(pl_node_roster_reader_t *reader);
 
-/** Contacts the agents in the rosters of all services, so that they join the
+/** Contacts the agents in the roster, so that they join the
  * membership: after a power loss of the whole fleet only the store still knows
  * their addresses. */
 void pl_node_roster_reader_contact_agents(pl_node_roster_reader_t *reader);
--- a/src/daemon/routing_build.c
+++ b/src/daemon/routing_build.c
@@ -145,9 +145,29 @@
 	}
 }
 
+/* Adds the endpoint of an agent whose service the document does not name. */
+static void add_unconfigured_(pl_routing_builder_t *builder,
+			      const pl_member_t *member)
+{
+	const pl_endpoint_t endpoint = {
+		.agent = pl_member_id(member),
+		.boot = pl_member_boot(member),
+		.service = pl_member_attr(member)->service,
+		.datacentre = pl_member_datacentre(member),
+		.state = pl_member_state(member) == PL_MEMBER_UNREACHABLE ?
+				 PL_ENDPOINT_UNREACHABLE :
+				 pl_member_attr(member)->endpoint,
+		.announced = is_announced_(member),
+	};
+
+	pl_routing_builder_unconfigured(builder, endpoint.service);
+	pl_routing_builder_endpoint(builder, &endpoint);
+}
+
 pl_routing_t *pl_routing_build(const pl_document_t *document,
 			       const pl_member_table_t *members,
-			       uint32_t unix_s, bool *ramping)
+			       uint32_t unix_s, bool all_services,
+			       bool *ramping)
 {
 	pl_routing_builder_t *builder =
 		pl_routing_builder_new(pl_document_revision(document));
@@ -165,6 +185,8 @@
 					    &pl_member_attr(member)->service);
 		if (count)
 			add_endpoint_(builder, member, count, unix_s, ramping);
+		else if (all_services)
+			add_unconfigured_(builder, member);
 	}
 	g_hash_table_unref(counts);
 	return pl_routing_builder_finish(builder);
@@ -175,20 +197,8 @@
 	pl_routing_builder_t *builder = pl_routing_builder_new(0);
 
 	for (size_t i = 0; i < pl_member_count(members); i++) {
-		const pl_member_t *member = pl_member_at(members, i);
-		const pl_endpoint_t endpoint = {
-			.agent = pl_member_id(member),
-			.boot = pl_member_boot(member),
-			.service = pl_member_attr(member)->service,
-			.datacentre = pl_member_datacentre(member),
-			.state = pl_member_attr(member)->endpoint,
-			.announced = is_announced_(member),
-		};
-
-		if (!is_live_agent_(member))
-			continue;
-		pl_routing_builder_unconfigured(builder, endpoint.service);
-		pl_routing_builder_endpoint(builder, &endpoint);
+		if (is_live_agent_(pl_member_at(members, i)))
+			add_unconfigured_(builder, pl_member_at(members, i));
 	}
 	return pl_routing_builder_finish(builder);
 }
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -367,7 +367,10 @@
 {
 	pl_packet_t packet;
 
-	if (message->service != agent->params.service) {
+	/* a query carries no packet, so it needs no service: the sender may
+	 * know this agent from the roster only */
+	if (message->service != agent->params.service &&
+	    !(message->type == PL_FLOW_LOCATE && message->service == 0)) {
 		pl_counter_add(PL_COUNTER_DROP_MISMATCH, 1);
 		pl_event(PL_EVENT_SERVICE_MISMATCH,
 			 "message for service %" G_GINT64_MODIFIER
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -62,7 +62,7 @@
 		pl_flow_table_new(sizeof(cached_flow_t), params->flows_max,
 				  on_flow_release_, entry);
 	pl_flow_loads_init_(entry);
-	pl_flow_rosters_init_(entry);
+	pl_flow_roster_init_(entry);
 	pl_flow_liveness_init_(entry);
 	pl_flow_retries_init_(entry);
 	pl_flow_hold_init_(entry);
@@ -82,7 +82,7 @@
 	pl_timer_cancel(entry->timers, &entry->query_timer);
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
-	g_hash_table_destroy(entry->rosters);
+	pl_flow_roster_finish_(entry);
 	pl_flow_liveness_finish_(entry);
 	g_hash_table_destroy(entry->retries);
 	if (entry->routing)
@@ -115,18 +115,6 @@
 	return flow->due > now ? (uint32_t)(flow->due - now) : 0;
 }
 
-pl_service_id_t pl_flow_entry_service_of_(const pl_flow_entry_t *entry,
-					  const cached_flow_t *flow,
-					  pl_member_id_t agent)
-{
-	const pl_endpoint_t *endpoint;
-
-	if (flow->service != 0)
-		return flow->service;
-	endpoint = pl_routing_endpoint(entry->routing, agent);
-	return endpoint ? endpoint->service : 0;
-}
-
 static bool is_remote_(const pl_flow_entry_t *entry, pl_member_id_t agent)
 {
 	const pl_endpoint_t *endpoint =
@@ -135,14 +123,14 @@
 	return endpoint && endpoint->datacentre != entry->params.datacentre;
 }
 
-void pl_flow_entry_forward_(pl_flow_entry_t *entry, const cached_flow_t *flow,
-			    pl_member_id_t agent, unsigned int flags,
-			    const uint8_t *bytes, size_t len)
+static void forward_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+		     pl_member_id_t agent, pl_service_id_t service,
+		     unsigned int flags, const uint8_t *bytes, size_t len)
 {
 	const pl_flow_message_t message = {
 		.type = PL_FLOW_FORWARD,
 		.sender = entry->params.self,
-		.service = pl_flow_entry_service_of_(entry, flow, agent),
+		.service = service,
 		.flow = flow->node.key,
 		.flags =
 			flags | (is_remote_(entry, agent) ? PL_FLOW_REMOTE : 0),
@@ -155,6 +143,22 @@
 	entry->ops->send(entry->ctx, agent, &message);
 }
 
+void pl_flow_entry_forward_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+			    pl_member_id_t agent, unsigned int flags,
+			    const uint8_t *bytes, size_t len)
+{
+	forward_(entry, flow, agent, flow->service, flags, bytes, len);
+}
+
+void pl_flow_entry_forward_probe_(pl_flow_entry_t *entry,
+				  const cached_flow_t *flow,
+				  const agent_query_t *query,
+				  const uint8_t *bytes, size_t len)
+{
+	forward_(entry, flow, query->agent, query->service, PL_FLOW_PROBE,
+		 bytes, len);
+}
+
 void pl_flow_entry_reset_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
 			  uint32_t seq)
 {
@@ -176,6 +180,14 @@
 	return addr;
 }
 
+const pl_route_service_t *pl_flow_entry_route_of_(const pl_flow_entry_t *entry,
+						  const pl_flow_key_t *key)
+{
+	const pl_addr_t addr = service_addr_(key);
+
+	return pl_routing_by_address(entry->routing, &addr);
+}
+
 static void set_route_(const pl_flow_entry_t *entry, cached_flow_t *flow)
 {
 	const pl_addr_t addr = service_addr_(&flow->node.key);
@@ -216,19 +228,16 @@
 	flow->due = MIN(flow->due, due);
 }
 
-/* Returns the flow's record, created if needed; @p service is NULL without a
+/* Returns the flow's record, created if needed; @p routed is false without a
  * configuration. */
 static cached_flow_t *get_flow_(pl_flow_entry_t *entry,
-				const pl_flow_key_t *key,
-				const pl_route_service_t *service)
+				const pl_flow_key_t *key, bool routed)
 {
 	pl_flow_node_t *node =
 		pl_flow_table_get(entry->flows, key, pl_flow_entry_now_(entry));
 	cached_flow_t *flow = PL_CONTAINER_OF(node, cached_flow_t, node);
 
-	if (service && flow->service == 0)
-		flow->service = service->id;
-	if (service && !flow->routed)
+	if (routed && !flow->routed)
 		set_route_(entry, flow);
 	return flow;
 }
@@ -239,13 +248,14 @@
 			    const pl_route_service_t *service, uint32_t copy,
 			    const uint8_t *bytes, size_t len)
 {
-	cached_flow_t *flow = get_flow_(entry, key, service);
+	cached_flow_t *flow = get_flow_(entry, key, true);
 
-	if (flow->service != service->id) {
+	if (flow->service != 0 && flow->service != service->id) {
 		/* the route now belongs to another service */
 		pl_flow_table_remove(entry->flows, &flow->node);
-		flow = get_flow_(entry, key, service);
+		flow = get_flow_(entry, key, true);
 	}
+	flow->service = service->id;
 	if (flow->offered_count == 0)
 		set_due_(entry, flow, copy);
 	if (flow->owner != 0)
@@ -255,15 +265,15 @@
 		pl_flow_entry_place_(entry, flow, bytes, len);
 }
 
-/* Handles a packet of an open flow. The agent of the flow's owner knows the
- * flow regardless of the configuration, and also without one. */
+/* Handles a packet of an open flow. The flow may have been opened under an
+ * earlier configuration, which sent it to any service; only its owner's agent
+ * knows which. */
 static void handle_established_(pl_flow_entry_t *entry,
-				const pl_flow_key_t *key,
-				const pl_route_service_t *service,
+				const pl_flow_key_t *key, bool routed,
 				const pl_packet_t *packet, const uint8_t *bytes,
 				size_t len)
 {
-	cached_flow_t *flow = get_flow_(entry, key, service);
+	cached_flow_t *flow = get_flow_(entry, key, routed);
 	pl_member_id_t offer = pl_flow_entry_last_offer_(flow);
 
 	if (flow->owner != 0 &&
@@ -310,7 +320,6 @@
 	bool configured = is_configured_(entry);
 	pl_packet_t packet;
 	pl_flow_key_t key;
-	pl_addr_t addr;
 
 	if (!entry->params.packets->read(bytes, len, &packet)) {
 		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
@@ -321,14 +330,14 @@
 		return;
 	}
 	key = pl_packet_flow(&packet);
-	addr = service_addr_(&key);
-	service = pl_routing_by_address(entry->routing, &addr);
+	service = pl_flow_entry_route_of_(entry, &key);
 	if (configured && !service)
 		reject_unrouted_(entry, &key, &packet);
 	else if (pl_packet_opens(&packet))
 		handle_opening_(entry, &key, service, packet.ack, bytes, len);
 	else
-		handle_established_(entry, &key, service, &packet, bytes, len);
+		handle_established_(entry, &key, service != NULL, &packet,
+				    bytes, len);
 }
 
 /* An agent refused an opening packet: offers it to another one. */
@@ -385,11 +394,12 @@
 }
 
 static void handle_owned_(pl_flow_entry_t *entry, cached_flow_t *flow,
-			  pl_member_id_t owner)
+			  const pl_flow_message_t *message)
 {
-	flow->owner = owner;
+	flow->owner = message->sender;
 	flow->queueing_agent = 0;
 	pl_flow_entry_cancel_offers_(entry, flow);
+	flow->service = message->service;
 }
 
 /* Whether the sender belongs to the flow's service, if that is known. */
@@ -410,12 +420,21 @@
 			node ? PL_CONTAINER_OF(node, cached_flow_t, node) :
 			       NULL;
 
-		if (flow && flow->lookup && has_service_of_(flow, message))
-			pl_flow_lookup_verdict_(entry, flow->lookup,
-						message->sender, item->verdict);
+		if (flow && flow->lookup)
+			pl_flow_lookup_verdict_(
+				entry, flow->lookup, message->sender,
+				message->service, item->verdict);
 	}
 }
 
+/* Whether the verdict says if the agent's server holds the flow. Any service's
+ * agent may give such a verdict in a lookup. */
+static bool is_lookup_verdict_(pl_flow_verdict_t verdict)
+{
+	return verdict == PL_FLOW_OWNED || verdict == PL_FLOW_ABSENT ||
+	       verdict == PL_FLOW_UNSURE;
+}
+
 void pl_flow_entry_message(pl_flow_entry_t *entry,
 			   const pl_flow_message_t *message)
 {
@@ -437,6 +456,11 @@
 	if (!node)
 		return;
 	flow = PL_CONTAINER_OF(node, cached_flow_t, node);
+	if (flow->lookup && is_lookup_verdict_(message->verdict)) {
+		pl_flow_lookup_verdict_(entry, flow->lookup, message->sender,
+					message->service, message->verdict);
+		return;
+	}
 	if (!has_service_of_(flow, message))
 		return;
 	if (message->verdict == PL_FLOW_ENDED)
@@ -445,11 +469,8 @@
 		handle_refused_(entry, flow, message);
 	else if (message->verdict == PL_FLOW_QUEUED)
 		flow->queueing_agent = flow->owner == 0 ? message->sender : 0;
-	else if (flow->lookup)
-		pl_flow_lookup_verdict_(entry, flow->lookup, message->sender,
-					message->verdict);
 	else if (message->verdict == PL_FLOW_OWNED)
-		handle_owned_(entry, flow, message->sender);
+		handle_owned_(entry, flow, message);
 	else
 		handle_not_owner_(entry, flow, message);
 }
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -2,8 +2,10 @@
  * @file
  * Lookup of the owner of a flow on a cache miss.
  *
- * The agents of the service are queried in parallel, so that one that is dead
- * or partitioned delays no lookup. An agent that is unsure, because its server
+ * The agents are queried in parallel, so that one that is dead or partitioned
+ * delays no lookup: first those of the service that the configuration sends new
+ * flows to, then those of all services, because the flow may have been opened
+ * under an earlier configuration. An agent that is unsure, because its server
  * started before the agent did, is probed: it is sent one real packet of the
  * flow, and its server hands the packet back if it does not hold the flow. Only
  * a few agents are probed at the same time.
@@ -82,14 +84,14 @@
 }
 
 static void set_owner_(pl_flow_entry_t *entry, lookup_t *lookup,
-		       pl_member_id_t owner)
+		       pl_member_id_t owner, pl_service_id_t service)
 {
 	cached_flow_t *flow = lookup->flow;
 
-	flow->service = pl_flow_entry_service_of_(entry, flow, owner);
 	flow->owner = owner;
 	flow->queueing_agent = 0;
 	pl_flow_entry_cancel_offers_(entry, flow);
+	flow->service = service;
 	entry->stats.found++;
 	pl_counter_add(PL_COUNTER_FLOWS_FOUND, 1);
 	pl_histogram_record(PL_HISTOGRAM_LOOKUP,
@@ -112,11 +114,36 @@
 	size_t unsure;
 	size_t probed;
 	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
+	bool probes_others; /**< @c to_probe is of an unexpected service */
 } pending_t;
 
+/* Notes that the agent of @p query is unsure. Those of the expected service are
+ * probed first, so that other servers receive packets of the flow only if it is
+ * none of these. */
+static void note_unsure_(const pl_flow_entry_t *entry, const lookup_t *lookup,
+			 pl_service_id_t expected, agent_query_t *query,
+			 pending_t *pending)
+{
+	bool other = expected != 0 && query->service != expected;
+
+	pending->unsure++;
+	if (query->probed || query->service == 0 ||
+	    pl_flow_liveness_is_dead_(entry, query->agent))
+		return;
+	/* wait for the probes of the expected service */
+	if (other && lookup->probes > 0 && !lookup->probes_others)
+		return;
+	if (!pending->to_probe || (pending->probes_others && !other)) {
+		pending->to_probe = query;
+		pending->probes_others = other;
+	}
+}
+
 static pending_t count_pending_(const pl_flow_entry_t *entry,
 				const lookup_t *lookup)
 {
+	pl_service_id_t expected =
+		pl_flow_query_expected_service_(entry, lookup->flow);
 	pending_t pending = { 0 };
 
 	for (guint i = 0; i < lookup->queries->len; i++) {
@@ -129,10 +156,7 @@
 			pending.possible_owners += pl_flow_roster_may_own_(
 				entry, lookup, query->agent);
 		} else if (query->verdict == PL_FLOW_UNSURE) {
-			pending.unsure++;
-			if (!pending.to_probe && !query->probed &&
-			    !pl_flow_liveness_is_dead_(entry, query->agent))
-				pending.to_probe = query;
+			note_unsure_(entry, lookup, expected, query, &pending);
 		}
 	}
 	return pending;
@@ -146,8 +170,8 @@
 
 	query->probed = true;
 	lookup->probes++;
-	pl_flow_entry_forward_(entry, lookup->flow, query->agent, PL_FLOW_PROBE,
-			       packet->bytes, packet->len);
+	pl_flow_entry_forward_probe_(entry, lookup->flow, query, packet->bytes,
+				     packet->len);
 	arm_timer_(entry, lookup, PROBE_TIMEOUT_MS);
 }
 
@@ -164,6 +188,7 @@
 		return;
 	}
 	while (pending->to_probe && lookup->probes < PROBES_MAX) {
+		lookup->probes_others = pending->probes_others;
 		probe_(entry, lookup, pending->to_probe);
 		if (silent)
 			return;
@@ -207,8 +232,7 @@
 	 * they matter, but it is expensive to read */
 	lookup->exhausted = (pending.silent == 0 && pending.unsure == 0) ||
 			    age >= ROSTER_AFTER_MS;
-	/* without a configuration the service, and so its roster, is unknown */
-	if (lookup->exhausted && lookup->flow->service != 0 &&
+	if (lookup->exhausted && lookup->flow->routed &&
 	    pl_flow_roster_proves_dead_(entry, lookup))
 		end_dead_(entry, lookup);
 	else
@@ -359,18 +383,20 @@
 }
 
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
-			     pl_member_id_t agent, pl_flow_verdict_t verdict)
+			     pl_member_id_t agent, pl_service_id_t service,
+			     pl_flow_verdict_t verdict)
 {
 	agent_query_t *query = find_query_(lookup, agent);
 
 	if (verdict == PL_FLOW_OWNED) {
-		set_owner_(entry, lookup, agent);
+		set_owner_(entry, lookup, agent, service);
 		return;
 	}
 	if (!query || verdict == PL_FLOW_REFUSED)
 		return;
 	if (query->probed && verdict == PL_FLOW_ABSENT && lookup->probes > 0)
 		lookup->probes--;
+	query->service = service;
 	if (!query->answered)
 		lookup->unanswered--;
 	query->answered = true;
@@ -417,19 +443,19 @@
 	pl_list_for_each_safe(link, &entry->lookups) {
 		lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
 
-		if (lookup->exhausted && lookup->flow->service != 0 &&
+		if (lookup->exhausted && lookup->flow->routed &&
 		    pl_flow_roster_proves_dead_(entry, lookup))
 			end_dead_(entry, lookup);
 	}
 }
 
-/* Returns the first lookup of a flow whose service is unknown, or NULL. */
+/* Returns the first lookup that began without a configuration, or NULL. */
 static lookup_t *first_unrouted_(const pl_flow_entry_t *entry)
 {
 	pl_list_for_each(link, &entry->lookups) {
 		lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
 
-		if (lookup->flow->service == 0)
+		if (!lookup->flow->routed)
 			return lookup;
 	}
 	return NULL;
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -191,13 +191,14 @@
 choose_endpoint_(pl_flow_entry_t *entry, const cached_flow_t *flow, bool *last)
 {
 	const pl_route_service_t *service =
-		pl_routing_by_id(entry->routing, flow->service);
+		pl_flow_entry_route_of_(entry, &flow->node.key);
 	pl_flow_candidate_t candidates[CANDIDATES_MAX];
 	pl_flow_ranked_t ranked[CANDIDATES_MAX];
 	size_t chosen;
 	size_t count;
 
-	if (!service)
+	/* the route may have got another service since the first offer */
+	if (!service || service->id != flow->service)
 		return NULL;
 	count = pl_flow_rank_(entry, service, &flow->node.key, is_eligible_,
 			      flow, ranked, CANDIDATES_MAX);
--- a/src/flow/entry_query.c
+++ b/src/flow/entry_query.c
@@ -43,11 +43,21 @@
 
 /** Queries to one agent. */
 typedef struct {
-	pl_service_id_t service;
+	pl_service_id_t service; /**< of the agent; 0 if unknown */
 	size_t count;
 	pl_flow_item_t items[PL_FLOW_ITEMS_MAX];
 } batch_t;
 
+/* Service of an agent; 0 if only the roster lists it. */
+static pl_service_id_t agent_service_(const pl_flow_entry_t *entry,
+				      pl_member_id_t agent)
+{
+	const pl_endpoint_t *endpoint =
+		pl_routing_endpoint(entry->routing, agent);
+
+	return endpoint ? endpoint->service : 0;
+}
+
 static void send_batch_(pl_flow_entry_t *entry, pl_member_id_t agent,
 			batch_t *batch)
 {
@@ -73,20 +83,15 @@
 			  const lookup_t *lookup, pl_member_id_t agent)
 {
 	batch_t *batch = g_hash_table_lookup(batches, &agent);
-	pl_service_id_t service =
-		pl_flow_entry_service_of_(entry, lookup->flow, agent);
 
 	if (!batch) {
 		batch = g_new0(batch_t, 1);
-		batch->service = service;
+		batch->service = agent_service_(entry, agent);
 		g_hash_table_insert(batches, g_memdup2(&agent, sizeof(agent)),
 				    batch);
 	}
-	/* an agent has one service; a batch ends when the service changes */
-	if (batch->service != service || batch->count == PL_FLOW_ITEMS_MAX) {
+	if (batch->count == PL_FLOW_ITEMS_MAX)
 		send_batch_(entry, agent, batch);
-		batch->service = service;
-	}
 	if (batch->count == 0)
 		spend_tokens_(entry, DATAGRAM_BYTES);
 	spend_tokens_(entry, ITEM_BYTES);
@@ -220,9 +225,11 @@
 	pl_timer_init(&entry->query_timer, on_query_timer_, entry);
 }
 
-static void add_query_(lookup_t *lookup, pl_member_id_t agent)
+static void add_query_(const pl_flow_entry_t *entry, lookup_t *lookup,
+		       pl_member_id_t agent)
 {
-	agent_query_t query = { .agent = agent };
+	agent_query_t query = { .agent = agent,
+				.service = agent_service_(entry, agent) };
 
 	if (pl_flow_lookup_find_query_(lookup, agent))
 		return;
@@ -238,32 +245,42 @@
 
 	if (lookup->wide || service->endpoint_count <= FIRST_RANKED_MAX) {
 		for (size_t i = 0; i < service->endpoint_count; i++)
-			add_query_(lookup, service->endpoints[i].agent);
+			add_query_(entry, lookup, service->endpoints[i].agent);
 		return;
 	}
 	count = pl_flow_rank_(entry, service, &lookup->flow->node.key, NULL,
 			      NULL, ranked, FIRST_RANKED_MAX);
 	for (size_t i = 0; i < count; i++)
-		add_query_(lookup, ranked[i].endpoint->agent);
+		add_query_(entry, lookup, ranked[i].endpoint->agent);
 }
 
-/* Adds the agents to query. Without a configuration the flow may belong to any
- * service. */
+pl_service_id_t pl_flow_query_expected_service_(const pl_flow_entry_t *entry,
+						const cached_flow_t *flow)
+{
+	const pl_route_service_t *service;
+
+	if (flow->service != 0)
+		return flow->service;
+	service = pl_flow_entry_route_of_(entry, &flow->node.key);
+	return service ? service->id : 0;
+}
+
+/* Adds the agents to query: those of the expected service first. */
 static void add_queries_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
-	const pl_route_service_t *service =
-		pl_routing_by_id(entry->routing, lookup->flow->service);
-
-	if (service)
-		add_service_queries_(entry, lookup, service);
-	for (size_t i = 0; lookup->flow->service == 0 &&
-			   i < pl_routing_service_count(entry->routing);
-	     i++)
+	const pl_route_service_t *expected = pl_routing_by_id(
+		entry->routing,
+		pl_flow_query_expected_service_(entry, lookup->flow));
+	size_t count = pl_routing_service_count(entry->routing);
+
+	if (expected)
+		add_service_queries_(entry, lookup, expected);
+	for (size_t i = 0; (!expected || lookup->wide) && i < count; i++)
 		add_service_queries_(entry, lookup,
 				     pl_routing_service_at(entry->routing, i));
 	/* endpoints that were offered the flow may own it regardless of rank */
 	for (size_t i = 0; i < lookup->flow->offered_count; i++)
-		add_query_(lookup, lookup->flow->offered[i]);
+		add_query_(entry, lookup, lookup->flow->offered[i]);
 }
 
 void pl_flow_query_new_agents_(pl_flow_entry_t *entry)
@@ -288,6 +305,6 @@
 void pl_flow_query_agent_(pl_flow_entry_t *entry, lookup_t *lookup,
 			  pl_member_id_t agent)
 {
-	add_query_(lookup, agent);
+	add_query_(entry, lookup, agent);
 	arm_query_timer_(entry);
 }
--- a/src/flow/entry_roster.c
+++ b/src/flow/entry_roster.c
@@ -4,7 +4,9 @@
  *
  * An agent registers in the key-value store before its backend server is
  * offered flows, so each roster that is read after a flow opened contains the
- * flow's owner. The exception is an agent whose registration the store refused:
+ * flow's owner. The roster spans all services: an entry that knows only the
+ * newest configuration does not know which service the flow was opened at. The
+ * exception is an agent whose registration the store refused:
  * it serves only once membership has announced it to every entry. If every
  * agent that such a roster or membership lists rules the flow out, the flow has
  * no owner, and its caller can be sent a reset at once.
@@ -17,58 +19,42 @@
 #define REQUEST_INTERVAL_MS 60
 /** Delay before the next roster request after one that failed. */
 #define REQUEST_RETRY_MS 250
-/** Interval at which membership is asked to check the agents of one service. */
+/** Interval at which membership is asked to check the agents. */
 #define CHECK_INTERVAL_MS 500
 /** In a lookup an agent that was declared dead counts as dead only after it has
  * left this many queries unanswered, the first sent at least this long ago. */
 #define DEAD_QUERIES_MIN 2
 #define DEAD_SILENT_MS 100
 
-/** Agents that may own flows of a service. */
-typedef struct {
-	pl_ms_t requested_at; /**< when the roster was requested */
-	pl_ms_t checked_at; /**< when membership was last asked to check */
-	GArray *agents; /**< pl_member_id_t */
-} roster_t;
-
-static void free_roster_(gpointer data)
+void pl_flow_roster_init_(pl_flow_entry_t *entry)
 {
-	roster_t *roster = data;
-
-	g_array_free(roster->agents, TRUE);
-	g_free(roster);
+	entry->roster.agents =
+		g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
 }
 
-void pl_flow_rosters_init_(pl_flow_entry_t *entry)
+void pl_flow_roster_finish_(pl_flow_entry_t *entry)
 {
-	entry->rosters = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       g_free, free_roster_);
+	g_array_free(entry->roster.agents, TRUE);
 }
 
-static void request_roster_(pl_flow_entry_t *entry, pl_service_id_t service)
+static void request_roster_(pl_flow_entry_t *entry)
 {
 	pl_ms_t now = pl_flow_entry_now_(entry);
 
-	if (entry->roster_pending != 0 || now < entry->roster_not_before)
+	if (entry->roster_pending || now < entry->roster_not_before)
 		return;
-	entry->roster_pending = service;
+	entry->roster_pending = true;
 	entry->roster_requested_at = now;
 	entry->roster_not_before = now + REQUEST_INTERVAL_MS;
-	entry->ops->request_roster(entry->ctx, service);
+	entry->ops->request_roster(entry->ctx);
 }
 
-/* Whether the agent's answer, or the routing table, rules the flow out. */
-static bool is_ruled_out_(const pl_flow_entry_t *entry, const lookup_t *lookup,
-			  pl_member_id_t agent)
+/* Whether the agent's answer rules the flow out. */
+static bool is_ruled_out_(const lookup_t *lookup, pl_member_id_t agent)
 {
 	const agent_query_t *query = pl_flow_lookup_find_query_(lookup, agent);
-	const pl_endpoint_t *endpoint =
-		pl_routing_endpoint(entry->routing, agent);
 
-	if (query && query->answered)
-		return query->verdict == PL_FLOW_ABSENT;
-	/* the address now belongs to another service: a new machine */
-	return endpoint && endpoint->service != lookup->flow->service;
+	return query && query->answered && query->verdict == PL_FLOW_ABSENT;
 }
 
 /* Whether the agent counts as dead in the lookup. The report of its death may
@@ -96,7 +82,7 @@
 		const agent_query_t *query =
 			pl_flow_lookup_find_query_(lookup, agent);
 
-		if (is_ruled_out_(entry, lookup, agent))
+		if (is_ruled_out_(lookup, agent))
 			continue;
 		if (!is_dead_(entry, query) || ++dead * 2 > agents->len)
 			return agent;
@@ -125,7 +111,7 @@
 			&g_array_index(lookup->queries, agent_query_t, i);
 
 		if (may_own_unregistered_(entry, query->agent) &&
-		    !is_ruled_out_(entry, lookup, query->agent))
+		    !is_ruled_out_(lookup, query->agent))
 			return query->agent;
 	}
 	return 0;
@@ -155,9 +141,9 @@
 }
 
 /* Asks membership to check all agents that block the proof. */
-static void check_silent_agents_(pl_flow_entry_t *entry, const lookup_t *lookup,
-				 roster_t *roster)
+static void check_silent_agents_(pl_flow_entry_t *entry, const lookup_t *lookup)
 {
+	pl_flow_roster_t *roster = &entry->roster;
 	pl_ms_t now = pl_flow_entry_now_(entry);
 
 	if (roster->checked_at != 0 &&
@@ -176,84 +162,72 @@
 	}
 }
 
-/* Returns the roster if it was requested after the lookup began, or NULL. */
-static roster_t *find_fresh_roster_(const pl_flow_entry_t *entry,
-				    const lookup_t *lookup)
+/* Whether the known roster was requested after the lookup began. */
+static bool is_fresh_(const pl_flow_entry_t *entry, const lookup_t *lookup)
 {
-	roster_t *roster =
-		g_hash_table_lookup(entry->rosters, &lookup->flow->service);
-
-	return roster && roster->requested_at >= lookup->started ? roster :
-								   NULL;
+	return entry->roster.known &&
+	       entry->roster.requested_at >= lookup->started;
 }
 
 bool pl_flow_roster_proves_dead_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
-	roster_t *roster = find_fresh_roster_(entry, lookup);
-
-	if (!roster) {
-		request_roster_(entry, lookup->flow->service);
+	if (!is_fresh_(entry, lookup)) {
+		request_roster_(entry);
 		return false;
 	}
-	query_missing_(entry, lookup, roster->agents);
-	if (possible_owner_(entry, lookup, roster->agents) == 0)
+	query_missing_(entry, lookup, entry->roster.agents);
+	if (possible_owner_(entry, lookup, entry->roster.agents) == 0)
 		return true;
-	check_silent_agents_(entry, lookup, roster);
+	check_silent_agents_(entry, lookup);
 	return false;
 }
 
 pl_member_id_t pl_flow_roster_blocking_agent_(const pl_flow_entry_t *entry,
 					      const lookup_t *lookup)
 {
-	const roster_t *roster = find_fresh_roster_(entry, lookup);
-
-	return roster ? possible_owner_(entry, lookup, roster->agents) : 0;
+	return is_fresh_(entry, lookup) ?
+		       possible_owner_(entry, lookup, entry->roster.agents) :
+		       0;
 }
 
 bool pl_flow_roster_may_own_(const pl_flow_entry_t *entry,
 			     const lookup_t *lookup, pl_member_id_t agent)
 {
-	const roster_t *roster = find_fresh_roster_(entry, lookup);
+	const GArray *agents = entry->roster.agents;
 
 	if (pl_flow_liveness_is_dead_(entry, agent))
 		return false;
-	if (may_own_unregistered_(entry, agent))
+	if (may_own_unregistered_(entry, agent) || !is_fresh_(entry, lookup))
 		return true;
-	for (guint i = 0; roster && i < roster->agents->len; i++) {
-		if (g_array_index(roster->agents, pl_member_id_t, i) == agent)
+	for (guint i = 0; i < agents->len; i++) {
+		if (g_array_index(agents, pl_member_id_t, i) == agent)
 			return true;
 	}
-	return !roster;
+	return false;
 }
 
 void pl_flow_roster_refresh_(pl_flow_entry_t *entry, const lookup_t *lookup)
 {
-	if (!find_fresh_roster_(entry, lookup) && lookup->flow->service != 0)
-		request_roster_(entry, lookup->flow->service);
+	if (!is_fresh_(entry, lookup))
+		request_roster_(entry);
 }
 
-void pl_flow_entry_set_roster(pl_flow_entry_t *entry, pl_service_id_t service,
-			      bool known, const pl_member_id_t *agents,
-			      size_t count)
+void pl_flow_entry_set_roster(pl_flow_entry_t *entry, bool known,
+			      const pl_member_id_t *agents, size_t count)
 {
-	const roster_t *before;
-	roster_t *roster;
+	pl_flow_roster_t *roster = &entry->roster;
 
-	if (entry->roster_pending != service)
+	if (!entry->roster_pending)
 		return;
-	entry->roster_pending = 0;
+	entry->roster_pending = false;
 	if (!known) {
 		entry->roster_not_before =
 			pl_flow_entry_now_(entry) + REQUEST_RETRY_MS;
 		return;
 	}
-	roster = g_new0(roster_t, 1);
+	roster->known = true;
 	roster->requested_at = entry->roster_requested_at;
-	before = g_hash_table_lookup(entry->rosters, &service);
-	roster->checked_at = before ? before->checked_at : 0;
-	roster->agents = g_array_new(FALSE, FALSE, sizeof(*agents));
+	g_array_set_size(roster->agents, 0);
 	g_array_append_vals(roster->agents, agents, (guint)count);
-	g_hash_table_replace(entry->rosters,
-			     g_memdup2(&service, sizeof(service)), roster);
 	pl_flow_lookup_end_dead_flows_(entry);
 }
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -15,6 +15,7 @@
 /** Query of a lookup to one agent. */
 typedef struct {
 	pl_member_id_t agent;
+	pl_service_id_t service; /**< of the agent; 0 while unknown */
 	unsigned int send_count; /**< times the query was sent */
 	pl_ms_t first_sent_at; /**< when it was sent first */
 	pl_ms_t next_send_at; /**< when it is sent next */
@@ -38,16 +39,19 @@
 	size_t unanswered; /**< queries without an answer */
 	pl_packet_queue_t packets;
 	uint32_t ack; /**< acknowledgement number of the first packet */
-	bool wide; /**< all agents of the service are queried */
+	bool wide; /**< all agents of all services are queried */
 
 	unsigned int probes; /**< probe packets without an answer */
+	/** These probes went to services other than the expected one. */
+	bool probes_others;
 	bool exhausted; /**< all answered, or the wait for answers is over */
 } lookup_t;
 
 /** A flow in the cache. */
 typedef struct cached_flow {
 	pl_flow_node_t node;
-	/** 0 until a configuration or the flow's owner determines it. */
+	/** Service that this entry offered the flow to, or that of the owner; 0
+	 * if neither is known. */
 	pl_service_id_t service;
 	pl_member_id_t owner; /**< 0 while unknown */
 	/** Agents that were sent the opening packet. */
@@ -66,6 +70,14 @@
 	lookup_t *lookup; /**< NULL if none is open */
 } cached_flow_t;
 
+/** Agents that may own flows, of all services. */
+typedef struct {
+	bool known; /**< a roster was read */
+	pl_ms_t requested_at; /**< when the roster was requested */
+	pl_ms_t checked_at; /**< when membership was last asked to check */
+	GArray *agents; /**< pl_member_id_t */
+} pl_flow_roster_t;
+
 struct pl_flow_entry {
 	pl_flow_entry_params_t params;
 	const pl_flow_entry_ops_t *ops;
@@ -82,8 +94,8 @@
 	GHashTable *unanswered_since;
 	GHashTable *dead_agents; /**< agents that membership declared dead */
 	GHashTable *retries; /**< caller's IP to caller_resets_t */
-	GHashTable *rosters; /**< service to roster_t */
-	pl_service_id_t roster_pending; /**< of the open request, or 0 */
+	pl_flow_roster_t roster;
+	bool roster_pending; /**< a request is open */
 	pl_ms_t roster_requested_at; /**< time of the last request */
 	pl_ms_t roster_not_before; /**< earliest time of the next request */
 	GQueue held; /**< packets that no endpoint can accept now */
@@ -102,11 +114,16 @@
 void pl_flow_entry_reset_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
 			  uint32_t seq);
 
-/** Returns the service of the flow if it is known, else that of @p agent; 0 if
- * neither is known. */
-pl_service_id_t pl_flow_entry_service_of_(const pl_flow_entry_t *entry,
-					  const cached_flow_t *flow,
-					  pl_member_id_t agent);
+/** Forwards a packet as a probe to the agent of @p query. */
+void pl_flow_entry_forward_probe_(pl_flow_entry_t *entry,
+				  const cached_flow_t *flow,
+				  const agent_query_t *query,
+				  const uint8_t *bytes, size_t len);
+
+/** Service to which the configuration sends new flows of the address of
+ * @p key, or NULL. */
+const pl_route_service_t *pl_flow_entry_route_of_(const pl_flow_entry_t *entry,
+						  const pl_flow_key_t *key);
 
 /** Routes a packet from a caller. */
 void pl_flow_entry_route_(pl_flow_entry_t *entry, const uint8_t *bytes,
@@ -188,6 +205,9 @@
 
 /* entry_query.c */
 void pl_flow_query_init_(pl_flow_entry_t *entry);
+/** Service whose agents most likely own the flow of a lookup; 0 if unknown. */
+pl_service_id_t pl_flow_query_expected_service_(const pl_flow_entry_t *entry,
+						const cached_flow_t *flow);
 /** Queries the agents that may own the flow, and repeats unanswered queries.
  * Returns true if agents were added. */
 bool pl_flow_query_(pl_flow_entry_t *entry, lookup_t *lookup);
@@ -200,7 +220,8 @@
 void pl_flow_query_new_agents_(pl_flow_entry_t *entry);
 
 /* entry_roster.c */
-void pl_flow_rosters_init_(pl_flow_entry_t *entry);
+void pl_flow_roster_init_(pl_flow_entry_t *entry);
+void pl_flow_roster_finish_(pl_flow_entry_t *entry);
 /** Whether a lookup that found no owner proves that the flow is dead; requests
  * a new roster if the known one is older than the lookup. */
 bool pl_flow_roster_proves_dead_(pl_flow_entry_t *entry, lookup_t *lookup);
@@ -230,8 +251,10 @@
 /** Queues a packet and starts a lookup of the flow's owner if none is open. */
 void pl_flow_lookup_add_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			 uint32_t ack, const uint8_t *bytes, size_t len);
+/** Handles the verdict of @p agent, whose server belongs to @p service. */
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
-			     pl_member_id_t agent, pl_flow_verdict_t verdict);
+			     pl_member_id_t agent, pl_service_id_t service,
+			     pl_flow_verdict_t verdict);
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
 
 #endif
--- a/src/proto/roster_codec.c
+++ b/src/proto/roster_codec.c
@@ -7,8 +7,8 @@
 #include "private/msgpack_check.h"
 #include "private/element.h"
 
-#define REQUEST_FIELDS 2
-#define RESPONSE_FIELDS 4
+#define REQUEST_FIELDS 1
+#define RESPONSE_FIELDS 3
 
 static int append_bytes_(void *data, const char *bytes, size_t len)
 {
@@ -16,24 +16,16 @@
 	return 0;
 }
 
-static void pack_request_(msgpack_packer *packer,
-			  const pl_roster_request_t *request)
-{
-	msgpack_pack_uint64(packer, request->service);
-	msgpack_pack_uint32(packer, request->sequence);
-}
-
-void pl_roster_encode_request(const pl_roster_request_t *request,
-			      GByteArray *out)
+void pl_roster_encode_request(uint32_t sequence, GByteArray *out)
 {
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, append_bytes_);
 	msgpack_pack_array(&packer, REQUEST_FIELDS);
-	pack_request_(&packer, request);
+	msgpack_pack_uint32(&packer, sequence);
 }
 
-void pl_roster_encode_response(const pl_roster_request_t *request, bool known,
+void pl_roster_encode_response(uint32_t sequence, bool known,
 			       const pl_member_id_t *agents, size_t count,
 			       GByteArray *out)
 {
@@ -41,7 +33,7 @@
 
 	msgpack_packer_init(&packer, out, append_bytes_);
 	msgpack_pack_array(&packer, RESPONSE_FIELDS);
-	pack_request_(&packer, request);
+	msgpack_pack_uint32(&packer, sequence);
 	msgpack_pack_uint8(&packer, known);
 	msgpack_pack_array(&packer, count);
 	for (size_t i = 0; i < count; i++)
@@ -58,17 +50,14 @@
 	return object->via.array.ptr;
 }
 
-static bool read_request_(const msgpack_object *root,
-			  pl_roster_request_t *request)
+static bool read_request_(const msgpack_object *root, uint32_t *sequence)
 {
 	const msgpack_object *fields = get_elements_(root, REQUEST_FIELDS);
-	uint64_t sequence;
+	uint64_t number;
 
-	if (!fields ||
-	    !pl_element_get_uint(&fields[0], UINT64_MAX, &request->service) ||
-	    !pl_element_get_uint(&fields[1], UINT32_MAX, &sequence))
+	if (!fields || !pl_element_get_uint(&fields[0], UINT32_MAX, &number))
 		return false;
-	request->sequence = (uint32_t)sequence;
+	*sequence = (uint32_t)number;
 	return true;
 }
 
@@ -87,18 +76,17 @@
 	return true;
 }
 
-static bool read_response_(const msgpack_object *root,
-			   pl_roster_request_t *request, bool *known,
-			   GArray *agents)
+static bool read_response_(const msgpack_object *root, uint32_t *sequence,
+			   bool *known, GArray *agents)
 {
 	const msgpack_object *fields = get_elements_(root, RESPONSE_FIELDS);
 	uint64_t flag;
 
-	if (!fields || !read_request_(root, request) ||
-	    !pl_element_get_uint(&fields[2], 1, &flag))
+	if (!fields || !read_request_(root, sequence) ||
+	    !pl_element_get_uint(&fields[1], 1, &flag))
 		return false;
 	*known = flag == 1;
-	return read_agents_(&fields[3], agents);
+	return read_agents_(&fields[2], agents);
 }
 
 static bool unpack_(const uint8_t *body, size_t len, msgpack_unpacked *unpacked)
@@ -111,20 +99,20 @@
 }
 
 pl_result_t pl_roster_decode_request(const uint8_t *body, size_t len,
-				     pl_roster_request_t *request)
+				     uint32_t *sequence)
 {
 	msgpack_unpacked unpacked;
 	bool valid;
 
 	msgpack_unpacked_init(&unpacked);
 	valid = unpack_(body, len, &unpacked) &&
-		read_request_(&unpacked.data, request);
+		read_request_(&unpacked.data, sequence);
 	msgpack_unpacked_destroy(&unpacked);
 	return valid ? PL_OK : PL_ERR_MALFORMED;
 }
 
 pl_result_t pl_roster_decode_response(const uint8_t *body, size_t len,
-				      pl_roster_request_t *request, bool *known,
+				      uint32_t *sequence, bool *known,
 				      GArray *agents)
 {
 	msgpack_unpacked unpacked;
@@ -132,7 +120,7 @@
 
 	msgpack_unpacked_init(&unpacked);
 	valid = unpack_(body, len, &unpacked) &&
-		read_response_(&unpacked.data, request, known, agents);
+		read_response_(&unpacked.data, sequence, known, agents);
 	msgpack_unpacked_destroy(&unpacked);
 	return valid ? PL_OK : PL_ERR_MALFORMED;
 }
--- a/src/roster/registration.c
+++ b/src/roster/registration.c
@@ -42,23 +42,20 @@
 	void *ctx;
 };
 
-char *pl_roster_prefix(const char *environment, pl_service_id_t service)
+char *pl_roster_prefix(const char *environment)
 {
-	return g_strdup_printf("pimentolift/%s/agents/%016" G_GINT64_MODIFIER
-			       "x/",
-			       environment, service);
+	return g_strdup_printf("pimentolift/%s/agents/", environment);
 }
 
 char *pl_roster_key(const char *environment, pl_service_id_t service,
 		    pl_member_id_t agent)
 {
 	const pl_addr_t addr = pl_member_id_to_addr(agent);
-	char *prefix = pl_roster_prefix(environment, service);
 	char text[PL_ADDR_TEXT_MAX];
-	char *key = g_strconcat(prefix, pl_addr_format(&addr, text), NULL);
 
-	g_free(prefix);
-	return key;
+	return g_strdup_printf(
+		"pimentolift/%s/agents/%016" G_GINT64_MODIFIER "x/%s",
+		environment, service, pl_addr_format(&addr, text));
 }
 
 bool pl_roster_parse_key(const char *environment, const char *key,
--- a/src/roster/roster_reader.c
+++ b/src/roster/roster_reader.c
@@ -37,7 +37,6 @@
  * registered throughout the read is found, whatever changes between pages. */
 typedef struct {
 	pl_roster_reader_t *reader;
-	pl_service_id_t service;
 	bool started; /* the first page has arrived */
 	uint64_t generation; /* of the first page */
 	GArray *agents; /* pl_member_id_t */
@@ -206,7 +205,7 @@
 {
 	pl_roster_reader_t *reader = read->reader;
 
-	reader->ops->done(reader->ctx, read->service, known,
+	reader->ops->done(reader->ctx, known,
 			  (const pl_member_id_t *)read->agents->data,
 			  known ? read->agents->len : 0);
 	g_array_free(read->agents, TRUE);
@@ -218,8 +217,7 @@
 /* Requests the page after the key @p after; NULL: the first page. */
 static void request_page_(roster_read_t *read, const char *after)
 {
-	char *prefix =
-		pl_roster_prefix(read->reader->environment, read->service);
+	char *prefix = pl_roster_prefix(read->reader->environment);
 
 	pl_kv_list(read->reader->kv,
 		   &(pl_kv_range_t){ .prefix = prefix, .after = after },
@@ -314,12 +312,11 @@
 	       (reader->confirmed != 0 || reader->no_generations);
 }
 
-void pl_roster_reader_read(pl_roster_reader_t *reader, pl_service_id_t service)
+void pl_roster_reader_read(pl_roster_reader_t *reader)
 {
 	roster_read_t *read = g_new0(roster_read_t, 1);
 
 	read->reader = reader;
-	read->service = service;
 	read->agents = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
 	if (is_confirmed_(reader))
 		request_page_(read, NULL);
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -956,6 +956,235 @@
 	world_delete(world);
 }
 
+/* Creates a world of @p agents agents in two services whose callers hold open
+ * flows of the first one. */
+static world_t *world_of_two_services_(int agents, uint32_t seed,
+				       call_t **calls)
+{
+	world_t *world = world_new(2, agents, seed);
+
+	world_split_services(world, agents / 2);
+	open_flows_(world, calls, CALLERS);
+	return world;
+}
+
+static void set_target_(world_t *world, const char *target,
+			const char *left_out)
+{
+	world->target = target;
+	world->left_out = left_out;
+	world_publish(world);
+}
+
+static void restart_entries_(world_t *world)
+{
+	for (int i = 0; i < world->entry_count; i++) {
+		world_kill_entry(world, i);
+		world_start_entry(world, i);
+	}
+	world_publish(world);
+}
+
+static void assert_all_flows_go_on_(world_t *world, call_t **calls)
+{
+	pl_ms_t from = world->now;
+
+	send_next_requests_(world, calls, CALLERS);
+	world_run(world, 1000);
+	assert_int_equal(world->false_resets, 0);
+	assert_int_equal(world_served(world, from), CALLERS);
+}
+
+/* Guards against the reset of open flows by an entry that knew only the newest
+ * configuration: it queried the agents of the service that new flows go to, and
+ * took the flow for dead when all of these had ruled it out. */
+static void flows_go_on_after_their_route_gets_another_service(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_of_two_services_(6, 39, calls);
+
+	(void)state;
+	set_target_(world, WORLD_OTHER_SERVICE, NULL);
+	assert_all_flows_go_on_(world, calls);
+	restart_entries_(world);
+	assert_all_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* The configuration no longer names the service that holds the flows. */
+static void flows_go_on_after_their_service_is_left_out(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_of_two_services_(6, 40, calls);
+
+	(void)state;
+	set_target_(world, WORLD_OTHER_SERVICE, WORLD_SERVICE);
+	assert_all_flows_go_on_(world, calls);
+	restart_entries_(world);
+	assert_all_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* Membership lists no agent of the service that holds the flows yet. */
+static void flows_go_on_while_only_the_roster_names_their_agents(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_of_two_services_(6, 41, calls);
+
+	(void)state;
+	set_target_(world, WORLD_OTHER_SERVICE, WORLD_SERVICE);
+	for (int i = 0; i < 3; i++)
+		world->agents[i].listed = false;
+	restart_entries_(world);
+	assert_all_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* The target changes several times, with openings in between. */
+static void flows_of_all_earlier_targets_go_on(void **state)
+{
+	call_t *calls[2 * CALLERS];
+	world_t *world = world_of_two_services_(6, 42, calls);
+
+	(void)state;
+	set_target_(world, WORLD_OTHER_SERVICE, NULL);
+	open_flows_(world, calls + CALLERS, CALLERS);
+	set_target_(world, WORLD_SERVICE, WORLD_OTHER_SERVICE);
+	set_target_(world, WORLD_OTHER_SERVICE, NULL);
+	set_target_(world, WORLD_OTHER_SERVICE, WORLD_SERVICE);
+	restart_entries_(world);
+	assert_all_flows_go_on_(world, calls);
+	assert_all_flows_go_on_(world, calls + CALLERS);
+	world_delete(world);
+}
+
+/* The agents of the earlier service restart, too, and do not know the flows of
+ * their servers. */
+static void flows_of_an_earlier_service_survive_restarts_of_agents(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_of_two_services_(6, 43, calls);
+	pl_ms_t from;
+
+	(void)state;
+	set_target_(world, WORLD_OTHER_SERVICE, WORLD_SERVICE);
+	for (int i = 0; i < world->agent_count; i++) {
+		world_kill_agent(world, i);
+		world_start_agent(world, i);
+	}
+	restart_entries_(world);
+	from = world->now;
+	send_next_requests_(world, calls, CALLERS);
+	world_run(world, 1500);
+	assert_int_equal(world->false_resets, 0);
+	assert_int_equal(world_served(world, from), CALLERS);
+	world_delete(world);
+}
+
+/* A caller's second opening packet reaches an entry that has a newer
+ * configuration, and the caller takes the answer of the earlier service. */
+static void flow_that_two_services_were_offered_goes_on(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_new(2, 6, 44);
+
+	(void)state;
+	world_split_services(world, 3);
+	world->in_rotation[1] = false;
+	for (int i = 0; i < CALLERS; i++) {
+		calls[i] =
+			world_call(world, 1 + (uint32_t)i, SMALL_BYTES, true);
+		world_run(world, 5);
+	}
+	/* the copies of opening packets meet the newer target */
+	set_target_(world, WORLD_OTHER_SERVICE, NULL);
+	for (int i = 0; i < CALLERS; i++)
+		world_resend_opening(calls[i]);
+	world->in_rotation[0] = false;
+	world->in_rotation[1] = true;
+	world_run(world, 2000);
+	for (int i = 0; i < CALLERS; i++)
+		assert_int_equal(calls[i]->state, CALL_DONE);
+	assert_int_equal(world->false_resets, 0);
+	assert_all_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+static size_t choose_lowest_agent_(const pl_flow_candidate_t *candidates,
+				   size_t count)
+{
+	size_t chosen = 0;
+
+	for (size_t i = 1; i < count; i++) {
+		if (candidates[i].endpoint->agent <
+		    candidates[chosen].endpoint->agent)
+			chosen = i;
+	}
+	return chosen;
+}
+
+/* Guards against another offer to the earlier service: an agent refuses the
+ * opening packet, and the route has got another service since it was offered. */
+static void refused_opening_packet_follows_a_changed_route(void **state)
+{
+	static const pl_flow_placement_t lowest = { "lowest",
+						    choose_lowest_agent_ };
+	world_t *world = world_new(1, 4, 47);
+	call_t *call;
+
+	(void)state;
+	world->placement = &lowest;
+	world_split_services(world, 2);
+	restart_entries_(world);
+	world->servers[0].draining = true;
+	world_run(world, 1100);
+	call = world_call(world, 1, SMALL_BYTES, true);
+	world_run(world, 4);
+	set_target_(world, WORLD_OTHER_SERVICE, NULL);
+	world_run(world, 300);
+	assert_int_equal(call->state, CALL_DONE);
+	assert_true(world_owner(world, call) >= 2);
+	world_delete(world);
+}
+
+/* The servers of both services have ended: the flows are dead, and their
+ * callers have to be told. */
+static void dead_flows_are_reset_after_their_route_changed(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_of_two_services_(6, 45, calls);
+
+	(void)state;
+	set_target_(world, WORLD_OTHER_SERVICE, WORLD_SERVICE);
+	power_off_(world);
+	power_on_(world);
+	send_next_requests_(world, calls, CALLERS);
+	world_run(world, 800);
+	for (int i = 0; i < CALLERS; i++)
+		assert_int_equal(calls[i]->resets, 1);
+	assert_int_equal(world->false_resets, 0);
+	world_delete(world);
+}
+
+/* While the agents of the route's service answer, servers of another service
+ * receive no packet of its flows. */
+static void servers_of_another_service_get_no_needless_packets(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_of_two_services_(6, 46, calls);
+
+	(void)state;
+	for (int i = 0; i < world->agent_count; i++) {
+		world_kill_agent(world, i);
+		world_start_agent(world, i);
+	}
+	restart_entries_(world);
+	assert_all_flows_go_on_(world, calls);
+	for (int i = 3; i < world->agent_count; i++)
+		assert_int_equal(world->servers[i].unowned_packets, 0);
+	world_delete(world);
+}
+
 /* The first server that is offered a flow is down, so the retransmission goes
  * to another one, and the caller is served. */
 static void retransmitted_opening_packet_goes_to_another_server(void **state)
@@ -1090,6 +1319,21 @@
 		cmocka_unit_test(report_of_an_earlier_process_is_ignored),
 		cmocka_unit_test(foreign_reports_change_nothing),
 		cmocka_unit_test(packet_of_another_service_is_not_delivered),
+		cmocka_unit_test(
+			flows_go_on_after_their_route_gets_another_service),
+		cmocka_unit_test(flows_go_on_after_their_service_is_left_out),
+		cmocka_unit_test(
+			flows_go_on_while_only_the_roster_names_their_agents),
+		cmocka_unit_test(flows_of_all_earlier_targets_go_on),
+		cmocka_unit_test(
+			flows_of_an_earlier_service_survive_restarts_of_agents),
+		cmocka_unit_test(flow_that_two_services_were_offered_goes_on),
+		cmocka_unit_test(
+			refused_opening_packet_follows_a_changed_route),
+		cmocka_unit_test(
+			dead_flows_are_reset_after_their_route_changed),
+		cmocka_unit_test(
+			servers_of_another_service_get_no_needless_packets),
 		cmocka_unit_test(
 			retransmitted_opening_packet_goes_to_another_server),
 		cmocka_unit_test(
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -320,7 +320,6 @@
 {
 	const server_t *server = &world->servers[index];
 	pl_backend_report_t report = {
-		.service = WORLD_SERVICE,
 		.datacentre = WORLD_DATACENTRE,
 		.address = world_server_address(index),
 		.received_ms = world->now,
@@ -330,6 +329,8 @@
 		.draining = server->draining,
 	};
 
+	g_strlcpy(report.service, world->agents[index].service,
+		  sizeof(report.service));
 	g_snprintf(report.id, sizeof(report.id), "s-%d-%u", index,
 		   server->generation);
 	return report;
@@ -465,11 +466,10 @@
 	node->registered = false;
 }
 
-static void op_request_roster_(void *ctx, pl_service_id_t service)
+static void op_request_roster_(void *ctx)
 {
 	world_node_t *node = ctx;
 
-	(void)service;
 	node->world->roster_reads++;
 	schedule_event_(node->world, ROSTER, node->index, LINK_DELAY_MS, NULL,
 			0);
@@ -521,7 +521,7 @@
 	world_node_t *node = &world->agents[index];
 	const pl_flow_agent_params_t params = {
 		.self = node->id,
-		.service = pl_service_id(WORLD_SERVICE),
+		.service = pl_service_id(node->service),
 		.datacentre = pl_hash_text(WORLD_DATACENTRE),
 		.backend = world_server_address(node->index),
 		.flow_idle_max_ms = FLOW_IDLE_MAX_MS,
@@ -580,25 +580,40 @@
 			    .family = PL_ADDR_IPV4 };
 }
 
-static pl_routing_t *build_routing_(world_t *world)
+static const char *const services_[WORLD_SERVICES] = { WORLD_SERVICE,
+						       WORLD_OTHER_SERVICE };
+
+static void add_services_(const world_t *world, pl_routing_builder_t *builder)
 {
-	pl_routing_builder_t *builder = pl_routing_builder_new(
-		world->unconfigured ? 0 : ++world->revision);
 	const pl_route_policy_t route = { .goal_ms = WORLD_GOAL_MS };
 	const pl_service_policy_t policy = { 0 };
 	const pl_addr_t addr = service_addr_();
-	pl_service_id_t service = pl_service_id(WORLD_SERVICE);
 
-	if (world->unconfigured) {
-		pl_routing_builder_unconfigured(builder, service);
-	} else {
-		pl_routing_builder_service(builder, WORLD_SERVICE, &policy);
-		pl_routing_builder_route(builder, service, &addr, &route);
+	for (int i = 0; i < WORLD_SERVICES; i++) {
+		const char *name = services_[i];
+
+		if (world->unconfigured ||
+		    g_strcmp0(name, world->left_out) == 0)
+			pl_routing_builder_unconfigured(builder,
+							pl_service_id(name));
+		else
+			pl_routing_builder_service(builder, name, &policy);
 	}
+	if (!world->unconfigured)
+		pl_routing_builder_route(builder, pl_service_id(world->target),
+					 &addr, &route);
+}
+
+static pl_routing_t *build_routing_(world_t *world)
+{
+	pl_routing_builder_t *builder = pl_routing_builder_new(
+		world->unconfigured ? 0 : ++world->revision);
+
+	add_services_(world, builder);
 	for (int i = 0; i < world->agent_count; i++) {
 		const pl_endpoint_t endpoint = {
 			.agent = world->agents[i].id,
-			.service = service,
+			.service = pl_service_id(world->agents[i].service),
 			.datacentre = world->agents[i].datacentre,
 			.weight = PL_WEIGHT_FULL,
 			.state = world->agents[i].backend_unannounced ?
@@ -613,6 +628,18 @@
 	return pl_routing_builder_finish(builder);
 }
 
+void world_split_services(world_t *world, int first)
+{
+	for (int i = first; i < world->agent_count; i++) {
+		world->agents[i].service = WORLD_OTHER_SERVICE;
+		world_kill_agent(world, i);
+		world_crash_server(world, i);
+		world_start_agent(world, i);
+		world_start_server(world, i);
+	}
+	world_publish(world);
+}
+
 void world_publish_to(world_t *world, int entry)
 {
 	pl_routing_t *routing = build_routing_(world);
@@ -648,8 +675,7 @@
 		if (world->agents[i].registered)
 			agents[count++] = world->agents[i].id;
 	}
-	pl_flow_entry_set_roster(entry->entry, pl_service_id(WORLD_SERVICE),
-				 world->store_up, agents, count);
+	pl_flow_entry_set_roster(entry->entry, world->store_up, agents, count);
 }
 
 /* ---- callers ---- */
@@ -796,6 +822,12 @@
 	return call;
 }
 
+void world_resend_opening(call_t *call)
+{
+	send_from_caller_(call, PL_PACKET_SYN, call->seq - 1, call->copies++,
+			  0);
+}
+
 call_t *world_call(world_t *world, uint32_t ip, size_t bytes, bool keep)
 {
 	call_t *call = call_new_(world, ip, bytes, keep);
@@ -917,6 +949,7 @@
 	world->store_up = true;
 	world->order = &pl_work_order_due;
 	world->placement = &pl_flow_placement_load;
+	world->target = WORLD_SERVICE;
 	world->agent_count = servers;
 	for (int i = 0; i < servers; i++) {
 		server_t *server = &world->servers[i];
@@ -924,6 +957,7 @@
 		world->agents[i] = (world_node_t){ .world = world,
 						   .index = i,
 						   .id = 100 + (uint64_t)i,
+						   .service = WORLD_SERVICE,
 						   .listed = true };
 		*server = (server_t){ .world = world,
 				      .index = i,
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -26,6 +26,8 @@
 #define WORLD_GOAL_MS 200
 #define WORLD_DEADLINE_MS 3000
 #define WORLD_SERVICE "desk"
+#define WORLD_OTHER_SERVICE "archive"
+#define WORLD_SERVICES 2
 #define WORLD_DATACENTRE "east"
 
 typedef struct world world_t;
@@ -64,6 +66,7 @@
 	pl_flow_agent_t *agent;
 	pl_flow_entry_t *entry;
 	pl_datacentre_id_t datacentre;
+	const char *service; /* agent: of its server */
 	bool listed; /* agent: in the routing table */
 	bool registered; /* agent: in the roster */
 	bool backend_unannounced; /* agent: since its start */
@@ -125,6 +128,8 @@
 	uint16_t next_port;
 	uint64_t revision;
 	bool unconfigured; /* routing tables are built without configuration */
+	const char *target; /* service that the route sends new flows to */
+	const char *left_out; /* service that is not configured, or NULL */
 	bool store_up;
 	unsigned int roster_reads;
 	const pl_work_order_t *order;
@@ -155,6 +160,9 @@
 /** Advances the simulated time by @p ms. */
 void world_run(world_t *world, pl_ms_t ms);
 
+/** Agents from @p first on get servers of WORLD_OTHER_SERVICE. */
+void world_split_services(world_t *world, int first);
+
 /** Passes the routing table of the listed agents to every entry. */
 void world_publish(world_t *world);
 
@@ -189,6 +197,9 @@
 /** Starts another request on the flow of the completed call @p before. */
 call_t *world_call_again(world_t *world, const call_t *before);
 
+/** Sends another copy of the opening packet of a call that is opening. */
+void world_resend_opening(call_t *call);
+
 /** The server that holds the flow of @p call, or -1. */
 int world_owner(const world_t *world, const call_t *call);
 
--- a/test/roster/roster_reader_test.c
+++ b/test/roster/roster_reader_test.c
@@ -36,13 +36,12 @@
 	assert_true(modify_index > 0);
 }
 
-static void on_read_(void *ctx, pl_service_id_t service, bool known,
-		     const pl_member_id_t *agents, size_t count)
+static void on_read_(void *ctx, bool known, const pl_member_id_t *agents,
+		     size_t count)
 {
 	fixture_t *f = ctx;
 
 	(void)agents;
-	assert_int_equal(service, SERVICE);
 	f->results++;
 	f->known = known;
 	f->count = count;
@@ -114,19 +113,25 @@
 	}
 }
 
-static void register_agent_(fixture_t *f, pl_member_id_t agent)
+static void register_agent_of_(fixture_t *f, pl_service_id_t service,
+			       pl_member_id_t agent)
 {
-	char *key = pl_roster_key("trial", SERVICE, agent);
+	char *key = pl_roster_key("trial", service, agent);
 
 	kv_fake_put(f->store, key, "");
 	g_free(key);
 }
 
+static void register_agent_(fixture_t *f, pl_member_id_t agent)
+{
+	register_agent_of_(f, SERVICE, agent);
+}
+
 static bool read_(fixture_t *f)
 {
 	unsigned int before = f->results;
 
-	pl_roster_reader_read(f->reader, SERVICE);
+	pl_roster_reader_read(f->reader);
 	for (int i = 0; i < 10 && f->results == before; i++)
 		pl_kv_poll(&f->store->kv);
 	assert_int_equal(f->results, before + 1);
@@ -202,7 +207,7 @@
 	confirm_(f);
 	kv_fake_copy(f->store);
 	f->store->page = 1;
-	pl_roster_reader_read(f->reader, SERVICE);
+	pl_roster_reader_read(f->reader);
 	pl_kv_poll(&f->store->kv);
 	kv_fake_restore(f->store);
 	f->results = 0;
@@ -261,24 +266,41 @@
 	assert_true(read_(f));
 }
 
+/* A flow may have been opened at any service. */
+static void roster_spans_all_services(void **state)
+{
+	fixture_t *f = *state;
+
+	register_agent_(f, AGENT_A);
+	register_agent_of_(f, SERVICE + 1, AGENT_B);
+	confirm_(f);
+	assert_true(read_(f));
+	assert_int_equal(f->count, 2);
+}
+
 /* Guards against a key of another writer that made every read of the roster
  * fail, so that flows of ended servers were not reset. */
 static void keys_of_other_writers_name_no_agent(void **state)
 {
+#define SERVICE_KEY "0000000000000007/"
 	static const char *const names[] = { "!",
-					     "x",
-					     "10.0.0.1",
-					     "10.0.0.1:",
-					     "10.0.0.1:0",
-					     "10.0.0.1: 7000",
-					     "10.0.0.1:+7000",
-					     "10.0.0.1:07000",
-					     "10.0.0.1:70000",
-					     "[::1]:7000",
-					     "10.0.0.1:7000/x",
+					     "10.0.0.1:7000",
+					     "7/10.0.0.1:7000",
+					     "000000000000000G/10.0.0.1:7000",
+					     SERVICE_KEY,
+					     SERVICE_KEY "x",
+					     SERVICE_KEY "10.0.0.1",
+					     SERVICE_KEY "10.0.0.1:",
+					     SERVICE_KEY "10.0.0.1:0",
+					     SERVICE_KEY "10.0.0.1: 7000",
+					     SERVICE_KEY "10.0.0.1:+7000",
+					     SERVICE_KEY "10.0.0.1:07000",
+					     SERVICE_KEY "10.0.0.1:70000",
+					     SERVICE_KEY "[::1]:7000",
+					     SERVICE_KEY "10.0.0.1:7000/x",
 					     "~" };
 	fixture_t *f = *state;
-	char *prefix = pl_roster_prefix("trial", SERVICE);
+	char *prefix = pl_roster_prefix("trial");
 
 	register_agent_(f, AGENT_A);
 	register_agent_(f, AGENT_B);
@@ -292,7 +314,7 @@
 	confirm_(f);
 	assert_true(read_(f));
 	assert_int_equal(f->count, 2);
-	f->store->page = 3;
+	f->store->page = 4;
 	assert_true(read_(f));
 	assert_int_equal(f->count, 2);
 }
@@ -301,7 +323,7 @@
 static void restore_after_a_page_without_agents_is_noticed(void **state)
 {
 	fixture_t *f = *state;
-	char *prefix = pl_roster_prefix("trial", SERVICE);
+	char *prefix = pl_roster_prefix("trial");
 	char *key = g_strconcat(prefix, "!", NULL);
 
 	kv_fake_put(f->store, key, "");
@@ -310,7 +332,7 @@
 	kv_fake_copy(f->store);
 	f->store->page = 1;
 	f->results = 0;
-	pl_roster_reader_read(f->reader, SERVICE);
+	pl_roster_reader_read(f->reader);
 	pl_kv_poll(&f->store->kv);
 	kv_fake_restore(f->store);
 	for (int i = 0; i < 10 && f->results == 0; i++)
@@ -344,6 +366,7 @@
 		TEST_(failed_read_is_unknown),
 		TEST_(outage_causes_few_attempts_to_confirm),
 		TEST_(roster_of_a_store_without_generations_is_used),
+		TEST_(roster_spans_all_services),
 		TEST_(keys_of_other_writers_name_no_agent),
 		TEST_(restore_after_a_page_without_agents_is_noticed),
 		TEST_(malformed_confirmation_confirms_nothing),
--- a/test/roster/roster_share_test.c
+++ b/test/roster/roster_share_test.c
@@ -10,7 +10,6 @@
 #include <string.h>
 
 #define ENTRIES 18
-#define SERVICE 77
 #define STORE_MS 4
 #define FRAME_MS 1
 #define MUTATIONS 20000
@@ -44,7 +43,6 @@
 	pl_peer_frame_t frame; /* type 0: end of a read */
 	bool known; /* of a read: it succeeded */
 	bool failed; /* of a frame: it was not delivered */
-	pl_service_id_t service;
 } event_t;
 
 struct fleet {
@@ -71,8 +69,7 @@
 	pl_list_remove(&event->link);
 	if (event->frame.type == 0) {
 		to->reads_in_progress--;
-		pl_roster_share_read_done(to->share, event->service,
-					  event->known, agents,
+		pl_roster_share_read_done(to->share, event->known, agents,
 					  event->known ? 2 : 0);
 	} else if (event->failed) {
 		pl_roster_share_frame_failed(to->share, &event->frame);
@@ -109,7 +106,7 @@
 	event->failed = !up;
 }
 
-static void read_(void *ctx, pl_service_id_t service)
+static void read_(void *ctx)
 {
 	entry_t *entry = ctx;
 	event_t *event =
@@ -119,15 +116,13 @@
 	entry->reads++;
 	entry->reads_in_progress++;
 	event->known = !entry->refused_by_store;
-	event->service = service;
 }
 
-static void answer_(void *ctx, pl_service_id_t service, bool known,
-		    const pl_member_id_t *agents, size_t count)
+static void answer_(void *ctx, bool known, const pl_member_id_t *agents,
+		    size_t count)
 {
 	entry_t *entry = ctx;
 
-	assert_int_equal(service, SERVICE);
 	entry->answers++;
 	entry->unknown += !known;
 	entry->max_answer_time = MAX(entry->max_answer_time,
@@ -189,7 +184,7 @@
 static void request_roster_(entry_t *entry)
 {
 	entry->requested_at = entry->fleet->now;
-	pl_roster_share_request(entry->share, SERVICE);
+	pl_roster_share_request(entry->share);
 }
 
 /* All entries make requests as after a power failure: each makes the next one
@@ -342,22 +337,21 @@
 	GByteArray *body = g_byte_array_new();
 	GRand *random = g_rand_new_with_seed(7);
 	const pl_member_id_t agents[] = { 1, UINT64_MAX, 99 };
-	const pl_roster_request_t request = { SERVICE, 3 };
 
 	(void)state;
-	pl_roster_encode_response(&request, true, agents, 3, body);
+	pl_roster_encode_response(3, true, agents, 3, body);
 	for (int i = 0; i < MUTATIONS; i++) {
 		GArray *out = g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
 		g_autofree uint8_t *bytes = g_memdup2(body->data, body->len);
 		size_t len = (size_t)g_rand_int_range(random, 0,
 						      (gint)body->len + 1);
-		pl_roster_request_t head;
+		uint32_t sequence;
 		bool known;
 
 		bytes[g_rand_int_range(random, 0, (gint)body->len)] =
 			(uint8_t)g_rand_int(random);
-		pl_roster_decode_response(bytes, len, &head, &known, out);
-		pl_roster_decode_request(bytes, len, &head);
+		pl_roster_decode_response(bytes, len, &sequence, &known, out);
+		pl_roster_decode_request(bytes, len, &sequence);
 		g_array_free(out, TRUE);
 	}
 	g_rand_free(random);
