platform: a route keeps a service whatever its weights

Cause: the decoder took only whole weights above 0. A route without any was skipped like an unreadable one, so the routing table lacked it, and entries reset the flows of a route that is missing.

Ruled out: the lookup of open flows; it is not reached without a route.

--- a/test/platform/config_test.c
+++ b/test/platform/config_test.c
@@ -51,6 +51,44 @@
 	pl_document_put(document);
 }
 
+/* Guards against the loss of a route with fractional weights, or with none
+ * above 0: entries reset the open flows of a route that is missing. */
+static void route_keeps_a_service_whatever_its_weights(void **state)
+{
+	static const struct {
+		const char *backends;
+		const char *service;
+	} cases[] = {
+		{ "{\"service\":\"a\",\"weight\":0.4},"
+		  "{\"service\":\"b\",\"weight\":0.6}",
+		  "b" },
+		{ "{\"service\":\"a\",\"weight\":0},"
+		  "{\"service\":\"b\",\"weight\":0}",
+		  "a" },
+		{ "{\"service\":\"a\"},{\"service\":\"b\"}", "a" },
+		{ "{\"service\":\"a\",\"weight\":null},"
+		  "{\"service\":\"b\",\"weight\":1}",
+		  "b" },
+		{ "{\"weight\":90},{\"service\":\"b\",\"weight\":10}", "b" },
+	};
+	pl_document_t *document;
+	size_t skipped;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":3,\"routes\":[{\"host\":\"1.2.3.4\","
+			"\"prefix\":\"/80/\",\"backends\":[%s]}]}",
+			cases[i].backends);
+
+		assert_int_equal(decode_(text, &document, &skipped), PL_OK);
+		assert_int_equal(skipped, 0);
+		assert_non_null(pl_document_find(document, cases[i].service));
+		assert_int_equal(pl_document_count(document), 1);
+		pl_document_put(document);
+	}
+}
+
 static void unreadable_routes_are_skipped(void **state)
 {
 	static const char text[] =
@@ -98,6 +136,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(routes_become_sections),
+		cmocka_unit_test(route_keeps_a_service_whatever_its_weights),
 		cmocka_unit_test(unreadable_routes_are_skipped),
 		cmocka_unit_test(invalid_documents_are_rejected),
 	};
