document: as many routes of a service as a value of the store holds

The routes of a service beyond 4,096 were skipped, so entries reset their open flows and refused new ones.

Cause: a limit that the largest value of the store (1 MiB) exceeds five times. A configuration that grows by 1,400 routes a few times reaches it.

Ruled out: the encoding of a section; the copy that members pass on holds all routes of the largest value.

Change: the limit is 32,768, above what a value has room for.

Test: routes_of_the_largest_value_are_all_kept fails with the old limit (16,688 routes skipped).

--- a/include/pimentolift/document.h
+++ b/include/pimentolift/document.h
@@ -27,8 +27,9 @@
 #define PL_DOCUMENT_FORMAT 1
 /** Maximum number of services in a document. */
 #define PL_DOCUMENT_SERVICES_MAX 4096
-/** Maximum number of addresses of a service. */
-#define PL_DOCUMENT_ADDRESSES_MAX 4096
+/** Maximum number of addresses of a service; more than a value of the store
+ * (1 MiB) has room for. */
+#define PL_DOCUMENT_ADDRESSES_MAX 32768
 /** Maximum number of data centres with a weight for a service. */
 #define PL_DOCUMENT_WEIGHTS_MAX 64
 /** Maximum number of objectives of a service. */
--- a/test/platform/config_test.c
+++ b/test/platform/config_test.c
@@ -89,6 +89,46 @@
 	}
 }
 
+/* Guards against routes that were skipped because a service had more than 4,096
+ * of them: entries reset the open flows of a route that is missing. The routes
+ * fill a value of the largest size that the store holds. */
+static void routes_of_the_largest_value_are_all_kept(void **state)
+{
+	const size_t value_max = 1024 * 1024;
+	GString *text = g_string_new("{\"version\":3,\"routes\":[");
+	pl_error_t err = PL_ERROR_INIT;
+	const pl_section_t *section;
+	pl_section_t *copy = NULL;
+	pl_document_t *document;
+	size_t count = 0;
+	size_t skipped;
+	size_t len;
+	const uint8_t *bytes;
+
+	(void)state;
+	while (text->len < value_max - 100) {
+		g_string_append_printf(
+			text,
+			"%s{\"host\":\"1.2.%zu.%zu\",\"prefix\":\"/1/\","
+			"\"service\":\"s\"}",
+			count ? "," : "", count / 256, count % 256);
+		count++;
+	}
+	g_string_append(text, "]}");
+	assert_true(text->len <= value_max);
+	assert_int_equal(decode_(text->str, &document, &skipped), PL_OK);
+	assert_int_equal(skipped, 0);
+	section = pl_document_find(document, "s");
+	assert_int_equal(pl_section_service(section)->address_count, count);
+	/* members pass the section on */
+	bytes = pl_section_bytes(section, &len);
+	assert_int_equal(pl_section_decode(bytes, len, &copy, &err), PL_OK);
+	assert_int_equal(pl_section_service(copy)->address_count, count);
+	pl_section_put(copy);
+	pl_document_put(document);
+	g_string_free(text, TRUE);
+}
+
 static void unreadable_routes_are_skipped(void **state)
 {
 	static const char text[] =
@@ -137,6 +177,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(routes_become_sections),
 		cmocka_unit_test(route_keeps_a_service_whatever_its_weights),
+		cmocka_unit_test(routes_of_the_largest_value_are_all_kept),
 		cmocka_unit_test(unreadable_routes_are_skipped),
 		cmocka_unit_test(invalid_documents_are_rejected),
 	};
