soak: the route changes its service, and other writers send what they may

The soak of flows had one service, one version of the configuration and no writer but the servers. Half of the servers now belong to a second service. New faults: the route gets another service, sometimes with the former one left out; an agent gets a heartbeat with one malformed field, under the server's identity or another; keys that no agent writes appear among the roster's entries.

--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -341,6 +341,8 @@
 	long seconds = option_number_(argc, argv, "--seconds", 15);
 	const char *faults = option_text_(argc, argv, "--faults");
 	soak_t soak = { .last_fault = "none",
+			.version = 1,
+			.target = WORLD_SERVICE,
 			.allowed_faults =
 				faults ? g_strsplit(faults, ",", -1) : NULL };
 
@@ -354,6 +356,8 @@
 	soak.world = world_new_with_transport(MIN(soak.agents, WORLD_NODES_MAX),
 					      seed, &transport_, &soak);
 	soak.agents = MIN(soak.agents, WORLD_NODES_MAX);
+	for (int i = soak.agents / 2; i < soak.agents; i++)
+		soak.world->agents[i].service = WORLD_OTHER_SERVICE;
 	for (int i = 0; i < SOAK_CALLERS; i++)
 		soak.caller_fds[i] = open_socket_(CALLER_NET + 1 + (uint32_t)i,
 						  soak.port, SOCK_DGRAM);
--- a/test/soak/flow_soak.h
+++ b/test/soak/flow_soak.h
@@ -32,6 +32,7 @@
 	CURL *request; /* ready probe or heartbeat in progress, or NULL */
 	char *request_body;
 	bool request_drains; /* the heartbeat in progress says draining */
+	bool request_foreign; /* it is to be rejected */
 } soak_node_t;
 
 typedef struct {
@@ -56,6 +57,9 @@
 	CURLM *multi;
 	pl_ms_t store_up_at; /* 0: the store has no fault */
 	bool store_goes_back; /* it comes back from its last copy */
+	unsigned int version; /* of the configuration */
+	const char *target; /* service that the route sends new flows to */
+	bool left_out; /* the configuration does not name the other service */
 	unsigned int breaches;
 	unsigned int faults;
 	const char *last_fault;
@@ -80,6 +84,15 @@
 
 /** Writes the operators' configuration to the store. */
 bool soak_store_config(soak_t *soak);
+/** Sends new flows to another service, and may leave the former one out. */
+void soak_change_config(soak_t *soak);
+/** Writes a key among those of the roster that no agent would write. */
+void soak_store_foreign_entry(soak_t *soak);
+/** Body of a heartbeat; free with g_free(). */
+char *soak_format_report(const soak_t *soak, int index,
+			 const pl_backend_report_t *report);
+/** Sends an agent a heartbeat that is malformed or describes another server. */
+void soak_send_foreign_report(soak_t *soak);
 /** Ends the fault of the store when due. */
 void soak_step_store(soak_t *soak);
 /** Reports each agent whose server serves and that the roster lacks. */
@@ -93,6 +106,8 @@
 /** Sends a heartbeat of a backend server to its agent. */
 void soak_send_heartbeat(void *ctx, server_t *server,
 			 const pl_backend_report_t *report);
+/** Sends the heartbeat in @c request_body of an agent's node under @p id. */
+void soak_send_report(soak_t *soak, soak_node_t *node, const char *id);
 /** Sends a ready probe to each entry that has none in progress. */
 void soak_probe_entries(soak_t *soak);
 
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -34,7 +34,7 @@
 	"[platform]\nurl = \"http://127.0.0.1:%u\"\ntimeout_ms = 500\n"
 	"[flows]\nlisten = \"127.0.2.%d:%u\"\nready = \"127.0.2.%d:%u\"\n"
 	"backend = \"127.0.2.%d:%u\"\noutbound = \"127.0.2.%d:%u\"\n"
-	"reports = \"127.0.2.%d:%u\"\nservice = \"" WORLD_SERVICE "\"\n"
+	"reports = \"127.0.2.%d:%u\"\nservice = \"%s\"\n"
 	"report_ms = 1000\nbackend_listens = true\n";
 
 static char *format_settings_(const soak_t *soak, bool entry, int index)
@@ -52,7 +52,8 @@
 			g_strdup_printf(agent_settings_, n, index % 3, n,
 					port + 3, n, port + 4, seeds, store, n,
 					port, n, port + 1, n, port + 6, n,
-					port + 2, n, port + 5);
+					port + 2, n, port + 5,
+					soak->world->agents[index].service);
 
 	g_free(seeds);
 	return text;
@@ -87,37 +88,6 @@
 	return soak_node_start(soak, node);
 }
 
-static void on_config_stored_(void *ctx, const pl_kv_reply_t *reply)
-{
-	*(pl_result_t *)ctx = reply->result;
-}
-
-/* Stores the operators' configuration, which has one route. */
-bool soak_store_config(soak_t *soak)
-{
-	static const char text[] =
-		"{\"version\":1,\"routes\":[{\"name\":\"r\","
-		"\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
-		"\"goal_ms\":200,\"priority\":1,"
-		"\"service\":\"" WORLD_SERVICE "\"}],\"services\":[]}";
-	char *url = g_strdup_printf("http://127.0.0.1:%u",
-				    pl_store_port(soak->store));
-	pl_kv_t *kv = pl_platform_store_new(url, 2000);
-	pl_result_t result = PL_ERR_TIMEOUT;
-
-	pl_kv_put(kv,
-		  &(pl_kv_write_t){ .key = pl_platform_config_key,
-				    .value = text,
-				    .value_len = strlen(text),
-				    .expected_index = PL_KV_ANY },
-		  on_config_stored_, &result);
-	while (pl_kv_pending(kv) > 0)
-		pl_kv_wait(kv, 100);
-	pl_kv_delete(kv);
-	g_free(url);
-	return result == PL_OK;
-}
-
 bool soak_start(soak_t *soak)
 {
 	soak->multi = curl_multi_init();
@@ -235,30 +205,28 @@
 	}
 }
 
+void soak_send_report(soak_t *soak, soak_node_t *node, const char *id)
+{
+	char url[160];
+
+	g_snprintf(url, sizeof(url), "http://127.0.2.%d:%u/v1/instances/%s",
+		   node->index + 1, soak->port + 5U, id);
+	send_request_(soak, node, url);
+}
+
 void soak_send_heartbeat(void *ctx, server_t *server,
 			 const pl_backend_report_t *report)
 {
 	soak_t *soak = ctx;
 	soak_node_t *node = &soak->nodes[soak->entries + server->index];
-	char url[160];
 
 	if (node->request)
 		return;
 	g_free(node->request_body);
-	node->request_body = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"127.0.2.%d:%u\","
-		"\"zone\":\"dc-%d\",\"version\":\"v1\","
-		"\"max_concurrency\":%u,\"state\":\"%s\","
-		"\"warmup_left_ms\":0,\"sequence\":%" G_GUINT64_FORMAT
-		",\"born\":%" G_GUINT64_FORMAT "}",
-		report->service, server->index + 1, soak->port + 6U,
-		server->index % 3, report->slots,
-		report->draining ? "draining" : "ready", report->sequence,
-		report->born_ms);
+	node->request_body = soak_format_report(soak, server->index, report);
 	node->request_drains = report->draining;
-	g_snprintf(url, sizeof(url), "http://127.0.2.%d:%u/v1/instances/%s",
-		   server->index + 1, soak->port + 5U, report->id);
-	send_request_(soak, node, url);
+	node->request_foreign = false;
+	soak_send_report(soak, node, report->id);
 }
 
 static void finish_request_(soak_t *soak, CURL *easy)
@@ -271,6 +239,9 @@
 	if (node->entry)
 		node->failed_probes =
 			status == 200 ? 0 : node->failed_probes + 1;
+	else if (status == 200 && node->request_foreign)
+		soak_report_breach(soak, "agent %d accepted the report %s",
+				   node->index, node->request_body);
 	else if (status == 200 && node->request_drains &&
 		 soak->drain_acked_at[node->index] == 0)
 		soak->drain_acked_at[node->index] = soak->world->now;
@@ -471,8 +442,9 @@
 		const pl_addr_t inner = { .family = PL_ADDR_IPV4,
 					  .ip = { 127, 0, 2, (uint8_t)(i + 1) },
 					  .port = (uint16_t)(soak->port + 3) };
-		char *key = pl_roster_key("soak", pl_service_id(WORLD_SERVICE),
-					  pl_member_id_from_addr(&inner));
+		char *key = pl_roster_key(
+			"soak", pl_service_id(soak->world->agents[i].service),
+			pl_member_id_from_addr(&inner));
 
 		if (soak->server_restart_at[i] == 0 &&
 		    !soak->world->servers[i].draining &&
@@ -507,6 +479,10 @@
 		{ "store", fail_store_ },
 		{ "store-back", restore_store_ },
 		{ "kill-all", kill_all_nodes_ },
+		{ "config", soak_change_config },
+		{ "config", soak_change_config },
+		{ "foreign-report", soak_send_foreign_report },
+		{ "foreign-entry", soak_store_foreign_entry },
 	};
 	size_t allowed[G_N_ELEMENTS(faults)];
 	int count = 0;
--- /dev/null
+++ b/test/soak/flow_soak_writers.c
@@ -0,0 +1,154 @@
+/**
+ * @file
+ * Writers of the soak of flows: the operators, and others whose keys and
+ * heartbeats must change nothing.
+ */
+#include "flow_soak.h"
+
+#include <pimentolift/registration.h>
+#include <platform/platform.h>
+#include <string.h>
+
+/** Largest step between two versions of the configuration. */
+#define VERSION_STEP_MAX 5
+
+static void on_config_stored_(void *ctx, const pl_kv_reply_t *reply)
+{
+	*(pl_result_t *)ctx = reply->result;
+}
+
+static bool store_(soak_t *soak, const char *key, const char *text)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u",
+				    pl_store_port(soak->store));
+	pl_kv_t *kv = pl_platform_store_new(url, 2000);
+	pl_result_t result = PL_ERR_TIMEOUT;
+
+	pl_kv_put(kv,
+		  &(pl_kv_write_t){ .key = key,
+				    .value = text,
+				    .value_len = strlen(text),
+				    .expected_index = PL_KV_ANY },
+		  on_config_stored_, &result);
+	while (pl_kv_pending(kv) > 0)
+		pl_kv_wait(kv, 100);
+	pl_kv_delete(kv);
+	g_free(url);
+	return result == PL_OK;
+}
+
+/* The callers' route, and one to the other service unless that is left out. */
+bool soak_store_config(soak_t *soak)
+{
+	static const char route[] = "{\"host\":\"198.18.0.%d\","
+				    "\"prefix\":\"/8443/\",\"goal_ms\":200,"
+				    "\"priority\":1,\"service\":\"%s\"}";
+	bool desk = strcmp(soak->target, WORLD_SERVICE) == 0;
+	GString *text = g_string_new(NULL);
+	bool stored;
+
+	g_string_append_printf(text, "{\"version\":%u,\"routes\":[",
+			       soak->version);
+	g_string_append_printf(text, route, 1, soak->target);
+	if (!soak->left_out) {
+		g_string_append_c(text, ',');
+		g_string_append_printf(text, route, 2,
+				       desk ? WORLD_OTHER_SERVICE :
+					      WORLD_SERVICE);
+	}
+	g_string_append(text, "],\"services\":[]}");
+	stored = store_(soak, pl_platform_config_key, text->str);
+	g_string_free(text, TRUE);
+	return stored;
+}
+
+void soak_change_config(soak_t *soak)
+{
+	/* the store would not confirm the write */
+	if (soak->store_up_at != 0)
+		return;
+	soak->version += (unsigned int)g_rand_int_range(soak->random, 1,
+							VERSION_STEP_MAX + 1);
+	soak->target = strcmp(soak->target, WORLD_SERVICE) == 0 ?
+			       WORLD_OTHER_SERVICE :
+			       WORLD_SERVICE;
+	soak->left_out = g_rand_boolean(soak->random);
+	if (!soak_store_config(soak))
+		soak_report_breach(soak, "the store refused the configuration");
+}
+
+void soak_store_foreign_entry(soak_t *soak)
+{
+	static const char *const names[] = { "!", "0/x", "zz/127.0.2.1:1",
+					     "10.0.0.1:7000" };
+	char *prefix = pl_roster_prefix("soak");
+	char *key = g_strconcat(
+		prefix,
+		names[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(names))],
+		NULL);
+
+	if (soak->store_up_at == 0 && !store_(soak, key, "\xff"))
+		soak_report_breach(soak, "the store refused a key");
+	g_free(key);
+	g_free(prefix);
+}
+
+char *soak_format_report(const soak_t *soak, int index,
+			 const pl_backend_report_t *report)
+{
+	return g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"127.0.2.%d:%u\","
+		"\"zone\":\"dc-%d\",\"version\":\"v1\","
+		"\"max_concurrency\":%u,\"state\":\"%s\","
+		"\"warmup_left_ms\":0,\"sequence\":%" G_GUINT64_FORMAT
+		",\"born\":%" G_GUINT64_FORMAT "}",
+		report->service, index + 1, soak->port + 6U, index % 3,
+		report->slots, report->draining ? "draining" : "ready",
+		report->sequence, report->born_ms);
+}
+
+/* Replaces the value of one field by another form; @p field starts at the
+ * field's name. */
+static char *replace_field_(const char *body, const char *field,
+			    const char *form)
+{
+	const char *value = strchr(field, ':') + 1;
+	size_t len = *value == '"' ? strcspn(value + 1, "\"") + 2 :
+				     strcspn(value, ",}");
+
+	return g_strdup_printf("%.*s%s%s", (int)(value - body), body, form,
+			       value + len);
+}
+
+void soak_send_foreign_report(soak_t *soak)
+{
+	static const char *const fields[] = {
+		"\"service\"",	      "\"address\"",	     "\"zone\"",
+		"\"version\"",	      "\"max_concurrency\"", "\"state\"",
+		"\"warmup_left_ms\"", "\"sequence\"",	     "\"born\""
+	};
+	static const char *const forms[] = { "null", "[]",	   "{}",
+					     "true", "-1",	   "1.5",
+					     "1e99", "\"\\u0000\"" };
+	int index = g_rand_int_range(soak->random, 0, soak->agents);
+	soak_node_t *node = &soak->nodes[soak->entries + index];
+	pl_backend_report_t report = world_report(soak->world, index);
+	size_t field =
+		(size_t)g_rand_int_range(soak->random, 0, G_N_ELEMENTS(fields));
+	size_t form =
+		(size_t)g_rand_int_range(soak->random, 0, G_N_ELEMENTS(forms));
+	bool own_id = g_rand_boolean(soak->random);
+	char *body;
+
+	if (node->request)
+		return;
+	report.born_ms++;
+	body = soak_format_report(soak, index, &report);
+	g_free(node->request_body);
+	node->request_body =
+		replace_field_(body, strstr(body, fields[field]), forms[form]);
+	g_free(body);
+	node->request_drains = false;
+	node->request_foreign = true;
+	soak_send_report(soak, node, own_id ? report.id : "s-foreign");
+}
