flow: log lines that tell a replaced server from a wrong report

Reports that made an agent take its server for replaced left no line of their own, so a reset could not be traced to the report that caused it; and the line of a flow that was proved dead did not say on which configuration and which roster the proof rested.

New event 212 backend-replaced names the last report of the old process and the first of the new one. 242 flow-lost and 243 flow-dead state the configuration in force, and the size and age of the roster. `pimentoctl endpoints` shows the identity of a service that no configuration names.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -38,6 +38,8 @@
 	  "the backend server registered or reported that it serves")          \
 	X(PL_EVENT_BACKEND_DOWN, 211, "backend-down", WARNING,                 \
 	  "the backend server's registration expired or it stopped answering") \
+	X(PL_EVENT_BACKEND_REPLACED, 212, "backend-replaced", INFO,            \
+	  "reports come from a later process of the backend server")           \
 	X(PL_EVENT_DRAIN_STARTED, 220, "drain-started", INFO,                  \
 	  "the endpoint accepts no new work")                                  \
 	X(PL_EVENT_DRAIN_DONE, 221, "drain-done", INFO,                        \
--- a/src/daemon/admin_report.c
+++ b/src/daemon/admin_report.c
@@ -66,6 +66,17 @@
 	return status;
 }
 
+/* Adds the service's name, or its identity if no configuration names it. */
+static void add_service_(struct json_object *object,
+			 const pl_route_service_t *service)
+{
+	char *identity =
+		g_strdup_printf("%016" G_GINT64_MODIFIER "x", service->id);
+
+	add_text_(object, "service", *service->name ? service->name : identity);
+	g_free(identity);
+}
+
 static struct json_object *endpoint_json_(const pl_route_service_t *service,
 					  const pl_endpoint_t *endpoint,
 					  const pl_member_table_t *members)
@@ -73,7 +84,7 @@
 	const pl_member_t *member = pl_member_find(members, endpoint->agent);
 	struct json_object *object = json_object_new_object();
 
-	add_text_(object, "service", service->name);
+	add_service_(object, service);
 	add_member_(object, "agent", endpoint->agent);
 	add_text_(object, "state", pl_endpoint_state_names[endpoint->state]);
 	add_number_(object, "weight", endpoint->weight);
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -164,6 +164,16 @@
 	agent->ops->backend_changed(agent->ctx, serving, agent->report.slots);
 }
 
+static void log_replaced_(const pl_backend_report_t *old,
+			  const pl_backend_report_t *report)
+{
+	pl_event(PL_EVENT_BACKEND_REPLACED,
+		 "backend server %s started at %" PRIu64 ", report %" PRIu64
+		 ", by %s started at %" PRIu64 ", report %" PRIu64,
+		 old->id, old->born_ms, old->sequence, report->id,
+		 report->born_ms, report->sequence);
+}
+
 pl_flow_report_result_t pl_flow_agent_report(pl_flow_agent_t *agent,
 					     const pl_backend_report_t *report)
 {
@@ -177,6 +187,7 @@
 	if (is_outdated_(agent, report))
 		return PL_FLOW_REPORT_OUTDATED;
 	if (!first && !same_process_(&agent->report, report)) {
+		log_replaced_(&agent->report, report);
 		reset_all_flows_(agent);
 		agent->flows_complete = true;
 	}
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -272,22 +272,39 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Formats what the lookup relied on: configuration and roster. */
+static char *format_evidence_(const pl_flow_entry_t *entry)
+{
+	const pl_flow_roster_t *roster = &entry->roster;
+
+	if (!roster->known)
+		return g_strdup_printf("configuration %" PRIu64 ", no roster",
+				       pl_routing_revision(entry->routing));
+	return g_strdup_printf(
+		"configuration %" PRIu64 ", roster of %u agents %" PRIu64
+		" ms old",
+		pl_routing_revision(entry->routing), roster->agents->len,
+		pl_flow_entry_now_(entry) - roster->requested_at);
+}
+
 static void log_end_(pl_flow_entry_t *entry, const lookup_t *lookup,
 		     pl_event_id_t event)
 {
+	char *evidence = format_evidence_(entry);
 	char name[PL_FLOW_TEXT_MAX];
 	char blocking_text[PL_ADDR_TEXT_MAX];
 	char *answers = format_answers_(lookup);
 	const pl_addr_t blocking = pl_member_id_to_addr(
 		pl_flow_roster_blocking_agent_(entry, lookup));
 
-	pl_event(event, "flow %s after %" PRIu64 " ms, %zu packets:%s%s%s",
+	pl_event(event, "flow %s after %" PRIu64 " ms, %zu packets, %s:%s%s%s",
 		 pl_flow_format(&lookup->flow->node.key, name),
 		 pl_flow_entry_now_(entry) - lookup->started,
-		 lookup->packets.count, answers,
+		 lookup->packets.count, evidence, answers,
 		 blocking.port ? " not ruled out: " : "",
 		 blocking.port ? pl_addr_format(&blocking, blocking_text) : "");
 	g_free(answers);
+	g_free(evidence);
 }
 
 /* Queries probed agents again. A server that was not running when it was probed
