registration: another member registers an agent that the store refuses

Cause: a flow is reset once every agent that the roster or membership names rules it out. The refused agent served after 2 s without an entry in the roster, and while it was stopped nothing named it. Its next attempt to register was up to 12.8 s away.

Ruled out: the lookup (the other agents truthfully ruled the flow out) and the restarted agent (it claims its flows again, too late).

Change: after each attempt that failed, the agent asks a live member, an entry if there is one, to write its entry; the member writes only the entry of the sender.

Tests: refused_agent_is_registered_by_another_member, late_registration_by_another_member_changes_nothing and requests_to_register_are_decoded.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -104,6 +104,8 @@
 	  "a roster may lack agents since a restore and was not used")         \
 	X(PL_EVENT_ROSTER_INVALID, 418, "roster-invalid", WARNING,             \
 	  "keys among the roster's entries name no agent and were skipped")    \
+	X(PL_EVENT_ROSTER_DELEGATED, 419, "roster-delegated", INFO,            \
+	  "this member writes the roster entry of an agent that cannot")       \
 	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                   \
 	  "an inner message failed authentication")
 
--- a/include/pimentolift/peer.h
+++ b/include/pimentolift/peer.h
@@ -32,7 +32,9 @@
 	X(PL_PEER_VIEW_FORGET, 8, "view-forget")        \
 	X(PL_PEER_VIEW_COPIED, 9, "view-copied")        \
 	X(PL_PEER_ROSTER_REQUEST, 12, "roster-request") \
-	X(PL_PEER_ROSTER, 13, "roster-response")
+	X(PL_PEER_ROSTER, 13, "roster-response")        \
+	X(PL_PEER_REGISTER, 14, "register")             \
+	X(PL_PEER_REGISTERED, 15, "registered")
 
 typedef enum {
 #define PL_PEER_ENUM_(id, number, name) id = (number),
--- a/include/pimentolift/registration.h
+++ b/include/pimentolift/registration.h
@@ -33,6 +33,11 @@
 	pl_kv_t *kv;
 	pl_timer_service_t *timers;
 	uint64_t (*random)(void); /**< spreads retries */
+	/** Asks another member to write the entry, because the store refuses
+	 * this agent or cannot be reached; pl_registration_delegate_wrote()
+	 * follows if it did. May be NULL. */
+	void (*delegate)(void *ctx);
+	void *delegate_ctx;
 } pl_registration_params_t;
 
 /** Prefix of the keys of all entries in the roster; free with g_free(). */
@@ -54,6 +59,10 @@
 void pl_registration_register(pl_registration_t *registration,
 			      pl_registration_done_t done, void *ctx);
 
+/** Another member wrote this agent's entry in @p generation of the store. */
+void pl_registration_delegate_wrote(pl_registration_t *registration,
+				    uint64_t generation);
+
 /** Writes this agent's entry again if it is old: if membership declared the
  * agent dead, the readers of the roster may have removed its entry. */
 void pl_registration_refresh(pl_registration_t *registration);
--- a/include/pimentolift/roster_codec.h
+++ b/include/pimentolift/roster_codec.h
@@ -31,5 +31,29 @@
 				      uint32_t *sequence, bool *known,
 				      GArray *agents);
 
+/** Request of an agent that the store refuses: the receiver writes the sender's
+ * entry to the roster. */
+typedef struct {
+	uint32_t sequence; /**< chosen by the agent */
+	pl_service_id_t service;
+	char name[PL_NAME_MAX]; /**< value of the entry */
+} pl_roster_register_t;
+
+/** Appends the msgpack array [sequence, service, name] to @p out. */
+void pl_roster_encode_register(const pl_roster_register_t *request,
+			       GByteArray *out);
+
+pl_result_t pl_roster_decode_register(const uint8_t *body, size_t len,
+				      pl_roster_register_t *request);
+
+/** Appends the answer to the request @p sequence, [sequence, generation], to
+ * @p out: the entry was written in @p generation of the store. */
+void pl_roster_encode_registered(uint32_t sequence, uint64_t generation,
+				 GByteArray *out);
+
+pl_result_t pl_roster_decode_registered(const uint8_t *body, size_t len,
+					uint32_t *sequence,
+					uint64_t *generation);
+
 #endif
 /** @} */
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -4,6 +4,7 @@
  * the configuration and the role.
  */
 #include "private/node_post.h"
+#include "private/node_register.h"
 #include "private/node_state.h"
 
 #include <pimentolift/event.h>
@@ -184,6 +185,10 @@
 		if (node->roster_reader)
 			pl_node_roster_reader_frame(node->roster_reader, frame);
 		break;
+	case PL_PEER_REGISTER:
+	case PL_PEER_REGISTERED:
+		pl_node_register_frame(node, frame);
+		break;
 	default:
 		node->role_ops->frame(node->role, frame);
 		break;
@@ -209,6 +214,10 @@
 			pl_node_roster_reader_frame_failed(node->roster_reader,
 							   frame);
 		break;
+	case PL_PEER_REGISTER:
+	case PL_PEER_REGISTERED:
+		/* the agent asks another member */
+		break;
 	default:
 		node->role_ops->frame_failed(node->role, frame);
 		break;
@@ -296,7 +305,12 @@
 	return PL_OK;
 }
 
-static pl_registration_t *new_registration_(const pl_node_t *node, pl_kv_t *kv)
+static void on_store_refuses_(void *ctx)
+{
+	pl_node_register_by_delegate(ctx);
+}
+
+static pl_registration_t *new_registration_(pl_node_t *node, pl_kv_t *kv)
 {
 	const pl_registration_params_t params = {
 		.environment = node->settings->environment,
@@ -306,6 +320,8 @@
 		.kv = kv,
 		.timers = pl_node_timers_(node),
 		.random = pl_random_identity,
+		.delegate = on_store_refuses_,
+		.delegate_ctx = node,
 	};
 
 	return pl_registration_new(&params);
--- a/src/daemon/private/node_state.h
+++ b/src/daemon/private/node_state.h
@@ -43,6 +43,7 @@
 	pl_node_config_t *config;
 	pl_node_seeds_t *seeds;
 	pl_registration_t *registration; /* on agents of flows */
+	uint32_t register_sequence; /* of the last request to a delegate */
 	pl_node_roster_reader_t *roster_reader; /* on entries of flows */
 	bool serving; /* last reported by the backend server */
 	bool registered; /* in the roster, or registration timed out */
--- a/src/proto/roster_codec.c
+++ b/src/proto/roster_codec.c
@@ -7,8 +7,12 @@
 #include "private/msgpack_check.h"
 #include "private/element.h"
 
+#include <string.h>
+
 #define REQUEST_FIELDS 1
 #define RESPONSE_FIELDS 3
+#define REGISTER_FIELDS 3
+#define REGISTERED_FIELDS 2
 
 static int append_bytes_(void *data, const char *bytes, size_t len)
 {
@@ -124,3 +128,77 @@
 	msgpack_unpacked_destroy(&unpacked);
 	return valid ? PL_OK : PL_ERR_MALFORMED;
 }
+
+void pl_roster_encode_register(const pl_roster_register_t *request,
+			       GByteArray *out)
+{
+	size_t len = strlen(request->name);
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, append_bytes_);
+	msgpack_pack_array(&packer, REGISTER_FIELDS);
+	msgpack_pack_uint32(&packer, request->sequence);
+	msgpack_pack_uint64(&packer, request->service);
+	msgpack_pack_str(&packer, len);
+	msgpack_pack_str_body(&packer, request->name, len);
+}
+
+static bool read_register_(const msgpack_object *root,
+			   pl_roster_register_t *request)
+{
+	const msgpack_object *fields = get_elements_(root, REGISTER_FIELDS);
+	const msgpack_object_str *name;
+
+	if (!fields || !read_request_(root, &request->sequence) ||
+	    !pl_element_get_uint(&fields[1], UINT64_MAX, &request->service) ||
+	    request->service == 0 || fields[2].type != MSGPACK_OBJECT_STR)
+		return false;
+	name = &fields[2].via.str;
+	if (name->size >= sizeof(request->name))
+		return false;
+	memcpy(request->name, name->ptr, name->size);
+	request->name[name->size] = '\0';
+	return strlen(request->name) == name->size;
+}
+
+pl_result_t pl_roster_decode_register(const uint8_t *body, size_t len,
+				      pl_roster_register_t *request)
+{
+	msgpack_unpacked unpacked;
+	bool valid;
+
+	msgpack_unpacked_init(&unpacked);
+	valid = unpack_(body, len, &unpacked) &&
+		read_register_(&unpacked.data, request);
+	msgpack_unpacked_destroy(&unpacked);
+	return valid ? PL_OK : PL_ERR_MALFORMED;
+}
+
+void pl_roster_encode_registered(uint32_t sequence, uint64_t generation,
+				 GByteArray *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, append_bytes_);
+	msgpack_pack_array(&packer, REGISTERED_FIELDS);
+	msgpack_pack_uint32(&packer, sequence);
+	msgpack_pack_uint64(&packer, generation);
+}
+
+pl_result_t pl_roster_decode_registered(const uint8_t *body, size_t len,
+					uint32_t *sequence,
+					uint64_t *generation)
+{
+	msgpack_unpacked unpacked;
+	const msgpack_object *fields;
+	bool valid;
+
+	msgpack_unpacked_init(&unpacked);
+	valid = unpack_(body, len, &unpacked);
+	fields =
+		valid ? get_elements_(&unpacked.data, REGISTERED_FIELDS) : NULL;
+	valid = fields && read_request_(&unpacked.data, sequence) &&
+		pl_element_get_uint(&fields[1], UINT64_MAX, generation);
+	msgpack_unpacked_destroy(&unpacked);
+	return valid ? PL_OK : PL_ERR_MALFORMED;
+}
--- a/src/roster/registration.c
+++ b/src/roster/registration.c
@@ -27,6 +27,8 @@
 	pl_kv_t *kv;
 	pl_timer_service_t *timers;
 	uint64_t (*random)(void);
+	void (*delegate)(void *ctx);
+	void *delegate_ctx;
 	bool wanted; /* the agent may own flows */
 	bool registered;
 	bool writing; /* a write is in progress */
@@ -114,6 +116,19 @@
 	schedule_call_(registration, pause + registration->random() % pause);
 }
 
+static void finish_write_(pl_registration_t *registration, uint64_t generation,
+			  const char *writer)
+{
+	registration->failures = 0;
+	registration->registered = true;
+	registration->generation = generation;
+	registration->written_at = now_(registration);
+	pl_event(PL_EVENT_ROSTER_REGISTERED,
+		 "%s, generation %" G_GUINT64_FORMAT " of the store%s",
+		 registration->key, generation, writer);
+	report_done_(registration);
+}
+
 static void on_written_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_registration_t *registration = ctx;
@@ -127,16 +142,20 @@
 	}
 	if (reply->result != PL_OK) {
 		schedule_retry_(registration, reply);
+		if (!registration->registered && registration->delegate)
+			registration->delegate(registration->delegate_ctx);
 		return;
 	}
-	registration->failures = 0;
-	registration->registered = true;
-	registration->generation = reply->position.generation;
-	registration->written_at = now_(registration);
-	pl_event(PL_EVENT_ROSTER_REGISTERED,
-		 "%s, generation %" G_GUINT64_FORMAT " of the store",
-		 registration->key, reply->position.generation);
-	report_done_(registration);
+	finish_write_(registration, reply->position.generation, "");
+}
+
+void pl_registration_delegate_wrote(pl_registration_t *registration,
+				    uint64_t generation)
+{
+	if (!registration->wanted || registration->registered)
+		return;
+	pl_timer_cancel(registration->timers, &registration->call_timer);
+	finish_write_(registration, generation, " by another member");
 }
 
 static void write_entry_(pl_registration_t *registration)
@@ -229,6 +248,8 @@
 	registration->kv = params->kv;
 	registration->timers = params->timers;
 	registration->random = params->random;
+	registration->delegate = params->delegate;
+	registration->delegate_ctx = params->delegate_ctx;
 	pl_timer_init(&registration->call_timer, on_call_due_, registration);
 	pl_timer_init(&registration->register_timeout, on_register_timeout_,
 		      registration);
--- a/test/roster/registration_test.c
+++ b/test/roster/registration_test.c
@@ -20,6 +20,7 @@
 	pl_registration_t *registration;
 	char *key;
 	unsigned int done;
+	unsigned int delegated; /* requests to other members */
 } fixture_t;
 
 static uint64_t random_(void)
@@ -27,6 +28,13 @@
 	return 12345;
 }
 
+static void on_delegate_(void *ctx)
+{
+	fixture_t *f = ctx;
+
+	f->delegated++;
+}
+
 static void on_generation_(void *ctx, uint64_t generation, uint64_t before)
 {
 	fixture_t *f = ctx;
@@ -50,6 +58,8 @@
 		.kv = &f->store->kv,
 		.timers = f->timers,
 		.random = random_,
+		.delegate = on_delegate_,
+		.delegate_ctx = f,
 	});
 	pl_kv_on_generation(&f->store->kv, on_generation_, f);
 	f->key = pl_roster_key("trial", SERVICE, AGENT);
@@ -115,6 +125,46 @@
 	assert_true(kv_fake_has(f->store, f->key));
 }
 
+/* Guards against an agent that the store refuses and that served without an
+ * entry: while it was restarted nothing named it, and its flows were reset. */
+static void refused_agent_is_registered_by_another_member(void **state)
+{
+	fixture_t *f = *state;
+	unsigned int started;
+
+	f->store->down = true;
+	pl_registration_register(f->registration, on_done_, f);
+	run_(f, 1000);
+	/* one request after each failed write */
+	assert_int_equal(f->delegated, f->store->started);
+	assert_true(f->delegated >= 2);
+	assert_int_equal(f->done, 0);
+	pl_registration_delegate_wrote(f->registration, 1);
+	assert_int_equal(f->done, 1);
+	started = f->store->started;
+	run_(f, 60000);
+	assert_int_equal(f->store->started, started);
+	assert_int_equal(f->done, 1);
+}
+
+/* The answer arrives after the agent has deregistered. */
+static void late_registration_by_another_member_changes_nothing(void **state)
+{
+	fixture_t *f = *state;
+
+	f->store->down = true;
+	pl_registration_register(f->registration, on_done_, f);
+	run_(f, 300);
+	pl_registration_deregister(f->registration);
+	pl_registration_delegate_wrote(f->registration, 1);
+	assert_int_equal(f->done, 0);
+	assert_true(pl_registration_is_deregistering(f->registration));
+	f->store->down = false;
+	run_(f, 15000);
+	assert_false(kv_fake_has(f->store, f->key));
+	assert_false(pl_registration_is_deregistering(f->registration));
+}
+
 /* A roster without the agent lets entries reset flows of its server. */
 static void entry_lost_in_a_restore_is_written_again(void **state)
 {
@@ -193,6 +243,8 @@
 #define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
 	const struct CMUnitTest tests[] = {
 		TEST_(registration_without_the_store_times_out_and_is_retried),
+		TEST_(refused_agent_is_registered_by_another_member),
+		TEST_(late_registration_by_another_member_changes_nothing),
 		TEST_(entry_lost_in_a_restore_is_written_again),
 		TEST_(entry_lost_while_it_is_written_is_written_again),
 		TEST_(entry_that_a_restore_brings_back_is_removed_again),
--- a/test/roster/roster_share_test.c
+++ b/test/roster/roster_share_test.c
@@ -329,6 +329,35 @@
 	fleet_delete_(fleet);
 }
 
+static void requests_to_register_are_decoded(void **state)
+{
+	const pl_roster_register_t request = { 7, UINT64_MAX, "agent-1" };
+	pl_roster_register_t decoded;
+	GByteArray *body = g_byte_array_new();
+	uint32_t sequence;
+	uint64_t generation;
+
+	(void)state;
+	pl_roster_encode_register(&request, body);
+	assert_int_equal(
+		pl_roster_decode_register(body->data, body->len, &decoded),
+		PL_OK);
+	assert_int_equal(decoded.sequence, 7);
+	assert_true(decoded.service == UINT64_MAX);
+	assert_string_equal(decoded.name, "agent-1");
+	assert_int_equal(
+		pl_roster_decode_register(body->data, body->len - 1, &decoded),
+		PL_ERR_MALFORMED);
+	g_byte_array_set_size(body, 0);
+	pl_roster_encode_registered(7, 3, body);
+	assert_int_equal(pl_roster_decode_registered(body->data, body->len,
+						     &sequence, &generation),
+			 PL_OK);
+	assert_int_equal(sequence, 7);
+	assert_int_equal(generation, 3);
+	g_byte_array_free(body, TRUE);
+}
+
 /* A frame with a changed byte is rejected or decoded as another valid message;
  * there is no memory error. */
 static void mutated_frames_are_decoded_safely(void **state)
@@ -345,13 +374,17 @@
 		g_autofree uint8_t *bytes = g_memdup2(body->data, body->len);
 		size_t len = (size_t)g_rand_int_range(random, 0,
 						      (gint)body->len + 1);
+		pl_roster_register_t registration;
 		uint32_t sequence;
+		uint64_t generation;
 		bool known;
 
 		bytes[g_rand_int_range(random, 0, (gint)body->len)] =
 			(uint8_t)g_rand_int(random);
 		pl_roster_decode_response(bytes, len, &sequence, &known, out);
 		pl_roster_decode_request(bytes, len, &sequence);
+		pl_roster_decode_register(bytes, len, &registration);
+		pl_roster_decode_registered(bytes, len, &sequence, &generation);
 		g_array_free(out, TRUE);
 	}
 	g_rand_free(random);
@@ -367,6 +400,7 @@
 		cmocka_unit_test(unreachable_or_unresponsive_reader_is_skipped),
 		cmocka_unit_test(reader_refused_by_store_is_skipped),
 		cmocka_unit_test(store_outage_causes_few_reads),
+		cmocka_unit_test(requests_to_register_are_decoded),
 		cmocka_unit_test(mutated_frames_are_decoded_safely),
 	};
 
