flow agent: one that evicted a record does not know all flows

What callers saw: idle open flows of a live server were reset after many short flows had passed its agent.

Cause: a full table of 16,384 records evicted the least recently used one, also of an open flow, and the agent went on to answer "absent" for flows without a record, which counts as proof that a flow is dead.

Ruled out: the entry's cache (200,000 flows) and the idle limits (11.5 s of 60 s).

Change: records of flows that both sides closed, or that the server does not hold, are evicted first. After another record was evicted the agent is unsure of flows without a record for as long as a flow may last, so that its server is probed. An event, a counter and the agent's status tell of it.

Tests: flows_whose_records_were_evicted_go_on fails without the change (40 false resets); records_of_closed_flows_are_evicted_first.

--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -27,6 +27,7 @@
 	pl_addr_t backend; /**< address of the backend server */
 	/** Idle time after which the record of a flow may be deleted. */
 	uint32_t flow_idle_max_ms;
+	size_t flows_max; /**< capacity for records of flows */
 	uint32_t report_ms; /**< interval of the backend server's reports */
 	const pl_packet_ops_t *packets;
 	/** Scheduling policy for queued requests and flows. */
@@ -55,6 +56,7 @@
 	pl_flow_load_t load;
 	bool serving;
 	bool flows_complete; /**< every flow of the server has a record */
+	uint64_t evicted; /**< records of flows that may have been open */
 	bool backend_down; /**< the backend server has ended */
 	/** The backend server has ended, or neither listens nor reports. */
 	bool backend_gone;
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -17,6 +17,8 @@
 #define MS_PER_S 1000
 #define US_PER_MS 1000
 #define STATS_INTERVAL_MS 200
+/** Flow records of one agent; a backend server holds a few thousand flows. */
+#define FLOWS_MAX 16384
 /** Longest wait of a shutdown for the store to remove the agent's roster entry;
  * readers of the roster remove an entry that is left behind. */
 #define DEREGISTER_TIMEOUT_MS 2000
@@ -175,6 +177,7 @@
 		.datacentre = pl_hash_text(settings->datacentre),
 		.backend = flows->backend,
 		.flow_idle_max_ms = (uint32_t)(flows->flow_max_s * MS_PER_S),
+		.flows_max = FLOWS_MAX,
 		.report_ms = flows->report_ms,
 		.packets = &pl_platform_packets,
 		.order = &pl_work_order_due,
@@ -296,6 +299,7 @@
 	add_number_(status, "bounced", stats.bounced);
 	add_number_(status, "trials", stats.probes);
 	add_number_(status, "resets", stats.resets);
+	add_number_(status, "evicted", stats.evicted);
 }
 
 static void stop_(void *ctx)
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -9,8 +9,6 @@
 #include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 
-/** Flow records of one agent; a backend server holds a few thousand flows. */
-#define FLOWS_MAX 16384
 /** Interval at which expired flow records are removed. */
 #define EXPIRY_INTERVAL_MS 1000
 
@@ -40,8 +38,9 @@
 	agent->ops = ops;
 	agent->ctx = ctx;
 	agent->timers = timers;
-	agent->flows = pl_flow_table_new(sizeof(flow_t), FLOWS_MAX,
+	agent->flows = pl_flow_table_new(sizeof(flow_t), params->flows_max,
 					 pl_flow_on_release_, agent);
+	pl_flow_table_on_evict(agent->flows, pl_flow_on_evict_);
 	pl_flow_backend_init_(agent);
 	pl_flow_work_init_(agent);
 	pl_flow_load_report_init_(agent);
@@ -114,7 +113,9 @@
 				      const flow_t *flow, uint32_t ack)
 {
 	if (!flow)
-		return agent->flows_complete ? PL_FLOW_ABSENT : PL_FLOW_UNSURE;
+		return pl_flow_backend_knows_all_flows_(agent) ?
+			       PL_FLOW_ABSENT :
+			       PL_FLOW_UNSURE;
 	switch (flow->state) {
 	case FLOW_OPEN:
 		return PL_FLOW_OWNED;
@@ -169,7 +170,7 @@
 	flow = pl_flow_get_or_add_(agent, &message->flow);
 	pl_flow_set_state_(agent, flow, FLOW_NEW);
 	flow->entry = message->sender;
-	flow->closed = false;
+	pl_flow_reopen_(agent, flow);
 	flow->confirmed = false;
 	flow->request_due = request_due_(agent, message);
 	agent->stats.accepted++;
@@ -213,8 +214,7 @@
 			    pl_flow_agent_now_(agent));
 	if (packet->flags & PL_PACKET_ACK)
 		flow->caller_ack = packet->ack;
-	if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
-		flow->closed = true;
+	pl_flow_note_end_(agent, flow, packet, &flow->caller_closed);
 }
 
 /* Whether the packet completes a request, so that the server can start to work
@@ -440,12 +440,9 @@
 		/* the server sends packets of the flow, so it holds it */
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
 	}
-	if (packet->flags & PL_PACKET_RST)
-		flow->closed = true;
-	else if (!opens)
+	if (!opens && !(packet->flags & PL_PACKET_RST))
 		flow->confirmed = true;
-	if (packet->flags & PL_PACKET_FIN)
-		flow->closed = true;
+	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
 	if (packet->data_len > 0)
 		pl_flow_work_answered_(agent, flow);
 	else if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
@@ -511,7 +508,7 @@
 	stats->flows = count_open_flows_(agent);
 	stats->load = pl_flow_agent_load_(agent);
 	stats->serving = pl_flow_backend_accepts_(agent);
-	stats->flows_complete = agent->flows_complete;
+	stats->flows_complete = pl_flow_backend_knows_all_flows_(agent);
 	stats->backend_down = agent->backend_down;
 	stats->backend_gone = pl_flow_backend_is_gone_(agent);
 }
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -34,6 +34,16 @@
 	agent->flows_complete = false;
 }
 
+/* Once a record has been evicted, the agent does not know all flows for as long
+ * as a flow may last; a flow that is used in that time has a record again. */
+bool pl_flow_backend_knows_all_flows_(const pl_flow_agent_t *agent)
+{
+	return agent->flows_complete &&
+	       (agent->evicted_at == 0 ||
+		pl_flow_agent_now_(agent) - agent->evicted_at >
+			agent->params.flow_idle_max_ms);
+}
+
 bool pl_flow_backend_accepts_(const pl_flow_agent_t *agent)
 {
 	pl_ms_t timeout_ms =
@@ -81,6 +91,14 @@
 			 agent->stats.resets - before);
 }
 
+/* The server process has ended, and its successor holds no flow yet. */
+static void no_flows_left_(pl_flow_agent_t *agent)
+{
+	reset_all_flows_(agent);
+	agent->flows_complete = true;
+	agent->evicted_at = 0;
+}
+
 /* Marks all flows that are being probed as absent: a server that has just
  * started holds none of them. */
 static void fail_probes_(pl_flow_agent_t *agent)
@@ -188,8 +206,7 @@
 		return PL_FLOW_REPORT_OUTDATED;
 	if (!first && !same_process_(&agent->report, report)) {
 		log_replaced_(&agent->report, report);
-		reset_all_flows_(agent);
-		agent->flows_complete = true;
+		no_flows_left_(agent);
 	}
 	if (first && report->sequence <= FIRST_SEQUENCE) {
 		fail_probes_(agent);
@@ -254,9 +271,7 @@
 		return;
 	agent->backend_down = true;
 	agent->backend_seen = false;
-	reset_all_flows_(agent);
-	/* every flow of the next server process will pass this agent */
-	agent->flows_complete = true;
+	no_flows_left_(agent);
 	if (agent->serving)
 		set_serving_(agent, false);
 }
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -4,6 +4,9 @@
  */
 #include "private/agent_private.h"
 
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+
 /** Duration of a probe. A backend server at once returns packets of flows that
  * it does not hold. */
 #define PROBE_TIMEOUT_MS 15
@@ -41,13 +44,15 @@
 		pl_timer_cancel(agent->timers, &flow->probe_timer);
 	if (state == FLOW_ABSENT)
 		pl_flow_work_discard_(agent, flow);
+	pl_flow_table_set_expendable(agent->flows, &flow->node,
+				     state == FLOW_ABSENT);
 	flow->state = state;
 }
 
 void pl_flow_start_probe_(pl_flow_agent_t *agent, flow_t *flow)
 {
 	agent->stats.probes++;
-	flow->state = FLOW_PROBING;
+	pl_flow_set_state_(agent, flow, FLOW_PROBING);
 	pl_timer_arm(agent->timers, &flow->probe_timer,
 		     pl_flow_agent_now_(agent) + PROBE_TIMEOUT_MS);
 }
@@ -59,6 +64,44 @@
 				    PL_FLOW_OWNED, NULL, 0);
 }
 
+void pl_flow_reopen_(pl_flow_agent_t *agent, flow_t *flow)
+{
+	flow->closed = false;
+	flow->caller_closed = false;
+	flow->server_closed = false;
+	pl_flow_table_set_expendable(agent->flows, &flow->node, false);
+}
+
+void pl_flow_note_end_(pl_flow_agent_t *agent, flow_t *flow,
+		       const pl_packet_t *packet, bool *closed)
+{
+	bool reset = (packet->flags & PL_PACKET_RST) != 0;
+
+	if (packet->flags & PL_PACKET_FIN)
+		*closed = true;
+	if (reset || *closed)
+		flow->closed = true;
+	/* the server may still answer a caller that has only sent its FIN */
+	if (reset || (flow->caller_closed && flow->server_closed))
+		pl_flow_table_set_expendable(agent->flows, &flow->node, true);
+}
+
+void pl_flow_on_evict_(void *ctx, pl_flow_node_t *node)
+{
+	pl_flow_agent_t *agent = ctx;
+
+	(void)node;
+	if (pl_flow_backend_knows_all_flows_(agent))
+		pl_event(
+			PL_EVENT_FLOWS_EVICTED,
+			"%zu records, those of flows that may be open from now "
+			"on",
+			pl_flow_table_count(agent->flows));
+	agent->evicted_at = pl_flow_agent_now_(agent);
+	agent->stats.evicted++;
+	pl_counter_add(PL_COUNTER_FLOWS_EVICTED, 1);
+}
+
 void pl_flow_on_release_(void *ctx, pl_flow_node_t *node)
 {
 	pl_flow_agent_t *agent = ctx;
--- a/src/flow/flow_table.c
+++ b/src/flow/flow_table.c
@@ -13,9 +13,11 @@
 struct pl_flow_table {
 	GHashTable *by_key; /* key of the node to the node */
 	pl_list_t nodes;
+	pl_list_t expendable; /* in the order in which they became so */
 	size_t size;
 	size_t max;
 	pl_flow_release_t release;
+	pl_flow_release_t evict;
 	void *ctx;
 };
 
@@ -56,6 +58,7 @@
 	assert(size >= sizeof(pl_flow_node_t) && max > 0);
 	table->by_key = g_hash_table_new(hash_, equal_);
 	pl_list_init(&table->nodes);
+	pl_list_init(&table->expendable);
 	table->size = size;
 	table->max = max;
 	table->release = release;
@@ -80,6 +83,41 @@
 	return g_hash_table_lookup(table->by_key, key);
 }
 
+void pl_flow_table_on_evict(pl_flow_table_t *table, pl_flow_release_t evict)
+{
+	table->evict = evict;
+}
+
+static void evict_(pl_flow_table_t *table)
+{
+	pl_flow_node_t *node;
+
+	if (!pl_list_empty(&table->expendable)) {
+		pl_flow_table_remove(
+			table,
+			PL_CONTAINER_OF(pl_list_first(&table->expendable),
+					pl_flow_node_t, expendable_link));
+		return;
+	}
+	node = PL_CONTAINER_OF(pl_list_first(&table->nodes), pl_flow_node_t,
+			       link);
+	if (table->evict)
+		table->evict(table->ctx, node);
+	pl_flow_table_remove(table, node);
+}
+
+void pl_flow_table_set_expendable(pl_flow_table_t *table, pl_flow_node_t *node,
+				  bool expendable)
+{
+	if (node->expendable == expendable)
+		return;
+	node->expendable = expendable;
+	if (expendable)
+		pl_list_append(&table->expendable, &node->expendable_link);
+	else
+		pl_list_remove(&node->expendable_link);
+}
+
 pl_flow_node_t *pl_flow_table_get(pl_flow_table_t *table,
 				  const pl_flow_key_t *key, pl_ms_t now)
 {
@@ -90,9 +128,7 @@
 		return node;
 	}
 	if (g_hash_table_size(table->by_key) >= table->max)
-		pl_flow_table_remove(
-			table, PL_CONTAINER_OF(pl_list_first(&table->nodes),
-					       pl_flow_node_t, link));
+		evict_(table);
 	node = g_malloc0(table->size);
 	node->key = *key;
 	node->last_used = now;
@@ -115,6 +151,8 @@
 		table->release(table->ctx, node);
 	g_hash_table_remove(table->by_key, &node->key);
 	pl_list_remove(&node->link);
+	if (node->expendable)
+		pl_list_remove(&node->expendable_link);
 	g_free(node);
 }
 
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -44,6 +44,8 @@
 	bool forwarded_as_known; /**< forwarded with PL_FLOW_OWNER_KNOWN */
 	bool entry_keeps_copy; /**< the entry keeps copies of its packets */
 	bool closed; /**< the caller or the server closed or reset it */
+	bool caller_closed; /**< the caller sent a FIN */
+	bool server_closed; /**< the server sent a FIN */
 	/* agent_work.c */
 	bool holds_slot; /**< the flow holds a slot */
 	bool slot_reserved; /**< the slot is for a request yet to arrive */
@@ -89,7 +91,10 @@
 	 * agent or since the last server ended. */
 	bool backend_seen;
 	bool backend_down; /**< the server has ended and no new one was seen */
-	bool flows_complete; /**< every flow of the server has a record */
+	bool flows_complete; /**< every flow of the server had a record */
+	/** When the record of a flow that may be open was last evicted; 0: never
+	 * since the server's start. */
+	pl_ms_t evicted_at;
 	pl_flow_agent_stats_t stats;
 };
 
@@ -118,6 +123,13 @@
 /** Ends a probe that was not handed back: the server holds the flow. */
 void pl_flow_probe_succeeded_(pl_flow_agent_t *agent, flow_t *flow);
 void pl_flow_on_release_(void *ctx, pl_flow_node_t *node);
+/** Called before the record of a flow that may be open is evicted. */
+void pl_flow_on_evict_(void *ctx, pl_flow_node_t *node);
+/** Records that the flow is about to be opened. */
+void pl_flow_reopen_(pl_flow_agent_t *agent, flow_t *flow);
+/** Records a FIN or RST of the side whose flag is @p closed. */
+void pl_flow_note_end_(pl_flow_agent_t *agent, flow_t *flow,
+		       const pl_packet_t *packet, bool *closed);
 
 /* agent_work.c */
 void pl_flow_work_init_(pl_flow_agent_t *agent);
@@ -147,6 +159,8 @@
 /** Whether no backend server runs, or one that is leaving: it neither listens
  * nor reports. */
 bool pl_flow_backend_is_gone_(const pl_flow_agent_t *agent);
+/** Whether a flow without a record is not held by the server. */
+bool pl_flow_backend_knows_all_flows_(const pl_flow_agent_t *agent);
 /** Whether the backend server accepts opening packets now. */
 bool pl_flow_backend_accepts_(const pl_flow_agent_t *agent);
 
--- a/src/flow/private/flow_table.h
+++ b/src/flow/private/flow_table.h
@@ -8,11 +8,14 @@
 #include <pimentolift/list.h>
 #include <pimentolift/packet.h>
 #include <pimentolift/timer.h>
+#include <stdbool.h>
 
 /** First member of each flow's record. */
 typedef struct {
 	pl_flow_key_t key;
 	pl_list_t link;
+	pl_list_t expendable_link; /**< on the list of expendable records */
+	bool expendable; /**< evicted before all others */
 	pl_ms_t last_used;
 } pl_flow_node_t;
 
@@ -30,8 +33,13 @@
 pl_flow_node_t *pl_flow_table_find(const pl_flow_table_t *table,
 				   const pl_flow_key_t *key);
 
+/** Sets the function that is called before a record that is not expendable is
+ * evicted. */
+void pl_flow_table_on_evict(pl_flow_table_t *table, pl_flow_release_t evict);
+
 /** Returns the record of the flow, creating it filled with zeros if needed. A
- * full table evicts the least recently used record. */
+ * full table evicts the record that has been expendable for the longest time,
+ * or, if there is none, the least recently used record. */
 pl_flow_node_t *pl_flow_table_get(pl_flow_table_t *table,
 				  const pl_flow_key_t *key, pl_ms_t now);
 
@@ -39,6 +47,10 @@
 void pl_flow_table_touch(pl_flow_table_t *table, pl_flow_node_t *node,
 			 pl_ms_t now);
 
+/** Sets whether the record is expendable. */
+void pl_flow_table_set_expendable(pl_flow_table_t *table, pl_flow_node_t *node,
+				  bool expendable);
+
 void pl_flow_table_remove(pl_flow_table_t *table, pl_flow_node_t *node);
 
 /** Removes the records that were last used before @p since. */
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -1110,6 +1110,89 @@
 	world_delete(world);
 }
 
+/* Opens and closes @p count flows. */
+static void open_and_close_flows_(world_t *world, int count)
+{
+	for (int i = 0; i < count; i++) {
+		world_call(world, 500 + (uint32_t)(i % CALLERS), SMALL_BYTES,
+			   false);
+		world_run(world, 20);
+	}
+	world_run(world, 300);
+}
+
+/* Creates a world whose agents have room for @p flows_max records. */
+static world_t *world_with_small_tables_(size_t flows_max, uint32_t seed)
+{
+	world_t *world = world_new(2, 2, seed);
+
+	world->agent_flows_max = flows_max;
+	world->servers_close = true;
+	for (int i = 0; i < world->agent_count; i++) {
+		world_kill_agent(world, i);
+		world_crash_server(world, i);
+		world_start_agent(world, i);
+		world_start_server(world, i);
+	}
+	return world;
+}
+
+static uint64_t count_evicted_(const world_t *world)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < world->agent_count; i++) {
+		pl_flow_agent_stats_t stats;
+
+		pl_flow_agent_stats(world->agents[i].agent, &stats);
+		/* an agent that evicted a record does not know all flows */
+		assert_true(stats.flows_complete == (stats.evicted == 0));
+		sum += stats.evicted;
+	}
+	return sum;
+}
+
+/* Guards against an agent that had dropped the record of an open flow, went on
+ * to say that it knew all flows, and so had the flow reset. */
+static void flows_whose_records_were_evicted_go_on(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_with_small_tables_(10, 48);
+	pl_flow_agent_stats_t stats;
+
+	(void)state;
+	open_flows_(world, calls, CALLERS);
+	restart_entries_(world);
+	assert_all_flows_go_on_(world, calls);
+	assert_true(count_evicted_(world) > 0);
+	/* no flow without a record is left */
+	world_run(world, 61000);
+	for (int i = 0; i < world->agent_count; i++) {
+		pl_flow_agent_stats(world->agents[i].agent, &stats);
+		assert_true(stats.flows_complete);
+	}
+	world_delete(world);
+}
+
+/* Records of closed flows are evicted before those of open ones, however long
+ * these are idle. */
+static void records_of_closed_flows_are_evicted_first(void **state)
+{
+	call_t *calls[10];
+	world_t *world = world_with_small_tables_(40, 49);
+
+	(void)state;
+	open_flows_(world, calls, 10);
+	open_and_close_flows_(world, 400);
+	assert_int_equal(count_evicted_(world), 0);
+	send_next_requests_(world, calls, 10);
+	world_run(world, 500);
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(calls[i]->state, CALL_DONE);
+	assert_int_equal(world->false_resets, 0);
+	world_delete(world);
+}
+
 static size_t choose_lowest_agent_(const pl_flow_candidate_t *candidates,
 				   size_t count)
 {
@@ -1327,6 +1410,8 @@
 		cmocka_unit_test(flows_of_all_earlier_targets_go_on),
 		cmocka_unit_test(
 			flows_of_an_earlier_service_survive_restarts_of_agents),
+		cmocka_unit_test(flows_whose_records_were_evicted_go_on),
+		cmocka_unit_test(records_of_closed_flows_are_evicted_first),
 		cmocka_unit_test(flow_that_two_services_were_offered_goes_on),
 		cmocka_unit_test(
 			refused_opening_packet_follows_a_changed_route),
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -7,6 +7,7 @@
 #define CALLER_DELAY_MS 3
 #define REPORT_MS 1000
 #define FLOW_IDLE_MAX_MS 60000
+#define AGENT_FLOWS_MAX 16384
 #define IP_BASE 0x0a000000U
 #define SERVICE_IP 0xc6120001U
 #define SERVICE_PORT 8443
@@ -278,6 +279,10 @@
 		return;
 	}
 	flow->open = true;
+	if ((packet->flags & PL_PACKET_FIN) && server->world->servers_close) {
+		ack = make_answer_(flow, PL_PACKET_FIN | PL_PACKET_ACK, 0);
+		send_from_server_(server, &ack);
+	}
 	if (packet->data_len == 0)
 		return;
 	if (packet->seq != flow->expected) {
@@ -525,6 +530,7 @@
 		.datacentre = pl_hash_text(WORLD_DATACENTRE),
 		.backend = world_server_address(node->index),
 		.flow_idle_max_ms = FLOW_IDLE_MAX_MS,
+		.flows_max = world->agent_flows_max,
 		.report_ms = REPORT_MS,
 		.packets = &packet_ops_,
 		.order = world->order,
@@ -950,6 +956,7 @@
 	world->order = &pl_work_order_due;
 	world->placement = &pl_flow_placement_load;
 	world->target = WORLD_SERVICE;
+	world->agent_flows_max = AGENT_FLOWS_MAX;
 	world->agent_count = servers;
 	for (int i = 0; i < servers; i++) {
 		server_t *server = &world->servers[i];
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -128,6 +128,8 @@
 	uint16_t next_port;
 	uint64_t revision;
 	bool unconfigured; /* routing tables are built without configuration */
+	bool servers_close; /* servers answer a caller's FIN with their own */
+	size_t agent_flows_max; /* capacity of an agent for flow records */
 	const char *target; /* service that the route sends new flows to */
 	const char *left_out; /* service that is not configured, or NULL */
 	bool store_up;
