flow agent: a server that starts after its clock was set back is accepted

What callers would see: new flows never reach a server that was restarted after the time of day of its machine was set back, flows of the process before wait for their deadlines, and a drain that the agent acknowledged is not followed.

Cause: a process that states an earlier start than the known one was taken for an earlier process, however long it reported.

Ruled out: accepting any process after a refused connection to the server's listener; a delayed report may arrive just then.

Change: such a process is accepted once it has reported for half an interval while the known process missed a report. Its reports get 409 until then, and a log line names both processes.

The soak sets back the clock of one restarted server in three.

--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -58,6 +58,8 @@
 	  "a report from a backend server could not be parsed")                \
 	X(PL_EVENT_REPORT_FOREIGN, 244, "report-foreign", WARNING,             \
 	  "a report of another backend server was ignored")                    \
+	X(PL_EVENT_REPORT_OUTDATED, 246, "report-outdated", WARNING,           \
+	  "a report of an earlier process of the backend server was ignored")  \
 	X(PL_EVENT_FLOWS_EVICTED, 245, "flows-evicted", WARNING,               \
 	  "an agent's table is full; it no longer knows all flows")            \
 	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,           \
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -86,8 +86,11 @@
 /** Outcome of a report; only an accepted one changes the agent's state. */
 typedef enum {
 	PL_FLOW_REPORT_ACCEPTED,
-	/** Overtaken by a later report of the same process, or sent by an
-	 * earlier process. */
+	/** Overtaken by a later report of the same process. */
+	PL_FLOW_REPORT_OVERTAKEN,
+	/** Sent by a process that by its clock started before the known one. It
+	 * is accepted later if the known process no longer reports and this
+	 * one does. */
 	PL_FLOW_REPORT_OUTDATED,
 	/** Describes a backend server that is not this agent's, or one that
 	 * cannot exist. */
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -110,14 +110,21 @@
 	g_free(text);
 }
 
-/* A report overtaken by a newer one is acknowledged, too. */
+/* A report overtaken by a newer one is acknowledged, too. One of an earlier
+ * process is not, because its sender may have a clock that was set back, and
+ * what it reports is not in force yet. */
 static pl_http_response_t handle_report_(flow_agent_role_t *role,
 					 pl_backend_report_t *report)
 {
 	report->received_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
-	if (pl_flow_agent_report(role->core, report) == PL_FLOW_REPORT_FOREIGN)
+	switch (pl_flow_agent_report(role->core, report)) {
+	case PL_FLOW_REPORT_FOREIGN:
 		return json_response_(MHD_HTTP_BAD_REQUEST);
-	return json_response_(MHD_HTTP_OK);
+	case PL_FLOW_REPORT_OUTDATED:
+		return json_response_(MHD_HTTP_CONFLICT);
+	default:
+		return json_response_(MHD_HTTP_OK);
+	}
 }
 
 static pl_http_response_t on_request_(void *ctx,
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -13,6 +13,10 @@
 /** Missed reports in a row after which the server no longer counts as
  * serving. */
 #define MISSED_REPORTS_MAX 3
+/** Time after the last report, in percent of the report interval, from which on
+ * a report is missed. */
+#define MISSED_REPORT_PERCENT 125
+#define PERCENT 100
 /** Report intervals within which a live server has sent its first report. */
 #define FIRST_REPORT_INTERVALS 2
 /** Time for which a refused connection shows that the server does not
@@ -119,19 +123,48 @@
 	return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
 }
 
+/* Whether the known process has stopped to report while that of @p report has
+ * not. Such a process has replaced the known one, although it seems to have
+ * started earlier: the machine's clock was set back in between. A report that
+ * was delayed, in contrast, is not followed by others of its process. */
+static bool replaces_known_process_(pl_flow_agent_t *agent,
+				    const pl_backend_report_t *report)
+{
+	pl_backend_report_t *earlier = &agent->earlier;
+	pl_ms_t now = pl_flow_agent_now_(agent);
+	pl_ms_t interval = agent->params.report_ms;
+
+	if (!same_process_(earlier, report)) {
+		*earlier = *report;
+		agent->earlier_since = now;
+		return false;
+	}
+	if (report->sequence <= earlier->sequence)
+		return false;
+	earlier->sequence = report->sequence;
+	return now - agent->earlier_since >= interval / 2 &&
+	       now - agent->report_at >=
+		       interval * MISSED_REPORT_PERCENT / PERCENT;
+}
+
 /* Reports are ordered by the start time of the process, then by sequence
  * number: a delayed report may arrive after its sender has ended and a new
  * process has reported. */
-static bool is_outdated_(const pl_flow_agent_t *agent,
-			 const pl_backend_report_t *report)
+static pl_flow_report_result_t check_order_(pl_flow_agent_t *agent,
+					    const pl_backend_report_t *report)
 {
 	const pl_backend_report_t *last = &agent->report;
 
 	if (last->id[0] == '\0')
-		return false;
+		return PL_FLOW_REPORT_ACCEPTED;
 	if (same_process_(last, report))
-		return report->sequence <= last->sequence;
-	return report->born_ms <= last->born_ms;
+		return report->sequence > last->sequence ?
+			       PL_FLOW_REPORT_ACCEPTED :
+			       PL_FLOW_REPORT_OVERTAKEN;
+	if (report->born_ms > last->born_ms ||
+	    replaces_known_process_(agent, report))
+		return PL_FLOW_REPORT_ACCEPTED;
+	return PL_FLOW_REPORT_OUTDATED;
 }
 
 /* Returns why the report does not describe this agent's backend server, or
@@ -182,6 +215,16 @@
 	agent->ops->backend_changed(agent->ctx, serving, agent->report.slots);
 }
 
+static void log_outdated_(const pl_backend_report_t *known,
+			  const pl_backend_report_t *report)
+{
+	pl_event(PL_EVENT_REPORT_OUTDATED,
+		 "backend server %s started at %" PRIu64 ", report %" PRIu64
+		 "; known is %s started at %" PRIu64 ", report %" PRIu64,
+		 report->id, report->born_ms, report->sequence, known->id,
+		 known->born_ms, known->sequence);
+}
+
 static void log_replaced_(const pl_backend_report_t *old,
 			  const pl_backend_report_t *report)
 {
@@ -197,13 +240,17 @@
 {
 	bool first = agent->report.id[0] == '\0';
 	const char *foreign = foreign_reason_(agent, report);
+	pl_flow_report_result_t result;
 
 	if (foreign) {
 		log_foreign_(report, foreign);
 		return PL_FLOW_REPORT_FOREIGN;
 	}
-	if (is_outdated_(agent, report))
-		return PL_FLOW_REPORT_OUTDATED;
+	result = check_order_(agent, report);
+	if (result == PL_FLOW_REPORT_OUTDATED)
+		log_outdated_(&agent->report, report);
+	if (result != PL_FLOW_REPORT_ACCEPTED)
+		return result;
 	if (!first && !same_process_(&agent->report, report)) {
 		log_replaced_(&agent->report, report);
 		no_flows_left_(agent);
@@ -215,6 +262,7 @@
 	agent->backend_seen = true;
 	agent->backend_down = false;
 	agent->report = *report;
+	agent->earlier.id[0] = '\0';
 	agent->report_at = pl_flow_agent_now_(agent);
 	set_serving_(agent, !report->draining);
 	return PL_FLOW_REPORT_ACCEPTED;
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -83,6 +83,10 @@
 	/* agent_backend.c */
 	pl_backend_report_t report; /**< the last one; id is "" before it */
 	pl_ms_t report_at; /**< arrival of the last report */
+	/** Last report of a process that by its clock started before the known
+	 * one, and that has reported since then; id is "" if there is none. */
+	pl_backend_report_t earlier;
+	pl_ms_t earlier_since; /**< arrival of the first report of @c earlier */
 	pl_ms_t started_at; /**< start of this agent */
 	/** When the server last refused a connection; 0: never. */
 	pl_ms_t refused_at;
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -890,6 +890,65 @@
 	world_delete(world);
 }
 
+/* Guards against a server whose reports were ignored for good: it was restarted
+ * after the clock of its machine had been set back. */
+static void server_whose_clock_was_set_back_is_accepted(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_with_flows_(1, 1, 50, calls, CALLERS);
+	pl_flow_agent_stats_t stats;
+	pl_ms_t from;
+
+	(void)state;
+	world_run(world, 3000);
+	world_crash_server(world, 0);
+	world->servers[0].clock_behind_ms = world->now - 1;
+	world_start_server(world, 0);
+	world_run(world, 2600);
+	pl_flow_agent_stats(world->agents[0].agent, &stats);
+	assert_true(stats.serving);
+	assert_int_equal(stats.resets, CALLERS);
+	assert_int_equal(world->false_resets, 0);
+	from = world->now;
+	for (int i = 0; i < CALLERS; i++)
+		world_call(world, 100 + (uint32_t)i, SMALL_BYTES, false);
+	world_run(world, 1500);
+	assert_int_equal(world_served(world, from), CALLERS);
+	world_delete(world);
+}
+
+/* Delayed reports of an ended process never replace one that reports, however
+ * many there are; nor do several that arrive at once after a pause. */
+static void delayed_reports_replace_no_live_process(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_with_flows_(1, 1, 51, calls, CALLERS);
+	pl_flow_agent_t *agent = world->agents[0].agent;
+	pl_backend_report_t report = world_report(world, 0);
+	pl_flow_agent_stats_t stats;
+
+	(void)state;
+	g_strlcpy(report.id, "s-0-old", sizeof(report.id));
+	report.born_ms = 1;
+	for (int i = 0; i < 20; i++) {
+		report.sequence++;
+		assert_int_equal(pl_flow_agent_report(agent, &report),
+				 PL_FLOW_REPORT_OUTDATED);
+		world_run(world, 500);
+	}
+	world->servers[0].sends_no_reports = true;
+	world_run(world, 2000);
+	for (int i = 0; i < 5; i++) {
+		report.sequence++;
+		g_strlcpy(report.id, "s-0-older", sizeof(report.id));
+		assert_int_equal(pl_flow_agent_report(agent, &report),
+				 PL_FLOW_REPORT_OUTDATED);
+	}
+	pl_flow_agent_stats(agent, &stats);
+	assert_int_equal(stats.resets, 0);
+	world_delete(world);
+}
+
 /* Guards against a report that describes another backend server, or one that
  * cannot have started yet: the agent took its server for restarted and reset
  * all flows that the server held. */
@@ -1400,6 +1459,8 @@
 		cmocka_unit_test(
 			draining_server_keeps_its_flows_and_gets_no_new_ones),
 		cmocka_unit_test(report_of_an_earlier_process_is_ignored),
+		cmocka_unit_test(server_whose_clock_was_set_back_is_accepted),
+		cmocka_unit_test(delayed_reports_replace_no_live_process),
 		cmocka_unit_test(foreign_reports_change_nothing),
 		cmocka_unit_test(packet_of_another_service_is_not_delivered),
 		cmocka_unit_test(
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -365,7 +365,7 @@
 	server_t *server = &world->servers[index];
 
 	server->up = true;
-	server->born_ms = world->now;
+	server->born_ms = world->now - server->clock_behind_ms;
 	server->sequence = 0;
 	send_report_(server);
 }
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -42,6 +42,7 @@
 	unsigned int queue_max;
 	pl_ms_t work_ms;
 	uint64_t born_ms;
+	uint64_t clock_behind_ms; /* of its machine, at its next start */
 	uint64_t sequence;
 	GHashTable *flows; /* pl_flow_key_t to server_flow_t */
 	GQueue *waiting; /* server_flow_t, the requests in its own queue */
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -25,6 +25,9 @@
 
 /** Upper limit of the time that a crashed server is down. */
 #define SERVER_DOWN_MAX_MS 3000
+/** Upper limit of the time by which a server's clock is set back; the soak
+ * begins with 3 s without faults. */
+#define CLOCK_BEHIND_MAX_MS 3000
 
 static const char agent_settings_[] =
 	"role = \"agent\"\ntraffic = \"flows\"\nname = \"agent-%d\"\n"
@@ -374,8 +377,14 @@
 		(pl_ms_t)g_rand_int_range(soak->random, 0, SERVER_DOWN_MAX_MS);
 }
 
+/* Starts a server again, in one case of three after its clock was set back. */
 static void start_server_(soak_t *soak, int index)
 {
+	soak->world->servers[index].clock_behind_ms =
+		g_rand_int_range(soak->random, 0, 3) == 0 ?
+			(uint64_t)g_rand_int_range(soak->random, 0,
+						   CLOCK_BEHIND_MAX_MS) :
+			0;
 	soak->server_restart_at[index] = 0;
 	soak->drain_acked_at[index] = 0;
 	soak->world->servers[index].draining = false;
