config sync: an entry that cannot pull a known revision reads the store

Cause: a change of one route sends all routes of its service, and members answer pulls out of a bucket that refills with 4,000 bytes a second. Once all buckets were empty each pull was refused, the pause doubled up to 30 s, and nothing else brought the revision.

Ruled out: gossip (the entries knew the revision) and the watches.

Change: an entry that has been behind for a quarter of the time in which a change must be in force reads the store, and again after the same time. An event and a counter tell of it. Agents never read.

Weighed in the incident: differences of single routes, and larger buckets.

--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -76,6 +76,7 @@
 	uint64_t full_pulls; /**< pulls sent for the whole document */
 	uint64_t served; /**< pulls answered with sections */
 	uint64_t busy; /**< pulls refused by the rate limit */
+	uint64_t behind_reads; /**< reads because a pull did not succeed */
 	uint64_t offers; /**< pushes sent to announce a new revision */
 	uint64_t bytes_out; /**< body bytes of frames sent */
 	uint64_t bytes_in; /**< body bytes of frames received */
@@ -104,6 +105,12 @@
 	 * that peers announce and never contacts the store.
 	 */
 	bool replica_only;
+	/**
+	 * A member that has known of a newer revision for this time, and could
+	 * not pull it, reads the store; again after the same time. 0: it never
+	 * does. The time in which a change must be in force covers it twice.
+	 */
+	pl_ms_t behind_max_ms;
 } pl_config_sync_params_t;
 
 /** Replaces the default parameters, which suit a large fleet. */
--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -66,6 +66,8 @@
 	  "bytes of frames sent to members")                                     \
 	X(PL_COUNTER_PLATFORM_CALLS, "platform_calls",                           \
 	  "calls to the platform's key-value service")                           \
+	X(PL_COUNTER_CONFIG_BEHIND, "config_behind",                             \
+	  "reads of the store because a revision could not be pulled")           \
 	X(PL_COUNTER_PLATFORM_ERRORS, "platform_errors",                         \
 	  "calls to the platform that failed")                                   \
 	X(PL_COUNTER_FLOWS_PLACED, "flows_placed",                               \
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -90,6 +90,8 @@
 	  "unreadable parts of a configuration were skipped")                  \
 	X(PL_EVENT_CONFIG_WATCH, 405, "config-watch", INFO,                    \
 	  "this member starts or resumes its watch of the configuration")      \
+	X(PL_EVENT_CONFIG_BEHIND, 406, "config-behind", WARNING,               \
+	  "a known revision could not be pulled in time; the store is read")   \
 	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,               \
 	  "the platform's key-value service does not answer")                  \
 	X(PL_EVENT_ROSTER_FAILED, 412, "roster-failed", WARNING,               \
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -108,6 +108,7 @@
 		 pl_document_count(document));
 	sync->target.attempts = 0;
 	sync->target.full = false;
+	pl_sync_pull_caught_up(sync);
 	sync->ops->in_force(sync->ctx, document);
 	pl_sync_schedule_announcement(sync, before);
 }
--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -36,6 +36,8 @@
 /** The newest revision known and the state of pulling it. */
 typedef struct {
 	pl_timer_t timer; /**< next attempt, or timeout of the pull */
+	pl_timer_t read_timer; /**< read of the platform if still behind */
+	pl_ms_t behind_since; /**< when this member fell behind */
 	uint64_t revision;
 	pl_member_id_t peer; /**< peer that offered the revision */
 	pl_member_id_t pulled_from; /**< peer of the pending pull, or 0 */
@@ -123,6 +125,9 @@
 
 /* sync_start.c */
 
+/** Reads the platform, unless a read is open. */
+void pl_sync_start_read(pl_config_sync_t *sync);
+
 void pl_sync_start_init(pl_config_sync_t *sync);
 void pl_sync_start_finish(pl_config_sync_t *sync);
 
@@ -150,6 +155,8 @@
 
 /** Starts a pull if a newer revision is known and no pull is pending. */
 void pl_sync_pull(pl_config_sync_t *sync);
+/** Called when a revision has come into force. */
+void pl_sync_pull_caught_up(pl_config_sync_t *sync);
 
 pl_result_t pl_sync_handle_push(pl_config_sync_t *sync,
 				const pl_peer_frame_t *frame);
--- a/src/config/sync_pull.c
+++ b/src/config/sync_pull.c
@@ -4,6 +4,7 @@
  */
 #include "private/sync_private.h"
 
+#include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 
 /** Time limit for the response to a pull. */
@@ -16,15 +17,18 @@
 #define PULL_DOUBLINGS_MAX 9
 
 static void on_pull_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now);
+static void on_read_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now);
 
 void pl_sync_pull_init(pl_config_sync_t *sync)
 {
 	pl_timer_init(&sync->target.timer, on_pull_timer_, sync);
+	pl_timer_init(&sync->target.read_timer, on_read_timer_, sync);
 }
 
 void pl_sync_pull_finish(pl_config_sync_t *sync)
 {
 	pl_timer_cancel(sync->timers, &sync->target.timer);
+	pl_timer_cancel(sync->timers, &sync->target.read_timer);
 }
 
 static bool pull_needed_(const pl_config_sync_t *sync)
@@ -33,6 +37,46 @@
 	       sync->target.revision > pl_config_sync_revision(sync);
 }
 
+/* Limits the time for which this member stays behind: pulls may be refused by
+ * all peers while many members pull many large changes. */
+static void limit_time_behind_(pl_config_sync_t *sync)
+{
+	target_t *target = &sync->target;
+
+	if (sync->params.replica_only || sync->params.behind_max_ms == 0 ||
+	    pl_timer_armed(&target->read_timer))
+		return;
+	target->behind_since = pl_sync_now(sync);
+	pl_timer_arm(sync->timers, &target->read_timer,
+		     target->behind_since + sync->params.behind_max_ms);
+}
+
+static void on_read_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	pl_config_sync_t *sync = ctx;
+	const target_t *target = &sync->target;
+
+	if (!pull_needed_(sync))
+		return;
+	pl_event(PL_EVENT_CONFIG_BEHIND,
+		 "revision %" G_GUINT64_FORMAT
+		 " is known for %" G_GUINT64_FORMAT
+		 " ms and was not pulled in %u attempts; revision "
+		 "%" G_GUINT64_FORMAT " is in force",
+		 target->revision, now - target->behind_since, target->attempts,
+		 pl_config_sync_revision(sync));
+	pl_counter_add(PL_COUNTER_CONFIG_BEHIND, 1);
+	sync->stats.behind_reads++;
+	pl_sync_start_read(sync);
+	pl_timer_arm(sync->timers, timer, now + sync->params.behind_max_ms);
+}
+
+void pl_sync_pull_caught_up(pl_config_sync_t *sync)
+{
+	if (!pull_needed_(sync))
+		pl_timer_cancel(sync->timers, &sync->target.read_timer);
+}
+
 /* The first attempt goes to the peer that offered the revision, later attempts
  * go to random peers. */
 static pl_member_id_t choose_peer_(pl_config_sync_t *sync)
@@ -82,7 +126,10 @@
 	pl_member_id_t peer;
 	GByteArray *body;
 
-	if (!pull_needed_(sync) || target->pulled_from != 0)
+	if (!pull_needed_(sync))
+		return;
+	limit_time_behind_(sync);
+	if (target->pulled_from != 0)
 		return;
 	peer = choose_peer_(sync);
 	if (peer == 0) {
--- a/src/config/sync_start.c
+++ b/src/config/sync_start.c
@@ -28,8 +28,10 @@
 	pl_document_put(sync->start.candidate);
 }
 
-static void read_platform_(pl_config_sync_t *sync)
+void pl_sync_start_read(pl_config_sync_t *sync)
 {
+	if (sync->start.read_pending)
+		return;
 	sync->start.read_pending = true;
 	sync->ops->read(sync->ctx);
 }
@@ -92,9 +94,8 @@
 	if (sync->phase == PHASE_STARTING)
 		finish_start_(sync);
 	else if (pl_config_sync_revision(sync) == 0 &&
-		 (sync->target.revision == 0 || sync->params.repeat_read) &&
-		 !sync->start.read_pending)
-		read_platform_(sync);
+		 (sync->target.revision == 0 || sync->params.repeat_read))
+		pl_sync_start_read(sync);
 }
 
 void pl_sync_start_schedule_read(pl_config_sync_t *sync)
@@ -125,7 +126,7 @@
 	for (size_t i = 0; i < count; i++)
 		sync->start.asked[i] = peers[i];
 	if (count < PL_CONFIG_START_PEERS)
-		read_platform_(sync);
+		pl_sync_start_read(sync);
 	body = g_byte_array_new();
 	pl_config_encode_pull(have, body);
 	for (size_t i = 0; i < count; i++)
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -34,6 +34,8 @@
  * to the other members. */
 #define WATCH_PERCENT 70
 #define PERCENT 100
+/** An entry that is behind for this part of that time reads the store. */
+#define BEHIND_PERCENT 25
 
 struct pl_node_config {
 	pl_node_t *node;
@@ -187,6 +189,18 @@
 			     pl_loop_clock_ms() + (pl_ms_t)timeout_ms);
 }
 
+static void set_flow_params_(pl_node_config_t *config,
+			     const pl_settings_t *settings)
+{
+	pl_config_sync_params_t params = settings->role == PL_ROLE_AGENT ?
+						 flow_agent_params_ :
+						 flow_entry_params_;
+
+	params.behind_max_ms =
+		settings->flows.config_ms * BEHIND_PERCENT / PERCENT;
+	pl_config_sync_set_params(config->sync, &params);
+}
+
 pl_node_config_t *
 pl_node_config_new(pl_node_t *node, pl_node_config_changed_t changed, void *ctx)
 {
@@ -210,10 +224,7 @@
 		config->watch_ms =
 			MIN(settings->flows.config_ms * WATCH_PERCENT / PERCENT,
 			    PL_KV_WAIT_MS);
-		pl_config_sync_set_params(config->sync,
-					  settings->role == PL_ROLE_AGENT ?
-						  &flow_agent_params_ :
-						  &flow_entry_params_);
+		set_flow_params_(config, settings);
 	}
 	config->platform_watch =
 		pl_loop_watch(pl_node_loop(node), pl_kv_fd(config->platform),
--- a/test/config/sync_fake.c
+++ b/test/config/sync_fake.c
@@ -239,6 +239,13 @@
 					fake->timers);
 	if (node->replica_only)
 		pl_config_sync_set_params(node->sync, &replica_params_);
+	else if (fake->behind_max_ms > 0)
+		pl_config_sync_set_params(
+			node->sync,
+			&(pl_config_sync_params_t){
+				.watchers = PL_CONFIG_WATCHERS,
+				.read_delay_ms = 100,
+				.behind_max_ms = fake->behind_max_ms });
 	for (size_t i = 0; i < fake->count; i++) {
 		node_t *other = &fake->nodes[i];
 
--- a/test/config/sync_fake.h
+++ b/test/config/sync_fake.h
@@ -62,6 +62,7 @@
 	char *frozen; /**< value returned by reads instead, or NULL */
 	uint64_t frozen_index;
 	bool down; /**< the platform is unreachable for all members */
+	pl_ms_t behind_max_ms; /**< of members that start from now on */
 	uint64_t revision; /**< revision of @c value */
 	pl_timer_t gossip;
 };
--- a/test/config/sync_test.c
+++ b/test/config/sync_test.c
@@ -631,6 +631,64 @@
 	fake_delete(fake);
 }
 
+/* Longest time by which a member lacks a revision that was written; members
+ * that hold the newest one lack none. */
+static pl_ms_t time_behind_(const fake_t *fake, const pl_ms_t *written_at)
+{
+	pl_ms_t longest = 0;
+
+	for (size_t i = 0; i < fake->count; i++) {
+		uint64_t revision = fake->nodes[i].revision;
+
+		if (revision < fake->revision)
+			longest = MAX(longest,
+				      fake->now - written_at[revision + 1]);
+	}
+	return longest;
+}
+
+/* Guards against members that stayed behind by up to half a minute: large
+ * changes in quick succession use up what all peers may send. */
+static void members_that_cannot_pull_read_the_platform_in_time(void **state)
+{
+	enum { CHANGES = 50, CHANGE_MS = 330, STEP_MS = 30, SERVICES = 20 };
+	pl_ms_t written_at[CHANGES + 3] = { 0 };
+	pl_ms_t longest = 0;
+	fake_t *fake = fake_new(5, 18, 3);
+	unsigned int calls;
+	model_t model;
+
+	(void)state;
+	fake->behind_max_ms = 1000;
+	model_init(&model, SERVICES, MODEL_ADDRESSES_MAX);
+	apply_model_(fake, &model);
+	for (size_t i = 0; i < fake->count; i++)
+		fake_start(fake, i);
+	fake_run(fake, 6000);
+	calls = count_platform_calls_(fake);
+	for (int i = 0; i < CHANGES; i++) {
+		/* every section changes */
+		for (size_t k = 0; k < SERVICES; k++)
+			model.deadline[k]++;
+		apply_model_(fake, &model);
+		written_at[fake->revision] = fake->now;
+		for (int t = 0; t < CHANGE_MS; t += STEP_MS) {
+			fake_run(fake, STEP_MS);
+			longest = MAX(longest, time_behind_(fake, written_at));
+		}
+	}
+	assert_in_range(longest, 1, IN_FORCE_MS);
+	fake_run(fake, IN_FORCE_MS);
+	assert_true(fake_all_at(fake, fake->revision));
+	/* one read a second of each of 12 members that do not watch, and the
+	 * watches */
+	calls = count_platform_calls_(fake) - calls;
+	assert_in_range(calls, 1,
+			12 * (CHANGES * CHANGE_MS + IN_FORCE_MS) / 1000 +
+				6 * (CHANGES + 1) * 2);
+	fake_delete(fake);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -651,6 +709,8 @@
 		cmocka_unit_test(random_interleavings_never_revert),
 		cmocka_unit_test(invalid_document_after_a_restore_is_reported),
 		cmocka_unit_test(pulls_of_one_member_are_bounded),
+		cmocka_unit_test(
+			members_that_cannot_pull_read_the_platform_in_time),
 		cmocka_unit_test(changed_sections_yield_the_whole_document),
 		cmocka_unit_test(mutated_frames_are_refused),
 	};
