--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -14,81 +14,81 @@
 #include <stdint.h>
 
 /** All counters: identifier, metric name, help text. */
-#define PL_COUNTER_TABLE(X)                                                      \
-	X(PL_COUNTER_DATAGRAMS_IN, "datagrams_in", "datagrams from callers")     \
-	X(PL_COUNTER_DATAGRAMS_OUT, "datagrams_out", "datagrams to callers")     \
-	X(PL_COUNTER_FORWARDED, "forwarded", "datagrams sent to an agent")       \
-	X(PL_COUNTER_PASSED_ON, "passed_on", "datagrams sent agent to agent")    \
-	X(PL_COUNTER_DROP_MALFORMED, "drop_malformed",                           \
-	  "datagrams that could not be decoded")                                 \
-	X(PL_COUNTER_DROP_OVERSIZED, "drop_oversized", "datagrams too long")     \
-	X(PL_COUNTER_DROP_AUTH, "drop_auth",                                     \
-	  "inner messages that failed authentication")                           \
-	X(PL_COUNTER_DROP_NO_SERVICE, "drop_no_service",                         \
-	  "datagrams to an address of no service")                               \
-	X(PL_COUNTER_DROP_NO_ENDPOINT, "drop_no_endpoint",                       \
-	  "datagrams for a service without endpoint")                            \
-	X(PL_COUNTER_DROP_MISMATCH, "drop_mismatch",                             \
-	  "datagrams that reached an agent of another service")                  \
-	X(PL_COUNTER_DROP_HOPS, "drop_hops", "datagrams passed on too often")    \
-	X(PL_COUNTER_DROP_SEND, "drop_send", "datagrams the kernel refused")     \
-	X(PL_COUNTER_REQUESTS, "requests", "requests accepted from callers")     \
-	X(PL_COUNTER_ANSWERED, "answered", "requests answered")                  \
-	X(PL_COUNTER_ANSWERED_LATE, "answered_late",                             \
-	  "requests answered after their deadline")                              \
-	X(PL_COUNTER_REPLAYED, "replayed", "answers sent again")                 \
-	X(PL_COUNTER_REFUSED, "refused", "requests refused and not run")         \
-	X(PL_COUNTER_OUTCOME_UNKNOWN, "outcome_unknown",                         \
-	  "requests whose outcome is unknown")                                   \
-	X(PL_COUNTER_CANCELLED, "cancelled", "requests given up by callers")     \
-	X(PL_COUNTER_TICKETS_ISSUED, "tickets_issued", "tickets issued")         \
-	X(PL_COUNTER_TICKETS_REFUSED, "tickets_refused",                         \
-	  "tickets that were wrong or expired")                                  \
-	X(PL_COUNTER_UPLOADS, "uploads", "block-wise uploads started")           \
-	X(PL_COUNTER_VIEWS_OPENED, "views_opened", "views opened")               \
-	X(PL_COUNTER_VIEWS_CLOSED, "views_closed", "views closed by callers")    \
-	X(PL_COUNTER_VIEWS_LOST, "views_lost",                                   \
-	  "views dropped without the caller's asking")                           \
-	X(PL_COUNTER_VIEWS_MOVED_OUT, "views_moved_out", "views handed over")    \
-	X(PL_COUNTER_VIEWS_MOVED_IN, "views_moved_in", "views taken over")       \
-	X(PL_COUNTER_VIEWS_RECOVERED, "views_recovered",                         \
-	  "views taken over from a failed agent")                                \
-	X(PL_COUNTER_NOTIFICATIONS, "notifications", "notifications sent")       \
-	X(PL_COUNTER_NOTIFICATIONS_LATE, "notifications_late",                   \
-	  "notifications sent after the freshness objective")                    \
-	X(PL_COUNTER_GOSSIP_IN_BYTES, "gossip_in_bytes",                         \
-	  "bytes of membership messages received")                               \
-	X(PL_COUNTER_GOSSIP_OUT_BYTES, "gossip_out_bytes",                       \
-	  "bytes of membership messages sent")                                   \
-	X(PL_COUNTER_PEER_IN_BYTES, "peer_in_bytes",                             \
-	  "bytes of frames received from members")                               \
-	X(PL_COUNTER_PEER_OUT_BYTES, "peer_out_bytes",                           \
-	  "bytes of frames sent to members")                                     \
-	X(PL_COUNTER_PLATFORM_CALLS, "platform_calls",                           \
-	  "calls to the platform's key-value service")                           \
-	X(PL_COUNTER_CONFIG_BEHIND, "config_behind",                             \
-	  "reads of the store because a revision could not be pulled")           \
-	X(PL_COUNTER_PLATFORM_ERRORS, "platform_errors",                         \
-	  "calls to the platform that failed")                                   \
-	X(PL_COUNTER_FLOWS_PLACED, "flows_placed",                               \
-	  "opening packets sent to an agent")                                    \
-	X(PL_COUNTER_FLOWS_WAITED, "flows_waited",                               \
-	  "requests and new flows that found no slot at once")                   \
-	X(PL_COUNTER_FLOWS_HANDED_BACK, "flows_handed_back",                     \
-	  "opening packets that an agent did not take")                          \
-	X(PL_COUNTER_FLOWS_EVICTED, "flows_evicted",                             \
-	  "records of flows that may have been open, dropped from a full table") \
-	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                             \
-	  "packets that the backend server handed back")                         \
-	X(PL_COUNTER_FLOWS_FOUND, "flows_found",                                 \
-	  "lookups that found the owner of a flow")                              \
-	X(PL_COUNTER_FLOWS_LOST, "flows_lost",                                   \
-	  "lookups that ended without an owner")                                 \
-	X(PL_COUNTER_FLOWS_RESET, "flows_reset",                                 \
-	  "flows reset because nobody can own them")                             \
-	X(PL_COUNTER_DROP_LOG, "drop_log",                                       \
-	  "log lines that nobody took in time")                                  \
-	X(PL_COUNTER_INVARIANT_BROKEN, "invariant_broken",                       \
+#define PL_COUNTER_TABLE(X)                                                   \
+	X(PL_COUNTER_DATAGRAMS_IN, "datagrams_in", "datagrams from callers")  \
+	X(PL_COUNTER_DATAGRAMS_OUT, "datagrams_out", "datagrams to callers")  \
+	X(PL_COUNTER_FORWARDED, "forwarded", "datagrams sent to an agent")    \
+	X(PL_COUNTER_PASSED_ON, "passed_on", "datagrams sent agent to agent") \
+	X(PL_COUNTER_DROP_MALFORMED, "drop_malformed",                        \
+	  "datagrams that could not be decoded")                              \
+	X(PL_COUNTER_DROP_OVERSIZED, "drop_oversized", "datagrams too long")  \
+	X(PL_COUNTER_DROP_AUTH, "drop_auth",                                  \
+	  "inner messages that failed authentication")                        \
+	X(PL_COUNTER_DROP_NO_SERVICE, "drop_no_service",                      \
+	  "datagrams to an address of no service")                            \
+	X(PL_COUNTER_DROP_NO_ENDPOINT, "drop_no_endpoint",                    \
+	  "datagrams for a service without endpoint")                         \
+	X(PL_COUNTER_DROP_MISMATCH, "drop_mismatch",                          \
+	  "datagrams that reached an agent of another service")               \
+	X(PL_COUNTER_DROP_HOPS, "drop_hops", "datagrams passed on too often") \
+	X(PL_COUNTER_DROP_SEND, "drop_send", "datagrams the kernel refused")  \
+	X(PL_COUNTER_REQUESTS, "requests", "requests accepted from callers")  \
+	X(PL_COUNTER_ANSWERED, "answered", "requests answered")               \
+	X(PL_COUNTER_ANSWERED_LATE, "answered_late",                          \
+	  "requests answered after their deadline")                           \
+	X(PL_COUNTER_REPLAYED, "replayed", "answers sent again")              \
+	X(PL_COUNTER_REFUSED, "refused", "requests refused and not run")      \
+	X(PL_COUNTER_OUTCOME_UNKNOWN, "outcome_unknown",                      \
+	  "requests whose outcome is unknown")                                \
+	X(PL_COUNTER_CANCELLED, "cancelled", "requests given up by callers")  \
+	X(PL_COUNTER_TICKETS_ISSUED, "tickets_issued", "tickets issued")      \
+	X(PL_COUNTER_TICKETS_REFUSED, "tickets_refused",                      \
+	  "tickets that were wrong or expired")                               \
+	X(PL_COUNTER_UPLOADS, "uploads", "block-wise uploads started")        \
+	X(PL_COUNTER_VIEWS_OPENED, "views_opened", "views opened")            \
+	X(PL_COUNTER_VIEWS_CLOSED, "views_closed", "views closed by callers") \
+	X(PL_COUNTER_VIEWS_LOST, "views_lost",                                \
+	  "views dropped without the caller's asking")                        \
+	X(PL_COUNTER_VIEWS_MOVED_OUT, "views_moved_out", "views handed over") \
+	X(PL_COUNTER_VIEWS_MOVED_IN, "views_moved_in", "views taken over")    \
+	X(PL_COUNTER_VIEWS_RECOVERED, "views_recovered",                      \
+	  "views taken over from a failed agent")                             \
+	X(PL_COUNTER_NOTIFICATIONS, "notifications", "notifications sent")    \
+	X(PL_COUNTER_NOTIFICATIONS_LATE, "notifications_late",                \
+	  "notifications sent after the freshness objective")                 \
+	X(PL_COUNTER_GOSSIP_IN_BYTES, "gossip_in_bytes",                      \
+	  "bytes of membership messages received")                            \
+	X(PL_COUNTER_GOSSIP_OUT_BYTES, "gossip_out_bytes",                    \
+	  "bytes of membership messages sent")                                \
+	X(PL_COUNTER_PEER_IN_BYTES, "peer_in_bytes",                          \
+	  "bytes of frames received from members")                            \
+	X(PL_COUNTER_PEER_OUT_BYTES, "peer_out_bytes",                        \
+	  "bytes of frames sent to members")                                  \
+	X(PL_COUNTER_PLATFORM_CALLS, "platform_calls",                        \
+	  "calls to the platform's key-value service")                        \
+	X(PL_COUNTER_CONFIG_BEHIND, "config_behind",                          \
+	  "reads of the store because a revision could not be pulled")        \
+	X(PL_COUNTER_PLATFORM_ERRORS, "platform_errors",                      \
+	  "calls to the platform that failed")                                \
+	X(PL_COUNTER_FLOWS_PLACED, "flows_placed",                            \
+	  "opening packets sent to an agent")                                 \
+	X(PL_COUNTER_FLOWS_WAITED, "flows_waited",                            \
+	  "requests and new flows that found no slot at once")                \
+	X(PL_COUNTER_FLOWS_HANDED_BACK, "flows_handed_back",                  \
+	  "opening packets that an agent did not take")                       \
+	X(PL_COUNTER_FLOWS_EVICTED, "flows_evicted",                          \
+	  "records of open flows that were dropped from a full table")        \
+	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                          \
+	  "packets that the backend server handed back")                      \
+	X(PL_COUNTER_FLOWS_FOUND, "flows_found",                              \
+	  "lookups that found the owner of a flow")                           \
+	X(PL_COUNTER_FLOWS_LOST, "flows_lost",                                \
+	  "lookups that ended without an owner")                              \
+	X(PL_COUNTER_FLOWS_RESET, "flows_reset",                              \
+	  "flows reset because nobody can own them")                          \
+	X(PL_COUNTER_DROP_LOG, "drop_log",                                    \
+	  "log lines that nobody took in time")                               \
+	X(PL_COUNTER_INVARIANT_BROKEN, "invariant_broken",                    \
 	  "internal invariants that were broken")
 
 typedef enum {
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -5,8 +5,8 @@
  * Places new flows on endpoints and looks up the owners of unknown flows,
  * because the routers may send any packet to any entry. An entry caches the
  * owners that agents report. On a cache miss the entry queues the packet and
- * queries the agents, also those of services that the route no longer names. The module uses no sockets, threads or
- * clock of its own.
+ * queries the agents, also those of services that the route no longer names.
+ * The module uses no sockets, threads or clock of its own.
  * @{
  */
 #ifndef PIMENTOLIFT_FLOW_ENTRY_H
--- a/include/pimentolift/roster_reader.h
+++ b/include/pimentolift/roster_reader.h
@@ -3,13 +3,13 @@
  * @defgroup roster_reader Reads of the roster
  *
  * Reads the roster, which lists the agents of all services, from the key-value
- * store. An entry concludes from a roster that no other agent owns a flow, so a roster must be complete.
- * After a restore of the store (@ref kv) it is not: entries written since the
- * copy are lost until their agents register again. Therefore a key in the store
- * names the generation in which all agents have had the time to do that. It is
- * written a while after the generation was first seen, outlives restarts of all
- * members, and goes back together with the roster. A roster of any other
- * generation is unknown.
+ * store. An entry concludes from a roster that no other agent owns a flow, so a
+ * roster must be complete. After a restore of the store (@ref kv) it is not:
+ * entries written since the copy are lost until their agents register again.
+ * Therefore a key in the store names the generation in which all agents have had
+ * the time to do that. It is written a while after the generation was first
+ * seen, outlives restarts of all members, and goes back together with the
+ * roster. A roster of any other generation is unknown.
  *
  * The module has no sockets, threads or clock of its own.
  * @{
