flow entry: queries of a lookup and agents of the roster are found by hash

Cause: a lookup now queries the agents of all services, and each step looked for the query to an agent, and for an agent in the roster, one by one: the square of 204 agents on the large site instead of 163.

Change: an index by agent in each lookup, and a set of the roster's agents.

No test of its own: behaviour is unchanged, the tests of lookups cover it.

--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -50,14 +50,12 @@
 
 static agent_query_t *find_query_(const lookup_t *lookup, pl_member_id_t agent)
 {
-	for (guint i = 0; i < lookup->queries->len; i++) {
-		agent_query_t *query =
-			&g_array_index(lookup->queries, agent_query_t, i);
+	guint index = GPOINTER_TO_UINT(g_hash_table_lookup(
+		lookup->query_index, pl_flow_agent_key_(agent)));
 
-		if (query->agent == agent)
-			return query;
-	}
-	return NULL;
+	return index ? &g_array_index(lookup->queries, agent_query_t,
+				      index - 1) :
+		       NULL;
 }
 
 const agent_query_t *pl_flow_lookup_find_query_(const lookup_t *lookup,
@@ -78,6 +76,7 @@
 	pl_packet_queue_clear(&lookup->packets);
 	pl_list_remove(&lookup->link);
 	g_array_free(lookup->queries, TRUE);
+	g_hash_table_destroy(lookup->query_index);
 	lookup->flow->lookup = NULL;
 	entry->stats.lookups_open--;
 	g_free(lookup);
@@ -373,6 +372,7 @@
 	lookup->ack = ack;
 	lookup->started = pl_flow_entry_now_(entry);
 	lookup->queries = g_array_new(FALSE, TRUE, sizeof(agent_query_t));
+	lookup->query_index = g_hash_table_new(g_direct_hash, g_direct_equal);
 	pl_packet_queue_init(&lookup->packets);
 	pl_list_append(&entry->lookups, &lookup->link);
 	pl_timer_init(&lookup->timer, on_lookup_timer_, entry);
--- a/src/flow/entry_query.c
+++ b/src/flow/entry_query.c
@@ -234,6 +234,8 @@
 	if (pl_flow_lookup_find_query_(lookup, agent))
 		return;
 	g_array_append_val(lookup->queries, query);
+	g_hash_table_insert(lookup->query_index, pl_flow_agent_key_(agent),
+			    GUINT_TO_POINTER(lookup->queries->len));
 	lookup->unanswered++;
 }
 
--- a/src/flow/entry_roster.c
+++ b/src/flow/entry_roster.c
@@ -30,11 +30,14 @@
 {
 	entry->roster.agents =
 		g_array_new(FALSE, FALSE, sizeof(pl_member_id_t));
+	entry->roster.agent_set =
+		g_hash_table_new(g_direct_hash, g_direct_equal);
 }
 
 void pl_flow_roster_finish_(pl_flow_entry_t *entry)
 {
 	g_array_free(entry->roster.agents, TRUE);
+	g_hash_table_destroy(entry->roster.agent_set);
 }
 
 static void request_roster_(pl_flow_entry_t *entry)
@@ -193,17 +196,12 @@
 bool pl_flow_roster_may_own_(const pl_flow_entry_t *entry,
 			     const lookup_t *lookup, pl_member_id_t agent)
 {
-	const GArray *agents = entry->roster.agents;
-
 	if (pl_flow_liveness_is_dead_(entry, agent))
 		return false;
 	if (may_own_unregistered_(entry, agent) || !is_fresh_(entry, lookup))
 		return true;
-	for (guint i = 0; i < agents->len; i++) {
-		if (g_array_index(agents, pl_member_id_t, i) == agent)
-			return true;
-	}
-	return false;
+	return g_hash_table_contains(entry->roster.agent_set,
+				     pl_flow_agent_key_(agent));
 }
 
 void pl_flow_roster_refresh_(pl_flow_entry_t *entry, const lookup_t *lookup)
@@ -229,5 +227,9 @@
 	roster->requested_at = entry->roster_requested_at;
 	g_array_set_size(roster->agents, 0);
 	g_array_append_vals(roster->agents, agents, (guint)count);
+	g_hash_table_remove_all(roster->agent_set);
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(roster->agent_set,
+				 pl_flow_agent_key_(agents[i]));
 	pl_flow_lookup_end_dead_flows_(entry);
 }
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -36,6 +36,8 @@
 	pl_ms_t widened_at;
 
 	GArray *queries; /**< agent_query_t */
+	GHashTable
+		*query_index; /**< agent to its position in queries, plus 1 */
 	size_t unanswered; /**< queries without an answer */
 	pl_packet_queue_t packets;
 	uint32_t ack; /**< acknowledgement number of the first packet */
@@ -70,12 +72,20 @@
 	lookup_t *lookup; /**< NULL if none is open */
 } cached_flow_t;
 
+/** Key of an agent in the hash tables of lookups and rosters. */
+static inline gpointer pl_flow_agent_key_(pl_member_id_t agent)
+{
+	G_STATIC_ASSERT(sizeof(gpointer) >= sizeof(pl_member_id_t));
+	return (gpointer)(uintptr_t)agent;
+}
+
 /** Agents that may own flows, of all services. */
 typedef struct {
 	bool known; /**< a roster was read */
 	pl_ms_t requested_at; /**< when the roster was requested */
 	pl_ms_t checked_at; /**< when membership was last asked to check */
 	GArray *agents; /**< pl_member_id_t */
+	GHashTable *agent_set; /**< the same agents */
 } pl_flow_roster_t;
 
 struct pl_flow_entry {
