balance: decisions under load get a package of their own

Nothing sets them yet: no behaviour changes. Ruled out: a new version of the protocol, as receivers ignore elements that they do not know.

Tests: flow, flow_load, proto_flow_codec with a round trip of the new elements.

--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -14,6 +14,8 @@
 #define PIMENTOLIFT_FLOW_H
 
 #include <pimentolift/addr.h>
+#include <pimentolift/balance/load.h>
+#include <pimentolift/balance/reason.h>
 #include <pimentolift/packet.h>
 #include <pimentolift/routing.h>
 
@@ -74,14 +76,6 @@
 /** Names of @ref pl_flow_verdict_t, indexed by its values. */
 extern const char *const pl_flow_verdict_names[];
 
-/** Load of an endpoint. */
-typedef struct {
-	uint32_t slots; /**< concurrent requests of its backend server */
-	uint32_t busy; /**< requests in progress */
-	/** Mean of @c busy over about the last second, in thousandths. */
-	uint32_t mean_busy;
-} pl_flow_load_t;
-
 /** Maximum number of flows in one message. */
 #define PL_FLOW_ITEMS_MAX 48
 
@@ -103,9 +97,12 @@
 	unsigned int flags; /**< FORWARD; bits of @ref pl_flow_flag_t */
 	uint32_t due_ms; /**< FORWARD: time left until the deadline; 0: late */
 	uint32_t priority; /**< FORWARD; 0 is the most urgent */
+	/** FORWARD: time until the caller gives up; 0: not known. */
+	uint32_t timeout_ms;
 
 	pl_flow_verdict_t verdict; /**< VERDICT */
-	pl_flow_load_t load; /**< VERDICT */
+	pl_reason_t reason; /**< VERDICT: why an opening packet was refused */
+	pl_endpoint_load_t load; /**< VERDICT, LOAD, LOCATED */
 	const uint8_t *packet; /**< FORWARD; VERDICT: returned, or NULL */
 	size_t packet_len;
 	const pl_flow_item_t *items; /**< LOCATE, LOCATED */
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -16,7 +16,7 @@
 #include <pimentolift/backend_report.h>
 #include <pimentolift/flow.h>
 #include <pimentolift/timer.h>
-#include <pimentolift/work_queue.h>
+#include <pimentolift/balance/work_queue.h>
 
 typedef struct pl_flow_agent pl_flow_agent_t;
 
@@ -53,7 +53,7 @@
 /** State and counters for the status page and tests. */
 typedef struct {
 	size_t flows; /**< flows known to be held by the backend server */
-	pl_flow_load_t load;
+	pl_endpoint_load_t load;
 	bool serving;
 	bool flows_complete; /**< every flow of the server has a record */
 	uint64_t evicted; /**< records of flows that may have been open */
--- a/include/pimentolift/flow_codec.h
+++ b/include/pimentolift/flow_codec.h
@@ -4,8 +4,9 @@
  *
  * Codec of @ref flow messages: a msgpack array [version, type, sender,
  * service, caller IP, caller port, service IP, service port, flags, verdict,
- * slots, busy, mean busy, due, priority, addresses, items, packet] followed
- * by a MAC of @ref PL_MAC_BYTES with the key PL_KEY_DATAGRAM. The array of
+ * slots, busy, mean busy, due, priority, addresses, items, packet], with
+ * [timeout] after them in a FORWARD, and [limit, request time, waiting, reason]
+ * in a VERDICT, LOAD or LOCATED, followed by a MAC of @ref PL_MAC_BYTES with the key PL_KEY_DATAGRAM. The array of
  * addresses has two elements, IP and port, for each distinct service address of
  * the items. The array of items has five elements for each item: caller IP,
  * caller port, index of the service address, ack and verdict. A receiver
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -12,35 +12,12 @@
 #ifndef PIMENTOLIFT_FLOW_ENTRY_H
 #define PIMENTOLIFT_FLOW_ENTRY_H
 
+#include <pimentolift/balance/place.h>
 #include <pimentolift/flow.h>
 #include <pimentolift/timer.h>
 
 typedef struct pl_flow_entry pl_flow_entry_t;
 
-/** An endpoint that is eligible for a new flow. */
-typedef struct {
-	const pl_endpoint_t *endpoint;
-	pl_flow_load_t load; /**< last report; 0 slots before the first */
-	/** Opening packets (first packets of flows) that were sent too recently
-	 * to be in @c load. */
-	uint32_t unreported;
-	bool local; /**< in the same data centre as the entry */
-} pl_flow_candidate_t;
-
-/** A placement policy. Candidates are passed in descending order of their
- * rendezvous hash for the flow. */
-typedef struct {
-	const char *name;
-	/** Returns the index of the chosen candidate; @p count is above 0. */
-	size_t (*choose)(const pl_flow_candidate_t *candidates, size_t count);
-} pl_flow_placement_t;
-
-/** Rendezvous hashing alone; the baseline for comparisons. */
-extern const pl_flow_placement_t pl_flow_placement_hash;
-/** Least loaded endpoint; one in the entry's data centre is preferred if the
- * difference is small. */
-extern const pl_flow_placement_t pl_flow_placement_load;
-
 /** Parameters of an entry. */
 typedef struct {
 	pl_member_id_t self;
@@ -49,7 +26,7 @@
 	uint64_t link_bytes_per_s; /**< capacity of the entry's link */
 	size_t flows_max; /**< capacity of the cache */
 	const pl_packet_ops_t *packets;
-	const pl_flow_placement_t *placement;
+	const pl_place_policy_t *placement;
 } pl_flow_entry_params_t;
 
 /** Callbacks; @c ctx is the pointer given to pl_flow_entry_new(). */
--- a/src/flow/load.c
+++ b/src/balance/load.c
@@ -2,7 +2,7 @@
  * @file
  * Time-weighted mean of the requests in progress.
  */
-#include "private/load.h"
+#include <pimentolift/balance/load.h>
 
 #include <math.h>
 
@@ -28,9 +28,9 @@
 	load->busy = (uint32_t)((int)load->busy + step);
 }
 
-pl_flow_load_t pl_load_snapshot(const pl_load_t *load, pl_ms_t now)
+pl_endpoint_load_t pl_load_snapshot(const pl_load_t *load, pl_ms_t now)
 {
-	return (pl_flow_load_t){
+	return (pl_endpoint_load_t){
 		.slots = load->slots,
 		.busy = load->busy,
 		.mean_busy = (uint32_t)(mean_at_(load, now) * THOUSANDTHS),
--- a/src/flow/placement.c
+++ b/src/balance/place.c
@@ -2,7 +2,7 @@
  * @file
  * Placement policies: how an entry chooses the endpoint of a new flow.
  */
-#include <pimentolift/flow_entry.h>
+#include <pimentolift/balance/place.h>
 
 /** Penalty on the utilisation of an endpoint in another data centre, in
  * thousandths of its slots: traffic between data centres is costly, but
@@ -13,7 +13,8 @@
  * thousandths. */
 #define UNKNOWN_THOUSANDTHS 500
 
-static size_t choose_first_(const pl_flow_candidate_t *candidates, size_t count)
+static size_t choose_first_(const pl_place_candidate_t *candidates,
+			    size_t count)
 {
 	(void)candidates;
 	(void)count;
@@ -22,9 +23,9 @@
 
 /* Expected utilisation of the endpoint's slots, in thousandths. The present
  * load and its mean count half each, as long flows carry many requests. */
-static uint64_t utilisation_(const pl_flow_candidate_t *candidate)
+static uint64_t utilisation_(const pl_place_candidate_t *candidate)
 {
-	const pl_flow_load_t *load = &candidate->load;
+	const pl_endpoint_load_t *load = &candidate->load;
 	uint64_t now;
 	uint64_t utilisation;
 
@@ -34,12 +35,12 @@
 			      (now + load->mean_busy) / 2 / load->slots;
 	if (!candidate->local)
 		utilisation += REMOTE_PENALTY_THOUSANDTHS;
-	/* the weight of a new endpoint ramps up to PL_WEIGHT_FULL */
-	return utilisation * PL_WEIGHT_FULL /
-	       (candidate->endpoint->weight + PL_WEIGHT_FULL / 100);
+	/* the weight of a new endpoint ramps up to PL_PLACE_WEIGHT_FULL */
+	return utilisation * PL_PLACE_WEIGHT_FULL /
+	       (candidate->weight + PL_PLACE_WEIGHT_FULL / 100);
 }
 
-static size_t choose_least_utilised_(const pl_flow_candidate_t *candidates,
+static size_t choose_least_utilised_(const pl_place_candidate_t *candidates,
 				     size_t count)
 {
 	size_t best = 0;
@@ -52,6 +53,6 @@
 	return best;
 }
 
-const pl_flow_placement_t pl_flow_placement_hash = { "hash", choose_first_ };
-const pl_flow_placement_t pl_flow_placement_load = { "load",
-						     choose_least_utilised_ };
+const pl_place_policy_t pl_place_by_hash = { "hash", choose_first_ };
+const pl_place_policy_t pl_place_least_utilised = { "load",
+						    choose_least_utilised_ };
--- a/src/flow/work_queue.c
+++ b/src/balance/work_queue.c
@@ -2,7 +2,7 @@
  * @file
  * Work queue and its ordering policies.
  */
-#include <pimentolift/work_queue.h>
+#include <pimentolift/balance/work_queue.h>
 
 /** One of this many items is a late one, so that late work does not starve. */
 #define LATE_SHARE 12
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -64,9 +64,9 @@
 /* Queued work that can still be answered in time counts as work in progress.
  * Late work does not: it only gets the capacity that new work leaves free, so
  * it must not keep entries from sending new work. */
-pl_flow_load_t pl_flow_agent_load_(const pl_flow_agent_t *agent)
+pl_endpoint_load_t pl_flow_agent_load_(const pl_flow_agent_t *agent)
 {
-	pl_flow_load_t load =
+	pl_endpoint_load_t load =
 		pl_load_snapshot(&agent->load, pl_flow_agent_now_(agent));
 
 	load.busy += (uint32_t)pl_work_queue_in_time(&agent->queue,
--- a/src/flow/agent_report.c
+++ b/src/flow/agent_report.c
@@ -44,13 +44,14 @@
 		g_array_append_val(agent->entries, new);
 }
 
-static bool load_changed_(const pl_flow_load_t *a, const pl_flow_load_t *b)
+static bool load_changed_(const pl_endpoint_load_t *a,
+			  const pl_endpoint_load_t *b)
 {
 	return a->slots != b->slots || a->busy != b->busy ||
 	       abs((int)a->mean_busy - (int)b->mean_busy) >= MEAN_CHANGE_MIN;
 }
 
-static void send_load_(pl_flow_agent_t *agent, const pl_flow_load_t *load)
+static void send_load_(pl_flow_agent_t *agent, const pl_endpoint_load_t *load)
 {
 	const pl_flow_message_t message = {
 		.type = PL_FLOW_LOAD,
@@ -74,7 +75,7 @@
 static void on_load_report_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_flow_agent_t *agent = ctx;
-	pl_flow_load_t load = pl_flow_agent_load_(agent);
+	pl_endpoint_load_t load = pl_flow_agent_load_(agent);
 
 	if (load_changed_(&load, &agent->reported_load)) {
 		agent->reported_load = load;
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -22,7 +22,7 @@
 
 /** Load of an agent as the entry knows it. */
 typedef struct {
-	pl_flow_load_t load;
+	pl_endpoint_load_t load;
 	pl_ms_t sent[SENT_TIMES_MAX]; /**< times of the last opening packets */
 	unsigned int next; /**< index of the next time, modulo SENT_TIMES_MAX */
 } agent_load_t;
@@ -46,7 +46,7 @@
 }
 
 void pl_flow_loads_update_(pl_flow_entry_t *entry, pl_member_id_t agent,
-			   const pl_flow_load_t *load)
+			   const pl_endpoint_load_t *load)
 {
 	get_load_(entry, agent)->load = *load;
 }
@@ -178,7 +178,7 @@
 	       !was_offered_(ctx, endpoint->agent);
 }
 
-static bool is_full_(const pl_flow_candidate_t *candidate)
+static bool is_full_(const pl_place_candidate_t *candidate)
 {
 	return candidate->load.slots > 0 &&
 	       candidate->load.busy + candidate->unreported >=
@@ -192,7 +192,7 @@
 {
 	const pl_route_service_t *service =
 		pl_flow_entry_route_of_(entry, &flow->node.key);
-	pl_flow_candidate_t candidates[CANDIDATES_MAX];
+	pl_place_candidate_t candidates[CANDIDATES_MAX];
 	pl_flow_ranked_t ranked[CANDIDATES_MAX];
 	size_t chosen;
 	size_t count;
@@ -209,8 +209,9 @@
 		const agent_load_t *load =
 			get_load_(entry, ranked[i].endpoint->agent);
 
-		candidates[i] = (pl_flow_candidate_t){
-			.endpoint = ranked[i].endpoint,
+		candidates[i] = (pl_place_candidate_t){
+			.agent = ranked[i].endpoint->agent,
+			.weight = ranked[i].endpoint->weight,
 			.load = load->load,
 			.unreported = count_unreported_(entry, load),
 			.local = ranked[i].endpoint->datacentre ==
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -9,9 +9,9 @@
 #define PL_FLOW_AGENT_PRIVATE_H
 
 #include "private/flow_table.h"
-#include "private/load.h"
+#include <pimentolift/balance/load.h>
 #include "private/packet_queue.h"
-#include <pimentolift/work_queue.h>
+#include <pimentolift/balance/work_queue.h>
 
 #include <glib.h>
 #include <pimentolift/flow_agent.h>
@@ -71,7 +71,7 @@
 	uint32_t slots_reserved; /**< slots for requests yet to arrive */
 	/* agent_report.c */
 	GArray *entries; /**< entry_t, the entries that sent packets recently */
-	pl_flow_load_t reported_load; /**< load in the last report */
+	pl_endpoint_load_t reported_load; /**< load in the last report */
 	pl_timer_t load_report_timer;
 	pl_work_queue_t queue;
 	pl_timer_t opening_timer; /**< next check of queued opening packets */
@@ -109,7 +109,7 @@
 				 pl_flow_verdict_t verdict,
 				 const uint8_t *packet, size_t len);
 
-pl_flow_load_t pl_flow_agent_load_(const pl_flow_agent_t *agent);
+pl_endpoint_load_t pl_flow_agent_load_(const pl_flow_agent_t *agent);
 
 /* agent_report.c */
 void pl_flow_load_report_init_(pl_flow_agent_t *agent);
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -182,7 +182,7 @@
 void pl_flow_loads_init_(pl_flow_entry_t *entry);
 /** Stores the load that an agent reported. */
 void pl_flow_loads_update_(pl_flow_entry_t *entry, pl_member_id_t agent,
-			   const pl_flow_load_t *load);
+			   const pl_endpoint_load_t *load);
 /** Returns the endpoint that was offered the flow last and is not ruled out, or
  * 0. */
 pl_member_id_t pl_flow_entry_last_offer_(const cached_flow_t *flow);
--- a/src/proto/flow_codec.c
+++ b/src/proto/flow_codec.c
@@ -11,7 +11,11 @@
 #include <assert.h>
 #include <glib.h>
 
+/** Elements of every message. */
 #define FIELDS 18
+/** Elements after those, of a message to an agent and of one with a load. */
+#define FORWARD_FIELDS 1
+#define LOAD_FIELDS 4
 /** Elements per service address. */
 #define ADDRESS_FIELDS 2
 /** Elements per item. */
@@ -90,13 +94,41 @@
 	}
 }
 
-static void pack_load_(msgpack_packer *packer, const pl_flow_load_t *load)
+static void pack_load_(msgpack_packer *packer, const pl_endpoint_load_t *load)
 {
 	msgpack_pack_uint32(packer, load->slots);
 	msgpack_pack_uint32(packer, load->busy);
 	msgpack_pack_uint32(packer, load->mean_busy);
 }
 
+static bool carries_load_(pl_flow_type_t type)
+{
+	return type == PL_FLOW_VERDICT || type == PL_FLOW_LOAD ||
+	       type == PL_FLOW_LOCATED;
+}
+
+static size_t extra_fields_(pl_flow_type_t type)
+{
+	if (type == PL_FLOW_FORWARD)
+		return FORWARD_FIELDS;
+	return carries_load_(type) ? LOAD_FIELDS : 0;
+}
+
+/* Packs the elements that only messages of this type have; returns the result
+ * of the last pack call, @p packed if there is none. */
+static int pack_extra_(msgpack_packer *packer, const pl_flow_message_t *message,
+		       int packed)
+{
+	if (message->type == PL_FLOW_FORWARD)
+		return msgpack_pack_uint32(packer, message->timeout_ms);
+	if (!carries_load_(message->type))
+		return packed;
+	msgpack_pack_uint32(packer, message->load.limit);
+	msgpack_pack_uint32(packer, message->load.request_ms);
+	msgpack_pack_uint32(packer, message->load.waiting);
+	return msgpack_pack_uint32(packer, message->reason);
+}
+
 size_t pl_flow_encode(const pl_key_t *key, const pl_flow_message_t *message,
 		      uint8_t *buf, size_t cap)
 {
@@ -105,7 +137,7 @@
 	int packed;
 
 	msgpack_packer_init(&packer, &out, pl_sealed_write);
-	msgpack_pack_array(&packer, FIELDS);
+	msgpack_pack_array(&packer, FIELDS + extra_fields_(message->type));
 	msgpack_pack_uint8(&packer, PL_WIRE_VERSION);
 	msgpack_pack_uint8(&packer, (uint8_t)(PL_WIRE_FLOW + message->type));
 	msgpack_pack_uint64(&packer, message->sender);
@@ -120,7 +152,8 @@
 	msgpack_pack_bin(&packer, message->packet_len);
 	packed = msgpack_pack_bin_body(&packer, message->packet,
 				       message->packet_len);
-	return pl_sealed_finish(&out, key, packed);
+	return pl_sealed_finish(&out, key,
+				pack_extra_(&packer, message, packed));
 }
 
 pl_flow_decoder_t *pl_flow_decoder_new(const pl_key_t *key)
@@ -224,7 +257,7 @@
 	return true;
 }
 
-static bool get_load_(const msgpack_object *fields, pl_flow_load_t *load)
+static bool get_load_(const msgpack_object *fields, pl_endpoint_load_t *load)
 {
 	return get_u32_(&fields[0], &load->slots) &&
 	       get_u32_(&fields[1], &load->busy) &&
@@ -257,6 +290,35 @@
 	       get_packet_(&fields[17], message);
 }
 
+/* Reads the elements after those of every message. Earlier releases send none
+ * of them; they are 0 then. */
+static bool get_extra_(const msgpack_object_array *array,
+		       pl_flow_message_t *message)
+{
+	const msgpack_object *extra = &array->ptr[FIELDS];
+	uint32_t reason = PL_REASON_NONE;
+	bool valid;
+
+	message->timeout_ms = 0;
+	message->load.limit = 0;
+	message->load.request_ms = 0;
+	message->load.waiting = 0;
+	message->reason = PL_REASON_NONE;
+	if (array->size < FIELDS + extra_fields_(message->type))
+		return true;
+	if (message->type == PL_FLOW_FORWARD)
+		return get_u32_(&extra[0], &message->timeout_ms);
+	if (!carries_load_(message->type))
+		return true;
+	valid = get_u32_(&extra[0], &message->load.limit) &&
+		get_u32_(&extra[1], &message->load.request_ms) &&
+		get_u32_(&extra[2], &message->load.waiting) &&
+		get_u32_(&extra[3], &reason);
+	message->reason =
+		reason < PL_REASON_COUNT ? (pl_reason_t)reason : PL_REASON_NONE;
+	return valid;
+}
+
 static pl_result_t read_message_(pl_flow_decoder_t *decoder,
 				 const msgpack_object *object,
 				 pl_flow_message_t *message)
@@ -273,7 +335,9 @@
 	    type >= PL_WIRE_FLOW + PL_FLOW_TYPE_END)
 		return PL_ERR_VERSION;
 	message->type = (pl_flow_type_t)(type - PL_WIRE_FLOW);
-	if (array->size < FIELDS || !get_fields_(decoder, array->ptr, message))
+	if (array->size < FIELDS ||
+	    !get_fields_(decoder, array->ptr, message) ||
+	    !get_extra_(array, message))
 		return PL_ERR_MALFORMED;
 	return PL_OK;
 }
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -1252,14 +1252,13 @@
 	world_delete(world);
 }
 
-static size_t choose_lowest_agent_(const pl_flow_candidate_t *candidates,
+static size_t choose_lowest_agent_(const pl_place_candidate_t *candidates,
 				   size_t count)
 {
 	size_t chosen = 0;
 
 	for (size_t i = 1; i < count; i++) {
-		if (candidates[i].endpoint->agent <
-		    candidates[chosen].endpoint->agent)
+		if (candidates[i].agent < candidates[chosen].agent)
 			chosen = i;
 	}
 	return chosen;
@@ -1269,8 +1268,8 @@
  * opening packet, and the route has got another service since it was offered. */
 static void refused_opening_packet_follows_a_changed_route(void **state)
 {
-	static const pl_flow_placement_t lowest = { "lowest",
-						    choose_lowest_agent_ };
+	static const pl_place_policy_t lowest = { "lowest",
+						  choose_lowest_agent_ };
 	world_t *world = world_new(1, 4, 47);
 	call_t *call;
 
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -241,7 +241,7 @@
 	world_delete(world);
 }
 
-static double imbalance_(const pl_flow_placement_t *placement)
+static double imbalance_(const pl_place_policy_t *placement)
 {
 	world_t *world = world_new(3, 5, 25);
 	uint64_t most = 0;
@@ -266,11 +266,11 @@
 
 static void load_is_balanced(void **state)
 {
-	double load = imbalance_(&pl_flow_placement_load);
+	double load = imbalance_(&pl_place_least_utilised);
 
 	(void)state;
 	print_message("busiest to mean: %.3f by load, %.3f by hash\n", load,
-		      imbalance_(&pl_flow_placement_hash));
+		      imbalance_(&pl_place_by_hash));
 	assert_true(load < 1.1);
 }
 
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -136,7 +136,7 @@
 	bool store_up;
 	unsigned int roster_reads;
 	const pl_work_order_t *order;
-	const pl_flow_placement_t *placement;
+	const pl_place_policy_t *placement;
 	uint64_t lookup_bytes; /* of lookups from entries to agents */
 	uint64_t remote_load_reports; /* load reports to other data centres */
 	uint64_t false_resets; /* resets of flows that a server holds */
--- a/test/proto/flow_codec_test.c
+++ b/test/proto/flow_codec_test.c
@@ -35,6 +35,40 @@
 	};
 }
 
+static pl_flow_message_t round_trip_(const pl_flow_message_t *message)
+{
+	const pl_key_t key = derive_key_();
+	pl_flow_decoder_t *decoder = pl_flow_decoder_new(&key);
+	uint8_t buf[PL_WIRE_DATAGRAM_MAX];
+	size_t len = pl_flow_encode(&key, message, buf, sizeof(buf));
+	pl_flow_message_t decoded = { 0 };
+
+	assert_int_not_equal(len, 0);
+	assert_int_equal(pl_flow_decode(decoder, buf, len, &decoded), PL_OK);
+	pl_flow_decoder_delete(decoder);
+	return decoded;
+}
+
+static void elements_of_one_type_round_trip(void **state)
+{
+	pl_flow_message_t message = make_message_(NULL, 0);
+	pl_flow_message_t decoded;
+
+	(void)state;
+	message.timeout_ms = 4500;
+	decoded = round_trip_(&message);
+	assert_int_equal(decoded.timeout_ms, 4500);
+	message.type = PL_FLOW_VERDICT;
+	message.reason = PL_REASON_COLD;
+	message.load.limit = 2500;
+	message.load.request_ms = 47;
+	message.load.waiting = 9;
+	decoded = round_trip_(&message);
+	assert_int_equal(decoded.reason, PL_REASON_COLD);
+	assert_memory_equal(&decoded.load, &message.load, sizeof(message.load));
+	assert_int_equal(decoded.timeout_ms, 0);
+}
+
 static void items_round_trip(void **state)
 {
 	pl_flow_item_t items[PL_FLOW_ITEMS_MAX] = { 0 };
@@ -161,6 +195,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(message_round_trips),
+		cmocka_unit_test(elements_of_one_type_round_trip),
 		cmocka_unit_test(items_round_trip),
 		cmocka_unit_test(shared_addresses_are_encoded_once),
 		cmocka_unit_test(changed_datagrams_are_rejected),
