flow agent: the slots that may be used are asked of one function

Prepares for the pace of started servers: agent_pace.c will say how many of its slots a server may be given work for. Today it is all of them; no behaviour changes.

--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -67,8 +67,9 @@
 
 static bool has_slot_(const pl_flow_agent_t *agent)
 {
-	return agent->load.slots == 0 ||
-	       requests_in_progress_(agent) < agent->load.slots;
+	uint32_t slots = pl_flow_pace_slots_(agent);
+
+	return slots == 0 || requests_in_progress_(agent) < slots;
 }
 
 /* Number of new flows that may be admitted beyond the slots. A slot reserved
@@ -78,15 +79,16 @@
 {
 	double answer = caller_answer_ms_(agent);
 
-	return (uint32_t)ceil(agent->load.slots * answer /
+	return (uint32_t)ceil(pl_flow_pace_slots_(agent) * answer /
 			      (answer + request_ms_(agent)));
 }
 
 static bool has_room_for_flow_(const pl_flow_agent_t *agent)
 {
-	return agent->load.slots == 0 ||
-	       agent->load.busy + agent->requests_queued <
-		       agent->load.slots + extra_flows_(agent);
+	uint32_t slots = pl_flow_pace_slots_(agent);
+
+	return slots == 0 || agent->load.busy + agent->requests_queued <
+				     slots + extra_flows_(agent);
 }
 
 bool pl_flow_work_can_start_request_(const pl_flow_agent_t *agent)
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -158,6 +158,10 @@
 /** Drops the flow's slot, queue place and pending packets. */
 void pl_flow_work_discard_(pl_flow_agent_t *agent, flow_t *flow);
 
+/* agent_pace.c */
+/** Requests that the server may be given at once; 0: no limit is known. */
+uint32_t pl_flow_pace_slots_(const pl_flow_agent_t *agent);
+
 /* agent_backend.c */
 void pl_flow_backend_init_(pl_flow_agent_t *agent);
 /** Whether no backend server runs, or one that is leaving: it neither listens
