Evacuation of a data centre: watch, spread, gate and placement

The operators' requests are read with the configuration by one watch of their common prefix, spread by the membership and enforced by agents.

--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -86,6 +86,10 @@
 	  "lookups that ended without an owner")                              \
 	X(PL_COUNTER_FLOWS_RESET, "flows_reset",                              \
 	  "flows reset because nobody can own them")                          \
+	X(PL_COUNTER_FLOWS_EVACUATED, "flows_evacuated",                      \
+	  "opening packets refused as the data centre is evacuated")          \
+	X(PL_COUNTER_FLOWS_REJECTED, "flows_rejected",                        \
+	  "new flows reset as all their endpoints are evacuated")             \
 	X(PL_COUNTER_DROP_LOG, "drop_log",                                    \
 	  "log lines that nobody took in time")                               \
 	X(PL_COUNTER_INVARIANT_BROKEN, "invariant_broken",                    \
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -112,6 +112,21 @@
 	  "keys among the roster's entries name no agent and were skipped")    \
 	X(PL_EVENT_ROSTER_DELEGATED, 419, "roster-delegated", INFO,            \
 	  "this member writes the roster entry of an agent that cannot")       \
+	X(PL_EVENT_EVACUATION_REQUESTED, 420, "evacuation-requested", INFO,    \
+	  "the store holds a request to evacuate a data centre")               \
+	X(PL_EVENT_EVACUATION_WITHDRAWN, 421, "evacuation-withdrawn", INFO,    \
+	  "a request to evacuate a data centre is no longer in the store")     \
+	X(PL_EVENT_EVACUATION_IN_FORCE, 422, "evacuation-in-force", WARNING,   \
+	  "this process lets no new flows into a data centre")                 \
+	X(PL_EVENT_EVACUATION_ENDED, 423, "evacuation-ended", INFO,            \
+	  "this process lets new flows into a data centre again")              \
+	X(PL_EVENT_EVACUATION_UNKNOWN, 424, "evacuation-unknown", WARNING,     \
+	  "no known member is in a data centre that is to be evacuated")       \
+	X(PL_EVENT_EVACUATION_UNREADABLE, 425, "evacuation-unreadable",        \
+	  WARNING,                                                             \
+	  "a request to evacuate has an unreadable value and counts as made")  \
+	X(PL_EVENT_EVACUATION_EXCESS, 426, "evacuation-excess", ERROR,         \
+	  "more data centres are to be evacuated than can be in force")        \
 	X(PL_EVENT_AUTH_FAILED, 500, "auth-failed", WARNING,                   \
 	  "an inner message failed authentication")
 
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -63,6 +63,8 @@
 	uint64_t accepted; /**< opening packets accepted for the server */
 	/** Opening packets that the agent returned to their entry. */
 	uint64_t refused;
+	bool evacuated; /**< the data centre gets no new flows */
+	uint64_t evacuated_refused; /**< of @c refused: as it is evacuated */
 	uint64_t queued; /**< requests and new flows that were queued */
 	/** Packets that the server returned because it does not hold their
 	 * flow or accepts no new one. */
@@ -109,6 +111,13 @@
 /** The backend server @p id announced that it shuts down. */
 void pl_flow_agent_backend_leaving(pl_flow_agent_t *agent, const char *id);
 
+/**
+ * The agent's data centre is evacuated, or no longer. While it is, the agent
+ * hands every opening packet back to its entry, those in its queue at once.
+ * Open flows go on.
+ */
+void pl_flow_agent_set_evacuated(pl_flow_agent_t *agent, bool evacuated);
+
 void pl_flow_agent_stats(const pl_flow_agent_t *agent,
 			 pl_flow_agent_stats_t *stats);
 
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -65,6 +65,9 @@
 	uint64_t flows_reset; /**< flows reset because no agent can own them */
 	uint64_t no_route; /**< packets to an address without a service */
 	uint64_t no_endpoint; /**< opening packets without an endpoint */
+	/** Of @c no_endpoint: new flows reset because all endpoints of their
+	 * service are evacuated. */
+	uint64_t rejected;
 } pl_flow_entry_stats_t;
 
 pl_flow_entry_t *pl_flow_entry_new(const pl_flow_entry_params_t *params,
--- a/include/pimentolift/gossip.h
+++ b/include/pimentolift/gossip.h
@@ -6,9 +6,11 @@
  * frames.
  *
  * A datagram is a msgpack array [version, type, flags, sender, incarnation,
- * revision, sequence, target, records, digests, store generation] followed by a
- * MAC of @ref PL_MAC_BYTES over the array with the key PL_KEY_GOSSIP. The last
- * element may be absent; a receiver ignores elements beyond those it knows.
+ * revision, sequence, target, records, digests, store generation, evacuations]
+ * followed by a MAC of @ref PL_MAC_BYTES over the array with the key
+ * PL_KEY_GOSSIP. The last two elements may be absent; a receiver ignores
+ * elements beyond those it knows. "evacuations" is [generation, revision, data
+ * centre...].
  *
  * A record is an array: [flags, id, incarnation] for a change of state. A full
  * record appends [boot, data centre, age, service, endpoint state, slots,
@@ -20,6 +22,7 @@
 #ifndef PIMENTOLIFT_GOSSIP_H
 #define PIMENTOLIFT_GOSSIP_H
 
+#include <pimentolift/evacuation.h>
 #include <pimentolift/member.h>
 #include <pimentolift/wire.h>
 
@@ -91,6 +94,8 @@
 	uint64_t store_generation;
 	uint32_t sequence;
 	pl_member_id_t target; /**< in PING_REQ and INDIRECT_ACK, else 0 */
+	/** Evacuations known to the sender; revision 0: not stated. */
+	pl_evacuations_t evacuations;
 	const pl_gossip_record_t *records;
 	size_t record_count;
 	const pl_gossip_digest_t *digests;
--- a/include/pimentolift/kv.h
+++ b/include/pimentolift/kv.h
@@ -38,6 +38,7 @@
 	const char *value; /**< followed by a NUL not counted in the length */
 	size_t value_len;
 	uint64_t modify_index;
+	bool deleted; /**< a change that removed the key; @c value is empty */
 } pl_kv_item_t;
 
 /** Position in the store's history of changes. */
@@ -65,8 +66,11 @@
 	size_t value_len;
 	uint64_t modify_index; /**< of the value; 0 when the key is absent */
 	pl_kv_position_t position; /**< of the store, for the next watch */
-	const pl_kv_item_t *items; /**< result of pl_kv_list() */
+	/** Result of pl_kv_list() and pl_kv_watch_range(). */
+	const pl_kv_item_t *items;
 	size_t item_count;
+	/** Ranges: @c items are all keys, not only the changes since. */
+	bool complete;
 	bool more; /**< further keys follow the last item */
 } pl_kv_reply_t;
 
@@ -99,6 +103,9 @@
 	pl_kv_call_t *(*watch)(pl_kv_t *kv, const char *key,
 			       pl_kv_position_t after, uint32_t wait_ms,
 			       pl_kv_done_t done, void *ctx);
+	pl_kv_call_t *(*watch_range)(pl_kv_t *kv, const char *prefix,
+				     pl_kv_position_t after, uint32_t wait_ms,
+				     pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*put)(pl_kv_t *kv, const pl_kv_write_t *write,
 			     pl_kv_done_t done, void *ctx);
 	pl_kv_call_t *(*remove)(pl_kv_t *kv, const char *key,
@@ -150,6 +157,15 @@
 pl_kv_call_t *pl_kv_watch(pl_kv_t *kv, const char *key, pl_kv_position_t after,
 			  uint32_t wait_ms, pl_kv_done_t done, void *ctx);
 
+/**
+ * Like pl_kv_watch(), for all keys with the prefix @p prefix: returns their
+ * changes after @p after in the order made, or, where pl_kv_watch() reads the
+ * key, all keys (pl_kv_reply_t.complete). PL_ERR_NOT_FOUND: no change.
+ */
+pl_kv_call_t *pl_kv_watch_range(pl_kv_t *kv, const char *prefix,
+				pl_kv_position_t after, uint32_t wait_ms,
+				pl_kv_done_t done, void *ctx);
+
 /** Writes a key if the condition in @p write holds. */
 pl_kv_call_t *pl_kv_put(pl_kv_t *kv, const pl_kv_write_t *write,
 			pl_kv_done_t done, void *ctx);
--- a/include/pimentolift/member.h
+++ b/include/pimentolift/member.h
@@ -23,6 +23,7 @@
 #define PIMENTOLIFT_MEMBER_H
 
 #include <pimentolift/addr.h>
+#include <pimentolift/evacuation.h>
 #include <pimentolift/hash.h>
 #include <pimentolift/peer.h>
 #include <pimentolift/result.h>
@@ -114,6 +115,10 @@
 	 * one did. May be NULL.
 	 */
 	void (*store_generation)(void *ctx, uint64_t generation);
+	/**
+	 * Other data centres than before are to be evacuated. May be NULL.
+	 */
+	void (*evacuations)(void *ctx, const pl_evacuations_t *evacuations);
 	/**
 	 * The process was not scheduled for @p gap_ms, so other members may
 	 * have declared it dead. Returns the new boot identity. Called before
@@ -227,6 +232,14 @@
 void pl_member_set_store_generation(pl_member_table_t *table,
 				    uint64_t generation);
 
+/** Sets the data centres to evacuate, unless those known are as new, and gossips
+ * a change at once. */
+void pl_member_set_evacuations(pl_member_table_t *table,
+			       const pl_evacuations_t *evacuations);
+
+/** The newest evacuations known to the owner. */
+const pl_evacuations_t *pl_member_evacuations(const pl_member_table_t *table);
+
 /**
  * Probes the member @p id every 500 ms, so that its crash is detected sooner.
  * Meant for the few agents that hold replicas for one another. The member may
--- a/include/pimentolift/routing.h
+++ b/include/pimentolift/routing.h
@@ -50,6 +50,7 @@
 	pl_datacentre_id_t datacentre;
 	pl_endpoint_state_t state;
 	bool announced; /**< reports that it serves, even if suspected */
+	bool evacuated; /**< its data centre gets no new flows */
 	uint32_t weight; /**< 0 to PL_WEIGHT_FULL */
 	uint32_t slots; /**< requests the backend server runs in parallel */
 } pl_endpoint_t;
@@ -81,6 +82,8 @@
 	size_t endpoint_count;
 } pl_route_service_t;
 
+struct pl_evacuations;
+
 typedef struct pl_routing pl_routing_t;
 typedef struct pl_routing_builder pl_routing_builder_t;
 
@@ -105,6 +108,11 @@
 			      pl_service_id_t service, const pl_addr_t *addr,
 			      const pl_route_policy_t *policy);
 
+/** Marks the endpoints of these data centres that are added later as
+ * evacuated. */
+void pl_routing_builder_evacuate(pl_routing_builder_t *builder,
+				 const struct pl_evacuations *evacuations);
+
 /** Adds an endpoint; ignored if its service is not in the table. */
 void pl_routing_builder_endpoint(pl_routing_builder_t *builder,
 				 const pl_endpoint_t *endpoint);
--- a/src/ctl/cmd_node.c
+++ b/src/ctl/cmd_node.c
@@ -18,6 +18,7 @@
 	{ "DATACENTRE", "datacentre" },
 	{ "REVISION", "revision" },
 	{ "DRAINING", "draining" },
+	{ "EVACUATED", "evacuated" },
 	{ "ALIVE", "members.alive" },
 	{ "SUSPECT", "members.suspect" },
 	{ "UNREACHABLE", "members.unreachable" },
@@ -27,15 +28,11 @@
 };
 
 static const pl_column_t endpoint_columns_[] = {
-	{ "SERVICE", "service" },
-	{ "NAME", "name" },
-	{ "DATACENTRE", "datacentre" },
-	{ "STATE", "state" },
-	{ "WEIGHT", "weight" },
-	{ "SLOTS", "slots" },
-	{ "MEMBER", "member" },
-	{ "AGENT", "agent" },
-	{ 0 },
+	{ "SERVICE", "service" },	{ "NAME", "name" },
+	{ "DATACENTRE", "datacentre" }, { "STATE", "state" },
+	{ "EVACUATED", "evacuated" },	{ "WEIGHT", "weight" },
+	{ "SLOTS", "slots" },		{ "MEMBER", "member" },
+	{ "AGENT", "agent" },		{ 0 },
 };
 
 static pl_result_t require_admin_(const pl_ctl_t *ctl, pl_error_t *err)
--- a/src/daemon/admin_report.c
+++ b/src/daemon/admin_report.c
@@ -61,6 +61,7 @@
 	json_object_object_add(
 		status, "draining",
 		json_object_new_boolean(pl_node_is_draining(node)));
+	pl_node_evacuation_status(node, status);
 	add_members_(status, pl_node_members(node));
 	pl_node_role_status(node, status);
 	return status;
@@ -87,6 +88,8 @@
 	add_service_(object, service);
 	add_member_(object, "agent", endpoint->agent);
 	add_text_(object, "state", pl_endpoint_state_names[endpoint->state]);
+	json_object_object_add(object, "evacuated",
+			       json_object_new_boolean(endpoint->evacuated));
 	add_number_(object, "weight", endpoint->weight);
 	add_number_(object, "slots", endpoint->slots);
 	if (!member)
@@ -201,5 +204,10 @@
 			       "# TYPE pimentolift_revision gauge\n"
 			       "pimentolift_revision %" G_GUINT64_FORMAT "\n",
 			       pl_node_revision(node));
+	g_string_append_printf(
+		text,
+		"# TYPE pimentolift_evacuated_datacentres gauge\n"
+		"pimentolift_evacuated_datacentres %zu\n",
+		pl_node_evacuation_count(node));
 	return text;
 }
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -236,6 +236,30 @@
 {
 }
 
+/* A task that the control thread posts to the traffic thread. */
+typedef struct {
+	flow_agent_role_t *role;
+	bool evacuated;
+} task_t;
+
+static void run_set_evacuated_(void *ctx)
+{
+	task_t *task = ctx;
+
+	pl_flow_agent_set_evacuated(task->role->core, task->evacuated);
+	g_free(task);
+}
+
+static void evacuated_(void *ctx, bool evacuated)
+{
+	flow_agent_role_t *role = ctx;
+	task_t *task = g_new0(task_t, 1);
+
+	task->role = role;
+	task->evacuated = evacuated;
+	pl_loop_post(role->thread.loop, run_set_evacuated_, task);
+}
+
 static void ignore_frame_(void *ctx, const pl_peer_frame_t *frame)
 {
 }
@@ -302,6 +326,7 @@
 	add_number_(status, "busy", stats.load.busy);
 	add_number_(status, "taken", stats.accepted);
 	add_number_(status, "refused", stats.refused);
+	add_number_(status, "refused_evacuated", stats.evacuated_refused);
 	add_number_(status, "waited", stats.queued);
 	add_number_(status, "bounced", stats.bounced);
 	add_number_(status, "trials", stats.probes);
@@ -330,6 +355,7 @@
 	.frame = ignore_frame_,
 	.frame_failed = ignore_frame_,
 	.agent_boot_ended = agent_boot_ended_,
+	.evacuated = evacuated_,
 	.paused = paused_,
 	.drain = drain_,
 	.drained = drained_,
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -257,6 +257,7 @@
 	add_number_(status, "dead", stats.flows_reset);
 	add_number_(status, "no_route", stats.no_route);
 	add_number_(status, "no_endpoint", stats.no_endpoint);
+	add_number_(status, "rejected_evacuated", stats.rejected);
 }
 
 static void stop_(void *ctx)
--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -5,10 +5,12 @@
 #include "private/node_config.h"
 
 #include <pimentolift/config_sync.h>
+#include <pimentolift/evacuation_requests.h>
 #include <pimentolift/event.h>
 #include <pimentolift/kv.h>
 #include <platform/platform.h>
 
+#include <string.h>
 #include <sys/epoll.h>
 
 /** Interval at which a starting node checks whether it has joined. */
@@ -44,7 +46,9 @@
 	pl_kv_t *platform;
 	pl_config_sync_t *sync;
 	char *key;
+	pl_evacuation_requests_t *requests;
 	pl_kv_call_t *watch;
+	pl_kv_position_t watched_after; /* the open watch of a range */
 	uint32_t watch_ms; /* timeout of a watch */
 	pl_loop_watch_t *platform_watch;
 	pl_timer_t poll; /* next call to pl_kv_poll() */
@@ -78,6 +82,85 @@
 	pl_config_sync_read_done(config->sync, reply);
 }
 
+/* Applies the requests to evacuate data centres among the operators' keys,
+ * or their changes since @p after. */
+static void apply_requests_(pl_node_config_t *config,
+			    const pl_kv_reply_t *reply, pl_kv_position_t after)
+{
+	pl_evacuation_request_t *requests =
+		g_new(pl_evacuation_request_t, reply->item_count);
+	pl_evacuation_update_t update = { .position = reply->position,
+					  .complete = reply->complete,
+					  .after = after,
+					  .requests = requests };
+	pl_evacuations_t evacuations;
+
+	for (size_t i = 0; i < reply->item_count; i++) {
+		const pl_kv_item_t *item = &reply->items[i];
+		const char *name = pl_platform_evacuated_datacentre(item->key);
+
+		if (!name)
+			continue;
+		requests[update.count++] = (pl_evacuation_request_t){
+			.datacentre = name,
+			.withdrawn = item->deleted,
+			.readable = pl_platform_evacuation_readable(
+				item->value, item->value_len),
+		};
+	}
+	if (pl_evacuation_requests_apply(config->requests, &update)) {
+		pl_evacuation_requests_get(config->requests, &evacuations);
+		pl_member_set_evacuations(pl_node_members(config->node),
+					  &evacuations);
+	}
+	g_free(requests);
+}
+
+/* Takes the requests to evacuate from a reply about the operators' keys;
+ * returns what it says about the document's key. */
+static pl_kv_reply_t split_reply_(pl_node_config_t *config,
+				  const pl_kv_reply_t *reply,
+				  pl_kv_position_t after)
+{
+	pl_kv_reply_t document = *reply;
+
+	document.items = NULL;
+	document.item_count = 0;
+	if (reply->result != PL_OK && reply->result != PL_ERR_NOT_FOUND)
+		return document;
+	apply_requests_(config, reply, after);
+	document.result = PL_ERR_NOT_FOUND;
+	for (size_t i = 0; i < reply->item_count; i++) {
+		const pl_kv_item_t *item = &reply->items[i];
+
+		if (strcmp(item->key, config->key) != 0)
+			continue;
+		document.result = item->deleted ? PL_ERR_NOT_FOUND : PL_OK;
+		document.value = item->value;
+		document.value_len = item->value_len;
+		document.modify_index = item->modify_index;
+	}
+	return document;
+}
+
+static void on_range_read_(void *ctx, const pl_kv_reply_t *reply)
+{
+	pl_node_config_t *config = ctx;
+	pl_kv_reply_t document =
+		split_reply_(config, reply, (pl_kv_position_t){ 0 });
+
+	pl_config_sync_read_done(config->sync, &document);
+}
+
+/* Reads all keys of the operators with one call. */
+static void read_range_(void *ctx)
+{
+	pl_node_config_t *config = ctx;
+
+	pl_kv_watch_range(config->platform, pl_platform_operator_prefix,
+			  (pl_kv_position_t){ 0 }, 0, on_range_read_, config);
+}
+
 static void read_document_(void *ctx)
 {
 	pl_node_config_t *config = ctx;
@@ -101,6 +184,26 @@
 				    config->watch_ms, on_watch_, config);
 }
 
+static void on_range_watch_(void *ctx, const pl_kv_reply_t *reply)
+{
+	pl_node_config_t *config = ctx;
+	pl_kv_reply_t document =
+		split_reply_(config, reply, config->watched_after);
+
+	config->watch = NULL;
+	pl_config_sync_watch_done(config->sync, &document);
+}
+
+static void start_range_watch_(void *ctx, pl_kv_position_t after)
+{
+	pl_node_config_t *config = ctx;
+
+	config->watched_after = after;
+	config->watch = pl_kv_watch_range(
+		config->platform, pl_platform_operator_prefix, after,
+		config->watch_ms, on_range_watch_, config);
+}
+
 static void stop_watch_(void *ctx)
 {
 	pl_node_config_t *config = ctx;
@@ -133,8 +236,8 @@
 static const pl_config_sync_ops_t flow_ops_ = {
 	.in_force = on_in_force_,
 	.send = send_frame_,
-	.read = read_document_,
-	.watch = start_watch_,
+	.read = read_range_,
+	.watch = start_range_watch_,
 	.unwatch = stop_watch_,
 	.random = random_,
 	.decode = decode_document_,
@@ -219,6 +322,7 @@
 	config->sync = pl_config_sync_new(
 		pl_node_self(node), pl_hash_text(settings->datacentre),
 		flows ? &flow_ops_ : &ops_, config, timers_(config));
+	config->requests = pl_evacuation_requests_new();
 	config->watch_ms = PL_KV_WAIT_MS;
 	if (flows) {
 		config->watch_ms =
@@ -244,6 +348,7 @@
 	pl_timer_cancel(timers_(config), &config->poll);
 	pl_timer_cancel(timers_(config), &config->start);
 	pl_config_sync_delete(config->sync);
+	pl_evacuation_requests_delete(config->requests);
 	pl_kv_delete(config->platform);
 	g_free(config->key);
 	g_free(config);
--- a/src/daemon/node_members.c
+++ b/src/daemon/node_members.c
@@ -143,6 +143,11 @@
 				      generation);
 }
 
+static void member_evacuations_(void *ctx, const pl_evacuations_t *evacuations)
+{
+	pl_node_evacuate_changed_(ctx, evacuations);
+}
+
 static uint64_t member_paused_(void *ctx, pl_ms_t gap_ms)
 {
 	pl_node_t *node = ctx;
@@ -185,6 +190,7 @@
 	.changed = member_changed_,
 	.revision = member_revision_,
 	.store_generation = member_store_generation_,
+	.evacuations = member_evacuations_,
 	.paused = member_paused_,
 	.datacentre = member_datacentre_,
 	.absent = member_absent_,
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -55,6 +55,9 @@
 	 * member reaches it. May be NULL.
 	 */
 	void (*agent_dead)(void *role, pl_member_id_t agent);
+	/** The data centre of this process is evacuated, or no longer. May be
+	 * NULL. */
+	void (*evacuated)(void *role, bool evacuated);
 	/** The process was suspended for so long that it continues under the
 	 * new identity @p boot. */
 	void (*paused)(void *role, uint64_t boot);
@@ -105,6 +108,12 @@
 /** Passes a gossip datagram to the control thread; from any thread. */
 void pl_node_gossip(pl_node_t *node, const uint8_t *bytes, size_t len);
 
+/** Adds the evacuated data centres to @p status. */
+void pl_node_evacuation_status(pl_node_t *node, struct json_object *status);
+
+/** Number of evacuated data centres. */
+size_t pl_node_evacuation_count(const pl_node_t *node);
+
 /** Sends a frame; from any thread. */
 void pl_node_send_frame(pl_node_t *node, const pl_peer_frame_t *frame);
 
--- a/src/daemon/private/node_state.h
+++ b/src/daemon/private/node_state.h
@@ -27,6 +27,12 @@
 			datagrams are still handled */
 } node_phase_t;
 
+/** A data centre that is evacuated. */
+typedef struct {
+	pl_datacentre_id_t datacentre;
+	pl_ms_t since; /**< when this process learned of it */
+} pl_node_evacuation_t;
+
 struct pl_node {
 	const pl_settings_t *settings;
 	const pl_role_ops_t *role_ops;
@@ -58,6 +64,8 @@
 	pl_ms_t stop_started;
 	pl_ms_t leave_started;
 	pl_member_attr_t attr;
+	pl_node_evacuation_t evacuations[PL_EVACUATIONS_MAX];
+	size_t evacuation_count;
 	int signal_fd;
 	pl_loop_watch_t *signal_watch;
 	pl_addr_t admin_addr;
@@ -88,6 +96,11 @@
 /** Whether the published routing table was built from a document. */
 bool pl_node_is_configured_(const pl_node_t *node);
 
+/* node_evacuate.c */
+/** Puts other evacuations in force. */
+void pl_node_evacuate_changed_(pl_node_t *node,
+			       const pl_evacuations_t *evacuations);
+
 /* node_stop.c */
 void pl_node_stop_init_(pl_node_t *node);
 
--- a/src/daemon/routing_build.c
+++ b/src/daemon/routing_build.c
@@ -174,6 +174,7 @@
 	GHashTable *counts = count_agents_(document, members);
 
 	*ramping = false;
+	pl_routing_builder_evacuate(builder, pl_member_evacuations(members));
 	add_services_(builder, document);
 	for (size_t i = 0; i < pl_member_count(members); i++) {
 		const pl_member_t *member = pl_member_at(members, i);
@@ -196,6 +197,7 @@
 {
 	pl_routing_builder_t *builder = pl_routing_builder_new(0);
 
+	pl_routing_builder_evacuate(builder, pl_member_evacuations(members));
 	for (size_t i = 0; i < pl_member_count(members); i++) {
 		if (is_live_agent_(pl_member_at(members, i)))
 			add_unconfigured_(builder, pl_member_at(members, i));
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -193,6 +193,10 @@
 {
 	flow_t *flow = find_flow_(agent, &message->flow);
 
+	if (agent->evacuated) {
+		pl_flow_evacuate_opening_(agent, flow, message);
+		return;
+	}
 	if (!flow || flow->state == FLOW_ABSENT) {
 		admit_flow_(agent, message);
 		return;
@@ -507,6 +511,7 @@
 	*stats = agent->stats;
 	stats->flows = count_open_flows_(agent);
 	stats->load = pl_flow_agent_load_(agent);
+	stats->evacuated = agent->evacuated;
 	stats->serving = pl_flow_backend_accepts_(agent);
 	stats->flows_complete = pl_flow_backend_knows_all_flows_(agent);
 	stats->backend_down = agent->backend_down;
--- /dev/null
+++ b/src/flow/agent_evacuate.c
@@ -0,0 +1,74 @@
+/**
+ * @file
+ * Evacuation of the agent's data centre: the agent is the gate for opening
+ * packets of entries that have not heard of it yet.
+ */
+#include "private/agent_private.h"
+
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+
+/* Hands an opening packet back to its entry, which offers it elsewhere. */
+static void refuse_(pl_flow_agent_t *agent, pl_member_id_t entry,
+		    const pl_flow_key_t *key, const uint8_t *packet, size_t len)
+{
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_VERDICT,
+		.sender = agent->params.self,
+		.service = agent->params.service,
+		.flow = *key,
+		.verdict = PL_FLOW_REFUSED,
+		.reason = PL_REASON_EVACUATED,
+		.load = pl_flow_agent_load_(agent),
+		.packet = packet,
+		.packet_len = len,
+	};
+
+	agent->stats.refused++;
+	agent->stats.evacuated_refused++;
+	pl_counter_add(PL_COUNTER_FLOWS_HANDED_BACK, 1);
+	pl_counter_add(PL_COUNTER_FLOWS_EVACUATED, 1);
+	agent->ops->send(agent->ctx, entry, &message);
+}
+
+void pl_flow_evacuate_opening_(pl_flow_agent_t *agent, const flow_t *flow,
+			       const pl_flow_message_t *message)
+{
+	bool held = flow && !flow->closed &&
+		    (flow->state == FLOW_OPEN || flow->state == FLOW_PROBING);
+
+	/* a late copy of the packet that opened a flow; another server must not
+	 * get it */
+	if (held)
+		return;
+	refuse_(agent, message->sender, &message->flow, message->packet,
+		message->packet_len);
+}
+
+/* Hands back the opening packets that were not delivered yet. */
+static void refuse_queued_(pl_flow_agent_t *agent)
+{
+	pl_list_for_each_safe(link, &agent->queue.waiting) {
+		flow_t *flow = PL_CONTAINER_OF(
+			PL_CONTAINER_OF(link, pl_work_t, link), flow_t, work);
+		const pl_queued_packet_t *packet =
+			pl_packet_queue_first(&flow->pending_packets);
+
+		if (flow->state != FLOW_NEW)
+			continue;
+		refuse_(agent, flow->entry, &flow->node.key, packet->bytes,
+			packet->len);
+		pl_flow_table_remove(agent->flows, &flow->node);
+	}
+}
+
+void pl_flow_agent_set_evacuated(pl_flow_agent_t *agent, bool evacuated)
+{
+	if (agent->evacuated == evacuated)
+		return;
+	agent->evacuated = evacuated;
+	if (evacuated)
+		refuse_queued_(agent);
+	else
+		agent->returned_at = pl_flow_agent_now_(agent);
+}
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -66,6 +66,7 @@
 	pl_flow_liveness_init_(entry);
 	pl_flow_retries_init_(entry);
 	pl_flow_hold_init_(entry);
+	pl_flow_evacuate_init_(entry);
 	pl_flow_query_init_(entry);
 	pl_timer_init(&entry->sweep_timer, on_sweep_timer_, entry);
 	pl_timer_arm(timers, &entry->sweep_timer,
@@ -79,6 +80,7 @@
 		return;
 	pl_timer_cancel(entry->timers, &entry->sweep_timer);
 	pl_flow_hold_finish_(entry);
+	pl_flow_evacuate_finish_(entry);
 	pl_timer_cancel(entry->timers, &entry->query_timer);
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
@@ -96,6 +98,7 @@
 	if (entry->routing)
 		pl_routing_put(entry->routing);
 	entry->routing = routing;
+	pl_flow_evacuate_routing_changed_(entry);
 	pl_flow_liveness_routing_changed_(entry);
 	pl_flow_lookup_reroute_(entry);
 	pl_flow_query_new_agents_(entry);
@@ -346,6 +349,10 @@
 {
 	if (flow->queueing_agent == message->sender)
 		flow->queueing_agent = 0;
+	/* an evacuated agent drops copies of a flow that is open there */
+	if (flow->owner == message->sender &&
+	    message->reason == PL_REASON_EVACUATED)
+		flow->owner = 0;
 	pl_flow_entry_rule_out_(flow, message->sender);
 	if (message->packet_len == 0 || flow->owner != 0 ||
 	    flow->queueing_agent != 0)
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -174,7 +174,7 @@
 /* Whether the flow @p ctx may be offered to the endpoint. */
 static bool is_eligible_(const void *ctx, const pl_endpoint_t *endpoint)
 {
-	return endpoint->state == PL_ENDPOINT_SERVING &&
+	return endpoint->state == PL_ENDPOINT_SERVING && !endpoint->evacuated &&
 	       !was_offered_(ctx, endpoint->agent);
 }
 
@@ -255,7 +255,8 @@
 		/* retry a little later, from the first offer */
 		clear_offers_(flow);
 		entry->stats.no_endpoint++;
-		pl_flow_hold_add_(entry, bytes, len);
+		if (!pl_flow_evacuate_reject_(entry, flow, bytes, len))
+			pl_flow_hold_add_(entry, bytes, len);
 		return;
 	}
 	flow->offered[flow->offered_count++] = endpoint->agent;
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -95,6 +95,8 @@
 	 * agent or since the last server ended. */
 	bool backend_seen;
 	bool backend_down; /**< the server has ended and no new one was seen */
+	bool evacuated; /**< the data centre gets no new flows */
+	pl_ms_t returned_at; /**< end of the last evacuation; 0: none */
 	bool flows_complete; /**< every flow of the server had a record */
 	/** When the record of a flow that may be open was last evicted; 0: never
 	 * since the server's start. */
@@ -111,6 +113,12 @@
 
 pl_endpoint_load_t pl_flow_agent_load_(const pl_flow_agent_t *agent);
 
+/* agent_evacuate.c */
+/** Handles an opening packet, of the known @p flow or NULL, while the data centre
+ * is evacuated. */
+void pl_flow_evacuate_opening_(pl_flow_agent_t *agent, const flow_t *flow,
+			       const pl_flow_message_t *message);
+
 /* agent_report.c */
 void pl_flow_load_report_init_(pl_flow_agent_t *agent);
 void pl_flow_load_report_finish_(pl_flow_agent_t *agent);
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -108,6 +108,8 @@
 	bool roster_pending; /**< a request is open */
 	pl_ms_t roster_requested_at; /**< time of the last request */
 	pl_ms_t roster_not_before; /**< earliest time of the next request */
+	/** Service whose endpoints are all evacuated to the time since when. */
+	GHashTable *emptied_since;
 	GQueue held; /**< packets that no endpoint can accept now */
 	/** When the held packet that is being retried was first held, or 0. */
 	pl_ms_t retry_held_since;
@@ -148,6 +150,15 @@
 /** Routes the held packets again. */
 void pl_flow_hold_retry_(pl_flow_entry_t *entry);
 
+/* entry_evacuate.c */
+void pl_flow_evacuate_init_(pl_flow_entry_t *entry);
+void pl_flow_evacuate_finish_(pl_flow_entry_t *entry);
+void pl_flow_evacuate_routing_changed_(pl_flow_entry_t *entry);
+/** Resets a new flow whose service has only evacuated endpoints, and has had no
+ * others for a while; returns false if it did not. */
+bool pl_flow_evacuate_reject_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+			      const uint8_t *bytes, size_t len);
+
 /* entry_liveness.c */
 void pl_flow_liveness_init_(pl_flow_entry_t *entry);
 void pl_flow_liveness_finish_(pl_flow_entry_t *entry);
--- a/src/kv/kv.c
+++ b/src/kv/kv.c
@@ -28,6 +28,14 @@
 	return kv->ops->watch(kv, key, after, wait_ms, done, ctx);
 }
 
+pl_kv_call_t *pl_kv_watch_range(pl_kv_t *kv, const char *prefix,
+				pl_kv_position_t after, uint32_t wait_ms,
+				pl_kv_done_t done, void *ctx)
+{
+	assert(done && wait_ms <= PL_KV_WAIT_MS);
+	return kv->ops->watch_range(kv, prefix, after, wait_ms, done, ctx);
+}
+
 pl_kv_call_t *pl_kv_put(pl_kv_t *kv, const pl_kv_write_t *write,
 			pl_kv_done_t done, void *ctx)
 {
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -185,6 +185,9 @@
 	unsigned int urgent_rounds; /* rounds even without queued changes */
 	uint64_t store_generation;
 	pl_ms_t generation_stated_until; /* in all datagrams */
+	pl_evacuations_t evacuations;
+	bool evacuations_changed; /* since the start: digests state them */
+	pl_ms_t evacuations_stated_until; /* in all datagrams */
 	uint64_t revision;
 	uint64_t revision_heard;
 	uint64_t bytes_in;
@@ -299,6 +302,9 @@
 /** Sets a higher generation of the store; if @p urgent, gossips it at once. */
 void pl_member_raise_generation_(pl_member_table_t *table, uint64_t generation,
 				 bool urgent);
+/** Handles the evacuations that a datagram states. */
+void pl_member_note_evacuations_(pl_member_table_t *table,
+				 const pl_evacuations_t *evacuations);
 /** Whether the budget allows datagrams other than probes now. */
 bool pl_member_has_budget_(pl_member_table_t *table);
 /** Refills the token bucket to one second's budget, for messages that must go
--- a/src/member/receive.c
+++ b/src/member/receive.c
@@ -348,6 +348,7 @@
 	check_sender_(table, message, &opts);
 	note_revision_(table, message);
 	note_store_generation_(table, message);
+	pl_member_note_evacuations_(table, &message->evacuations);
 	if (!handle_type_(table, message, &opts) &&
 	    (opts.own_record || opts.flags || opts.subject || opts.correction))
 		pl_member_send_(table, message->sender, &update, &opts);
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -25,6 +25,9 @@
 /** Time for which all datagrams state a new generation of the store; after that
  * only the digests do. */
 #define GENERATION_STATED_MS 10000
+/** Time for which all datagrams state changed evacuations: several probes of
+ * each member. While a data centre is evacuated all of them do. */
+#define EVACUATIONS_STATED_MS 10000
 /** Largest debt of the token bucket with which datagrams still go to the ring,
  * as time of the send budget. */
 #define DEBT_MS 250
@@ -280,6 +283,18 @@
 		count_transmit_(table, selection.members[i], limit);
 }
 
+/* A member that starts must know of evacuations before it places flows, so each
+ * datagram states them while there are any. Later digests alone tell members
+ * that missed the end of the last one. */
+static bool states_evacuations_(const pl_member_table_t *table,
+				pl_gossip_type_t type)
+{
+	return table->evacuations.count > 0 ||
+	       table->now < table->evacuations_stated_until ||
+	       (table->evacuations_changed &&
+		(type == PL_GOSSIP_DIGEST || type == PL_GOSSIP_BUCKET_DIGEST));
+}
+
 void pl_member_send_(pl_member_table_t *table, pl_member_id_t to,
 		     pl_gossip_message_t *message, const pl_send_opts_t *opts)
 {
@@ -293,6 +308,8 @@
 	if (table->now < table->generation_stated_until ||
 	    message->type == PL_GOSSIP_DIGEST)
 		message->store_generation = table->store_generation;
+	if (states_evacuations_(table, message->type))
+		message->evacuations = table->evacuations;
 	if (table->leaving)
 		message->flags |= PL_GOSSIP_LEAVING;
 	if (opts)
@@ -408,3 +425,46 @@
 		pl_member_raise_generation_(table, generation,
 					    table->store_generation != 0);
 }
+
+/* Sends the evacuations to a few members now, and states them for a while. */
+static void spread_evacuations_(pl_member_table_t *table)
+{
+	table->evacuations_changed = true;
+	table->evacuations_stated_until = table->now + EVACUATIONS_STATED_MS;
+	table->urgent_rounds = URGENT_ROUNDS;
+	if (table->join != PL_JOIN_IDLE)
+		pl_member_spread_now_(table, PL_MEMBER_GOSSIP_FANOUT);
+}
+
+void pl_member_set_evacuations(pl_member_table_t *table,
+			       const pl_evacuations_t *evacuations)
+{
+	bool same = pl_evacuations_same(evacuations, &table->evacuations);
+
+	if (!pl_evacuations_newer(evacuations, &table->evacuations))
+		return;
+	table->evacuations = *evacuations;
+	if (same)
+		return;
+	spread_evacuations_(table);
+	if (table->ops.evacuations)
+		table->ops.evacuations(table->ctx, &table->evacuations);
+}
+
+void pl_member_note_evacuations_(pl_member_table_t *table,
+				 const pl_evacuations_t *evacuations)
+{
+	if (evacuations->revision == 0)
+		return;
+	/* the sender missed a change */
+	if (pl_evacuations_newer(&table->evacuations, evacuations) &&
+	    !pl_evacuations_same(&table->evacuations, evacuations) &&
+	    table->now >= table->evacuations_stated_until)
+		spread_evacuations_(table);
+	pl_member_set_evacuations(table, evacuations);
+}
+
+const pl_evacuations_t *pl_member_evacuations(const pl_member_table_t *table)
+{
+	return &table->evacuations;
+}
--- a/src/proto/gossip.c
+++ b/src/proto/gossip.c
@@ -12,10 +12,13 @@
 #include <msgpack.h>
 #include <string.h>
 
-/** Elements of the array in a datagram. */
-#define MESSAGE_ELEMENTS 11
-/** Elements in a datagram that does not state the store's generation. */
+/** Elements of the array in a datagram: without the store's generation and the
+ * evacuations, with the former, and with both. */
 #define MESSAGE_ELEMENTS_MIN 10
+#define MESSAGE_ELEMENTS_GENERATION 11
+#define MESSAGE_ELEMENTS 12
+/** Elements of the evacuations before the data centres. */
+#define EVACUATIONS_ELEMENTS_MIN 2
 /** Elements of a record: change of state, full, full with names. */
 #define RECORD_STATE_ELEMENTS 3
 #define RECORD_FULL_ELEMENTS 10
@@ -137,18 +140,37 @@
 	}
 }
 
+/* Elements of the datagram's array. */
+static size_t count_elements_(const pl_gossip_message_t *message)
+{
+	if (message->evacuations.revision != 0)
+		return MESSAGE_ELEMENTS;
+	return message->store_generation != 0 ? MESSAGE_ELEMENTS_GENERATION :
+						MESSAGE_ELEMENTS_MIN;
+}
+
+static void pack_evacuations_(msgpack_packer *packer,
+			      const pl_evacuations_t *evacuations)
+{
+	msgpack_pack_array(packer,
+			   EVACUATIONS_ELEMENTS_MIN + evacuations->count);
+	msgpack_pack_uint64(packer, evacuations->generation);
+	msgpack_pack_uint64(packer, evacuations->revision);
+	for (size_t i = 0; i < evacuations->count; i++)
+		msgpack_pack_uint64(packer, evacuations->datacentres[i]);
+}
+
 size_t pl_gossip_encode(const pl_key_t *key, const pl_gossip_message_t *message,
 			uint8_t *buf, size_t cap)
 {
 	sink_t sink = { .buf = buf, .cap = cap };
 	msgpack_packer packer;
+	size_t elements = count_elements_(message);
 
 	assert(message->record_count <= PL_GOSSIP_RECORDS_MAX);
 	assert(message->digest_count <= PL_GOSSIP_DATACENTRES_MAX);
 	msgpack_packer_init(&packer, &sink, sink_write_);
-	msgpack_pack_array(&packer, message->store_generation != 0 ?
-					    MESSAGE_ELEMENTS :
-					    MESSAGE_ELEMENTS_MIN);
+	msgpack_pack_array(&packer, elements);
 	msgpack_pack_uint32(&packer, PL_WIRE_VERSION);
 	msgpack_pack_uint32(&packer, message->type);
 	msgpack_pack_uint32(&packer, message->flags);
@@ -159,8 +181,10 @@
 	msgpack_pack_uint64(&packer, message->target);
 	pack_records_(&packer, message->records, message->record_count);
 	pack_digests_(&packer, message);
-	if (message->store_generation != 0)
+	if (elements >= MESSAGE_ELEMENTS_GENERATION)
 		msgpack_pack_uint64(&packer, message->store_generation);
+	if (elements >= MESSAGE_ELEMENTS)
+		pack_evacuations_(&packer, &message->evacuations);
 	if (sink.len + PL_MAC_BYTES > cap)
 		return 0;
 	pl_mac(key, buf, sink.len, buf + sink.len);
@@ -420,11 +444,36 @@
 static bool read_store_generation_(const msgpack_object *datagram,
 				   pl_gossip_message_t *message)
 {
-	if (datagram->via.array.size < MESSAGE_ELEMENTS)
+	if (datagram->via.array.size < MESSAGE_ELEMENTS_GENERATION)
 		return true;
 	return pl_element_get_uint(
-		&datagram->via.array.ptr[MESSAGE_ELEMENTS - 1], UINT64_MAX,
-		&message->store_generation);
+		&datagram->via.array.ptr[MESSAGE_ELEMENTS_GENERATION - 1],
+		UINT64_MAX, &message->store_generation);
+}
+
+static bool read_evacuations_(const msgpack_object *datagram,
+			      pl_evacuations_t *evacuations)
+{
+	const msgpack_object *object;
+	const msgpack_object *at;
+	uint64_t datacentre;
+
+	if (datagram->via.array.size < MESSAGE_ELEMENTS)
+		return true;
+	object = &datagram->via.array.ptr[MESSAGE_ELEMENTS - 1];
+	at = array_elements_(object, EVACUATIONS_ELEMENTS_MIN);
+	if (!at ||
+	    !pl_element_get_uint(&at[0], UINT64_MAX,
+				 &evacuations->generation) ||
+	    !pl_element_get_uint(&at[1], UINT64_MAX, &evacuations->revision))
+		return false;
+	for (uint32_t i = EVACUATIONS_ELEMENTS_MIN; i < object->via.array.size;
+	     i++) {
+		if (!pl_element_get_uint(&at[i], UINT64_MAX, &datacentre) ||
+		    !pl_evacuations_add(evacuations, datacentre))
+			return false;
+	}
+	return true;
 }
 
 pl_result_t pl_gossip_decode(pl_gossip_decoder_t *decoder, const uint8_t *buf,
@@ -446,7 +495,8 @@
 	memset(message, 0, sizeof(*message));
 	if (!read_header_(at, message) || !read_records_(decoder, &at[8]) ||
 	    !read_digests_(decoder, message->type, &at[9]) ||
-	    !read_store_generation_(&decoder->unpacked.data, message))
+	    !read_store_generation_(&decoder->unpacked.data, message) ||
+	    !read_evacuations_(&decoder->unpacked.data, &message->evacuations))
 		return PL_ERR_MALFORMED;
 	message->records = (pl_gossip_record_t *)decoder->records->data;
 	message->record_count = decoder->records->len;
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -3,6 +3,7 @@
 
 #include <assert.h>
 #include <glib.h>
+#include <pimentolift/evacuation.h>
 #include <pimentolift/hash.h>
 #include <pimentolift/list.h>
 #include <pimentolift/ref.h>
@@ -27,6 +28,7 @@
 
 struct pl_routing_builder {
 	pl_routing_t *routing;
+	pl_evacuations_t evacuations;
 };
 
 typedef struct {
@@ -170,14 +172,23 @@
 		g_array_append_val(builder->routing->addresses, entry);
 }
 
+void pl_routing_builder_evacuate(pl_routing_builder_t *builder,
+				 const pl_evacuations_t *evacuations)
+{
+	builder->evacuations = *evacuations;
+}
+
 void pl_routing_builder_endpoint(pl_routing_builder_t *builder,
 				 const pl_endpoint_t *endpoint)
 {
+	pl_endpoint_t copy = *endpoint;
 	guint index = 0;
 
 	assert(endpoint->state < PL_ENDPOINT_STATE_COUNT);
+	copy.evacuated = pl_evacuations_contain(&builder->evacuations,
+						endpoint->datacentre);
 	if (service_index_(builder->routing, endpoint->service, &index))
-		g_array_append_vals(builder->routing->endpoints, endpoint, 1);
+		g_array_append_val(builder->routing->endpoints, copy);
 }
 
 static gint compare_endpoints_(gconstpointer a, gconstpointer b)
