--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -615,6 +615,7 @@
 	pl_routing_builder_t *builder = pl_routing_builder_new(
 		world->unconfigured ? 0 : ++world->revision);
 
+	pl_routing_builder_evacuate(builder, &world->evacuations);
 	add_services_(world, builder);
 	for (int i = 0; i < world->agent_count; i++) {
 		const pl_endpoint_t endpoint = {
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -18,6 +18,7 @@
 #include <cmocka.h>
 
 #include <glib.h>
+#include <pimentolift/evacuation.h>
 #include <pimentolift/flow_agent.h>
 #include <pimentolift/flow_entry.h>
 #include <pimentolift/hash.h>
@@ -132,6 +133,7 @@
 	bool servers_close; /* servers answer a caller's FIN with their own */
 	size_t agent_flows_max; /* capacity of an agent for flow records */
 	const char *target; /* service that the route sends new flows to */
+	pl_evacuations_t evacuations; /* known to entries when published */
 	const char *left_out; /* service that is not configured, or NULL */
 	bool store_up;
 	unsigned int roster_reads;
--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -13,6 +13,8 @@
 #define TIMEOUT_MS 300
 #define KEY "pimentolift/trial/document"
 #define KEY_OTHER "pimentolift/trial/seeds"
+/** Prefix of both keys. */
+#define RANGE "pimentolift/trial/"
 
 typedef struct {
 	pl_store_t *server;
@@ -27,6 +29,9 @@
 	size_t value_len;
 	uint64_t modify_index;
 	pl_kv_position_t position;
+	size_t items;
+	size_t deleted; /* of the items */
+	bool complete;
 } outcome_t;
 
 static void on_done_(void *ctx, const pl_kv_reply_t *reply)
@@ -40,6 +45,11 @@
 	outcome->value_len = reply->value_len;
 	outcome->modify_index = reply->modify_index;
 	outcome->position = reply->position;
+	outcome->items = reply->item_count;
+	outcome->complete = reply->complete;
+	outcome->deleted = 0;
+	for (size_t i = 0; i < reply->item_count; i++)
+		outcome->deleted += reply->items[i].deleted;
 }
 
 static pl_kv_t *new_client_(const fixture_t *f)
@@ -275,6 +285,93 @@
 	g_free(watch.value);
 }
 
+static void watch_range_(fixture_t *f, pl_kv_position_t after, uint32_t wait_ms,
+			 outcome_t *outcome)
+{
+	pl_kv_watch_range(f->client, RANGE, after, wait_ms, on_done_, outcome);
+	wait_for_calls_(f);
+}
+
+static void remove_value_(fixture_t *f, uint64_t modify_index)
+{
+	outcome_t outcome = { 0 };
+
+	pl_kv_remove(f->client, KEY, modify_index, on_done_, &outcome);
+	wait_for_calls_(f);
+	assert_int_equal(outcome.result, PL_OK);
+}
+
+/* One call that waits covers several keys: it says which were written and which
+ * were removed. */
+static void range_watch_reports_writes_and_removals(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t watch = { 0 };
+	outcome_t read = { 0 };
+
+	watch_range_(f, (pl_kv_position_t){ 0 }, 0, &watch);
+	assert_int_equal(watch.result, PL_OK);
+	assert_true(watch.complete);
+	assert_int_equal(watch.items, 0);
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	assert_int_equal(put_other_key_(f), PL_OK);
+	watch_range_(f, watch.position, 1000, &watch);
+	assert_int_equal(watch.result, PL_OK);
+	assert_false(watch.complete);
+	assert_int_equal(watch.items, 2);
+	assert_int_equal(get_value_(f, &read), PL_OK);
+	remove_value_(f, read.modify_index);
+	watch_range_(f, watch.position, 1000, &watch);
+	assert_false(watch.complete);
+	assert_int_equal(watch.items, 1);
+	assert_int_equal(watch.deleted, 1);
+	watch_range_(f, watch.position, 50, &watch);
+	assert_int_equal(watch.result, PL_ERR_NOT_FOUND);
+	g_free(read.value);
+}
+
+/* All keys are read where changes may have been missed: a position of before a
+ * restore, one that the store no longer has, a watch that heard nothing. */
+static void range_watch_reads_all_keys_if_it_may_miss_changes(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t watch = { 0 };
+
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	assert_int_equal(put_other_key_(f), PL_OK);
+	watch_range_(f, (pl_kv_position_t){ 1, 99 }, 1000, &watch);
+	assert_true(watch.complete);
+	assert_int_equal(watch.items, 2);
+	pl_store_command(f->server, "deaf");
+	assert_int_equal(put_value_(f, "two", PL_KV_ANY), PL_OK);
+	watch_range_(f, watch.position, 50, &watch);
+	assert_true(watch.complete);
+	assert_int_equal(watch.items, 2);
+	pl_store_command(f->server, "up");
+	pl_store_command(f->server, "copy");
+	assert_int_equal(put_value_(f, "three", PL_KV_ANY), PL_OK);
+	pl_store_command(f->server, "restore");
+	assert_int_equal(put_other_key_(f), PL_OK);
+	watch_range_(f, watch.position, 1000, &watch);
+	assert_true(watch.complete);
+	assert_int_equal(watch.position.generation, 2);
+}
+
+static void range_of_several_pages_is_read_whole(void **state)
+{
+	fixture_t *f = *state;
+	outcome_t watch = { 0 };
+
+	assert_int_equal(put_value_(f, "one", 0), PL_OK);
+	assert_int_equal(put_other_key_(f), PL_OK);
+	pl_store_command(f->server, "page 1");
+	watch_range_(f, (pl_kv_position_t){ 0 }, 0, &watch);
+	assert_int_equal(watch.result, PL_OK);
+	assert_true(watch.complete);
+	assert_int_equal(watch.items, 2);
+	assert_int_equal(watch.calls, 1);
+}
+
 static void lost_answer_is_an_unknown_outcome(void **state)
 {
 	fixture_t *f = *state;
@@ -473,6 +570,9 @@
 		TEST_(watch_after_a_lost_change_reads_the_value),
 		TEST_(watch_response_of_a_restored_store_reads_the_value),
 		TEST_(response_from_before_a_restore_is_refused),
+		TEST_(range_watch_reports_writes_and_removals),
+		TEST_(range_watch_reads_all_keys_if_it_may_miss_changes),
+		TEST_(range_of_several_pages_is_read_whole),
 		TEST_(lost_answer_is_an_unknown_outcome),
 		TEST_(outage_results_are_distinct_and_calls_recover),
 		TEST_(outage_ends_a_watch),
--- a/test/member/fleet.c
+++ b/test/member/fleet.c
@@ -121,6 +121,14 @@
 	node->generation_heard = generation;
 }
 
+static void on_evacuations_(void *ctx, const pl_evacuations_t *evacuations)
+{
+	node_t *node = ctx;
+
+	(void)evacuations;
+	node->evacuation_calls++;
+}
+
 static uint64_t on_paused_(void *ctx, pl_ms_t gap)
 {
 	node_t *node = ctx;
@@ -209,6 +217,7 @@
 		.changed = on_member_changed_,
 		.revision = on_revision_,
 		.store_generation = on_store_generation_,
+		.evacuations = on_evacuations_,
 		.paused = on_paused_,
 		.datacentre = on_datacentre_,
 		.absent = on_absent_,
--- a/test/member/fleet.h
+++ b/test/member/fleet.h
@@ -30,6 +30,7 @@
 	uint64_t boot;
 	uint64_t revision_heard;
 	uint64_t generation_heard;
+	unsigned int evacuation_calls;
 	unsigned int paused_calls;
 	unsigned int partition_calls;
 	unsigned int absent_calls;
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -590,6 +590,122 @@
 	fleet_delete(fleet);
 }
 
+/* Tells one member of evacuations, as a reader of the store does. */
+static void evacuate_(fleet_t *fleet, size_t at, uint64_t generation,
+		      uint64_t revision, size_t count)
+{
+	pl_evacuations_t set = { .generation = generation,
+				 .revision = revision };
+
+	for (size_t i = 0; i < count; i++)
+		pl_evacuations_add(&set, 100 + i);
+	pl_member_set_evacuations(fleet->nodes[at].table, &set);
+}
+
+/* Number of running members that do not hold @p count evacuations. */
+static size_t count_holding_others_(const fleet_t *fleet, size_t count)
+{
+	size_t others = 0;
+
+	for (size_t i = 0; i < fleet->count; i++) {
+		const pl_member_table_t *table = fleet->nodes[i].table;
+
+		others += table && pl_member_evacuations(table)->count != count;
+	}
+	return others;
+}
+
+/* Entries and agents must all know within the bound of an evacuation, of which
+ * the reader of the store may have used up most. */
+static void evacuations_reach_all_within_a_second(void **state)
+{
+	fleet_t *fleet = fleet_new(13, 300, 4);
+
+	(void)state;
+	fleet_start_all(fleet);
+	evacuate_(fleet, 5, 0, 70, 2);
+	fleet_run(fleet, 1000);
+	assert_int_equal(count_holding_others_(fleet, 2), 0);
+	/* repeated reads of the same requests are no news */
+	evacuate_(fleet, 9, 0, 90, 2);
+	fleet_run(fleet, 1000);
+	assert_int_equal(fleet->nodes[0].evacuation_calls, 1);
+	evacuate_(fleet, 9, 0, 95, 0);
+	fleet_run(fleet, 1000);
+	assert_int_equal(count_holding_others_(fleet, 0), 0);
+	evacuate_(fleet, 5, 0, 99, 1);
+	fleet_run(fleet, 1000);
+	assert_int_equal(count_holding_others_(fleet, 1), 0);
+	fleet_delete(fleet);
+}
+
+/* A member that starts while a data centre is evacuated, with the store away,
+ * learns it from its peers with the first answers. */
+static void starting_member_learns_of_evacuations(void **state)
+{
+	fleet_t *fleet = fleet_new(14, 60, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	evacuate_(fleet, 5, 0, 70, 1);
+	fleet_run(fleet, 60000);
+	for (size_t i = 10; i < 40; i++)
+		fleet_kill(fleet, i);
+	for (size_t i = 10; i < 40; i++)
+		fleet_start(fleet, i);
+	fleet_run(fleet, 200);
+	assert_int_equal(count_holding_others_(fleet, 1), 0);
+	fleet_delete(fleet);
+}
+
+/* Datagrams that arrive late, and readers of the store that lag behind, must not
+ * bring back a withdrawn request. */
+static void older_evacuations_are_ignored(void **state)
+{
+	fleet_t *fleet = fleet_new(15, 40, 3);
+
+	(void)state;
+	fleet_start_all(fleet);
+	fleet->recorded_node = &fleet->nodes[5];
+	evacuate_(fleet, 5, 2, 70, 2);
+	fleet_run(fleet, 1000);
+	fleet->recorded_node = NULL;
+	evacuate_(fleet, 5, 2, 71, 0);
+	fleet_run(fleet, 1000);
+	fleet_replay(fleet);
+	evacuate_(fleet, 7, 2, 70, 2);
+	evacuate_(fleet, 7, 1, 500, 3);
+	fleet_run(fleet, 1000);
+	assert_int_equal(count_holding_others_(fleet, 0), 0);
+	/* restored from an older copy: the revisions start below */
+	evacuate_(fleet, 7, 3, 40, 1);
+	fleet_run(fleet, 1000);
+	assert_int_equal(count_holding_others_(fleet, 1), 0);
+	fleet_delete(fleet);
+}
+
+/* Members that could not hear of the end of an evacuation learn of it when they
+ * are back, long after it was news. */
+static void members_that_missed_the_end_learn_of_it(void **state)
+{
+	fleet_t *fleet = fleet_new(16, 40, 4);
+
+	(void)state;
+	fleet_start_all(fleet);
+	evacuate_(fleet, 5, 0, 70, 1);
+	fleet_run(fleet, 2000);
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet->nodes[i].group = fleet->nodes[i].datacentre == 3;
+	evacuate_(fleet, 5, 0, 80, 0);
+	fleet_run(fleet, 30000);
+	assert_int_equal(count_holding_others_(fleet, 0), 10);
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet->nodes[i].group = 0;
+	fleet_run(fleet, 10000);
+	assert_int_equal(count_holding_others_(fleet, 0), 0);
+	fleet_delete(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -620,6 +736,10 @@
 		cmocka_unit_test(drain_reaches_all_nodes),
 		cmocka_unit_test(revision_reaches_all_nodes),
 		cmocka_unit_test(store_generation_reaches_all_nodes),
+		cmocka_unit_test(evacuations_reach_all_within_a_second),
+		cmocka_unit_test(starting_member_learns_of_evacuations),
+		cmocka_unit_test(older_evacuations_are_ignored),
+		cmocka_unit_test(members_that_missed_the_end_learn_of_it),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform/config_test.c
+++ b/test/platform/config_test.c
@@ -172,9 +172,25 @@
 	}
 }
 
+static void keys_of_evacuations_are_recognised(void **state)
+{
+	(void)state;
+	assert_string_equal(
+		pl_platform_evacuated_datacentre("op/evacuate/zone-a"),
+		"zone-a");
+	assert_null(pl_platform_evacuated_datacentre("op/evacuate/"));
+	assert_null(pl_platform_evacuated_datacentre("op/evacuated/zone-a"));
+	assert_null(pl_platform_evacuated_datacentre(pl_platform_config_key));
+	assert_true(pl_platform_evacuation_readable("{}", 2));
+	assert_false(pl_platform_evacuation_readable("", 0));
+	assert_false(pl_platform_evacuation_readable("{", 1));
+	assert_false(pl_platform_evacuation_readable("[]", 2));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(keys_of_evacuations_are_recognised),
 		cmocka_unit_test(routes_become_sections),
 		cmocka_unit_test(route_keeps_a_service_whatever_its_weights),
 		cmocka_unit_test(routes_of_the_largest_value_are_all_kept),
--- a/test/platform/store_json_test.c
+++ b/test/platform/store_json_test.c
@@ -79,9 +79,48 @@
 	pl_store_response_finish(&response);
 }
 
+/* Guards against a request to evacuate that is lost because its value cannot be
+ * read, and against one that is in force for ever because its removal is not
+ * recognised. */
+static void changes_of_a_range_are_decoded_in_order(void **state)
+{
+	static const char body[] =
+		"{\"events\":[" SOUND ","
+		"{\"key\":\"b\",\"value\":7,\"revision\":4},"
+		"{\"key\":\"a\",\"revision\":5,\"deleted\":true}],"
+		"\"store_revision\":9}";
+	static const char broken[] = "{\"events\":[{\"revision\":4}],"
+				     "\"store_revision\":9}";
+	static const char none[] = "{\"events\":[],\"store_revision\":9}";
+	pl_store_response_t response;
+	const pl_kv_item_t *items;
+
+	(void)state;
+	pl_store_response_init(&response);
+	assert_int_equal(pl_store_decode_changes(body, strlen(body), &response),
+			 PL_OK);
+	assert_int_equal(response.items->len, 3);
+	items = (const pl_kv_item_t *)response.items->data;
+	assert_string_equal(items[0].value, "x");
+	assert_false(items[0].deleted);
+	assert_int_equal(items[1].value_len, 0);
+	assert_false(items[1].deleted);
+	assert_true(items[2].deleted);
+	assert_int_equal(response.store_revision, 9);
+	assert_int_equal(
+		pl_store_decode_changes(broken, strlen(broken), &response),
+		PL_ERR_MALFORMED);
+	pl_store_response_finish(&response);
+	pl_store_response_init(&response);
+	assert_int_equal(pl_store_decode_changes(none, strlen(none), &response),
+			 PL_ERR_NOT_FOUND);
+	pl_store_response_finish(&response);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(changes_of_a_range_are_decoded_in_order),
 		cmocka_unit_test(
 			item_without_a_readable_value_stays_in_the_list),
 		cmocka_unit_test(list_with_an_unreadable_key_is_malformed),
--- a/test/proto/gossip_test.c
+++ b/test/proto/gossip_test.c
@@ -63,6 +63,10 @@
 		.incarnation = 1700000001,
 		.revision = 12,
 		.store_generation = 300,
+		.evacuations = { .generation = 300,
+				 .revision = 4711,
+				 .count = 2,
+				 .datacentres = { 77, 0xfedcba9876543210 } },
 		.sequence = 99,
 		.target = 5,
 		.records = fixture->records,
@@ -121,6 +125,40 @@
 	assert_null(got.records[1].name);
 }
 
+static pl_gossip_message_t recode_(fixture_t *fixture)
+{
+	pl_gossip_message_t got;
+	uint8_t buf[PL_MEMBER_DATAGRAM_MAX];
+	size_t len = pl_gossip_encode(&fixture->key, &fixture->message, buf,
+				      sizeof(buf));
+
+	assert_int_equal(pl_gossip_decode(fixture->decoder, buf, len, &got),
+			 PL_OK);
+	return got;
+}
+
+/* The last two elements are optional: a datagram without them is as short as
+ * before there were evacuations. */
+static void evacuations_and_generation_are_optional(void **state)
+{
+	fixture_t *fixture = *state;
+	const pl_evacuations_t stated = fixture->message.evacuations;
+	pl_gossip_message_t got = recode_(fixture);
+
+	assert_int_equal(got.evacuations.generation, 300);
+	assert_int_equal(got.evacuations.revision, 4711);
+	assert_true(pl_evacuations_same(&got.evacuations, &stated));
+	fixture->message.store_generation = 0;
+	got = recode_(fixture);
+	assert_int_equal(got.store_generation, 0);
+	assert_int_equal(got.evacuations.revision, 4711);
+	fixture->message.evacuations = (pl_evacuations_t){ 0 };
+	fixture->message.store_generation = 300;
+	got = recode_(fixture);
+	assert_int_equal(got.evacuations.revision, 0);
+	assert_int_equal(got.store_generation, 300);
+}
+
 static void digest_round_trip(void **state)
 {
 	fixture_t *fixture = *state;
@@ -233,6 +271,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(datagram_round_trip, set_up_,
 						tear_down_),
+		cmocka_unit_test_setup_teardown(
+			evacuations_and_generation_are_optional, set_up_,
+			tear_down_),
 		cmocka_unit_test_setup_teardown(digest_round_trip, set_up_,
 						tear_down_),
 		cmocka_unit_test_setup_teardown(frame_round_trip, set_up_,
--- a/test/standin/store/store.c
+++ b/test/standin/store/store.c
@@ -40,6 +40,7 @@
 	GMutex lock;
 	GCond changed;
 	GHashTable *items; /* item_t by key */
+	GHashTable *removed; /* index of the removal by key, for watches */
 	GHashTable *frozen; /* items for reads after `freeze`, or NULL */
 	GHashTable *leases; /* lease_t by lease ID */
 	uint64_t next_lease;
@@ -145,6 +146,7 @@
 		return false;
 	g_hash_table_destroy(store->items);
 	g_hash_table_destroy(store->leases);
+	g_hash_table_remove_all(store->removed);
 	store->items = items_copy_(copy->items);
 	store->leases = leases_copy_(copy->leases);
 	store->next_lease = copy->next_lease;
@@ -270,6 +272,32 @@
 	return result;
 }
 
+/* Appends the removals under @p prefix after revision @p after to @p count
+ * events; returns the number of events. */
+static size_t append_removals_(pl_store_t *store, GString *body,
+			       const char *prefix, uint64_t after, size_t count)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, store->removed);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const uint64_t *index = value;
+
+		if (!g_str_has_prefix(key, prefix) || *index <= after)
+			continue;
+		if (count++ > 0)
+			g_string_append_c(body, ',');
+		g_string_append_printf(
+			body,
+			"{\"key\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+			",\"deleted\":true}",
+			(const char *)key, *index);
+	}
+	return count;
+}
+
 /*
  * Appends the items under @p prefix that changed after revision @p after;
  * returns their number.
@@ -295,7 +323,7 @@
 		append_item_(store, body, key, item);
 		g_string_append_c(body, '}');
 	}
-	return count;
+	return append_removals_(store, body, prefix, after, count);
 }
 
 static enum MHD_Result respond_items_(pl_store_t *store,
@@ -429,6 +457,17 @@
 	return json_object_array_get_idx(list, 0);
 }
 
+/* Removes @p key if it exists. The lock is held. */
+static void remove_(pl_store_t *store, const char *key)
+{
+	if (!g_hash_table_remove(store->items, key))
+		return;
+	store->index++;
+	g_hash_table_replace(store->removed, g_strdup(key),
+			     g_memdup2(&store->index, sizeof(store->index)));
+	g_cond_broadcast(&store->changed);
+}
+
 /*
  * Applies a transaction of at most one condition, removal and write. Returns
  * false if the condition does not hold. The lock is held.
@@ -453,15 +492,14 @@
 	if (expect && json_object_get_uint64(get_member_(expect, "revision")) !=
 			      (item ? item->modify_index : 0))
 		return false;
-	if (removed_key &&
-	    g_hash_table_remove(store->items,
-				json_object_get_string(removed_key)))
-		store->index++;
+	if (removed_key)
+		remove_(store, json_object_get_string(removed_key));
 	if (!write)
 		return true;
 	bytes = g_base64_decode(
 		json_object_get_string(get_member_(write, "value")), &len);
 	value = g_bytes_new_take(bytes, len);
+	g_hash_table_remove(store->removed, key);
 	items_put_(store->items, key, value, ++store->index,
 		   json_object_get_uint64(get_member_(write, "lease")));
 	g_bytes_unref(value);
@@ -670,6 +708,8 @@
 	g_cond_init(&store->changed);
 	store->items = items_new_();
 	store->leases = leases_new_();
+	store->removed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store->index = 1;
 	store->era = 1;
 	store->http = MHD_start_daemon(
@@ -693,6 +733,7 @@
 		MHD_stop_daemon(store->http);
 	g_hash_table_destroy(store->items);
 	g_hash_table_destroy(store->leases);
+	g_hash_table_destroy(store->removed);
 	g_clear_pointer(&store->frozen, g_hash_table_destroy);
 	g_clear_pointer(&store->copy, copy_free_);
 	g_mutex_clear(&store->lock);
