--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -250,6 +250,7 @@
 		flow->seq = g_rand_int(server->world->random);
 		flow->expected = packet->seq + 1;
 		pl_timer_init(&flow->timer, work_done_, flow);
+		server->opened++;
 		server->opened_while_draining += server->draining;
 		g_hash_table_insert(server->flows, &flow->key, flow);
 	}
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -51,6 +51,7 @@
 	uint64_t requests_started; /* requests that it started to process */
 	uint64_t shed; /* requests dropped because its queue was full */
 	uint64_t unowned_packets; /* received, of flows that it does not hold */
+	uint64_t opened; /* flows, of all its processes */
 	uint64_t opened_while_draining;
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -263,6 +263,7 @@
 	soak_step_http(soak);
 	soak_step_nodes(soak);
 	check_drains_(soak);
+	soak_check_evacuation(soak);
 	if (soak->world->false_resets > 0)
 		soak_report_breach(soak,
 				   "a flow was reset while its server held it");
@@ -305,6 +306,8 @@
 	size_t failed;
 
 	soak->store_up_at = soak->world->now;
+	soak_step_store(soak);
+	soak_withdraw_evacuation(soak);
 	run_for_(soak, RECOVERY_MS, false, 0);
 	soak_check_roster(soak);
 	from = soak->world->now;
@@ -341,6 +344,7 @@
 	long seconds = option_number_(argc, argv, "--seconds", 15);
 	const char *faults = option_text_(argc, argv, "--faults");
 	soak_t soak = { .last_fault = "none",
+			.evacuated = -1,
 			.version = 1,
 			.target = WORLD_SERVICE,
 			.allowed_faults =
--- a/test/soak/flow_soak.h
+++ b/test/soak/flow_soak.h
@@ -17,6 +17,10 @@
 #define SOAK_CALLERS 16
 /** Time after an acknowledged drain from which no new flow may arrive. */
 #define SOAK_DRAIN_LIMIT_MS 1000
+/** Time after an acknowledged evacuation, with the store in order, from which
+ * no new flow may arrive. */
+#define SOAK_EVACUATE_LIMIT_MS 5000
+#define SOAK_DATACENTRES 3
 
 /** A process under test. */
 typedef struct {
@@ -59,6 +63,9 @@
 	bool store_goes_back; /* it comes back from its last copy */
 	unsigned int version; /* of the configuration */
 	const char *target; /* service that the route sends new flows to */
+	int evacuated; /* data centre that operators evacuate, or -1 */
+	pl_ms_t evacuated_since; /* acknowledged, or the store's last fault */
+	uint64_t opened[SOAK_NODES_MAX]; /* flows, at the last check */
 	bool left_out; /* the configuration does not name the other service */
 	unsigned int breaches;
 	unsigned int faults;
@@ -86,6 +93,14 @@
 bool soak_store_config(soak_t *soak);
 /** Sends new flows to another service, and may leave the former one out. */
 void soak_change_config(soak_t *soak);
+/** Evacuates a data centre, or withdraws the request. */
+void soak_change_evacuation(soak_t *soak);
+/** Withdraws the request to evacuate, if there is one. */
+void soak_withdraw_evacuation(soak_t *soak);
+/** Writes the operators' request again, or removes it, after a restore. */
+bool soak_store_evacuation(soak_t *soak);
+/** Reports each server that got a flow although its data centre is evacuated. */
+void soak_check_evacuation(soak_t *soak);
 /** Writes a key among those of the roster that no agent would write. */
 void soak_store_foreign_entry(soak_t *soak);
 /** Body of a heartbeat; free with g_free(). */
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -442,6 +442,8 @@
 	/* the operators write again what the store lost */
 	if (soak->store_goes_back)
 		soak_store_config(soak);
+	if (soak->store_goes_back)
+		soak_store_evacuation(soak);
 	soak->store_goes_back = false;
 }
 
@@ -490,6 +492,7 @@
 		{ "kill-all", kill_all_nodes_ },
 		{ "config", soak_change_config },
 		{ "config", soak_change_config },
+		{ "evacuate", soak_change_evacuation },
 		{ "foreign-report", soak_send_foreign_report },
 		{ "foreign-entry", soak_store_foreign_entry },
 	};
--- a/test/soak/flow_soak_writers.c
+++ b/test/soak/flow_soak_writers.c
@@ -37,6 +37,87 @@
 	return result == PL_OK;
 }
 
+static bool remove_(soak_t *soak, const char *key)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u",
+				    pl_store_port(soak->store));
+	pl_kv_t *kv = pl_platform_store_new(url, 2000);
+	pl_result_t result = PL_ERR_TIMEOUT;
+
+	pl_kv_remove(kv, key, PL_KV_ANY, on_config_stored_, &result);
+	while (pl_kv_pending(kv) > 0)
+		pl_kv_wait(kv, 100);
+	pl_kv_delete(kv);
+	g_free(url);
+	return result == PL_OK;
+}
+
+bool soak_store_evacuation(soak_t *soak)
+{
+	static const char *const values[] = { "{}", "", "\xff" };
+	bool done = true;
+
+	for (int i = 0; i < SOAK_DATACENTRES; i++) {
+		char *key = g_strdup_printf("%sevacuate/dc-%d",
+					    pl_platform_operator_prefix, i);
+
+		if (i != soak->evacuated)
+			done = remove_(soak, key) && done;
+		else
+			done = store_(soak, key,
+				      values[g_rand_int_range(
+					      soak->random, 0,
+					      G_N_ELEMENTS(values))]) &&
+			       done;
+		g_free(key);
+	}
+	soak->evacuated_since = soak->world->now;
+	return done;
+}
+
+void soak_withdraw_evacuation(soak_t *soak)
+{
+	if (soak->evacuated < 0)
+		return;
+	soak->evacuated = -1;
+	if (!soak_store_evacuation(soak))
+		soak_report_breach(soak, "the store refused the withdrawal");
+}
+
+void soak_change_evacuation(soak_t *soak)
+{
+	/* the store would not confirm the write */
+	if (soak->store_up_at != 0)
+		return;
+	if (soak->evacuated >= 0) {
+		soak_withdraw_evacuation(soak);
+		return;
+	}
+	soak->evacuated = g_rand_int_range(soak->random, 0, SOAK_DATACENTRES);
+	if (!soak_store_evacuation(soak))
+		soak_report_breach(soak, "the store refused the evacuation");
+}
+
+void soak_check_evacuation(soak_t *soak)
+{
+	/* processes cannot know while the store does not answer */
+	if (soak->store_up_at != 0)
+		soak->evacuated_since = soak->world->now;
+	for (int i = 0; i < soak->agents; i++) {
+		uint64_t opened = soak->world->servers[i].opened;
+
+		if (soak->opened[i] != opened &&
+		    soak->evacuated == i % SOAK_DATACENTRES &&
+		    soak->world->now - soak->evacuated_since >
+			    SOAK_EVACUATE_LIMIT_MS)
+			soak_report_breach(soak,
+					   "server %d received a new flow "
+					   "although dc-%d is evacuated",
+					   i, soak->evacuated);
+		soak->opened[i] = opened;
+	}
+}
+
 /* The callers' route, and one to the other service unless that is left out. */
 bool soak_store_config(soak_t *soak)
 {
