flow entry: a round of lookup queries carries all that is due

Cause: after a loss of all processes each open flow has to be proved dead by an answer of every agent before its caller may open another. A round of queries started when the budget covered one datagram to each agent, and ended with the first lookup that used it up: 63 agents x 155 B = 9.8 KB for one proof, of 375 KB/s on a link of 10 Mbit/s, so an entry proved some 40 flows a second. Callers waited up to 4.2 s, and lookups were given up of which not one query had been sent.

--- a/src/flow/entry_query.c
+++ b/src/flow/entry_query.c
@@ -29,9 +29,13 @@
 #define ITEM_BYTES 15
 #define DATAGRAM_BYTES 140
 /** A round starts when the budget covers one datagram to each agent of a
- * service. */
+ * service, and the queries that are due. */
 #define ROUND_DATAGRAMS 64
 #define ROUND_BYTES (ROUND_DATAGRAMS * DATAGRAM_BYTES)
+/** With more due queries than the budget earns in this time, a round starts
+ * without room for all of them: a quarter of the time in which callers expect
+ * an answer. */
+#define ROUND_MAX_MS 50
 /** Depth of the token bucket, as time at the full query rate. A burst of
  * queries delays the packets behind it by a fraction of this time. */
 #define BURST_MS 250
@@ -101,11 +105,17 @@
 	};
 }
 
+static int64_t query_bytes_per_s_(const pl_flow_entry_t *entry)
+{
+	return (int64_t)(entry->params.link_bytes_per_s * LINK_SHARE_PERCENT /
+			 PERCENT);
+}
+
 static void refill_tokens_(pl_flow_entry_t *entry, pl_ms_t now)
 {
-	int64_t per_s = (int64_t)(entry->params.link_bytes_per_s *
-				  LINK_SHARE_PERCENT / PERCENT);
-	int64_t tokens_max = MAX(per_s * BURST_MS, ROUND_BYTES * MS_PER_S);
+	int64_t per_s = query_bytes_per_s_(entry);
+	int64_t tokens_max = MAX(per_s * BURST_MS,
+				 ROUND_BYTES * MS_PER_S + per_s * ROUND_MAX_MS);
 	pl_ms_t elapsed = MIN(now - entry->tokens_refilled_at, MS_PER_S);
 
 	entry->query_tokens += (int64_t)elapsed * per_s;
@@ -171,6 +181,36 @@
 	}
 }
 
+/* Number of queries that are due, of all lookups, at most @p max. */
+static int64_t count_due_queries_(const pl_flow_entry_t *entry, pl_ms_t now,
+				  int64_t max)
+{
+	int64_t count = 0;
+
+	pl_list_for_each(link, &entry->lookups) {
+		const lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
+
+		for (guint i = 0; i < lookup->queries->len; i++)
+			count += is_due_(&g_array_index(lookup->queries,
+							agent_query_t, i),
+					 now);
+		if (count >= max)
+			return max;
+	}
+	return count;
+}
+
+/* Budget at which the next round starts. A round that ends with the first
+ * lookups would pay for the datagrams to all agents again for the next ones. */
+static int64_t round_tokens_(const pl_flow_entry_t *entry, pl_ms_t now)
+{
+	int64_t max = query_bytes_per_s_(entry) * ROUND_MAX_MS / MS_PER_S /
+		      ITEM_BYTES;
+	int64_t due = count_due_queries_(entry, now, max);
+
+	return (ROUND_BYTES + due * ITEM_BYTES) * MS_PER_S;
+}
+
 /* Whether any lookup has a query that may be sent again. */
 static bool has_queries_to_send_(const pl_flow_entry_t *entry)
 {
@@ -205,7 +245,7 @@
 
 	(void)timer;
 	refill_tokens_(entry, now);
-	if (entry->query_tokens < ROUND_BYTES * MS_PER_S) {
+	if (entry->query_tokens < round_tokens_(entry, now)) {
 		arm_query_timer_(entry);
 		return;
 	}
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -103,6 +103,7 @@
 #define LINK_BYTES_PER_S 1250000
 #define AGENT_COUNT 48
 #define OPEN_FLOWS 160
+#define KEPT_FLOWS 200
 
 /* Guards against lookups that fill the link of an entry: 48 endpoints fail at
  * once, and callers go on with 160 flows at one entry with a link of 10 Mbit/s.
@@ -145,6 +146,43 @@
 	world_delete(world);
 }
 
+/* Load pattern: all processes end at once, and the callers of 200 flows at one
+ * entry go on within a second. Each flow has to be proved dead by all agents
+ * before its caller is told to open another. When a round of queries ended with
+ * the first lookups that used the budget, the entry proved 40 flows a second. */
+static void kept_flows_return_at_once_after_a_loss_of_all(void **state)
+{
+	world_t *world = world_new(1, WORLD_NODES_MAX, 33);
+	call_t *calls[KEPT_FLOWS];
+	pl_ms_t from;
+
+	(void)state;
+	for (int i = 0; i < KEPT_FLOWS; i++) {
+		calls[i] =
+			world_call(world, 1 + (uint32_t)i, SMALL_BYTES, true);
+		world_run(world, 5);
+	}
+	world_run(world, 500);
+	run_outage_(world, 0, 0);
+	world_kill_entry(world, 0);
+	world_start_entry(world, 0);
+	world_publish(world);
+	world_run(world, 1100);
+	from = world->now;
+	for (int i = 0; i < KEPT_FLOWS; i++) {
+		calls[i] = world_call_again(world, calls[i]);
+		world_run(world, 1000 / KEPT_FLOWS);
+	}
+	world_run(world, 3000);
+	print_message("in time %.3f, failed %zu\n",
+		      world_share_in_time(world, from),
+		      world_failed(world, from));
+	assert_int_equal(world_failed(world, from), 0);
+	assert_true(world_share_in_time(world, from) > 0.9);
+	assert_int_equal(world->false_resets, 0);
+	world_delete(world);
+}
+
 static void late_work_is_served_before_its_deadline(void **state)
 {
 	world_t *world = world_new(2, 4, 21);
@@ -420,6 +458,7 @@
 			returning_callers_after_outage_do_not_delay_new_calls),
 		cmocka_unit_test(flows_placed_by_the_entry_need_no_lookup),
 		cmocka_unit_test(lookups_leave_link_capacity_to_packets),
+		cmocka_unit_test(kept_flows_return_at_once_after_a_loss_of_all),
 		cmocka_unit_test(late_work_is_served_before_its_deadline),
 		cmocka_unit_test(retransmitted_requests_take_no_slot),
 		cmocka_unit_test(incomplete_requests_hold_no_slot),
