flow agent: a stop waits until it is known whether the server is gone

Cause: an agent that is stopped after its server has ended deregisters, else its roster entry stops the proofs that flows are dead.

Ruled out: deregistering earlier (a draining server may hold flows); a shorter time until membership finds an agent absent (an agent may be restarted while its server lives).

--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -60,6 +60,9 @@
 	bool backend_down; /**< the backend server has ended */
 	/** The backend server has ended, or neither listens nor reports. */
 	bool backend_gone;
+	/** The backend server does not listen, and the time in which it would
+	 * have sent a report is not over. */
+	bool backend_silent;
 	uint64_t accepted; /**< opening packets accepted for the server */
 	/** Opening packets that the agent returned to their entry. */
 	uint64_t refused;
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -19,9 +19,10 @@
 #define STATS_INTERVAL_MS 200
 /** Flow records of one agent; a backend server holds a few thousand flows. */
 #define FLOWS_MAX 16384
-/** Longest wait of a shutdown for the store to remove the agent's roster entry;
- * readers of the roster remove an entry that is left behind. */
-#define DEREGISTER_TIMEOUT_MS 2000
+/** Longest wait of a shutdown for a first report of the backend server and for
+ * the store to remove the agent's roster entry; readers of the roster remove an
+ * entry that is left behind. */
+#define DEREGISTER_TIMEOUT_MS 3000
 
 typedef struct {
 	pl_flow_thread_t thread;
@@ -30,6 +31,7 @@
 	pl_addr_t backend;
 	pl_listener_watch_t *listener; /* watches the backend server's socket */
 	pl_ms_t drain_started;
+	bool deregistered; /* in the drain */
 	pl_timer_t stats_timer;
 	pthread_mutex_t stats_lock;
 	pl_flow_agent_stats_t stats;
@@ -282,25 +284,38 @@
 	return stats;
 }
 
+static void deregister_if_gone_(flow_agent_role_t *role,
+				const pl_flow_agent_stats_t *stats)
+{
+	if (role->deregistered || !stats->backend_gone)
+		return;
+	role->deregistered = true;
+	pl_node_backend_leaving_on_control_thread(role->thread.node);
+}
+
 /* An agent that stops after its backend server has shut down has no successor.
  * An entry that an earlier process of this agent left in the roster would delay
  * proofs that flows are dead, so the agent deregisters. */
 static void drain_(void *ctx)
 {
 	flow_agent_role_t *role = ctx;
+	const pl_flow_agent_stats_t stats = copy_stats_(role);
 
 	role->drain_started = pl_loop_clock_ms();
-	if (copy_stats_(role).backend_gone)
-		pl_node_backend_leaving_on_control_thread(role->thread.node);
+	deregister_if_gone_(role, &stats);
 }
 
 /* The backend server keeps its flows while it has no agent, so an agent that
- * will be restarted must stop quickly: only a deregistration is waited for. */
+ * will be restarted must stop quickly. It waits only for a deregistration, and
+ * soon after its start for a report, without which it deregisters. */
 static bool drained_(void *ctx)
 {
 	flow_agent_role_t *role = ctx;
+	const pl_flow_agent_stats_t stats = copy_stats_(role);
 
-	return !pl_node_is_deregistering(role->thread.node) ||
+	deregister_if_gone_(role, &stats);
+	return (!stats.backend_silent &&
+		!pl_node_is_deregistering(role->thread.node)) ||
 	       pl_loop_clock_ms() - role->drain_started >=
 		       DEREGISTER_TIMEOUT_MS;
 }
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -298,20 +298,31 @@
 	return !agent->backend_seen && sends_no_reports_(agent);
 }
 
-bool pl_flow_backend_is_gone_(const pl_flow_agent_t *agent)
+/* Whether the server does not listen and has not reported to this process. */
+static bool neither_listens_nor_reports_(const pl_flow_agent_t *agent)
 {
-	bool refused = agent->refused_at != 0 &&
-		       pl_flow_agent_now_(agent) - agent->refused_at <=
-			       REFUSED_VALID_MS;
+	return agent->refused_at != 0 &&
+	       pl_flow_agent_now_(agent) - agent->refused_at <=
+		       REFUSED_VALID_MS &&
+	       agent->report.id[0] == '\0';
+}
 
+bool pl_flow_backend_is_gone_(const pl_flow_agent_t *agent)
+{
 	/* A server that still serves its last flows sends packets or reports.
 	 * If neither arrives and it does not listen, it counts as ended:
 	 * an agent in that state is stopped only after its server. */
 	return agent->backend_down ||
-	       (refused && agent->report.id[0] == '\0' &&
+	       (neither_listens_nor_reports_(agent) &&
 		(!agent->backend_seen || sends_no_reports_(agent)));
 }
 
+bool pl_flow_backend_is_silent_(const pl_flow_agent_t *agent)
+{
+	return neither_listens_nor_reports_(agent) &&
+	       !pl_flow_backend_is_gone_(agent);
+}
+
 void pl_flow_agent_backend_down(pl_flow_agent_t *agent)
 {
 	agent->refused_at = pl_flow_agent_now_(agent);
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -175,6 +175,8 @@
 /** Whether no backend server runs, or one that is leaving: it neither listens
  * nor reports. */
 bool pl_flow_backend_is_gone_(const pl_flow_agent_t *agent);
+/** Whether the server does not listen and may count as gone later. */
+bool pl_flow_backend_is_silent_(const pl_flow_agent_t *agent);
 /** Whether a flow without a record is not held by the server. */
 bool pl_flow_backend_knows_all_flows_(const pl_flow_agent_t *agent);
 /** Whether the backend server accepts opening packets now. */
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -621,6 +621,7 @@
 	world_report_backend_down(world, 0);
 	pl_flow_agent_stats(world->agents[0].agent, &stats);
 	assert_true(stats.backend_gone && !stats.backend_down);
+	assert_false(stats.backend_silent);
 	world_delete(world);
 }
 
@@ -675,10 +676,13 @@
 	world_report_backend_down(world, busiest);
 	pl_flow_agent_stats(world->agents[busiest].agent, &stats);
 	assert_true(!stats.backend_gone && !stats.backend_down);
+	/* a stop of the agent waits until this is decided */
+	assert_true(stats.backend_silent);
 	world_run(world, 1500);
 	world_report_backend_down(world, busiest);
 	pl_flow_agent_stats(world->agents[busiest].agent, &stats);
 	assert_true(stats.backend_gone && !stats.backend_down);
+	assert_false(stats.backend_silent);
 	world->servers[busiest].sends_no_reports = false;
 	world_run(world, 1000);
 	pl_flow_agent_stats(world->agents[busiest].agent, &stats);
