kv test: calls are waited for, however busy the machine is

kv_client failed beside load: its client gave a call up after 300 ms, and a watch of 100 ms ended before the change that it was to miss. Calls now end by an answer; the one read that is to time out has a client of its own with the old time, and the watch is seen waiting before the change is made. The checks are the same.

--- a/test/kv/client_test.c
+++ b/test/kv/client_test.c
@@ -10,7 +10,12 @@
 #include <store.h>
 #include <string.h>
 
-#define TIMEOUT_MS 300
+/** Long enough for an answer on a busy machine; no test waits for it to pass. */
+#define TIMEOUT_MS 30000
+/** For calls that the store is not to answer. */
+#define SHORT_TIMEOUT_MS 300
+/** Wait of a watch that is not notified; the change is made meanwhile. */
+#define DEAF_WATCH_MS 3000
 #define KEY "pimentolift/trial/document"
 #define KEY_OTHER "pimentolift/trial/seeds"
 /** Prefix of both keys. */
@@ -52,13 +57,13 @@
 		outcome->deleted += reply->items[i].deleted;
 }
 
-static pl_kv_t *new_client_(const fixture_t *f)
+static pl_kv_t *new_client_(const fixture_t *f, uint32_t timeout_ms)
 {
 	char url[64];
 
 	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/",
 		   pl_store_port(f->server));
-	return pl_platform_store_new(url, TIMEOUT_MS);
+	return pl_platform_store_new(url, timeout_ms);
 }
 
 static int set_up_(void **state)
@@ -67,7 +72,7 @@
 
 	f->server = pl_store_new(0);
 	assert_non_null(f->server);
-	f->client = new_client_(f);
+	f->client = new_client_(f, TIMEOUT_MS);
 	*state = f;
 	return 0;
 }
@@ -213,7 +218,8 @@
 	fixture_t *f = *state;
 	outcome_t read = { 0 };
 	outcome_t watch = { 0 };
-	fixture_t other = { .server = f->server, .client = new_client_(f) };
+	fixture_t other = { .server = f->server,
+			    .client = new_client_(f, TIMEOUT_MS) };
 
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
 	assert_true(pl_store_command(f->server, "copy"));
@@ -392,6 +398,8 @@
 	fixture_t *f = *state;
 	outcome_t read = { 0 };
 	pl_kv_t *unreachable = pl_platform_store_new("http://127.0.0.1:1", 200);
+	fixture_t hasty = { .server = f->server,
+			    .client = new_client_(f, SHORT_TIMEOUT_MS) };
 	outcome_t put = { 0 };
 
 	pl_store_command(f->server, "down");
@@ -399,7 +407,8 @@
 	assert_true(pl_kv_is_down(f->client));
 	pl_store_command(f->server, "up");
 	pl_store_command(f->server, "slow 60000");
-	assert_int_equal(get_value_(f, &read), PL_ERR_TIMEOUT);
+	assert_int_equal(get_value_(&hasty, &read), PL_ERR_TIMEOUT);
+	pl_kv_delete(hasty.client);
 	pl_store_command(f->server, "up");
 	assert_int_equal(get_value_(f, &read), PL_ERR_NOT_FOUND);
 	assert_false(pl_kv_is_down(f->client));
@@ -443,7 +452,7 @@
 	fixture_t *f = *state;
 	outcome_t watch = { 0 };
 	pl_store_stats_t stats = { 0 };
-	pl_kv_t *client = new_client_(f);
+	pl_kv_t *client = new_client_(f, TIMEOUT_MS);
 
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
 	assert_true(pl_store_command(f->server, "copy"));
@@ -483,12 +492,17 @@
 	fixture_t *f = *state;
 	outcome_t watch = { 0 };
 	outcome_t read = { 0 };
+	pl_store_stats_t stats = { 0 };
 
 	assert_int_equal(put_value_(f, "one", 0), PL_OK);
 	assert_int_equal(get_value_(f, &read), PL_OK);
 	pl_store_command(f->server, "deaf");
-	pl_kv_watch(f->client, KEY, read.position, 100, on_done_, &watch);
-	pl_kv_wait(f->client, 10);
+	pl_kv_watch(f->client, KEY, read.position, DEAF_WATCH_MS, on_done_,
+		    &watch);
+	while (stats.watches_waiting == 0) {
+		pl_kv_wait(f->client, 10);
+		pl_store_stats(f->server, &stats);
+	}
 	assert_int_equal(put_value_(f, "two", read.modify_index), PL_OK);
 	wait_for_calls_(f);
 	assert_int_equal(watch.calls, 1);
