--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -72,6 +72,10 @@
 	  "calls to the platform that failed")                                \
 	X(PL_COUNTER_FLOWS_PLACED, "flows_placed",                            \
 	  "opening packets sent to an agent")                                 \
+	X(PL_COUNTER_FLOWS_BY_SHARE, "flows_by_share",                        \
+	  "opening packets sent to the service that the weights give")        \
+	X(PL_COUNTER_FLOWS_OVERFLOWED, "flows_overflowed",                    \
+	  "opening packets sent to another service, as that had no room")     \
 	X(PL_COUNTER_FLOWS_WAITED, "flows_waited",                            \
 	  "requests and new flows that found no slot at once")                \
 	X(PL_COUNTER_FLOWS_HANDED_BACK, "flows_handed_back",                  \
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -62,6 +62,8 @@
 	  "a report of an earlier process of the backend server was ignored")  \
 	X(PL_EVENT_FLOWS_EVICTED, 245, "flows-evicted", WARNING,               \
 	  "an agent's table is full; it no longer knows all flows")            \
+	X(PL_EVENT_FLOW_OVERFLOWED, 247, "flow-overflowed", INFO,              \
+	  "a new flow went to another service of its route for want of room")  \
 	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,           \
 	  "a caller was told that the outcome of its request is unknown")      \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                  \
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -58,6 +58,9 @@
 	uint64_t packets_received; /**< from callers */
 	uint64_t placed; /**< opening packets sent to an agent */
 	uint64_t placed_again; /**< of @c placed: after another agent refused */
+	/** Of @c placed: beyond the share of the service, because the service
+	 * of the flow's share had no room. */
+	uint64_t overflowed;
 	uint64_t cache_hits; /**< packets of flows in the cache */
 	uint64_t lookups;
 	uint64_t found;
--- a/include/pimentolift/routing.h
+++ b/include/pimentolift/routing.h
@@ -66,11 +66,21 @@
 	uint32_t answer_keep_ms; /**< how long an answer can be replayed */
 } pl_service_policy_t;
 
+/** Services of one address; of more, those with the greatest weights are used.
+ * An address has two or three while a service is being replaced. */
+#define PL_ROUTE_SHARES_MAX 16
+/** Weight of an address that has one service only; the weights of an address
+ * with several are relative to their sum. */
+#define PL_ROUTE_WEIGHT_FULL 1000000
+
 /** Properties of the requests to one service address. */
 typedef struct {
 	uint32_t goal_ms; /**< answers have full value within; 0: not set */
 	uint32_t timeout_ms; /**< answers have no value after; 0: not set */
 	uint32_t priority; /**< 0 is the most urgent */
+	bool weighted; /**< the address may belong to other services too */
+	uint32_t
+		weight; /**< of this service, if @c weighted; 0: no new flows */
 } pl_route_policy_t;
 
 /** A service of a routing table. */
@@ -83,6 +93,12 @@
 } pl_route_service_t;
 
 struct pl_evacuations;
+/** A service of an address, with its part of the new flows. */
+typedef struct {
+	const pl_route_service_t *service;
+	const pl_route_policy_t *policy;
+	uint32_t weight; /**< relative to the others of the address */
+} pl_route_share_t;
 
 typedef struct pl_routing pl_routing_t;
 typedef struct pl_routing_builder pl_routing_builder_t;
@@ -103,7 +119,9 @@
 void pl_routing_builder_address(pl_routing_builder_t *builder,
 				pl_service_id_t service, const pl_addr_t *addr);
 
-/** Like pl_routing_builder_address(), for requests with @p policy. */
+/** Like pl_routing_builder_address(), for requests with @p policy. If several
+ * services add the address and one of them gives no weight, the first such
+ * service has it alone. */
 void pl_routing_builder_route(pl_routing_builder_t *builder,
 			      pl_service_id_t service, const pl_addr_t *addr,
 			      const pl_route_policy_t *policy);
@@ -132,10 +150,20 @@
 const pl_route_service_t *pl_routing_service_at(const pl_routing_t *routing,
 						size_t index);
 
-/** Service of the address @p addr, or NULL. */
+/** Service of the address @p addr, or NULL. Of several, the first of those with
+ * the greatest weight, even if that is 0. */
 const pl_route_service_t *pl_routing_by_address(const pl_routing_t *routing,
 						const pl_addr_t *addr);
 
+/**
+ * Fills in @p shares with the services of the address @p addr, in the order
+ * added, also those of weight 0.
+ *
+ * @return their number, 0 if the address is unknown
+ */
+size_t pl_routing_shares(const pl_routing_t *routing, const pl_addr_t *addr,
+			 pl_route_share_t shares[PL_ROUTE_SHARES_MAX]);
+
 /** Policy of the service address @p addr, or NULL. */
 const pl_route_policy_t *pl_routing_route(const pl_routing_t *routing,
 					  const pl_addr_t *addr);
--- a/src/config/document_diff.c
+++ b/src/config/document_diff.c
@@ -7,6 +7,9 @@
 #include <glib.h>
 #include <string.h>
 
+/** Size of a weight as text. */
+#define WEIGHT_TEXT_MAX 12
+
 /* A numeric field of the policy. */
 typedef struct {
 	const char *name;
@@ -76,6 +79,48 @@
 	}
 }
 
+/* Weight of the service for @p addr as text; "none" if it has the address
+ * alone, NULL if it does not have it. */
+static const char *weight_text_(const pl_service_config_t *service,
+				const pl_addr_t *addr, char *text, size_t size)
+{
+	for (size_t i = 0; i < service->address_count; i++) {
+		const pl_route_policy_t *route =
+			service->routes ? &service->routes[i] : NULL;
+
+		if (!pl_addr_equal(&service->addresses[i], addr))
+			continue;
+		if (!route || !route->weighted)
+			return "none";
+		g_snprintf(text, size, "%u", route->weight);
+		return text;
+	}
+	return NULL;
+}
+
+static void diff_weights_(GString *out, const pl_service_config_t *before,
+			  const pl_service_config_t *after)
+{
+	for (size_t i = 0; i < after->address_count; i++) {
+		const pl_addr_t *addr = &after->addresses[i];
+		char texts[2][WEIGHT_TEXT_MAX];
+		const char *old =
+			weight_text_(before, addr, texts[0], sizeof(texts[0]));
+		const char *new =
+			weight_text_(after, addr, texts[1], sizeof(texts[1]));
+		char name[PL_ADDR_TEXT_MAX];
+
+		/* an added address without a weight is listed as added */
+		if (!old && strcmp(new, "none") != 0)
+			old = "none";
+		if (old && strcmp(old, new) != 0)
+			g_string_append_printf(
+				out, "service %s: weight for %s %s -> %s\n",
+				after->name, pl_addr_format(addr, name), old,
+				new);
+	}
+}
+
 static const pl_datacentre_weight_t *
 find_datacentre_weight_(const pl_service_config_t *service,
 			const char *datacentre)
@@ -173,6 +218,7 @@
 		return;
 	print_missing_addresses_(out, old, new, "removed");
 	print_missing_addresses_(out, new, old, "added");
+	diff_weights_(out, old, new);
 	diff_policy_(out, old, new);
 	diff_datacentre_weights_(out, old, new);
 	print_missing_objectives_(out, old, new, "removed");
--- a/src/config/document_parse.c
+++ b/src/config/document_parse.c
@@ -15,6 +15,7 @@
 #define THRESHOLD_MAX_MS (60 * 60 * 1000)
 #define WINDOW_DEFAULT_DAYS 28
 #define WINDOW_MAX_DAYS 92
+#define ROUTE_WEIGHT_MAX 1000000
 /** Maximum size of all sections, which must fit into one frame to a member. */
 #define SECTIONS_MAX_BYTES (960 * 1024)
 
@@ -50,11 +51,18 @@
 	POLICY_KEY_(answer_keep_ms, 1000, 3600000),
 };
 
+/* Services of an address. */
+typedef struct {
+	char first[PL_NAME_MAX]; /* name of the first one */
+	size_t count;
+	bool weighted; /* each of them gives a weight */
+} address_use_t;
+
 /* State while a document is parsed. */
 typedef struct {
 	pl_problems_t *problems;
 	GHashTable *names; /* service name to its line */
-	GHashTable *addresses; /* pl_addr_t to the name of its service */
+	GHashTable *addresses; /* pl_addr_t to address_use_t */
 	GPtrArray *sections;
 } parser_t;
 
@@ -190,6 +198,89 @@
 	}
 }
 
+/* Reads one route, which gives an address of the service a weight. */
+static void read_route_(pl_problems_t *problems, pl_toml_t *table,
+			pl_service_config_t *service)
+{
+	pl_route_policy_t route = { .weighted = true };
+	pl_addr_t addr;
+	size_t i = 0;
+
+	if (!pl_reader_addr(problems, table, "address", PL_KEY_REQUIRED, &addr))
+		return;
+	if (!pl_reader_get(problems, table, "weight", PL_TOML_INTEGER,
+			   PL_KEY_REQUIRED))
+		return;
+	pl_reader_number(problems, table, "weight", 0, ROUTE_WEIGHT_MAX,
+			 &route.weight);
+	pl_reader_unknown(problems, table);
+	while (i < service->address_count &&
+	       !pl_addr_equal(&service->addresses[i], &addr))
+		i++;
+	if (i == service->address_count)
+		pl_reader_problem(problems, table, "address",
+				  "is none of the service's addresses");
+	else if (service->routes[i].weighted)
+		pl_reader_problem(problems, table, "address",
+				  "has a weight already");
+	else
+		service->routes[i] = route;
+}
+
+static void read_routes_(pl_problems_t *problems, pl_toml_t *table,
+			 pl_service_config_t *service)
+{
+	pl_toml_t *list = pl_reader_get(problems, table, "route", PL_TOML_ARRAY,
+					PL_KEY_OPTIONAL);
+
+	if (!list)
+		return;
+	service->routes = g_new0(pl_route_policy_t, service->address_count);
+	pl_list_for_each(node, &list->children) {
+		pl_toml_t *item = PL_CONTAINER_OF(node, pl_toml_t, link);
+
+		if (item->type == PL_TOML_TABLE)
+			read_route_(problems, item, service);
+		else
+			pl_problems_add(problems, item->line, item->path,
+					"must be a table");
+	}
+}
+
+/* Adds the service to those of its address @p addr. Several services may share
+ * an address if each gives a weight for it. */
+static void use_address_(parser_t *parser, pl_toml_t *table,
+			 const pl_service_config_t *service, size_t index)
+{
+	const pl_addr_t *addr = &service->addresses[index];
+	bool weighted = service->routes && service->routes[index].weighted;
+	address_use_t *use = g_hash_table_lookup(parser->addresses, addr);
+	char text[PL_ADDR_TEXT_MAX];
+
+	if (!use) {
+		use = g_new0(address_use_t, 1);
+		g_strlcpy(use->first, service->name, sizeof(use->first));
+		use->weighted = weighted;
+		g_hash_table_insert(parser->addresses,
+				    g_memdup2(addr, sizeof(*addr)), use);
+	} else if (!weighted || !use->weighted ||
+		   strcmp(use->first, service->name) == 0) {
+		pl_reader_problem(parser->problems, table, "addresses",
+				  "%s is an address of the service \"%s\" "
+				  "already%s",
+				  pl_addr_format(addr, text), use->first,
+				  weighted != use->weighted ?
+					  ", and only one of them gives a "
+					  "weight for it" :
+					  "");
+	}
+	if (++use->count == PL_ROUTE_SHARES_MAX + 1)
+		pl_reader_problem(parser->problems, table, "addresses",
+				  "%s is an address of more than %d services",
+				  pl_addr_format(addr, text),
+				  PL_ROUTE_SHARES_MAX);
+}
+
 static void read_addresses_(parser_t *parser, pl_toml_t *table,
 			    pl_service_config_t *service)
 {
@@ -204,24 +295,14 @@
 		pl_reader_problem(parser->problems, table, "addresses",
 				  "has more than %d addresses",
 				  PL_DOCUMENT_ADDRESSES_MAX);
+	read_routes_(parser->problems, table, service);
 	for (size_t i = 0; i < list.count; i++) {
-		const char *owner =
-			g_hash_table_lookup(parser->addresses, &list.at[i]);
-
-		pl_addr_format(&list.at[i], text);
-		if (owner)
-			pl_reader_problem(parser->problems, table, "addresses",
-					  "%s is an address of the service "
-					  "\"%s\" already",
-					  text, owner);
-		else if (list.at[i].port == 0)
+		if (list.at[i].port == 0)
 			pl_reader_problem(parser->problems, table, "addresses",
-					  "%s has the port 0", text);
+					  "%s has the port 0",
+					  pl_addr_format(&list.at[i], text));
 		else
-			g_hash_table_insert(
-				parser->addresses,
-				g_memdup2(&list.at[i], sizeof(pl_addr_t)),
-				g_strdup(service->name));
+			use_address_(parser, table, service, i);
 	}
 }
 
--- a/src/config/section.c
+++ b/src/config/section.c
@@ -18,6 +18,9 @@
 /** Elements of the outer array of a section with routes. */
 #define SECTION_ROUTES_ELEMENTS 6
 #define ROUTE_ELEMENTS 3
+/** Elements of a route with a weight. A route without one keeps the shorter
+ * form, so that members of an earlier release compute the same hash. */
+#define ROUTE_WEIGHT_ELEMENTS 4
 #define POLICY_ELEMENTS 7
 #define DATACENTRE_WEIGHT_ELEMENTS 2
 #define OBJECTIVE_ELEMENTS 4
@@ -90,10 +93,14 @@
 	for (size_t i = 0; i < service->address_count; i++) {
 		const pl_route_policy_t *route = &service->routes[i];
 
-		msgpack_pack_array(packer, ROUTE_ELEMENTS);
+		msgpack_pack_array(packer, route->weighted ?
+						   ROUTE_WEIGHT_ELEMENTS :
+						   ROUTE_ELEMENTS);
 		msgpack_pack_uint32(packer, route->goal_ms);
 		msgpack_pack_uint32(packer, route->timeout_ms);
 		msgpack_pack_uint32(packer, route->priority);
+		if (route->weighted)
+			msgpack_pack_uint32(packer, route->weight);
 	}
 }
 
@@ -260,6 +267,19 @@
 	return true;
 }
 
+static bool read_route_(const msgpack_object *item, pl_route_policy_t *route)
+{
+	const msgpack_object *at = item->via.array.ptr;
+
+	if (!is_array_(item, ROUTE_ELEMENTS, UINT32_MAX) ||
+	    !read_number_(&at[0], &route->goal_ms) ||
+	    !read_number_(&at[1], &route->timeout_ms) ||
+	    !read_number_(&at[2], &route->priority))
+		return false;
+	route->weighted = item->via.array.size >= ROUTE_WEIGHT_ELEMENTS;
+	return !route->weighted || read_number_(&at[3], &route->weight);
+}
+
 static bool read_routes_(const msgpack_object *object,
 			 pl_service_config_t *service)
 {
@@ -267,14 +287,8 @@
 		return false;
 	service->routes = g_new0(pl_route_policy_t, service->address_count);
 	for (size_t i = 0; i < service->address_count; i++) {
-		const msgpack_object *item = &object->via.array.ptr[i];
-		pl_route_policy_t *route = &service->routes[i];
-
-		if (!is_array_(item, ROUTE_ELEMENTS, UINT32_MAX) ||
-		    !read_number_(&item->via.array.ptr[0], &route->goal_ms) ||
-		    !read_number_(&item->via.array.ptr[1],
-				  &route->timeout_ms) ||
-		    !read_number_(&item->via.array.ptr[2], &route->priority))
+		if (!read_route_(&object->via.array.ptr[i],
+				 &service->routes[i]))
 			return false;
 	}
 	return true;
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -62,6 +62,7 @@
 		pl_flow_table_new(sizeof(cached_flow_t), params->flows_max,
 				  on_flow_release_, entry);
 	pl_flow_loads_init_(entry);
+	pl_flow_split_init_(entry);
 	pl_flow_roster_init_(entry);
 	pl_flow_liveness_init_(entry);
 	pl_flow_retries_init_(entry);
@@ -84,6 +85,7 @@
 	pl_timer_cancel(entry->timers, &entry->query_timer);
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
+	pl_flow_split_finish_(entry);
 	pl_flow_roster_finish_(entry);
 	pl_flow_liveness_finish_(entry);
 	g_hash_table_destroy(entry->retries);
@@ -99,6 +101,7 @@
 		pl_routing_put(entry->routing);
 	entry->routing = routing;
 	pl_flow_evacuate_routing_changed_(entry);
+	pl_flow_split_routing_changed_(entry);
 	pl_flow_liveness_routing_changed_(entry);
 	pl_flow_lookup_reroute_(entry);
 	pl_flow_query_new_agents_(entry);
@@ -146,11 +149,25 @@
 	entry->ops->send(entry->ctx, agent, &message);
 }
 
+pl_service_id_t pl_flow_entry_service_of_(const pl_flow_entry_t *entry,
+					  const cached_flow_t *flow,
+					  pl_member_id_t agent)
+{
+	const pl_endpoint_t *endpoint = NULL;
+
+	/* a flow may have been offered to several services of its route */
+	if (agent != flow->owner)
+		endpoint = pl_routing_endpoint(entry->routing, agent);
+	return endpoint ? endpoint->service : flow->service;
+}
+
 void pl_flow_entry_forward_(pl_flow_entry_t *entry, const cached_flow_t *flow,
 			    pl_member_id_t agent, unsigned int flags,
 			    const uint8_t *bytes, size_t len)
 {
-	forward_(entry, flow, agent, flow->service, flags, bytes, len);
+	forward_(entry, flow, agent,
+		 pl_flow_entry_service_of_(entry, flow, agent), flags, bytes,
+		 len);
 }
 
 void pl_flow_entry_forward_probe_(pl_flow_entry_t *entry,
@@ -191,6 +208,15 @@
 	return pl_routing_by_address(entry->routing, &addr);
 }
 
+size_t pl_flow_entry_shares_(const pl_flow_entry_t *entry,
+			     const pl_flow_key_t *key,
+			     pl_route_share_t shares[PL_ROUTE_SHARES_MAX])
+{
+	const pl_addr_t addr = service_addr_(key);
+
+	return pl_routing_shares(entry->routing, &addr, shares);
+}
+
 static void set_route_(const pl_flow_entry_t *entry, cached_flow_t *flow)
 {
 	const pl_addr_t addr = service_addr_(&flow->node.key);
@@ -245,20 +271,40 @@
 	return flow;
 }
 
+/* Rejects a new flow of a route whose services all have the weight 0. The packet
+ * is dropped instead if a server may have accepted the flow before the weights
+ * changed. */
+static void reject_unweighted_(pl_flow_entry_t *entry, cached_flow_t *flow,
+			       uint32_t copy)
+{
+	const pl_flow_key_t key = flow->node.key;
+
+	entry->stats.no_route++;
+	pl_counter_add(PL_COUNTER_DROP_NO_SERVICE, 1);
+	if (copy != 0 || pl_flow_entry_last_offer_(flow) != 0)
+		return;
+	pl_flow_table_remove(entry->flows, &flow->node);
+	pl_flow_entry_reset_(entry, &key, copy);
+}
+
 /* Handles an opening packet or its retransmission. A retransmission goes to
  * another endpoint, because the first one may be dead. */
 static void handle_opening_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
-			    const pl_route_service_t *service, uint32_t copy,
-			    const uint8_t *bytes, size_t len)
+			    uint32_t copy, const uint8_t *bytes, size_t len)
 {
 	cached_flow_t *flow = get_flow_(entry, key, true);
 
-	if (flow->service != 0 && flow->service != service->id) {
-		/* the route now belongs to another service */
+	if (flow->service != 0 &&
+	    !pl_flow_split_names_(entry, key, flow->service)) {
+		/* the route now belongs to other services */
 		pl_flow_table_remove(entry->flows, &flow->node);
 		flow = get_flow_(entry, key, true);
 	}
-	flow->service = service->id;
+	if (flow->owner == 0 && flow->queueing_agent == 0 &&
+	    !pl_flow_split_accepts_(entry, key)) {
+		reject_unweighted_(entry, flow, copy);
+		return;
+	}
 	if (flow->offered_count == 0)
 		set_due_(entry, flow, copy);
 	if (flow->owner != 0)
@@ -337,7 +383,7 @@
 	if (configured && !service)
 		reject_unrouted_(entry, &key, &packet);
 	else if (pl_packet_opens(&packet))
-		handle_opening_(entry, &key, service, packet.ack, bytes, len);
+		handle_opening_(entry, &key, packet.ack, bytes, len);
 	else
 		handle_established_(entry, &key, service != NULL, &packet,
 				    bytes, len);
@@ -409,11 +455,13 @@
 	flow->service = message->service;
 }
 
-/* Whether the sender belongs to the flow's service, if that is known. */
+/* Whether the sender belongs to the flow's service, if that is known, or to
+ * another service of the route that was offered the flow. */
 static bool has_service_of_(const cached_flow_t *flow,
 			    const pl_flow_message_t *message)
 {
-	return flow->service == 0 || flow->service == message->service;
+	return flow->service == 0 || flow->service == message->service ||
+	       pl_flow_entry_was_offered_(flow, message->sender);
 }
 
 static void handle_located_(pl_flow_entry_t *entry,
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -25,6 +25,7 @@
 	pl_endpoint_load_t load;
 	pl_ms_t sent[SENT_TIMES_MAX]; /**< times of the last opening packets */
 	unsigned int next; /**< index of the next time, modulo SENT_TIMES_MAX */
+	pl_ms_t reported_at; /**< time of the last report; 0: none yet */
 } agent_load_t;
 
 void pl_flow_loads_init_(pl_flow_entry_t *entry)
@@ -48,7 +49,22 @@
 void pl_flow_loads_update_(pl_flow_entry_t *entry, pl_member_id_t agent,
 			   const pl_endpoint_load_t *load)
 {
-	get_load_(entry, agent)->load = *load;
+	agent_load_t *known = get_load_(entry, agent);
+
+	known->load = *load;
+	known->reported_at = pl_flow_entry_now_(entry);
+}
+
+bool pl_flow_loads_get_(const pl_flow_entry_t *entry, pl_member_id_t agent,
+			pl_endpoint_load_t *load, pl_ms_t *age)
+{
+	const agent_load_t *known = g_hash_table_lookup(entry->loads, &agent);
+
+	if (!known || known->load.slots == 0)
+		return false;
+	*load = known->load;
+	*age = pl_flow_entry_now_(entry) - known->reported_at;
+	return true;
 }
 
 static void record_sent_(pl_flow_entry_t *entry, pl_member_id_t agent)
@@ -71,7 +87,7 @@
 	return count;
 }
 
-static bool was_offered_(const cached_flow_t *flow, pl_member_id_t agent)
+bool pl_flow_entry_was_offered_(const cached_flow_t *flow, pl_member_id_t agent)
 {
 	for (size_t i = 0; i < flow->offered_count; i++) {
 		if (flow->offered[i] == agent)
@@ -175,7 +191,7 @@
 static bool is_eligible_(const void *ctx, const pl_endpoint_t *endpoint)
 {
 	return endpoint->state == PL_ENDPOINT_SERVING && !endpoint->evacuated &&
-	       !was_offered_(ctx, endpoint->agent);
+	       !pl_flow_entry_was_offered_(ctx, endpoint->agent);
 }
 
 static bool is_full_(const pl_place_candidate_t *candidate)
@@ -185,21 +201,18 @@
 		       candidate->load.slots;
 }
 
-/* Returns the endpoint for an opening packet, or NULL; sets @p last if there is
- * no other endpoint to offer the packet to. */
-static const pl_endpoint_t *
-choose_endpoint_(pl_flow_entry_t *entry, const cached_flow_t *flow, bool *last)
+/* Returns the endpoint of @p service for an opening packet, or NULL; sets
+ * @p last if there is no other endpoint to offer the packet to. */
+static const pl_endpoint_t *choose_endpoint_(pl_flow_entry_t *entry,
+					     const cached_flow_t *flow,
+					     const pl_route_service_t *service,
+					     bool *last)
 {
-	const pl_route_service_t *service =
-		pl_flow_entry_route_of_(entry, &flow->node.key);
 	pl_place_candidate_t candidates[CANDIDATES_MAX];
 	pl_flow_ranked_t ranked[CANDIDATES_MAX];
 	size_t chosen;
 	size_t count;
 
-	/* the route may have got another service since the first offer */
-	if (!service || service->id != flow->service)
-		return NULL;
 	count = pl_flow_rank_(entry, service, &flow->node.key, is_eligible_,
 			      flow, ranked, CANDIDATES_MAX);
 	*last = count <= 1 || flow->offered_count + 1 >= PL_FLOW_OFFERS_MAX;
@@ -230,11 +243,12 @@
 	pl_flow_message_t message = {
 		.type = PL_FLOW_CANCEL,
 		.sender = entry->params.self,
-		.service = flow->service,
 		.flow = flow->node.key,
 	};
 
 	for (size_t i = 0; i < flow->offered_count; i++) {
+		message.service = pl_flow_entry_service_of_(entry, flow,
+							    flow->offered[i]);
 		if (flow->offered[i] != flow->owner)
 			entry->ops->send(entry->ctx, flow->offered[i],
 					 &message);
@@ -245,21 +259,27 @@
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			  const uint8_t *bytes, size_t len)
 {
+	const pl_endpoint_t *endpoint = NULL;
+	pl_flow_split_t split;
+	bool accepted = pl_flow_split_(entry, flow, &split);
 	bool last = false;
-	const pl_endpoint_t *endpoint;
 
-	endpoint = flow->offered_count < PL_FLOW_OFFERS_MAX ?
-			   choose_endpoint_(entry, flow, &last) :
-			   NULL;
+	if (accepted)
+		flow->service = split.service->id;
+	if (accepted && flow->offered_count < PL_FLOW_OFFERS_MAX)
+		endpoint = choose_endpoint_(entry, flow, split.service, &last);
 	if (!endpoint) {
-		/* retry a little later, from the first offer */
-		clear_offers_(flow);
+		/* retry a little later, from the first offer; a flow that no
+		 * service takes any more may belong to one that was offered */
+		if (accepted)
+			clear_offers_(flow);
 		entry->stats.no_endpoint++;
 		if (!pl_flow_evacuate_reject_(entry, flow, bytes, len))
 			pl_flow_hold_add_(entry, bytes, len);
 		return;
 	}
 	flow->offered[flow->offered_count++] = endpoint->agent;
+	pl_flow_split_placed_(entry, flow, &split);
 	record_sent_(entry, endpoint->agent);
 	entry->stats.placed++;
 	pl_counter_add(PL_COUNTER_FLOWS_PLACED, 1);
--- a/src/flow/entry_query.c
+++ b/src/flow/entry_query.c
@@ -299,12 +299,9 @@
 pl_service_id_t pl_flow_query_expected_service_(const pl_flow_entry_t *entry,
 						const cached_flow_t *flow)
 {
-	const pl_route_service_t *service;
-
-	if (flow->service != 0)
-		return flow->service;
-	service = pl_flow_entry_route_of_(entry, &flow->node.key);
-	return service ? service->id : 0;
+	return flow->service != 0 ?
+		       flow->service :
+		       pl_flow_split_expected_(entry, &flow->node.key);
 }
 
 /* Adds the agents to query: those of the expected service first. */
--- /dev/null
+++ b/src/flow/entry_split.c
@@ -0,0 +1,264 @@
+/**
+ * @file
+ * Choice of a new flow's service among those of its route.
+ */
+#include "private/entry_private.h"
+
+#include <pimentolift/balance/split.h>
+#include <pimentolift/counter.h>
+#include <pimentolift/event.h>
+#include <pimentolift/hash.h>
+
+/** Load of a service is summed up over its endpoints at most this often; agents
+ * report changes after 100 ms. */
+#define SUMMARY_MS 20
+/** Load that was reported longer ago counts as unknown: agents report for 2 s
+ * after the last packet. */
+#define REPORT_AGE_MAX_MS 2500
+/** The requests in progress of an older report have ended since; only the mean
+ * still tells something. Agents report at intervals of 100 ms. */
+#define BUSY_AGE_MAX_MS 150
+#define THOUSANDTHS 1000
+/** Endpoints whose load stands for that of the whole service. */
+#define SAMPLE_MIN 8U
+/** A service whose endpoints refused the flow this often has no room for it.
+ * One endpoint alone may just have got another entry's flow. */
+#define REFUSALS_FULL 2U
+
+/* Load of a service, summed up at @c at. */
+typedef struct {
+	pl_ms_t at;
+	uint32_t placed; /* flows that this entry placed there since then */
+	uint32_t known; /* endpoints that reported their load */
+	/* of these endpoints, in thousandths of a slot */
+	uint64_t slots;
+	uint64_t busy;
+	uint64_t mean_busy;
+	pl_split_service_t load;
+} summary_t;
+
+void pl_flow_split_init_(pl_flow_entry_t *entry)
+{
+	entry->summaries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 g_free, g_free);
+}
+
+void pl_flow_split_finish_(pl_flow_entry_t *entry)
+{
+	g_hash_table_destroy(entry->summaries);
+}
+
+void pl_flow_split_routing_changed_(pl_flow_entry_t *entry)
+{
+	/* the endpoints may be others */
+	g_hash_table_remove_all(entry->summaries);
+}
+
+static void add_endpoint_(const pl_flow_entry_t *entry, summary_t *summary,
+			  const pl_endpoint_t *endpoint)
+{
+	pl_endpoint_load_t load;
+	pl_ms_t age;
+
+	if (endpoint->state != PL_ENDPOINT_SERVING || endpoint->evacuated)
+		return;
+	summary->load.endpoints++;
+	if (!pl_flow_loads_get_(entry, endpoint->agent, &load, &age) ||
+	    age > REPORT_AGE_MAX_MS)
+		return;
+	if (age > BUSY_AGE_MAX_MS)
+		load.busy = MIN(load.busy, load.mean_busy / THOUSANDTHS);
+	summary->known++;
+	summary->slots += (uint64_t)load.slots * THOUSANDTHS;
+	summary->busy += (uint64_t)MIN(load.busy, load.slots) * THOUSANDTHS;
+	summary->mean_busy += MIN(load.mean_busy, load.slots * THOUSANDTHS);
+}
+
+/* Derives the load of the service from that of the known endpoints. The others
+ * count as idle, unless enough are known to stand for all. */
+static void extrapolate_(summary_t *summary)
+{
+	pl_split_service_t *load = &summary->load;
+	uint64_t divisor = (uint64_t)summary->known * THOUSANDTHS;
+	uint32_t factor =
+		summary->known >= SAMPLE_MIN ? load->endpoints : summary->known;
+
+	if (summary->known == 0)
+		return;
+	load->slots = (uint32_t)(summary->slots * load->endpoints / divisor);
+	load->busy = (uint32_t)(summary->busy * factor / divisor);
+	load->mean_busy = (uint32_t)(summary->mean_busy * factor / divisor);
+}
+
+static summary_t *get_summary_(pl_flow_entry_t *entry,
+			       const pl_route_service_t *service)
+{
+	summary_t *summary =
+		g_hash_table_lookup(entry->summaries, &service->id);
+	pl_ms_t now = pl_flow_entry_now_(entry);
+
+	if (summary && now - summary->at < SUMMARY_MS)
+		return summary;
+	if (!summary) {
+		summary = g_new0(summary_t, 1);
+		g_hash_table_insert(
+			entry->summaries,
+			g_memdup2(&service->id, sizeof(service->id)), summary);
+	}
+	*summary = (summary_t){ .at = now, .load.service = service->id };
+	for (size_t i = 0; i < service->endpoint_count; i++)
+		add_endpoint_(entry, summary, &service->endpoints[i]);
+	extrapolate_(summary);
+	return summary;
+}
+
+/* Number of endpoints of the service that refused the flow. */
+static uint32_t count_refusals_(const pl_flow_entry_t *entry,
+				const cached_flow_t *flow,
+				pl_service_id_t service)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < flow->offered_count; i++) {
+		const pl_endpoint_t *endpoint =
+			pl_routing_endpoint(entry->routing, flow->offered[i]);
+
+		count += (flow->ruled_out & 1U << i) && endpoint &&
+			 endpoint->service == service;
+	}
+	return count;
+}
+
+/* Load of the service as far as it matters to the flow. Endpoints that refused
+ * the flow had no room, and were the least loaded ones. */
+static pl_split_service_t get_load_(pl_flow_entry_t *entry,
+				    const cached_flow_t *flow,
+				    const pl_route_share_t *share)
+{
+	const summary_t *summary = get_summary_(entry, share->service);
+	pl_split_service_t load = summary->load;
+	uint32_t refusals = count_refusals_(entry, flow, share->service->id);
+
+	load.weight = share->weight;
+	load.busy = MIN(load.busy + summary->placed, load.slots);
+	if (refusals >= MIN(REFUSALS_FULL, load.endpoints))
+		load.busy = load.slots;
+	return load;
+}
+
+/* Decides by the weights of @p shares and the room of their services. */
+static pl_split_decision_t decide_(pl_flow_entry_t *entry,
+				   const cached_flow_t *flow,
+				   const pl_route_share_t *shares, size_t count)
+{
+	pl_split_service_t services[PL_ROUTE_SHARES_MAX];
+	const pl_split_snapshot_t snapshot = {
+		.services = services,
+		.count = count,
+		.flow = pl_hash(&flow->node.key, sizeof(flow->node.key), 0),
+	};
+
+	for (size_t i = 0; i < count; i++)
+		services[i] = get_load_(entry, flow, &shares[i]);
+	return pl_split_choose(&snapshot);
+}
+
+static const pl_route_service_t *named_(const pl_route_share_t *shares,
+					size_t count, pl_service_id_t id)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (shares[i].service->id == id)
+			return shares[i].service;
+	}
+	return NULL;
+}
+
+bool pl_flow_split_names_(const pl_flow_entry_t *entry,
+			  const pl_flow_key_t *key, pl_service_id_t service)
+{
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	size_t count = pl_flow_entry_shares_(entry, key, shares);
+
+	return named_(shares, count, service) != NULL;
+}
+
+bool pl_flow_split_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+		    pl_flow_split_t *split)
+{
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	size_t count = pl_flow_entry_shares_(entry, &flow->node.key, shares);
+	pl_split_decision_t decision = { .reason = PL_REASON_SHARE };
+
+	/* the route may have got other services since the first offer */
+	if (flow->service != 0 && !named_(shares, count, flow->service))
+		return false;
+	split->divided = count != 1 || shares[0].policy->weighted;
+	if (split->divided)
+		decision = decide_(entry, flow, shares, count);
+	if (decision.reason == PL_REASON_NO_SERVICE)
+		return false;
+	split->reason = decision.reason;
+	split->service = shares[decision.index].service;
+	split->share = shares[decision.share].service;
+	return true;
+}
+
+void pl_flow_split_placed_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+			   const pl_flow_split_t *split)
+{
+	char name[PL_FLOW_TEXT_MAX];
+
+	if (!split->divided)
+		return;
+	get_summary_(entry, split->service)->placed++;
+	if (split->reason != PL_REASON_OVERFLOW) {
+		pl_counter_add(PL_COUNTER_FLOWS_BY_SHARE, 1);
+		return;
+	}
+	entry->stats.overflowed++;
+	pl_counter_add(PL_COUNTER_FLOWS_OVERFLOWED, 1);
+	pl_event(PL_EVENT_FLOW_OVERFLOWED,
+		 "flow %s goes to %s, as %s has no room",
+		 pl_flow_format(&flow->node.key, name), split->service->name,
+		 split->share->name);
+}
+
+pl_service_id_t pl_flow_split_expected_(const pl_flow_entry_t *entry,
+					const pl_flow_key_t *key)
+{
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	pl_split_service_t services[PL_ROUTE_SHARES_MAX];
+	size_t count = pl_flow_entry_shares_(entry, key, shares);
+	const pl_split_snapshot_t snapshot = {
+		.services = services,
+		.count = count,
+		.flow = pl_hash(key, sizeof(*key), 0),
+	};
+	pl_split_decision_t decision;
+
+	for (size_t i = 0; i < count; i++)
+		services[i] = (pl_split_service_t){
+			.service = shares[i].service->id,
+			.weight = shares[i].weight,
+		};
+	if (count <= 1)
+		return count == 0 ? 0 : shares[0].service->id;
+	decision = pl_split_choose(&snapshot);
+	/* without a weight above 0, the flow is from before that */
+	return decision.reason == PL_REASON_NO_SERVICE ?
+		       shares[0].service->id :
+		       shares[decision.share].service->id;
+}
+
+bool pl_flow_split_accepts_(const pl_flow_entry_t *entry,
+			    const pl_flow_key_t *key)
+{
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	size_t count = pl_flow_entry_shares_(entry, key, shares);
+
+	for (size_t i = 0; i < count; i++) {
+		if (shares[i].weight > 0)
+			return true;
+	}
+	return false;
+}
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -10,6 +10,7 @@
 #include "private/packet_queue.h"
 
 #include <glib.h>
+#include <pimentolift/balance/reason.h>
 #include <pimentolift/flow_entry.h>
 
 /** Query of a lookup to one agent. */
@@ -96,6 +97,7 @@
 	pl_routing_t *routing;
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to agent_load_t */
+	GHashTable *summaries; /**< service to its load, see entry_split.c */
 	pl_list_t lookups;
 	pl_timer_t query_timer;
 	int64_t query_tokens; /**< token bucket, in thousandths of a byte */
@@ -126,6 +128,11 @@
 void pl_flow_entry_reset_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
 			  uint32_t seq);
 
+/** Service of @p agent, which owns the flow or was offered it. */
+pl_service_id_t pl_flow_entry_service_of_(const pl_flow_entry_t *entry,
+					  const cached_flow_t *flow,
+					  pl_member_id_t agent);
+
 /** Forwards a packet as a probe to the agent of @p query. */
 void pl_flow_entry_forward_probe_(pl_flow_entry_t *entry,
 				  const cached_flow_t *flow,
@@ -137,6 +144,11 @@
 const pl_route_service_t *pl_flow_entry_route_of_(const pl_flow_entry_t *entry,
 						  const pl_flow_key_t *key);
 
+/** Fills in the services of the address of @p key; returns their number. */
+size_t pl_flow_entry_shares_(const pl_flow_entry_t *entry,
+			     const pl_flow_key_t *key,
+			     pl_route_share_t shares[PL_ROUTE_SHARES_MAX]);
+
 /** Routes a packet from a caller. */
 void pl_flow_entry_route_(pl_flow_entry_t *entry, const uint8_t *bytes,
 			  size_t len);
@@ -194,6 +206,13 @@
 /** Stores the load that an agent reported. */
 void pl_flow_loads_update_(pl_flow_entry_t *entry, pl_member_id_t agent,
 			   const pl_endpoint_load_t *load);
+/** Copies the load that @p agent reported last, and sets the time since then;
+ * returns false if it reported none. */
+bool pl_flow_loads_get_(const pl_flow_entry_t *entry, pl_member_id_t agent,
+			pl_endpoint_load_t *load, pl_ms_t *age);
+/** Whether the opening packet of the flow was sent to @p agent. */
+bool pl_flow_entry_was_offered_(const cached_flow_t *flow,
+				pl_member_id_t agent);
 /** Returns the endpoint that was offered the flow last and is not ruled out, or
  * 0. */
 pl_member_id_t pl_flow_entry_last_offer_(const cached_flow_t *flow);
@@ -224,6 +243,37 @@
 	      bool (*fits)(const void *ctx, const pl_endpoint_t *endpoint),
 	      const void *ctx, pl_flow_ranked_t *ranked, size_t max);
 
+/* entry_split.c */
+/** Choice of the service of a new flow. */
+typedef struct {
+	const pl_route_service_t *service;
+	const pl_route_service_t *share; /**< the one that the weights give */
+	pl_reason_t reason;
+	bool divided; /**< the services of the route have weights */
+} pl_flow_split_t;
+
+void pl_flow_split_init_(pl_flow_entry_t *entry);
+void pl_flow_split_finish_(pl_flow_entry_t *entry);
+/** Forgets the load of services, whose endpoints may have changed. */
+void pl_flow_split_routing_changed_(pl_flow_entry_t *entry);
+/** Whether the route of @p key names the service, with any weight. */
+bool pl_flow_split_names_(const pl_flow_entry_t *entry,
+			  const pl_flow_key_t *key, pl_service_id_t service);
+/** Whether any service of the route of @p key takes new flows. */
+bool pl_flow_split_accepts_(const pl_flow_entry_t *entry,
+			    const pl_flow_key_t *key);
+/** Chooses the service of a flow that has no owner; returns false if none takes
+ * it, or if the route no longer names the service that it was offered to. */
+bool pl_flow_split_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+		    pl_flow_split_t *split);
+/** Records that the flow was offered to an endpoint of the chosen service. */
+void pl_flow_split_placed_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+			   const pl_flow_split_t *split);
+/** Service that the weights give the flow, whatever the load; 0 if the address
+ * has none. */
+pl_service_id_t pl_flow_split_expected_(const pl_flow_entry_t *entry,
+					const pl_flow_key_t *key);
+
 /* entry_query.c */
 void pl_flow_query_init_(pl_flow_entry_t *entry);
 /** Service whose agents most likely own the flow of a lookup; 0 if unknown. */
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -21,7 +21,8 @@
 	GArray *services; /**< pl_route_service_t, in the order added */
 	GArray *endpoints; /**< pl_endpoint_t, sorted by service and agent */
 	GArray *addresses; /**< address_t, keys of by_address */
-	GHashTable *by_address; /**< pl_addr_t to its index in addresses */
+	/** pl_addr_t to the index in addresses of its first service. */
+	GHashTable *by_address;
 	GHashTable *by_id; /**< service identity to service index */
 	GHashTable *by_agent; /**< agent to endpoint index */
 };
@@ -31,9 +32,11 @@
 	pl_evacuations_t evacuations;
 };
 
+/* An address of one service. The services of an address form a chain. */
 typedef struct {
 	pl_addr_t addr;
 	guint service;
+	guint next; /* index of the next service's entry plus 1; 0: none */
 	pl_route_policy_t policy;
 } address_t;
 
@@ -246,15 +249,79 @@
 	g_array_set_size(endpoints, kept);
 }
 
+static address_t *address_at_(const pl_routing_t *routing, guint index)
+{
+	return &g_array_index(routing->addresses, address_t, index);
+}
+
+static address_t *next_of_(const pl_routing_t *routing, const address_t *entry)
+{
+	return entry->next ? address_at_(routing, entry->next - 1) : NULL;
+}
+
+/* Entry of the first service of the address, or NULL. */
+static address_t *first_of_(const pl_routing_t *routing, const pl_addr_t *addr)
+{
+	guint index = 0;
+
+	if (!lookup_index_(routing->by_address, addr, &index))
+		return NULL;
+	return address_at_(routing, index);
+}
+
+/* Replaces the service of least weight of a full chain by that of @p entry,
+ * unless this has less. */
+static void replace_least_(const pl_routing_t *routing, address_t *first,
+			   const address_t *entry)
+{
+	address_t *least = first;
+	address_t *at = first;
+
+	while ((at = next_of_(routing, at)) != NULL) {
+		if (at->policy.weight < least->policy.weight)
+			least = at;
+	}
+	if (entry->policy.weight <= least->policy.weight)
+		return;
+	least->service = entry->service;
+	least->policy = entry->policy;
+}
+
+/* Adds the entry at @p index to the services of its address. A service without
+ * a weight has the address alone: the validation of the document rejects
+ * others. */
+static void add_share_(const pl_routing_t *routing, address_t *first,
+		       guint index)
+{
+	const address_t *entry = address_at_(routing, index);
+	address_t *last = first;
+	size_t count = 1;
+
+	if (!first->policy.weighted)
+		return;
+	if (!entry->policy.weighted) {
+		first->service = entry->service;
+		first->policy = entry->policy;
+		first->next = 0;
+		return;
+	}
+	for (; last->next; last = address_at_(routing, last->next - 1))
+		count++;
+	if (count < PL_ROUTE_SHARES_MAX)
+		last->next = index + 1;
+	else
+		replace_least_(routing, first, entry);
+}
+
 static void link_addresses_(pl_routing_t *routing)
 {
 	for (guint i = 0; i < routing->addresses->len; i++) {
-		address_t *entry =
-			&g_array_index(routing->addresses, address_t, i);
+		address_t *entry = address_at_(routing, i);
+		address_t *first = first_of_(routing, &entry->addr);
 
-		/* the validation of the document rejects two services with the
-		 * same address; here the first one keeps it */
-		if (!g_hash_table_contains(routing->by_address, &entry->addr))
+		if (first)
+			add_share_(routing, first, i);
+		else
 			g_hash_table_insert(routing->by_address, &entry->addr,
 					    GUINT_TO_POINTER(i));
 	}
@@ -306,23 +373,40 @@
 const pl_route_service_t *pl_routing_by_address(const pl_routing_t *routing,
 						const pl_addr_t *addr)
 {
-	guint index = 0;
+	const address_t *first = first_of_(routing, addr);
+	const address_t *best = first;
 
-	if (!lookup_index_(routing->by_address, addr, &index))
+	if (!first)
 		return NULL;
-	return pl_routing_service_at(
-		routing,
-		g_array_index(routing->addresses, address_t, index).service);
+	for (const address_t *at = first; at; at = next_of_(routing, at)) {
+		if (at->policy.weight > best->policy.weight)
+			best = at;
+	}
+	return pl_routing_service_at(routing, best->service);
+}
+
+size_t pl_routing_shares(const pl_routing_t *routing, const pl_addr_t *addr,
+			 pl_route_share_t shares[PL_ROUTE_SHARES_MAX])
+{
+	size_t count = 0;
+
+	for (const address_t *at = first_of_(routing, addr); at;
+	     at = next_of_(routing, at))
+		shares[count++] = (pl_route_share_t){
+			.service = pl_routing_service_at(routing, at->service),
+			.policy = &at->policy,
+			.weight = at->policy.weighted ? at->policy.weight :
+							PL_ROUTE_WEIGHT_FULL,
+		};
+	return count;
 }
 
 const pl_route_policy_t *pl_routing_route(const pl_routing_t *routing,
 					  const pl_addr_t *addr)
 {
-	guint index = 0;
+	const address_t *first = first_of_(routing, addr);
 
-	if (!lookup_index_(routing->by_address, addr, &index))
-		return NULL;
-	return &g_array_index(routing->addresses, address_t, index).policy;
+	return first ? &first->policy : NULL;
 }
 
 const pl_route_service_t *pl_routing_by_id(const pl_routing_t *routing,
--- a/test/config/document_test.c
+++ b/test/config/document_test.c
@@ -142,6 +142,120 @@
 	pl_problems_delete(problems);
 }
 
+#define SPLIT_(desk, archive)                                  \
+	"format = 1\n"                                         \
+	"[[service]]\nname = \"desk\"\n"                       \
+	"addresses = [\"192.0.2.1:443\", \"192.0.2.1:80\"]\n"  \
+	"[[service.route]]\naddress = \"192.0.2.1:443\"\n"     \
+	"weight = " desk "\n[[service]]\nname = \"archive\"\n" \
+	"addresses = [\"192.0.2.1:443\"]\n"                    \
+	"[[service.route]]\naddress = \"192.0.2.1:443\"\n"     \
+	"weight = " archive "\n"
+
+static void weights_of_a_shared_address_round_trip(void **state)
+{
+	pl_document_t *document = parse_document_(SPLIT_("90", "0"));
+	pl_document_t *changed = parse_document_(SPLIT_("80", "20"));
+	pl_section_t *section = pl_document_find(document, "desk");
+	const pl_route_policy_t *routes;
+	pl_section_t *copy = NULL;
+	const uint8_t *bytes;
+	size_t len;
+	char *text;
+
+	(void)state;
+	bytes = pl_section_bytes(section, &len);
+	assert_int_equal(pl_section_decode(bytes, len, &copy, NULL), PL_OK);
+	routes = pl_section_service(copy)->routes;
+	assert_true(routes[0].weighted);
+	assert_int_equal(routes[0].weight, 90);
+	assert_false(routes[1].weighted);
+	pl_section_put(copy);
+	routes = pl_section_service(pl_document_find(document, "archive"))
+			 ->routes;
+	assert_true(routes[0].weighted);
+	assert_int_equal(routes[0].weight, 0);
+	text = pl_document_diff(document, changed);
+	assert_string_equal(
+		text, "service archive: weight for 192.0.2.1:443 0 -> 20\n"
+		      "service desk: weight for 192.0.2.1:443 90 -> 80\n");
+	free(text);
+	pl_document_put(changed);
+	pl_document_put(document);
+}
+
+/* Guards against another encoding of a route without a weight: members of an
+ * earlier release would compute another hash for the same document. */
+static void route_without_a_weight_keeps_its_encoding(void **state)
+{
+	/* { "s", [192.0.2.1:443], policy, [], [], [[200, 3000, 1]] } */
+	static const uint8_t expected[] = {
+		0x96, 0xa1, 's',  0x91, 0xc4, 6,   192,	 0,    2,    1,
+		0x01, 0xbb, 0x97, 0,	0,    0,   0,	 0,    0,    0,
+		0x90, 0x90, 0x91, 0x93, 0xcc, 200, 0xcd, 0x0b, 0xb8, 1,
+	};
+	pl_service_config_t service = { .name = "s", .address_count = 1 };
+	pl_section_t *section;
+	const uint8_t *bytes;
+	size_t len;
+
+	(void)state;
+	service.addresses = g_new0(pl_addr_t, 1);
+	pl_addr_parse("192.0.2.1:443", &service.addresses[0], NULL);
+	service.routes = g_new0(pl_route_policy_t, 1);
+	service.routes[0] = (pl_route_policy_t){ .goal_ms = 200,
+						 .timeout_ms = 3000,
+						 .priority = 1 };
+	section = pl_section_new(&service);
+	bytes = pl_section_bytes(section, &len);
+	assert_int_equal(len, sizeof(expected));
+	assert_memory_equal(bytes, expected, len);
+	pl_section_put(section);
+}
+
+static void problems_of_weights_name_their_line(void **state)
+{
+	static const char text[] = "format = 1\n"
+				   "[[service]]\n"
+				   "name = \"a\"\n"
+				   "addresses = [\"192.0.2.1:1\"]\n"
+				   "[[service.route]]\n"
+				   "address = \"192.0.2.1:2\"\n"
+				   "weight = 1\n"
+				   "[[service.route]]\n"
+				   "address = \"192.0.2.1:1\"\n"
+				   "weight = 1000001\n"
+				   "[[service.route]]\n"
+				   "address = \"192.0.2.1:1\"\n"
+				   "[[service]]\n"
+				   "name = \"b\"\n"
+				   "addresses = [\"192.0.2.1:1\"]\n";
+	static const char *const expected[] = {
+		"d:6: service[0].route[0].address: is none of the service's "
+		"addresses",
+		"d:10: service[0].route[1].weight: 1000001 is not from 0 to "
+		"1000000",
+		"d:11: service[0].route[2].weight: is missing",
+		"d:15: service[1].addresses: 192.0.2.1:1 is an address of the "
+		"service \"a\" already, and only one of them gives a weight "
+		"for it",
+	};
+	pl_problems_t *problems = pl_problems_new("d");
+	pl_document_t *document;
+
+	(void)state;
+	assert_int_equal(
+		pl_document_parse(text, strlen(text), 1, &document, problems),
+		PL_ERR_CONFIG);
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+		if (!strstr(pl_problems_text(problems), expected[i]))
+			fail_msg("no \"%s\" in:\n%s", expected[i],
+				 pl_problems_text(problems));
+	}
+	assert_int_equal(pl_problems_count(problems), G_N_ELEMENTS(expected));
+	pl_problems_delete(problems);
+}
+
 static void diff_lists_every_change(void **state)
 {
 	pl_document_t *one = parse_document_(base_text_);
@@ -211,6 +325,9 @@
 		cmocka_unit_test(section_round_trips_and_truncation_is_refused),
 		cmocka_unit_test(hash_is_independent_of_the_text_layout),
 		cmocka_unit_test(every_problem_names_its_line),
+		cmocka_unit_test(weights_of_a_shared_address_round_trip),
+		cmocka_unit_test(route_without_a_weight_keeps_its_encoding),
+		cmocka_unit_test(problems_of_weights_name_their_line),
 		cmocka_unit_test(diff_lists_every_change),
 		cmocka_unit_test(examples_are_valid),
 	};
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -135,6 +135,9 @@
 	size_t agent_flows_max; /* capacity of an agent for flow records */
 	const char *target; /* service that the route sends new flows to */
 	pl_evacuations_t evacuations; /* known to entries when published */
+	/* If set, the route names both services, with these weights. */
+	bool weighted;
+	uint32_t weights[WORLD_SERVICES];
 	const char *left_out; /* service that is not configured, or NULL */
 	bool store_up;
 	unsigned int roster_reads;
--- a/test/routing/routing_test.c
+++ b/test/routing/routing_test.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 
 #include <pimentolift/placement.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #define CALLERS 10000
@@ -192,6 +193,55 @@
 	pl_routing_put(gone);
 }
 
+/* Services with weights share an address; one without a weight has it alone. */
+static void services_of_an_address_are_found(void **state)
+{
+	static const uint32_t weights[] = { 0, 100, 900, 900 };
+	pl_routing_builder_t *builder = pl_routing_builder_new(3);
+	const pl_service_policy_t policy = { 0 };
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	pl_addr_t shared = { .port = 1, .family = PL_ADDR_IPV4 };
+	pl_addr_t alone = { .port = 2, .family = PL_ADDR_IPV4 };
+	pl_addr_t crowded = { .port = 3, .family = PL_ADDR_IPV4 };
+	pl_routing_t *routing;
+
+	(void)state;
+	for (uint32_t i = 0; i < 2 * PL_ROUTE_SHARES_MAX; i++) {
+		pl_route_policy_t route = { .weighted = true, .weight = i };
+		char name[8];
+
+		snprintf(name, sizeof(name), "s%u", i);
+		pl_routing_builder_service(builder, name, &policy);
+		pl_routing_builder_route(builder, pl_service_id(name), &crowded,
+					 &route);
+		route.weight = i < 4 ? weights[i] : 0;
+		if (i < 4)
+			pl_routing_builder_route(builder, pl_service_id(name),
+						 &shared, &route);
+		route.weighted = i != 2;
+		if (i < 4)
+			pl_routing_builder_route(builder, pl_service_id(name),
+						 &alone, &route);
+	}
+	routing = pl_routing_builder_finish(builder);
+	assert_int_equal(pl_routing_shares(routing, &shared, shares), 4);
+	for (size_t i = 0; i < 4; i++)
+		assert_int_equal(shares[i].weight, weights[i]);
+	assert_string_equal(pl_routing_by_address(routing, &shared)->name,
+			    "s2");
+	assert_int_equal(pl_routing_shares(routing, &alone, shares), 1);
+	assert_string_equal(shares[0].service->name, "s2");
+	assert_int_equal(shares[0].weight, PL_ROUTE_WEIGHT_FULL);
+	/* the greatest weights are kept */
+	assert_int_equal(pl_routing_shares(routing, &crowded, shares),
+			 PL_ROUTE_SHARES_MAX);
+	for (size_t i = 0; i < PL_ROUTE_SHARES_MAX; i++)
+		assert_true(shares[i].weight >= PL_ROUTE_SHARES_MAX);
+	shared.port = 9;
+	assert_int_equal(pl_routing_shares(routing, &shared, shares), 0);
+	pl_routing_put(routing);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -200,6 +250,7 @@
 		cmocka_unit_test(equal_weights_get_equal_shares),
 		cmocka_unit_test(draining_moves_only_its_own_callers),
 		cmocka_unit_test(ranking_respects_scope_and_state),
+		cmocka_unit_test(services_of_an_address_are_found),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
