--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -41,6 +41,9 @@
 	 * holds the flow; a probe that was not handed back only makes
 	 * it likely. */
 	bool confirmed;
+	/** When the server first got a probe of the flow; 0: never, or it has
+	 * shown since that it holds the flow. */
+	pl_ms_t probed_at;
 	bool forwarded_as_known; /**< forwarded with PL_FLOW_OWNER_KNOWN */
 	bool entry_keeps_copy; /**< the entry keeps copies of its packets */
 	bool closed; /**< the caller or the server closed or reset it */
@@ -91,6 +94,7 @@
 	/** When the server last refused a connection; 0: never. */
 	pl_ms_t refused_at;
 	bool serving; /**< according to the last report */
+	bool backend_left; /**< the reported process has announced its end */
 	/** A packet or report of the server has arrived since the start of the
 	 * agent or since the last server ended. */
 	bool backend_seen;
@@ -132,8 +136,15 @@
 			flow_state_t state);
 
 void pl_flow_start_probe_(pl_flow_agent_t *agent, flow_t *flow);
-/** Ends a probe that was not handed back: the server holds the flow. */
+/** Ends a probe that was not handed back: the server is presumed to hold the
+ * flow. */
 void pl_flow_probe_succeeded_(pl_flow_agent_t *agent, flow_t *flow);
+/** Records that the server has shown that it holds the flow; the entry is told
+ * if the flow was probed. */
+void pl_flow_confirm_(pl_flow_agent_t *agent, flow_t *flow);
+/** Time since the server got a probe of the flow that it has not shown to hold,
+ * in ms, at least 1; else 0. */
+uint32_t pl_flow_probed_ms_(const pl_flow_agent_t *agent, const flow_t *flow);
 void pl_flow_on_release_(void *ctx, pl_flow_node_t *node);
 /** Called before the record of a flow that may be open is evicted. */
 void pl_flow_on_evict_(void *ctx, pl_flow_node_t *node);
@@ -177,6 +188,8 @@
 bool pl_flow_backend_is_gone_(const pl_flow_agent_t *agent);
 /** Whether the server does not listen and may count as gone later. */
 bool pl_flow_backend_is_silent_(const pl_flow_agent_t *agent);
+/** Whether the backend server drains and has not ended yet. */
+bool pl_flow_backend_is_draining_(const pl_flow_agent_t *agent);
 /** Whether a flow without a record is not held by the server. */
 bool pl_flow_backend_knows_all_flows_(const pl_flow_agent_t *agent);
 /** Whether the backend server accepts opening packets now. */
