placement: a report's age and the time to answer count

Cause: endpoints were compared by the share of slots taken alone. Reports from other data centres are often seconds old; a moment in which all slots were busy, or none, was taken for the present.

The policy pl_place_least_wait takes the mean over the last second for more the older a report is, and multiplies the share by the time to answer where that exceeds the candidates' mean by half.

--- a/include/pimentolift/balance/place.h
+++ b/include/pimentolift/balance/place.h
@@ -24,6 +24,7 @@
 	/** Opening packets (first packets of flows) that were sent too recently
 	 * to be in @c load. */
 	uint32_t unreported;
+	pl_ms_t age_ms; /**< of @c load */
 	bool local; /**< in the same data centre as the entry */
 } pl_place_candidate_t;
 
@@ -40,6 +41,9 @@
 /** Least loaded endpoint; one in the entry's data centre is preferred if the
  * difference is small. */
 extern const pl_place_policy_t pl_place_least_utilised;
+/** As pl_place_least_utilised, but an endpoint that takes longer to answer than
+ * the others counts as more loaded by as much. */
+extern const pl_place_policy_t pl_place_least_wait;
 
 #endif
 /** @} */
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -112,7 +112,7 @@
 		.link_bytes_per_s =
 			(uint64_t)(settings->flows.link_mbps * BYTES_PER_MBIT),
 		.packets = &pl_platform_packets,
-		.placement = &pl_place_least_utilised,
+		.placement = &pl_place_least_wait,
 	};
 
 	return pl_flow_entry_new(&params, &ops_, role,
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -25,6 +25,7 @@
 	pl_endpoint_load_t load;
 	pl_ms_t sent[SENT_TIMES_MAX]; /**< times of the last opening packets */
 	unsigned int next; /**< index of the next time, modulo SENT_TIMES_MAX */
+	pl_ms_t reported_at; /**< time of the last report; 0: none yet */
 } agent_load_t;
 
 void pl_flow_loads_init_(pl_flow_entry_t *entry)
@@ -48,7 +49,10 @@
 void pl_flow_loads_update_(pl_flow_entry_t *entry, pl_member_id_t agent,
 			   const pl_endpoint_load_t *load)
 {
-	get_load_(entry, agent)->load = *load;
+	agent_load_t *known = get_load_(entry, agent);
+
+	known->load = *load;
+	known->reported_at = pl_flow_entry_now_(entry);
 }
 
 static void record_sent_(pl_flow_entry_t *entry, pl_member_id_t agent)
@@ -214,6 +218,7 @@
 			.weight = ranked[i].endpoint->weight,
 			.load = load->load,
 			.unreported = count_unreported_(entry, load),
+			.age_ms = pl_flow_entry_now_(entry) - load->reported_at,
 			.local = ranked[i].endpoint->datacentre ==
 				 entry->params.datacentre,
 		};
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -304,7 +304,7 @@
 
 static void load_is_balanced(void **state)
 {
-	double load = imbalance_(&pl_place_least_utilised);
+	double load = imbalance_(&pl_place_least_wait);
 
 	(void)state;
 	print_message("busiest to mean: %.3f by load, %.3f by hash\n", load,
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -956,7 +956,7 @@
 	world->next_port = 1;
 	world->store_up = true;
 	world->order = &pl_work_order_due;
-	world->placement = &pl_place_least_utilised;
+	world->placement = &pl_place_least_wait;
 	world->target = WORLD_SERVICE;
 	world->agent_flows_max = AGENT_FLOWS_MAX;
 	world->agent_count = servers;
