--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -227,6 +227,7 @@
 			.weight = ranked[i].endpoint->weight,
 			.load = load->load,
 			.unreported = count_unreported_(entry, load),
+			.age_ms = pl_flow_entry_now_(entry) - load->reported_at,
 			.local = ranked[i].endpoint->datacentre ==
 				 entry->params.datacentre,
 		};
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -1041,7 +1041,7 @@
 	world->strays =
 		g_hash_table_new_full(key_hash_, key_equal_, g_free, g_free);
 	world->order = &pl_work_order_due;
-	world->placement = &pl_place_least_utilised;
+	world->placement = &pl_place_least_wait;
 	world->target = WORLD_SERVICE;
 	world->agent_flows_max = AGENT_FLOWS_MAX;
 	world->agent_count = servers;
