flow entry: probes are bounded for a flow, and none is sent before all have answered

The limit was one of a lookup, while the routers hand the flow to the next entry each 1.3 s, which looks it up anew.

Change: no probe while an agent that may own the flow has not answered; agents tell in their answers when their server got a probe, so that all entries together probe within one second; probes that got lost are repeated; a lookup probes for 1.5 s after the caller's last packet.

--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -59,6 +59,9 @@
 	PL_FLOW_LAST_OFFER = 4,
 	/** The entry and the agent are in different data centres. */
 	PL_FLOW_REMOTE = 8,
+	/** VERDICT: the server is only presumed to hold the flow: it did not
+	 * hand back a probe, but has sent no packet of the flow yet. */
+	PL_FLOW_PRESUMED = 16,
 } pl_flow_flag_t;
 
 /** State of a flow as an agent knows it. */
@@ -82,7 +85,14 @@
 /** A flow of a LOCATE or LOCATED message. */
 typedef struct {
 	pl_flow_key_t flow;
-	uint32_t ack; /**< acknowledgement number of the queued packet */
+	union {
+		/** LOCATE: acknowledgement number of the queued packet. */
+		uint32_t ack;
+		/** LOCATED: time since the server got a probe of the flow, in
+		 * ms, at least 1; 0 if it got none, or has shown since that it
+		 * holds the flow. Such an OWNED verdict is presumed. */
+		uint32_t probed_ms;
+	};
 	pl_flow_verdict_t verdict; /**< LOCATED */
 } pl_flow_item_t;
 
@@ -94,7 +104,8 @@
 	 * sender does not know it. */
 	pl_service_id_t service;
 	pl_flow_key_t flow;
-	unsigned int flags; /**< FORWARD; bits of @ref pl_flow_flag_t */
+	unsigned int
+		flags; /**< FORWARD, VERDICT; bits of @ref pl_flow_flag_t */
 	uint32_t due_ms; /**< FORWARD: time left until the deadline; 0: late */
 	uint32_t priority; /**< FORWARD; 0 is the most urgent */
 	/** FORWARD: time until the caller gives up; 0: not known. */
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -74,16 +74,27 @@
 	return load;
 }
 
+static flow_t *find_flow_(const pl_flow_agent_t *agent,
+			  const pl_flow_key_t *key)
+{
+	pl_flow_node_t *node = pl_flow_table_find(agent->flows, key);
+
+	return node ? PL_CONTAINER_OF(node, flow_t, node) : NULL;
+}
+
 void pl_flow_agent_send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
 				 const pl_flow_key_t *key,
 				 pl_flow_verdict_t verdict,
 				 const uint8_t *packet, size_t len)
 {
+	bool presumed = verdict == PL_FLOW_OWNED &&
+			pl_flow_probed_ms_(agent, find_flow_(agent, key)) > 0;
 	const pl_flow_message_t message = {
 		.type = PL_FLOW_VERDICT,
 		.sender = agent->params.self,
 		.service = agent->params.service,
 		.flow = *key,
+		.flags = presumed ? PL_FLOW_PRESUMED : 0,
 		.verdict = verdict,
 		.load = pl_flow_agent_load_(agent),
 		.packet = packet,
@@ -93,14 +104,6 @@
 	agent->ops->send(agent->ctx, entry, &message);
 }
 
-static flow_t *find_flow_(const pl_flow_agent_t *agent,
-			  const pl_flow_key_t *key)
-{
-	pl_flow_node_t *node = pl_flow_table_find(agent->flows, key);
-
-	return node ? PL_CONTAINER_OF(node, flow_t, node) : NULL;
-}
-
 /* Whether the caller's acknowledgement matches this server's SYN-ACK. An
  * opening packet may be offered to several servers, and the caller answers
  * only one of them. */
@@ -319,6 +322,7 @@
 	if (flow->state == FLOW_OFFERED) {
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
 		flow->confirmed = true;
+		flow->probed_at = 0;
 		pl_flow_work_flow_opened_(agent, flow);
 	}
 	if (!(message->flags & PL_FLOW_OWNER_KNOWN) && flow->state == FLOW_OPEN)
@@ -343,11 +347,12 @@
 	};
 
 	for (size_t i = 0; i < message->item_count; i++) {
-		items[i] = message->items[i];
-		items[i].verdict = get_verdict_(
-			agent, find_flow_(agent, &items[i].flow), items[i].ack);
-		/* the entry knows the value, and 0 has the shortest encoding */
-		items[i].ack = 0;
+		const pl_flow_item_t *asked = &message->items[i];
+		const flow_t *flow = find_flow_(agent, &asked->flow);
+
+		items[i].flow = asked->flow;
+		items[i].verdict = get_verdict_(agent, flow, asked->ack);
+		items[i].probed_ms = pl_flow_probed_ms_(agent, flow);
 	}
 	agent->ops->send(agent->ctx, message->sender, &answer);
 }
@@ -438,14 +443,12 @@
 	if (opens && flow->state != FLOW_OPEN) {
 		flow->server_isn = packet->seq;
 		pl_flow_set_state_(agent, flow, FLOW_OFFERED);
-	} else if (flow->state == FLOW_PROBING) {
-		pl_flow_probe_succeeded_(agent, flow);
 	} else if (!opens && flow->state != FLOW_OFFERED) {
 		/* the server sends packets of the flow, so it holds it */
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
 	}
 	if (!opens && !(packet->flags & PL_PACKET_RST))
-		flow->confirmed = true;
+		pl_flow_confirm_(agent, flow);
 	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
 	if (packet->data_len > 0)
 		pl_flow_work_answered_(agent, flow);
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -11,9 +11,9 @@
  * it does not hold. */
 #define PROBE_TIMEOUT_MS 15
 
-/* A live server that did not hand the probe back holds the flow. If no packet
- * or report of the server has arrived yet, the probe stays open until the
- * server answers. */
+/* A live server that did not hand the probe back is presumed to hold the flow:
+ * this process or the server may just be late. If no packet or report of the
+ * server has arrived yet, the probe stays open until the server answers. */
 static void on_probe_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	const pl_flow_agent_t *agent = ctx;
@@ -52,6 +52,8 @@
 void pl_flow_start_probe_(pl_flow_agent_t *agent, flow_t *flow)
 {
 	agent->stats.probes++;
+	if (flow->probed_at == 0)
+		flow->probed_at = pl_flow_agent_now_(agent);
 	pl_flow_set_state_(agent, flow, FLOW_PROBING);
 	pl_timer_arm(agent->timers, &flow->probe_timer,
 		     pl_flow_agent_now_(agent) + PROBE_TIMEOUT_MS);
@@ -64,6 +66,24 @@
 				    PL_FLOW_OWNED, NULL, 0);
 }
 
+void pl_flow_confirm_(pl_flow_agent_t *agent, flow_t *flow)
+{
+	bool probed = flow->probed_at != 0;
+
+	flow->confirmed = true;
+	flow->probed_at = 0;
+	if (probed)
+		pl_flow_agent_send_verdict_(agent, flow->entry, &flow->node.key,
+					    PL_FLOW_OWNED, NULL, 0);
+}
+
+uint32_t pl_flow_probed_ms_(const pl_flow_agent_t *agent, const flow_t *flow)
+{
+	if (!flow || flow->probed_at == 0)
+		return 0;
+	return (uint32_t)MAX(pl_flow_agent_now_(agent) - flow->probed_at, 1);
+}
+
 void pl_flow_reopen_(pl_flow_agent_t *agent, flow_t *flow)
 {
 	flow->closed = false;
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -403,6 +403,9 @@
 static void handle_owned_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			  const pl_flow_message_t *message)
 {
+	/* only a lookup can tell whether another agent may own the flow */
+	if (message->flags & PL_FLOW_PRESUMED)
+		return;
 	flow->owner = message->sender;
 	flow->queueing_agent = 0;
 	pl_flow_entry_cancel_offers_(entry, flow);
@@ -427,10 +430,16 @@
 			node ? PL_CONTAINER_OF(node, cached_flow_t, node) :
 			       NULL;
 
+		const pl_flow_claim_t claim = {
+			.agent = message->sender,
+			.service = message->service,
+			.verdict = item->verdict,
+			.presumed = item->probed_ms > 0,
+			.probed_ms = item->probed_ms,
+		};
+
 		if (flow && flow->lookup)
-			pl_flow_lookup_verdict_(
-				entry, flow->lookup, message->sender,
-				message->service, item->verdict);
+			pl_flow_lookup_verdict_(entry, flow->lookup, &claim);
 	}
 }
 
@@ -445,6 +454,12 @@
 void pl_flow_entry_message(pl_flow_entry_t *entry,
 			   const pl_flow_message_t *message)
 {
+	const pl_flow_claim_t claim = {
+		.agent = message->sender,
+		.service = message->service,
+		.verdict = message->verdict,
+		.presumed = (message->flags & PL_FLOW_PRESUMED) != 0,
+	};
 	pl_flow_node_t *node;
 	cached_flow_t *flow;
 
@@ -464,8 +479,7 @@
 		return;
 	flow = PL_CONTAINER_OF(node, cached_flow_t, node);
 	if (flow->lookup && is_lookup_verdict_(message->verdict)) {
-		pl_flow_lookup_verdict_(entry, flow->lookup, message->sender,
-					message->service, message->verdict);
+		pl_flow_lookup_verdict_(entry, flow->lookup, &claim);
 		return;
 	}
 	if (!has_service_of_(flow, message))
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -9,6 +9,13 @@
  * started before the agent did, is probed: it is sent one real packet of the
  * flow, and its server hands the packet back if it does not hold the flow. Only
  * a few agents are probed at the same time.
+ *
+ * A probe puts a packet of the flow in front of a server that may not hold it,
+ * and routers move a flow from entry to entry, each with a lookup of its own.
+ * So no server is probed while another agent has yet to say whether it holds
+ * the flow, and agents tell which of their servers got a probe and when.
+ * A server is presumed to hold the flow if it does not hand the probe back;
+ * its own packet or its agent's record confirms that.
  */
 #include "private/entry_private.h"
 
@@ -40,9 +47,20 @@
 #define LOGGED_AGENTS_MAX 6
 /** Lookups open at the same time; packets that would need more are dropped. */
 #define LOOKUPS_OPEN_MAX 4096
-/** Probes of one lookup while an agent that may own the flow is silent. Limits
- * the servers that receive a packet of a flow that they do not hold. */
-#define PROBES_WHILE_SILENT_MAX 2
+/** All probes of a flow are sent within this time of the first one. Three packets
+ * that reach only servers which do not hold the flow, over 2 s, count as
+ * misdirected, and a probe may wait on a slow link. */
+#define PROBE_PERIOD_MS 1000
+/** Age of the caller's last packet up to which its flow is probed. Callers
+ * retransmit, so after this time the routers send the flow to another entry,
+ * which probes too. */
+#define PACKET_AGE_MAX_MS 1500
+/** Probes of a flow count for this long: callers give up a request that is not
+ * answered by then, and send nothing more on its flow. */
+#define PROBES_COUNT_MS 10000
+/** Packets sent to a server that is presumed to hold the flow, with the probe.
+ * A server acknowledges every second packet at the latest. */
+#define PRESUMED_SENT_MAX 2
 /** An agent that was unsure is queried again after this time. */
 #define REQUERY_UNSURE_MS 500
 
@@ -109,9 +127,10 @@
 /* Agents of a lookup that have not ruled the flow out. */
 typedef struct {
 	size_t silent;
-	size_t possible_owners; /**< silent agents that may own the flow */
+	/** Silent agents that may own the flow and were not probed. */
+	size_t possible_owners;
 	size_t unsure;
-	size_t probed;
+	size_t unresolved; /**< all silent or unsure ones that may own it */
 	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
 	bool probes_others; /**< @c to_probe is of an unexpected service */
 } pending_t;
@@ -149,12 +168,15 @@
 		agent_query_t *query =
 			&g_array_index(lookup->queries, agent_query_t, i);
 
-		pending.probed += query->probed;
 		if (!query->answered) {
+			bool owner = pl_flow_roster_may_own_(entry, lookup,
+							     query->agent);
+
 			pending.silent++;
-			pending.possible_owners += pl_flow_roster_may_own_(
-				entry, lookup, query->agent);
+			pending.possible_owners += owner && !query->probed;
+			pending.unresolved += owner;
 		} else if (query->verdict == PL_FLOW_UNSURE) {
+			pending.unresolved++;
 			note_unsure_(entry, lookup, expected, query, &pending);
 		}
 	}
@@ -168,20 +190,56 @@
 		pl_packet_queue_first(&lookup->packets);
 
 	query->probed = true;
+	query->probe_sent_at = pl_flow_entry_now_(entry);
+	if (query->probed_at == 0)
+		query->probed_at = query->probe_sent_at;
 	lookup->probes++;
 	pl_flow_entry_forward_probe_(entry, lookup->flow, query, packet->bytes,
 				     packet->len);
 	arm_timer_(entry, lookup, PROBE_TIMEOUT_MS);
 }
 
-/* Sends probes. If no agent that may own the flow is silent, the owner is among
- * the agents to probe, so several are probed in parallel. */
+/* When the first probe of the flow that still counts was sent, by any entry; 0
+ * if there was none. Each agent that answers tells of its own. */
+static pl_ms_t first_probe_(const pl_flow_entry_t *entry,
+			    const lookup_t *lookup)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+	pl_ms_t first = 0;
+
+	for (guint i = 0; i < lookup->queries->len; i++) {
+		pl_ms_t at = g_array_index(lookup->queries, agent_query_t, i)
+				     .probed_at;
+
+		if (at != 0 && now - at <= PROBES_COUNT_MS &&
+		    (first == 0 || at < first))
+			first = at;
+	}
+	return first;
+}
+
+/* Whether a server may be probed now: only if no agent that may own the flow is
+ * silent. Then all probes of the flow by other entries are known too, and the
+ * owner is among the agents that are left to probe. All are probed in a short
+ * time; if one agent is left later, it is the owner. */
+static bool may_probe_(const pl_flow_entry_t *entry, const lookup_t *lookup,
+		       const pending_t *pending)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+	pl_ms_t first = first_probe_(entry, lookup);
+
+	if (lookup->presumed != 0 || pending->possible_owners > 0 ||
+	    now - lookup->packet_at > PACKET_AGE_MAX_MS)
+		return false;
+	return first == 0 || now - first < PROBE_PERIOD_MS ||
+	       pending->unresolved == 1;
+}
+
+/* Sends the probes that are allowed now, several in parallel. */
 static void probe_next_(pl_flow_entry_t *entry, lookup_t *lookup,
 			pending_t *pending)
 {
-	bool silent = pending->possible_owners > 0;
-
-	if (silent && pending->probed >= PROBES_WHILE_SILENT_MAX) {
+	if (!may_probe_(entry, lookup, pending)) {
 		pl_flow_roster_refresh_(entry, lookup);
 		arm_timer_(entry, lookup, RECHECK_MIN_MS);
 		return;
@@ -189,8 +247,6 @@
 	while (pending->to_probe && lookup->probes < PROBES_MAX) {
 		lookup->probes_others = pending->probes_others;
 		probe_(entry, lookup, pending->to_probe);
-		if (silent)
-			return;
 		*pending = count_pending_(entry, lookup);
 	}
 }
@@ -315,7 +371,7 @@
 			&g_array_index(lookup->queries, agent_query_t, i);
 
 		if (!query->answered || !query->probed ||
-		    query->verdict != PL_FLOW_UNSURE)
+		    query->verdict == PL_FLOW_ABSENT)
 			continue;
 		query->answered = false;
 		lookup->unanswered++;
@@ -396,24 +452,98 @@
 			return;
 		lookup = start_lookup_(entry, flow, ack);
 	}
+	lookup->packet_at = pl_flow_entry_now_(entry);
 	pl_packet_queue_add(&lookup->packets, bytes, len);
 }
 
+/* Sends the presumed owner the next packets that it may get while the flow may
+ * have another owner. */
+static void send_to_presumed_(pl_flow_entry_t *entry, lookup_t *lookup,
+			      const agent_query_t *query)
+{
+	size_t i = 0;
+
+	pl_list_for_each(link, &lookup->packets.list) {
+		const pl_queued_packet_t *packet =
+			PL_CONTAINER_OF(link, pl_queued_packet_t, link);
+
+		if (i++ < lookup->presumed_sent)
+			continue;
+		if (lookup->presumed_sent == PRESUMED_SENT_MAX)
+			return;
+		lookup->presumed_sent++;
+		pl_flow_entry_forward_probe_(entry, lookup->flow, query,
+					     packet->bytes, packet->len);
+	}
+}
+
+/* Whether an agent other than the one of @p query may own the flow. */
+static bool has_other_owner_(const pl_flow_entry_t *entry,
+			     const lookup_t *lookup, const agent_query_t *query)
+{
+	bool itself = query->answered ? query->verdict == PL_FLOW_UNSURE :
+					pl_flow_roster_may_own_(entry, lookup,
+								query->agent);
+
+	return count_pending_(entry, lookup).unresolved > itself;
+}
+
+/* Handles the claim of an agent whose server did not hand a probe back. It is
+ * the owner if no other agent may be; else it stays presumed until it, or
+ * another one, is confirmed. Returns whether the lookup has ended. */
+static bool handle_presumed_(pl_flow_entry_t *entry, lookup_t *lookup,
+			     agent_query_t *query)
+{
+	query->probed = true;
+	if (lookup->wide && !has_other_owner_(entry, lookup, query)) {
+		set_owner_(entry, lookup, query->agent, query->service);
+		return true;
+	}
+	if (lookup->presumed == 0) {
+		lookup->presumed = query->agent;
+		lookup->presumed_sent = 1;
+	}
+	if (lookup->presumed == query->agent)
+		send_to_presumed_(entry, lookup, query);
+	return false;
+}
+
+/* Updates when the agent's server got a probe. One that the agent has not seen
+ * by the time at which it would have been handed back was lost. */
+static void note_probed_(const pl_flow_entry_t *entry, agent_query_t *query,
+			 const pl_flow_claim_t *claim)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+
+	if (claim->probed_ms > 0)
+		query->probed_at = now - MIN(claim->probed_ms, now - 1);
+	if (claim->verdict != PL_FLOW_UNSURE || claim->probed_ms > 0 ||
+	    !query->probed || now - query->probe_sent_at < PROBE_TIMEOUT_MS)
+		return;
+	query->probed = false;
+	query->probed_at = 0;
+}
+
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
-			     pl_member_id_t agent, pl_service_id_t service,
-			     pl_flow_verdict_t verdict)
+			     const pl_flow_claim_t *claim)
 {
-	agent_query_t *query = find_query_(lookup, agent);
+	pl_flow_verdict_t verdict = claim->verdict;
+	agent_query_t *query = find_query_(lookup, claim->agent);
 
-	if (verdict == PL_FLOW_OWNED) {
-		set_owner_(entry, lookup, agent, service);
+	if (verdict == PL_FLOW_OWNED && !claim->presumed) {
+		set_owner_(entry, lookup, claim->agent, claim->service);
 		return;
 	}
 	if (!query || verdict == PL_FLOW_REFUSED)
 		return;
 	if (query->probed && verdict == PL_FLOW_ABSENT && lookup->probes > 0)
 		lookup->probes--;
-	query->service = service;
+	note_probed_(entry, query, claim);
+	if (lookup->presumed == claim->agent && verdict == PL_FLOW_ABSENT)
+		lookup->presumed = 0;
+	query->service = claim->service;
+	if (verdict == PL_FLOW_OWNED && handle_presumed_(entry, lookup, query))
+		return;
 	if (!query->answered)
 		lookup->unanswered--;
 	query->answered = true;
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -41,6 +41,9 @@
 	 * holds the flow; a probe that was not handed back only makes
 	 * it likely. */
 	bool confirmed;
+	/** When the server first got a probe of the flow; 0: never, or it has
+	 * shown since that it holds the flow. */
+	pl_ms_t probed_at;
 	bool forwarded_as_known; /**< forwarded with PL_FLOW_OWNER_KNOWN */
 	bool entry_keeps_copy; /**< the entry keeps copies of its packets */
 	bool closed; /**< the caller or the server closed or reset it */
@@ -132,8 +135,15 @@
 			flow_state_t state);
 
 void pl_flow_start_probe_(pl_flow_agent_t *agent, flow_t *flow);
-/** Ends a probe that was not handed back: the server holds the flow. */
+/** Ends a probe that was not handed back: the server is presumed to hold the
+ * flow. */
 void pl_flow_probe_succeeded_(pl_flow_agent_t *agent, flow_t *flow);
+/** Records that the server has shown that it holds the flow; the entry is told
+ * if the flow was probed. */
+void pl_flow_confirm_(pl_flow_agent_t *agent, flow_t *flow);
+/** Time since the server got a probe of the flow that it has not shown to hold,
+ * in ms, at least 1; else 0. */
+uint32_t pl_flow_probed_ms_(const pl_flow_agent_t *agent, const flow_t *flow);
 void pl_flow_on_release_(void *ctx, pl_flow_node_t *node);
 /** Called before the record of a flow that may be open is evicted. */
 void pl_flow_on_evict_(void *ctx, pl_flow_node_t *node);
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -16,14 +16,17 @@
 typedef struct {
 	pl_member_id_t agent;
 	pl_service_id_t service; /**< of the agent; 0 while unknown */
-	unsigned int send_count; /**< times the query was sent */
 	pl_ms_t first_sent_at; /**< when it was sent first */
 	pl_ms_t next_send_at; /**< when it is sent next */
+	pl_ms_t answered_at;
+	pl_ms_t probe_sent_at; /**< when this lookup last probed it */
+	/** When its server got a probe of the flow, from any entry; 0: never. */
+	pl_ms_t probed_at;
+	unsigned int send_count; /**< times the query was sent */
+	pl_flow_verdict_t verdict;
 	bool answered;
 	bool requery; /**< sent again although the agent answered */
-	pl_ms_t answered_at;
 	bool probed; /**< a probe packet was sent to its backend server */
-	pl_flow_verdict_t verdict;
 } agent_query_t;
 
 /** Lookup of the owner of a flow. */
@@ -40,10 +43,14 @@
 		*query_index; /**< agent to its position in queries, plus 1 */
 	size_t unanswered; /**< queries without an answer */
 	pl_packet_queue_t packets;
+	pl_ms_t packet_at; /**< arrival of the caller's last packet */
 	uint32_t ack; /**< acknowledgement number of the first packet */
 	bool wide; /**< all agents of all services are queried */
 
 	unsigned int probes; /**< probe packets without an answer */
+	/** Agent whose server is presumed to hold the flow, or 0. */
+	pl_member_id_t presumed;
+	size_t presumed_sent; /**< packets that were sent to @c presumed */
 	/** These probes went to services other than the expected one. */
 	bool probes_others;
 	bool exhausted; /**< all answered, or the wait for answers is over */
@@ -72,6 +79,15 @@
 	lookup_t *lookup; /**< NULL if none is open */
 } cached_flow_t;
 
+/** What an agent says of a flow that is looked up. */
+typedef struct {
+	pl_member_id_t agent;
+	pl_service_id_t service;
+	pl_flow_verdict_t verdict;
+	bool presumed; /**< OWNED only because a probe was not handed back */
+	uint32_t probed_ms; /**< see @ref pl_flow_item_t; 0: not known */
+} pl_flow_claim_t;
+
 /** Key of an agent in the hash tables of lookups and rosters. */
 static inline gpointer pl_flow_agent_key_(pl_member_id_t agent)
 {
@@ -272,10 +288,9 @@
 /** Queues a packet and starts a lookup of the flow's owner if none is open. */
 void pl_flow_lookup_add_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			 uint32_t ack, const uint8_t *bytes, size_t len);
-/** Handles the verdict of @p agent, whose server belongs to @p service. */
+/** Handles the claim of an agent about the flow of @p lookup. */
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
-			     pl_member_id_t agent, pl_service_id_t service,
-			     pl_flow_verdict_t verdict);
+			     const pl_flow_claim_t *claim);
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
 
 #endif
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -8,6 +8,14 @@
 #define REPORT_MS 1000
 #define FLOW_IDLE_MAX_MS 60000
 #define AGENT_FLOWS_MAX 16384
+/* Mean size of the headers of a message between an entry and an agent, and size
+ * of one flow in it. */
+#define MESSAGE_BYTES 140
+#define ITEM_BYTES 15
+/* An entry's link drops what would have to wait for longer. */
+#define LINK_QUEUE_MAX_MS 100
+/* Packets that may stray for longer than WORLD_REORDER_MS. */
+#define STRAYS_MAX 2
 #define IP_BASE 0x0a000000U
 #define SERVICE_IP 0xc6120001U
 #define SERVICE_PORT 8443
@@ -155,6 +163,14 @@
 	g_free(flow);
 }
 
+static pl_ms_t server_delay_(world_t *world)
+{
+	if (world->server_delay_max_ms == 0)
+		return 0;
+	return (pl_ms_t)g_rand_int_range(world->random, 0,
+					 (gint32)world->server_delay_max_ms);
+}
+
 static void send_from_server_(server_t *server, const pl_packet_t *packet)
 {
 	const world_transport_t *transport = transport_(server->world);
@@ -165,8 +181,8 @@
 	if (transport->from_server)
 		transport->from_server(server->world->ctx, server, bytes, len);
 	else
-		schedule_event_(server->world, FROM_SERVER, server->index, 0,
-				bytes, len);
+		schedule_event_(server->world, FROM_SERVER, server->index,
+				server_delay_(server->world), bytes, len);
 }
 
 static pl_packet_t make_answer_(const server_flow_t *flow, unsigned int flags,
@@ -258,6 +274,32 @@
 	send_from_server_(server, &answer);
 }
 
+/* Packets of an open flow that reached other servers since the last one that
+ * reached its own. */
+typedef struct {
+	unsigned int count;
+	pl_ms_t first;
+} strays_t;
+
+static bool is_flow_open_(const world_t *world, const pl_flow_key_t *flow);
+
+static void note_stray_(world_t *world, const pl_flow_key_t *key)
+{
+	strays_t *strays = g_hash_table_lookup(world->strays, key);
+
+	if (!is_flow_open_(world, key))
+		return;
+	if (!strays) {
+		strays = g_new0(strays_t, 1);
+		strays->first = world->now;
+		g_hash_table_insert(world->strays, g_memdup2(key, sizeof(*key)),
+				    strays);
+	}
+	if (++strays->count > STRAYS_MAX &&
+	    world->now - strays->first >= WORLD_REORDER_MS)
+		world->misdirected++;
+}
+
 static void handle_server_packet_(server_t *server, pl_packet_t *packet)
 {
 	const pl_flow_key_t key = pl_packet_flow(packet);
@@ -273,6 +315,7 @@
 	flow = g_hash_table_lookup(server->flows, &key);
 	if (!flow || (!flow->open && packet->ack != flow->seq)) {
 		server->unowned_packets++;
+		note_stray_(server->world, &key);
 		if (server->resets_unowned)
 			reset_unowned_(server, packet);
 		else
@@ -280,6 +323,7 @@
 		return;
 	}
 	flow->open = true;
+	g_hash_table_remove(server->world->strays, &key);
 	if ((packet->flags & PL_PACKET_FIN) && server->world->servers_close) {
 		ack = make_answer_(flow, PL_PACKET_FIN | PL_PACKET_ACK, 0);
 		send_from_server_(server, &ack);
@@ -396,27 +440,53 @@
 			pl_flow_encode(&key, message, buf, sizeof(buf));
 }
 
+/* Time that the message takes on the link of @p entry, or false if it is lost
+ * there. */
+static bool pass_link_(world_node_t *entry, const pl_flow_message_t *message,
+		       pl_ms_t *delay)
+{
+	world_t *world = entry->world;
+	double now = (double)world->now;
+	double bytes = MESSAGE_BYTES + (double)message->packet_len +
+		       (double)message->item_count * ITEM_BYTES;
+
+	*delay = LINK_DELAY_MS;
+	if (world->entry_loss > 0 &&
+	    g_rand_double(world->random) < world->entry_loss)
+		return false;
+	if (world->entry_link_bytes_per_ms == 0)
+		return true;
+	entry->link_free_at = MAX(entry->link_free_at, now);
+	if (entry->link_free_at - now > LINK_QUEUE_MAX_MS)
+		return false;
+	entry->link_free_at += bytes / world->entry_link_bytes_per_ms;
+	*delay += (pl_ms_t)(entry->link_free_at - now);
+	return true;
+}
+
 static void op_send_(void *ctx, pl_member_id_t to,
 		     const pl_flow_message_t *message)
 {
 	world_node_t *from = ctx;
 	world_node_t *node = find_node_(from->world, to);
 	event_t *event;
+	pl_ms_t delay;
 
 	assert_non_null(node);
 	count_lookup_bytes_(from->world, message);
 	from->world->remote_load_reports +=
 		message->type == PL_FLOW_LOAD &&
 		node->datacentre != from->datacentre;
-	event = schedule_event_(from->world,
-				message->type == PL_FLOW_VERDICT ||
-						message->type == PL_FLOW_LOAD ||
-						message->type ==
-							PL_FLOW_LOCATED ?
-					TO_ENTRY_MESSAGE :
-					TO_AGENT,
-				node->index, LINK_DELAY_MS, message->packet,
-				message->packet_len);
+	if (!pass_link_(from->entry ? from : node, message, &delay))
+		return;
+	event = schedule_event_(
+		from->world,
+		message->type == PL_FLOW_VERDICT ||
+				message->type == PL_FLOW_LOAD ||
+				message->type == PL_FLOW_LOCATED ?
+			TO_ENTRY_MESSAGE :
+			TO_AGENT,
+		node->index, delay, message->packet, message->packet_len);
 	event->message = *message;
 	event->message.packet = event->bytes;
 	event->message.items = event->items;
@@ -788,7 +858,7 @@
 	call_t *call = ctx;
 
 	(void)timer;
-	if (now - call->started >= WORLD_DEADLINE_MS) {
+	if (now - call->started >= call->world->deadline_ms) {
 		call->state = CALL_FAILED;
 		return;
 	}
@@ -955,6 +1025,9 @@
 	world->calls = g_ptr_array_new_with_free_func(g_free);
 	world->next_port = 1;
 	world->store_up = true;
+	world->deadline_ms = WORLD_DEADLINE_MS;
+	world->strays =
+		g_hash_table_new_full(key_hash_, key_equal_, g_free, g_free);
 	world->order = &pl_work_order_due;
 	world->placement = &pl_place_least_utilised;
 	world->target = WORLD_SERVICE;
@@ -1057,6 +1130,7 @@
 	/* the timers first, as the calls contain their links */
 	pl_timer_service_delete(world->timers);
 	g_ptr_array_free(world->calls, TRUE);
+	g_hash_table_destroy(world->strays);
 	g_rand_free(world->random);
 	g_free(world);
 }
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -23,9 +23,12 @@
 #include <pimentolift/flow_entry.h>
 #include <pimentolift/hash.h>
 
-#define WORLD_NODES_MAX 64
+#define WORLD_NODES_MAX 96
 #define WORLD_GOAL_MS 200
 #define WORLD_DEADLINE_MS 3000
+/* Time for which three packets of an open flow may reach only servers that do
+ * not hold it. */
+#define WORLD_REORDER_MS 2000
 #define WORLD_SERVICE "desk"
 #define WORLD_OTHER_SERVICE "archive"
 #define WORLD_SERVICES 2
@@ -74,6 +77,7 @@
 	bool registered; /* agent: in the roster */
 	bool backend_unannounced; /* agent: since its start */
 	unsigned int generation; /* number of its ended processes */
+	double link_free_at; /* entry: when its link has sent all, in ms */
 } world_node_t;
 
 /** Transport of packets to and from real entries and agents. */
@@ -143,6 +147,15 @@
 	uint64_t lookup_bytes; /* of lookups from entries to agents */
 	uint64_t remote_load_reports; /* load reports to other data centres */
 	uint64_t false_resets; /* resets of flows that a server holds */
+	/* Open flows whose packets reached only servers that do not hold them
+	 * for WORLD_REORDER_MS. */
+	uint64_t misdirected;
+	GHashTable *strays; /* pl_flow_key_t to strays_t */
+	/* Link of each entry to the agents; 0: no limit. */
+	double entry_link_bytes_per_ms;
+	double entry_loss; /* share of the messages that get lost there */
+	pl_ms_t server_delay_max_ms; /* until an agent gets a server's packet */
+	pl_ms_t deadline_ms; /* of the calls */
 	const world_transport_t *transport; /* NULL: simulated */
 	void *ctx;
 };
