flow agent: one whose server drains waits for the server's last flows

Membership declared the agent dead, which counts as the death of its server, and the other 50 agents ruled the flows out.

Ruled out: probes and presumed owners; the resets are "flow-dead" events, whose only agent not ruled out is the one that had been stopped.

Change: an agent that is stopped while its server drains and holds flows waits for their end, the server's, or 5 s. A restart beside a server that serves stops as quickly as before.

--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -63,6 +63,8 @@
 	/** The backend server does not listen, and the time in which it would
 	 * have sent a report is not over. */
 	bool backend_silent;
+	/** The backend server drains: it still serves the flows it holds. */
+	bool backend_draining;
 	uint64_t accepted; /**< opening packets accepted for the server */
 	/** Opening packets that the agent returned to their entry. */
 	uint64_t refused;
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -23,6 +23,9 @@
  * the store to remove the agent's roster entry; readers of the roster remove an
  * entry that is left behind. */
 #define DEREGISTER_TIMEOUT_MS 3000
+/** Longest wait of a shutdown for the last flows of a server that drains.
+ * Processes that take over 6 s to stop are commonly killed. */
+#define BACKEND_TIMEOUT_MS 5000
 
 typedef struct {
 	pl_flow_thread_t thread;
@@ -305,19 +308,30 @@
 	deregister_if_gone_(role, &stats);
 }
 
-/* The backend server keeps its flows while it has no agent, so an agent that
- * will be restarted must stop quickly. It waits only for a deregistration, and
- * soon after its start for a report, without which it deregisters. */
+/* Whether to wait for the backend server. One that drains has no other agent
+ * after this one: entries would take its last flows for dead. */
+static bool waits_for_backend_(const pl_flow_agent_stats_t *stats,
+			       pl_ms_t waited)
+{
+	return waited < BACKEND_TIMEOUT_MS && stats->backend_draining &&
+	       stats->flows > 0;
+}
+
+/* Any other backend server keeps its flows while it has no agent, so an agent
+ * that will be restarted must stop quickly. It waits only for a deregistration,
+ * and soon after its start for a report, without which it deregisters. */
 static bool drained_(void *ctx)
 {
 	flow_agent_role_t *role = ctx;
 	const pl_flow_agent_stats_t stats = copy_stats_(role);
+	pl_ms_t waited = pl_loop_clock_ms() - role->drain_started;
 
 	deregister_if_gone_(role, &stats);
+	if (waits_for_backend_(&stats, waited))
+		return false;
 	return (!stats.backend_silent &&
 		!pl_node_is_deregistering(role->thread.node)) ||
-	       pl_loop_clock_ms() - role->drain_started >=
-		       DEREGISTER_TIMEOUT_MS;
+	       waited >= DEREGISTER_TIMEOUT_MS;
 }
 
 static void add_number_(struct json_object *status, const char *name,
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -520,4 +520,5 @@
 	stats->backend_down = agent->backend_down;
 	stats->backend_gone = pl_flow_backend_is_gone_(agent);
 	stats->backend_silent = pl_flow_backend_is_silent_(agent);
+	stats->backend_draining = pl_flow_backend_is_draining_(agent);
 }
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -57,6 +57,12 @@
 	       pl_flow_agent_now_(agent) - agent->report_at <= timeout_ms;
 }
 
+bool pl_flow_backend_is_draining_(const pl_flow_agent_t *agent)
+{
+	return agent->report.draining && !agent->backend_left &&
+	       !agent->backend_down;
+}
+
 static void reset_flow_(pl_flow_agent_t *agent, const flow_t *flow)
 {
 	uint8_t bytes[RESET_BYTES];
@@ -261,6 +267,7 @@
 	}
 	agent->backend_seen = true;
 	agent->backend_down = false;
+	agent->backend_left = false;
 	agent->report = *report;
 	agent->earlier.id[0] = '\0';
 	agent->report_at = pl_flow_agent_now_(agent);
@@ -273,6 +280,7 @@
 	if (strcmp(agent->report.id, id) != 0)
 		return;
 	agent->report.draining = true;
+	agent->backend_left = true;
 	set_serving_(agent, false);
 	agent->ops->backend_leaving(agent->ctx);
 }
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -94,6 +94,7 @@
 	/** When the server last refused a connection; 0: never. */
 	pl_ms_t refused_at;
 	bool serving; /**< according to the last report */
+	bool backend_left; /**< the reported process has announced its end */
 	/** A packet or report of the server has arrived since the start of the
 	 * agent or since the last server ended. */
 	bool backend_seen;
@@ -187,6 +188,8 @@
 bool pl_flow_backend_is_gone_(const pl_flow_agent_t *agent);
 /** Whether the server does not listen and may count as gone later. */
 bool pl_flow_backend_is_silent_(const pl_flow_agent_t *agent);
+/** Whether the backend server drains and has not ended yet. */
+bool pl_flow_backend_is_draining_(const pl_flow_agent_t *agent);
 /** Whether a flow without a record is not held by the server. */
 bool pl_flow_backend_knows_all_flows_(const pl_flow_agent_t *agent);
 /** Whether the backend server accepts opening packets now. */
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -657,6 +657,34 @@
 	world_delete(world);
 }
 
+/* Regression: an agent was stopped while its server still served its last
+ * flows. Nobody else knew of them, and entries reset them. */
+static void agent_of_a_draining_server_waits_for_its_flows(void **state)
+{
+	world_t *world = world_new(1, 1, 31);
+	const pl_backend_report_t report = world_report(world, 0);
+	pl_flow_agent_t *agent = world->agents[0].agent;
+	pl_flow_agent_stats_t stats;
+
+	(void)state;
+	pl_flow_agent_stats(agent, &stats);
+	assert_false(stats.backend_draining);
+	world->servers[0].draining = true;
+	world_run(world, 1100);
+	world_report_backend_down(world, 0);
+	pl_flow_agent_stats(agent, &stats);
+	assert_true(stats.backend_draining);
+	pl_flow_agent_backend_leaving(agent, report.id);
+	pl_flow_agent_stats(agent, &stats);
+	assert_false(stats.backend_draining);
+	world_crash_server(world, 0);
+	world->servers[0].draining = false;
+	world_start_server(world, 0);
+	pl_flow_agent_stats(agent, &stats);
+	assert_false(stats.backend_draining);
+	world_delete(world);
+}
+
 /* A server sent its last report before its agent restarted, and still hands
  * packets back: it holds no flows that its agent has to wait for. */
 static void server_without_listener_and_reports_has_left(void **state)
@@ -1451,6 +1479,8 @@
 		cmocka_unit_test(flows_are_reset_when_no_server_listens),
 		cmocka_unit_test(agent_without_a_server_rules_flows_out),
 		cmocka_unit_test(flows_of_a_draining_server_are_not_reset),
+		cmocka_unit_test(
+			agent_of_a_draining_server_waits_for_its_flows),
 		cmocka_unit_test(server_without_listener_and_reports_has_left),
 		cmocka_unit_test(partitioned_entry_resets_nothing),
 		cmocka_unit_test(
