--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -127,8 +127,10 @@
 /* Agents of a lookup that have not ruled the flow out. */
 typedef struct {
 	size_t silent;
-	size_t possible_owners; /**< silent agents that may own the flow */
+	/** Silent agents that may own the flow and were not probed. */
+	size_t possible_owners;
 	size_t unsure;
+	size_t unresolved; /**< all silent or unsure ones that may own it */
 	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
 	bool probes_others; /**< @c to_probe is of an unexpected service */
 } pending_t;
@@ -167,12 +169,14 @@
 			&g_array_index(lookup->queries, agent_query_t, i);
 
 		if (!query->answered) {
+			bool owner = pl_flow_roster_may_own_(entry, lookup,
+							     query->agent);
+
 			pending.silent++;
-			pending.possible_owners +=
-				!query->probed &&
-				pl_flow_roster_may_own_(entry, lookup,
-							query->agent);
+			pending.possible_owners += owner && !query->probed;
+			pending.unresolved += owner;
 		} else if (query->verdict == PL_FLOW_UNSURE) {
+			pending.unresolved++;
 			note_unsure_(entry, lookup, expected, query, &pending);
 		}
 	}
@@ -228,7 +232,7 @@
 	    now - lookup->packet_at > PACKET_AGE_MAX_MS)
 		return false;
 	return first == 0 || now - first < PROBE_PERIOD_MS ||
-	       (pending->silent == 0 && pending->unsure == 1);
+	       pending->unresolved == 1;
 }
 
 /* Sends the probes that are allowed now, several in parallel. */
@@ -477,11 +481,11 @@
 static bool has_other_owner_(const pl_flow_entry_t *entry,
 			     const lookup_t *lookup, const agent_query_t *query)
 {
-	pending_t pending = count_pending_(entry, lookup);
+	bool itself = query->answered ? query->verdict == PL_FLOW_UNSURE :
+					pl_flow_roster_may_own_(entry, lookup,
+								query->agent);
 
-	return pending.possible_owners > 0 ||
-	       pending.unsure >
-		       (query->answered && query->verdict == PL_FLOW_UNSURE);
+	return count_pending_(entry, lookup).unresolved > itself;
 }
 
 /* Handles the claim of an agent whose server did not hand a probe back. It is
