--- a/src/flow/entry_query.c
+++ b/src/flow/entry_query.c
@@ -28,10 +28,11 @@
  * much as one in a datagram of many, so a slower link has fewer rounds. */
 #define ITEM_BYTES 15
 #define DATAGRAM_BYTES 140
-/** A round starts when the budget covers one datagram to each agent of a
- * service, and the queries that are due. */
-#define ROUND_DATAGRAMS 64
-#define ROUND_BYTES (ROUND_DATAGRAMS * DATAGRAM_BYTES)
+/** A round starts when the budget covers one datagram to each agent that a
+ * lookup queries, within these limits, and the queries that are due. The upper
+ * limit bounds the wait of the first query on a slow link. */
+#define ROUND_DATAGRAMS_MIN 64
+#define ROUND_DATAGRAMS_MAX 512
 /** With more due queries than the budget earns in this time, a round starts
  * without room for all of them: a quarter of the time in which callers expect
  * an answer. */
@@ -114,8 +115,10 @@
 static void refill_tokens_(pl_flow_entry_t *entry, pl_ms_t now)
 {
 	int64_t per_s = query_bytes_per_s_(entry);
-	int64_t tokens_max = MAX(per_s * BURST_MS,
-				 ROUND_BYTES * MS_PER_S + per_s * ROUND_MAX_MS);
+	int64_t round_max =
+		(int64_t)ROUND_DATAGRAMS_MAX * DATAGRAM_BYTES * MS_PER_S +
+		per_s * ROUND_MAX_MS;
+	int64_t tokens_max = MAX(per_s * BURST_MS, round_max);
 	pl_ms_t elapsed = MIN(now - entry->tokens_refilled_at, MS_PER_S);
 
 	entry->query_tokens += (int64_t)elapsed * per_s;
@@ -181,23 +184,37 @@
 	}
 }
 
-/* Number of queries that are due, of all lookups, at most @p max. */
-static int64_t count_due_queries_(const pl_flow_entry_t *entry, pl_ms_t now,
-				  int64_t max)
+/* Queries that are due, of all lookups. */
+typedef struct {
+	int64_t count;
+	int64_t agents; /* most of one lookup */
+} due_t;
+
+static int64_t count_due_of_(const lookup_t *lookup, pl_ms_t now)
 {
 	int64_t count = 0;
 
+	for (guint i = 0; i < lookup->queries->len; i++)
+		count += is_due_(
+			&g_array_index(lookup->queries, agent_query_t, i), now);
+	return count;
+}
+
+/* Counts until @p max queries are found. */
+static due_t count_due_(const pl_flow_entry_t *entry, pl_ms_t now, int64_t max)
+{
+	due_t due = { 0 };
+
 	pl_list_for_each(link, &entry->lookups) {
-		const lookup_t *lookup = PL_CONTAINER_OF(link, lookup_t, link);
+		int64_t count = count_due_of_(
+			PL_CONTAINER_OF(link, lookup_t, link), now);
 
-		for (guint i = 0; i < lookup->queries->len; i++)
-			count += is_due_(&g_array_index(lookup->queries,
-							agent_query_t, i),
-					 now);
-		if (count >= max)
-			return max;
+		due.agents = MAX(due.agents, count);
+		due.count = MIN(due.count + count, max);
+		if (due.count == max)
+			break;
 	}
-	return count;
+	return due;
 }
 
 /* Budget at which the next round starts. A round that ends with the first
@@ -206,9 +223,11 @@
 {
 	int64_t max = query_bytes_per_s_(entry) * ROUND_MAX_MS / MS_PER_S /
 		      ITEM_BYTES;
-	int64_t due = count_due_queries_(entry, now, max);
+	due_t due = count_due_(entry, now, max);
+	int64_t datagrams =
+		CLAMP(due.agents, ROUND_DATAGRAMS_MIN, ROUND_DATAGRAMS_MAX);
 
-	return (ROUND_BYTES + due * ITEM_BYTES) * MS_PER_S;
+	return (datagrams * DATAGRAM_BYTES + due.count * ITEM_BYTES) * MS_PER_S;
 }
 
 /* Whether any lookup has a query that may be sent again. */
