--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -73,6 +73,18 @@
 	uint64_t rejected;
 } pl_flow_entry_stats_t;
 
+/** Rows of pl_flow_entry_shares(); routes beyond that are not counted. */
+#define PL_FLOW_SHARES_MAX 32
+
+/** New flows of one service of a route whose services have weights. */
+typedef struct {
+	pl_addr_t address; /**< of the route */
+	char service[PL_NAME_MAX];
+	uint32_t weight; /**< in the configuration now in force */
+	uint64_t asked; /**< flows that the weights gave it */
+	uint64_t given; /**< flows that were offered to it first */
+} pl_flow_share_t;
+
 pl_flow_entry_t *pl_flow_entry_new(const pl_flow_entry_params_t *params,
 				   const pl_flow_entry_ops_t *ops, void *ctx,
 				   pl_timer_service_t *timers);
@@ -105,5 +117,9 @@
 void pl_flow_entry_stats(const pl_flow_entry_t *entry,
 			 pl_flow_entry_stats_t *stats);
 
+/** Fills in @p shares in the order of the first flow; returns their number. */
+size_t pl_flow_entry_shares(const pl_flow_entry_t *entry,
+			    pl_flow_share_t shares[PL_FLOW_SHARES_MAX]);
+
 #endif
 /** @} */
--- a/src/ctl/cmd_document.c
+++ b/src/ctl/cmd_document.c
@@ -20,15 +20,33 @@
 	return count;
 }
 
+/* Number of addresses that have a weight, so that services can share them. */
+static size_t weighted_count_(const pl_document_t *document)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < pl_document_count(document); i++) {
+		const pl_service_config_t *service =
+			pl_section_service(pl_document_at(document, i));
+
+		for (size_t k = 0;
+		     service->routes && k < service->address_count; k++)
+			count += service->routes[k].weighted;
+	}
+	return count;
+}
+
 static void print_check_result_(const pl_ctl_t *ctl,
 				const pl_document_t *document, const char *hash)
 {
 	struct json_object *root;
 
 	if (!ctl->json) {
-		printf("%s: valid, %zu services, %zu addresses, sha256 %s\n",
+		printf("%s: valid, %zu services, %zu addresses, %zu of them "
+		       "with a weight, sha256 %s\n",
 		       ctl->args[0], pl_document_count(document),
-		       address_count_(document), hash);
+		       address_count_(document), weighted_count_(document),
+		       hash);
 		return;
 	}
 	root = json_object_new_object();
@@ -39,6 +57,9 @@
 	json_object_object_add(
 		root, "addresses",
 		json_object_new_uint64(address_count_(document)));
+	json_object_object_add(
+		root, "weighted",
+		json_object_new_uint64(weighted_count_(document)));
 	json_object_object_add(root, "hash", json_object_new_string(hash));
 	pl_ctl_print_json(root);
 }
--- a/src/daemon/admin_report.c
+++ b/src/daemon/admin_report.c
@@ -183,7 +183,45 @@
 		name, cumulated, name, cumulated);
 }
 
-GString *pl_admin_metrics(const pl_node_t *node)
+/* Prints one number of each service of the routes with weights. */
+static void print_shares_(GString *text, struct json_object *shares,
+			  const char *key, const char *type)
+{
+	g_string_append_printf(text, "# TYPE pimentolift_share_%s %s\n", key,
+			       type);
+	for (size_t i = 0; i < json_object_array_length(shares); i++) {
+		struct json_object *share =
+			json_object_array_get_idx(shares, i);
+
+		g_string_append_printf(
+			text,
+			"pimentolift_share_%s{address=\"%s\",service=\"%s\"}"
+			" %s\n",
+			key,
+			json_object_get_string(
+				json_object_object_get(share, "address")),
+			json_object_get_string(
+				json_object_object_get(share, "service")),
+			json_object_get_string(
+				json_object_object_get(share, key)));
+	}
+}
+
+static void print_role_(GString *text, pl_node_t *node)
+{
+	struct json_object *status = json_object_new_object();
+	struct json_object *shares;
+
+	pl_node_role_status(node, status);
+	if (json_object_object_get_ex(status, "shares", &shares)) {
+		print_shares_(text, shares, "weight", "gauge");
+		print_shares_(text, shares, "asked", "counter");
+		print_shares_(text, shares, "given", "counter");
+	}
+	json_object_put(status);
+}
+
+GString *pl_admin_metrics(pl_node_t *node)
 {
 	GString *text = g_string_new(NULL);
 
@@ -209,5 +247,6 @@
 		"# TYPE pimentolift_evacuated_datacentres gauge\n"
 		"pimentolift_evacuated_datacentres %zu\n",
 		pl_node_evacuation_count(node));
+	print_role_(text, node);
 	return text;
 }
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -26,6 +26,8 @@
 	pl_timer_t stats_timer;
 	pthread_mutex_t stats_lock;
 	pl_flow_entry_stats_t stats;
+	pl_flow_share_t shares[PL_FLOW_SHARES_MAX];
+	size_t share_count;
 } flow_entry_role_t;
 
 /* A task that the control thread posts to the traffic thread: a routing table,
@@ -95,6 +97,7 @@
 
 	pthread_mutex_lock(&role->stats_lock);
 	pl_flow_entry_stats(role->core, &role->stats);
+	role->share_count = pl_flow_entry_shares(role->core, role->shares);
 	pthread_mutex_unlock(&role->stats_lock);
 	pl_timer_arm(pl_loop_timers(role->thread.loop), timer,
 		     now + STATS_INTERVAL_MS);
@@ -238,6 +241,34 @@
 	json_object_object_add(status, name, json_object_new_uint64(value));
 }
 
+static struct json_object *share_json_(const pl_flow_share_t *share)
+{
+	struct json_object *object = json_object_new_object();
+	char text[PL_ADDR_TEXT_MAX];
+
+	json_object_object_add(
+		object, "address",
+		json_object_new_string(pl_addr_format(&share->address, text)));
+	json_object_object_add(object, "service",
+			       json_object_new_string(share->service));
+	add_number_(object, "weight", share->weight);
+	add_number_(object, "asked", share->asked);
+	add_number_(object, "given", share->given);
+	return object;
+}
+
+/* Adds the new flows of each service of the routes with weights. */
+static void add_shares_(flow_entry_role_t *role, struct json_object *status)
+{
+	struct json_object *list = json_object_new_array();
+
+	pthread_mutex_lock(&role->stats_lock);
+	for (size_t i = 0; i < role->share_count; i++)
+		json_object_array_add(list, share_json_(&role->shares[i]));
+	pthread_mutex_unlock(&role->stats_lock);
+	json_object_object_add(status, "shares", list);
+}
+
 static void status_(void *ctx, struct json_object *status)
 {
 	flow_entry_role_t *role = ctx;
@@ -251,6 +282,7 @@
 	add_number_(status, "placed", stats.placed);
 	add_number_(status, "replaced", stats.placed_again);
 	add_number_(status, "overflowed", stats.overflowed);
+	add_shares_(role, status);
 	add_number_(status, "lookups", stats.lookups);
 	add_number_(status, "lookups_open", stats.lookups_open);
 	add_number_(status, "found", stats.found);
--- a/src/daemon/private/admin.h
+++ b/src/daemon/private/admin.h
@@ -32,6 +32,6 @@
 				     const char *caller);
 
 /** All counters and histograms in the Prometheus text format. */
-GString *pl_admin_metrics(const pl_node_t *node);
+GString *pl_admin_metrics(pl_node_t *node);
 
 #endif
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -189,7 +189,7 @@
 	entry->ops->send_to_caller(entry->ctx, key, bytes, len);
 }
 
-static pl_addr_t service_addr_(const pl_flow_key_t *key)
+pl_addr_t pl_flow_entry_service_addr_(const pl_flow_key_t *key)
 {
 	pl_addr_t addr = { .port = key->service_port, .family = PL_ADDR_IPV4 };
 
@@ -203,7 +203,7 @@
 const pl_route_service_t *pl_flow_entry_route_of_(const pl_flow_entry_t *entry,
 						  const pl_flow_key_t *key)
 {
-	const pl_addr_t addr = service_addr_(key);
+	const pl_addr_t addr = pl_flow_entry_service_addr_(key);
 
 	return pl_routing_by_address(entry->routing, &addr);
 }
@@ -212,14 +212,14 @@
 			     const pl_flow_key_t *key,
 			     pl_route_share_t shares[PL_ROUTE_SHARES_MAX])
 {
-	const pl_addr_t addr = service_addr_(key);
+	const pl_addr_t addr = pl_flow_entry_service_addr_(key);
 
 	return pl_routing_shares(entry->routing, &addr, shares);
 }
 
 static void set_route_(const pl_flow_entry_t *entry, cached_flow_t *flow)
 {
-	const pl_addr_t addr = service_addr_(&flow->node.key);
+	const pl_addr_t addr = pl_flow_entry_service_addr_(&flow->node.key);
 	const pl_route_policy_t *route =
 		pl_routing_route(entry->routing, &addr);
 
--- a/src/flow/entry_split.c
+++ b/src/flow/entry_split.c
@@ -8,6 +8,7 @@
 #include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 #include <pimentolift/hash.h>
+#include <string.h>
 
 /** Load of a service is summed up over its endpoints at most this often; agents
  * report changes after 100 ms. */
@@ -41,11 +42,13 @@
 {
 	entry->summaries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, g_free);
+	entry->shares = g_array_new(FALSE, TRUE, sizeof(pl_flow_share_t));
 }
 
 void pl_flow_split_finish_(pl_flow_entry_t *entry)
 {
 	g_hash_table_destroy(entry->summaries);
+	g_array_free(entry->shares, TRUE);
 }
 
 void pl_flow_split_routing_changed_(pl_flow_entry_t *entry)
@@ -203,6 +206,63 @@
 	return true;
 }
 
+/* Finds the counts of a service of the route; returns NULL if there are too many
+ * of them. */
+static pl_flow_share_t *get_share_(pl_flow_entry_t *entry,
+				   const pl_addr_t *addr, const char *service)
+{
+	pl_flow_share_t new = { .address = *addr };
+
+	for (guint i = 0; i < entry->shares->len; i++) {
+		pl_flow_share_t *share =
+			&g_array_index(entry->shares, pl_flow_share_t, i);
+
+		if (pl_addr_equal(&share->address, addr) &&
+		    strcmp(share->service, service) == 0)
+			return share;
+	}
+	if (entry->shares->len == PL_FLOW_SHARES_MAX)
+		return NULL;
+	g_strlcpy(new.service, service, sizeof(new.service));
+	g_array_append_val(entry->shares, new);
+	return &g_array_index(entry->shares, pl_flow_share_t,
+			      entry->shares->len - 1);
+}
+
+static void count_share_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+			 const pl_flow_split_t *split)
+{
+	const pl_addr_t addr = pl_flow_entry_service_addr_(&flow->node.key);
+	pl_flow_share_t *share;
+
+	share = get_share_(entry, &addr, split->share->name);
+	if (share)
+		share->asked++;
+	share = get_share_(entry, &addr, split->service->name);
+	if (share)
+		share->given++;
+}
+
+size_t pl_flow_entry_shares(const pl_flow_entry_t *entry,
+			    pl_flow_share_t shares[PL_FLOW_SHARES_MAX])
+{
+	pl_route_share_t current[PL_ROUTE_SHARES_MAX];
+
+	for (guint i = 0; i < entry->shares->len; i++) {
+		size_t count;
+
+		shares[i] = g_array_index(entry->shares, pl_flow_share_t, i);
+		count = pl_routing_shares(entry->routing, &shares[i].address,
+					  current);
+		for (size_t k = 0; k < count; k++) {
+			if (strcmp(current[k].service->name,
+				   shares[i].service) == 0)
+				shares[i].weight = current[k].weight;
+		}
+	}
+	return entry->shares->len;
+}
+
 void pl_flow_split_placed_(pl_flow_entry_t *entry, const cached_flow_t *flow,
 			   const pl_flow_split_t *split)
 {
@@ -211,6 +271,8 @@
 	if (!split->divided)
 		return;
 	get_summary_(entry, split->service)->placed++;
+	if (flow->offered_count == 1)
+		count_share_(entry, flow, split);
 	if (split->reason != PL_REASON_OVERFLOW) {
 		pl_counter_add(PL_COUNTER_FLOWS_BY_SHARE, 1);
 		return;
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -98,6 +98,7 @@
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to agent_load_t */
 	GHashTable *summaries; /**< service to its load, see entry_split.c */
+	GArray *shares; /**< pl_flow_share_t, without the weights */
 	pl_list_t lookups;
 	pl_timer_t query_timer;
 	int64_t query_tokens; /**< token bucket, in thousandths of a byte */
@@ -149,6 +150,9 @@
 			     const pl_flow_key_t *key,
 			     pl_route_share_t shares[PL_ROUTE_SHARES_MAX]);
 
+/** Address of the service in @p key. */
+pl_addr_t pl_flow_entry_service_addr_(const pl_flow_key_t *key);
+
 /** Routes a packet from a caller. */
 void pl_flow_entry_route_(pl_flow_entry_t *entry, const uint8_t *bytes,
 			  size_t len);
--- a/test/flow/split_test.c
+++ b/test/flow/split_test.c
@@ -98,8 +98,16 @@
 	share = (double)requests_of_second_(world) /
 		(double)world_requests_started(world);
 	for (int i = 0; i < world->entry_count; i++) {
+		pl_flow_share_t shares[PL_FLOW_SHARES_MAX];
+
 		pl_flow_entry_stats(world->entries[i].entry, &stats);
 		overflowed += stats.overflowed;
+		assert_int_equal(
+			pl_flow_entry_shares(world->entries[i].entry, shares),
+			2);
+		assert_int_equal(shares[0].weight + shares[1].weight, 1000000);
+		assert_true(shares[0].asked > 0 &&
+			    shares[0].asked == shares[0].given);
 	}
 	print_message("share: %.3f of 0.3, %u overflowed\n", share,
 		      (unsigned int)overflowed);
