--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -20,6 +20,10 @@
  * candidates by this much, in percent; less is within the noise of the mean. */
 #define SLOW_PERCENT 150
 #define PERCENT 100
+/** Age of a report at which half of what it says of a slow endpoint still
+ * counts. An endpoint that gets no new flows answers nothing that would show that
+ * it has recovered, so it is tried again after a few of these. */
+#define SLOW_HALF_AGE_MS 1000
 
 static size_t choose_first_(const pl_place_candidate_t *candidates,
 			    size_t count)
@@ -84,19 +88,31 @@
 	return known ? sum / known : 0;
 }
 
+/* Time to answer that is expected now of an endpoint that was slow. */
+static uint64_t present_request_ms_(const pl_place_candidate_t *candidate,
+				    uint64_t usual_ms)
+{
+	uint64_t reported_ms = candidate->load.request_ms;
+
+	if (reported_ms <= usual_ms)
+		return reported_ms;
+	return usual_ms + (reported_ms - usual_ms) * SLOW_HALF_AGE_MS /
+				  (SLOW_HALF_AGE_MS + candidate->age_ms);
+}
+
 /* Expected wait of a new flow, in thousandths of the time in which an endpoint
  * of usual speed answers as many requests as it has slots. */
 static uint64_t expected_wait_(const pl_place_candidate_t *candidate,
 			       uint64_t usual_ms)
 {
 	const pl_endpoint_load_t *load = &candidate->load;
+	uint64_t request_ms = present_request_ms_(candidate, usual_ms);
 	uint64_t wait = utilisation_(candidate);
 
-	if (load->slots == 0 ||
-	    load->request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
+	if (load->slots == 0 || request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
 		return wait;
 	/* its own request is slow, too */
-	return (wait + THOUSANDTHS / load->slots) * load->request_ms / usual_ms;
+	return (wait + THOUSANDTHS / load->slots) * request_ms / usual_ms;
 }
 
 static size_t choose_least_wait_(const pl_place_candidate_t *candidates,
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -107,6 +107,7 @@
 	reset_all_flows_(agent);
 	agent->flows_complete = true;
 	agent->evicted_at = 0;
+	agent->request_ms = 0;
 }
 
 /* Marks all flows that are being probed as absent: a server that has just
--- a/src/flow/agent_evacuate.c
+++ b/src/flow/agent_evacuate.c
@@ -67,8 +67,11 @@
 	if (agent->evacuated == evacuated)
 		return;
 	agent->evacuated = evacuated;
-	if (evacuated)
+	if (evacuated) {
 		refuse_queued_(agent);
-	else
-		agent->returned_at = pl_flow_agent_now_(agent);
+		return;
+	}
+	agent->returned_at = pl_flow_agent_now_(agent);
+	/* what was measured before says little of a server that got no work */
+	agent->request_ms = 0;
 }
