Pace of started servers, gate of cold ones; unknown endpoints get a first flow

A started server was either idle or left to chance. Limits that the configuration states for cold servers were not read.

Change. balance/pace: limit from what was served in the last second plus one slot, less while answers are slow; it takes the place of the slots in the entry's placement while most candidates have none. balance/cold_gate: what a cold server gets in any second, counted by its agent over all entries; the figures travel in the service's policy (appended, hashes of documents without them stay). An evacuated data centre that returns is cold. Events 260 to 262, counters, status of an agent.

--- a/include/pimentolift/balance/place.h
+++ b/include/pimentolift/balance/place.h
@@ -25,6 +25,8 @@
 	 * to be in @c load. */
 	uint32_t unreported;
 	pl_ms_t age_ms; /**< of @c load */
+	/** An opening packet was sent there since the entry's start. */
+	bool tried;
 	bool local; /**< in the same data centre as the entry */
 } pl_place_candidate_t;
 
--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -80,6 +80,12 @@
 	  "requests and new flows that found no slot at once")                \
 	X(PL_COUNTER_FLOWS_HANDED_BACK, "flows_handed_back",                  \
 	  "opening packets that an agent did not take")                       \
+	X(PL_COUNTER_FLOWS_REFUSED_COLD, "flows_refused_cold",                \
+	  "opening packets refused because the backend server is cold")       \
+	X(PL_COUNTER_PACE_STARTED, "pace_started",                            \
+	  "backend servers that started or came back")                        \
+	X(PL_COUNTER_PACE_SLOWED, "pace_slowed",                              \
+	  "times that a backend server became slow")                          \
 	X(PL_COUNTER_FLOWS_EVICTED, "flows_evicted",                          \
 	  "records of open flows that were dropped from a full table")        \
 	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                          \
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -66,6 +66,12 @@
 	  "a new flow went to another service of its route for want of room")  \
 	X(PL_EVENT_OUTCOME_UNKNOWN, 230, "outcome-unknown", WARNING,           \
 	  "a caller was told that the outcome of its request is unknown")      \
+	X(PL_EVENT_PACE_STARTED, 260, "pace-started", INFO,                    \
+	  "a started or returned backend server is given work step by step")   \
+	X(PL_EVENT_PACE_FULL, 261, "pace-full", INFO,                          \
+	  "a backend server is given work for all of its slots")               \
+	X(PL_EVENT_PACE_SLOWED, 262, "pace-slowed", WARNING,                   \
+	  "a backend server answers slowly and gets less new work")            \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                  \
 	  "a member joined")                                                   \
 	X(PL_EVENT_MEMBER_SUSPECT, 301, "member-suspect", INFO,                \
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -76,6 +76,15 @@
 	uint64_t bounced;
 	uint64_t probes; /**< flows that the server was probed for */
 	uint64_t resets; /**< flows reset because their server had ended */
+	/** Usual time to answer, over the last hundred requests; 0: not
+	 * measured. */
+	uint32_t usual_ms;
+	/** Last times to answer as a multiple of the usual one, in
+	 * thousandths. */
+	uint32_t slowness_milli;
+	uint32_t cold_ms; /**< how much longer the server is cold */
+	/** Opening packets refused because the server is cold. */
+	uint64_t cold_refused;
 } pl_flow_agent_stats_t;
 
 pl_flow_agent_t *pl_flow_agent_new(const pl_flow_agent_params_t *params,
@@ -116,10 +125,15 @@
 /** The backend server @p id announced that it shuts down. */
 void pl_flow_agent_backend_leaving(pl_flow_agent_t *agent, const char *id);
 
+/** Sets the limits for a cold server from the policy of the service. */
+void pl_flow_agent_set_policy(pl_flow_agent_t *agent,
+			      const pl_service_policy_t *policy);
+
 /**
  * The agent's data centre is evacuated, or no longer. While it is, the agent
  * hands every opening packet back to its entry, those in its queue at once.
- * Open flows go on.
+ * Open flows go on. When it no longer is, the server is cold for the time that
+ * the service's policy states.
  */
 void pl_flow_agent_set_evacuated(pl_flow_agent_t *agent, bool evacuated);
 
--- a/include/pimentolift/routing.h
+++ b/include/pimentolift/routing.h
@@ -64,6 +64,12 @@
 	uint32_t ramp_ms; /**< time from a cold start to full weight */
 	uint32_t retry_percent; /**< requests passed on, as a share of all */
 	uint32_t answer_keep_ms; /**< how long an answer can be replayed */
+	/** Time for which a backend server is cold after its data centre is
+	 * taken back into service; 0: not cold. */
+	uint32_t warmup_ms;
+	/** Requests that a cold server bears, in thousandths a second; 0: not
+	 * limited. */
+	uint32_t warmup_rate_milli;
 } pl_service_policy_t;
 
 /** Services of one address; of more, those with the greatest weights are used.
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -10,7 +10,8 @@
 #define REMOTE_PENALTY_THOUSANDTHS 200
 #define THOUSANDTHS 1000
 /** Assumed utilisation of an endpoint that has not reported its load yet, in
- * thousandths. */
+ * thousandths. One in the entry's data centre that was sent no flow is likely to
+ * be new and empty: agents report only to entries that send them packets. */
 #define UNKNOWN_THOUSANDTHS 500
 
 /** Age of a report at which the mean over the last second says as much of the
@@ -37,9 +38,31 @@
 	       (REPORT_HALF_AGE_MS + age_ms);
 }
 
+/* Whether the pace of servers counts. It says which server has to wait while
+ * others have room; if most are paced, as after a loss of all, work would only
+ * go elsewhere by chance. */
+static bool pace_counts_(const pl_place_candidate_t *candidates, size_t count)
+{
+	size_t paced = 0;
+	size_t known = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		known += candidates[i].load.slots > 0;
+		paced += candidates[i].load.limit > 0;
+	}
+	return paced * 2 < known;
+}
+
+/* Slots that the endpoint may use now, in thousandths. */
+static uint64_t usable_slots_(const pl_endpoint_load_t *load, bool paced)
+{
+	return paced && load->limit > 0 ? load->limit :
+					  (uint64_t)load->slots * THOUSANDTHS;
+}
+
 /* Expected utilisation of the endpoint's slots, in thousandths. The present
  * load and its mean count half each, as long flows carry many requests. */
-static uint64_t utilisation_(const pl_place_candidate_t *candidate)
+static uint64_t utilisation_(const pl_place_candidate_t *candidate, bool paced)
 {
 	const pl_endpoint_load_t *load = &candidate->load;
 	uint64_t now;
@@ -47,9 +70,13 @@
 
 	now = present_(load, candidate->age_ms) +
 	      (uint64_t)candidate->unreported * THOUSANDTHS;
-	utilisation = load->slots == 0 ?
-			      UNKNOWN_THOUSANDTHS + now :
-			      (now + load->mean_busy) / 2 / load->slots;
+	if (load->slots > 0)
+		utilisation = (now + load->mean_busy) * THOUSANDTHS / 2 /
+			      usable_slots_(load, paced);
+	else if (candidate->local && !candidate->tried)
+		utilisation = 0;
+	else
+		utilisation = UNKNOWN_THOUSANDTHS + now;
 	if (!candidate->local)
 		utilisation += REMOTE_PENALTY_THOUSANDTHS;
 	/* the weight of a new endpoint ramps up to PL_PLACE_WEIGHT_FULL */
@@ -60,11 +87,12 @@
 static size_t choose_least_utilised_(const pl_place_candidate_t *candidates,
 				     size_t count)
 {
+	bool paced = pace_counts_(candidates, count);
 	size_t best = 0;
 
 	for (size_t i = 1; i < count; i++) {
-		if (utilisation_(&candidates[i]) <
-		    utilisation_(&candidates[best]))
+		if (utilisation_(&candidates[i], paced) <
+		    utilisation_(&candidates[best], paced))
 			best = i;
 	}
 	return best;
@@ -87,10 +115,10 @@
 /* Expected wait of a new flow, in thousandths of the time in which an endpoint
  * of usual speed answers as many requests as it has slots. */
 static uint64_t expected_wait_(const pl_place_candidate_t *candidate,
-			       uint64_t usual_ms)
+			       uint64_t usual_ms, bool paced)
 {
 	const pl_endpoint_load_t *load = &candidate->load;
-	uint64_t wait = utilisation_(candidate);
+	uint64_t wait = utilisation_(candidate, paced);
 
 	if (load->slots == 0 ||
 	    load->request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
@@ -103,11 +131,12 @@
 				 size_t count)
 {
 	uint64_t usual_ms = mean_request_ms_(candidates, count);
+	bool paced = pace_counts_(candidates, count);
 	uint64_t least = UINT64_MAX;
 	size_t best = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		uint64_t wait = expected_wait_(&candidates[i], usual_ms);
+		uint64_t wait = expected_wait_(&candidates[i], usual_ms, paced);
 
 		if (wait < least) {
 			least = wait;
--- a/src/config/document_diff.c
+++ b/src/config/document_diff.c
@@ -21,9 +21,11 @@
 #name, offsetof(pl_service_policy_t, name) \
 	}
 static const policy_field_t policy_fields_[] = {
-	FIELD_(deadline_ms),	  FIELD_(short_slots), FIELD_(queue_max),
-	FIELD_(upload_max_bytes), FIELD_(ramp_ms),     FIELD_(retry_percent),
-	FIELD_(answer_keep_ms),
+	FIELD_(deadline_ms),	   FIELD_(short_slots),
+	FIELD_(queue_max),	   FIELD_(upload_max_bytes),
+	FIELD_(ramp_ms),	   FIELD_(retry_percent),
+	FIELD_(answer_keep_ms),	   FIELD_(warmup_ms),
+	FIELD_(warmup_rate_milli),
 };
 
 static uint32_t policy_value_(const pl_service_policy_t *policy,
--- a/src/config/document_parse.c
+++ b/src/config/document_parse.c
@@ -49,6 +49,8 @@
 	POLICY_KEY_(ramp_ms, 0, 600000),
 	POLICY_KEY_(retry_percent, 0, 100),
 	POLICY_KEY_(answer_keep_ms, 1000, 3600000),
+	POLICY_KEY_(warmup_ms, 0, 600000),
+	POLICY_KEY_(warmup_rate_milli, 0, 1000000000),
 };
 
 /* Services of an address. */
--- a/src/config/section.c
+++ b/src/config/section.c
@@ -22,6 +22,8 @@
  * form, so that members of an earlier release compute the same hash. */
 #define ROUTE_WEIGHT_ELEMENTS 4
 #define POLICY_ELEMENTS 7
+/** Elements of the policy of a service with limits for cold servers. */
+#define POLICY_WARMUP_ELEMENTS 9
 #define DATACENTRE_WEIGHT_ELEMENTS 2
 #define OBJECTIVE_ELEMENTS 4
 #define IPV4_BYTES 4
@@ -74,15 +76,20 @@
 static void pack_policy_(msgpack_packer *packer,
 			 const pl_service_policy_t *policy)
 {
-	const uint32_t values[POLICY_ELEMENTS] = {
-		policy->deadline_ms,	policy->short_slots,
-		policy->queue_max,	policy->upload_max_bytes,
-		policy->ramp_ms,	policy->retry_percent,
-		policy->answer_keep_ms,
+	const uint32_t values[POLICY_WARMUP_ELEMENTS] = {
+		policy->deadline_ms,	   policy->short_slots,
+		policy->queue_max,	   policy->upload_max_bytes,
+		policy->ramp_ms,	   policy->retry_percent,
+		policy->answer_keep_ms,	   policy->warmup_ms,
+		policy->warmup_rate_milli,
 	};
+	/* without such limits, the encoding is that of earlier releases */
+	size_t count = policy->warmup_ms || policy->warmup_rate_milli ?
+			       POLICY_WARMUP_ELEMENTS :
+			       POLICY_ELEMENTS;
 
-	msgpack_pack_array(packer, POLICY_ELEMENTS);
-	for (size_t i = 0; i < POLICY_ELEMENTS; i++)
+	msgpack_pack_array(packer, count);
+	for (size_t i = 0; i < count; i++)
 		msgpack_pack_uint32(packer, values[i]);
 }
 
@@ -197,16 +204,20 @@
 static bool read_policy_(const msgpack_object *object,
 			 pl_service_policy_t *policy)
 {
-	uint32_t *const values[POLICY_ELEMENTS] = {
-		&policy->deadline_ms,	 &policy->short_slots,
-		&policy->queue_max,	 &policy->upload_max_bytes,
-		&policy->ramp_ms,	 &policy->retry_percent,
-		&policy->answer_keep_ms,
+	uint32_t *const values[POLICY_WARMUP_ELEMENTS] = {
+		&policy->deadline_ms,	    &policy->short_slots,
+		&policy->queue_max,	    &policy->upload_max_bytes,
+		&policy->ramp_ms,	    &policy->retry_percent,
+		&policy->answer_keep_ms,    &policy->warmup_ms,
+		&policy->warmup_rate_milli,
 	};
+	size_t count = POLICY_ELEMENTS;
 
 	if (!is_array_(object, POLICY_ELEMENTS, UINT32_MAX))
 		return false;
-	for (size_t i = 0; i < POLICY_ELEMENTS; i++) {
+	if (object->via.array.size >= POLICY_WARMUP_ELEMENTS)
+		count = POLICY_WARMUP_ELEMENTS;
+	for (size_t i = 0; i < count; i++) {
 		if (!read_number_(&object->via.array.ptr[i], values[i]))
 			return false;
 	}
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -236,6 +236,29 @@
 {
 }
 
+typedef struct {
+	flow_agent_role_t *role;
+	pl_service_policy_t policy;
+} policy_task_t;
+
+static void run_set_policy_(void *ctx)
+{
+	policy_task_t *task = ctx;
+
+	pl_flow_agent_set_policy(task->role->core, &task->policy);
+	g_free(task);
+}
+
+static void policy_(void *ctx, const pl_service_policy_t *policy)
+{
+	flow_agent_role_t *role = ctx;
+	policy_task_t *task = g_new0(policy_task_t, 1);
+
+	task->role = role;
+	task->policy = *policy;
+	pl_loop_post(role->thread.loop, run_set_policy_, task);
+}
+
 static void roster_(void *ctx, bool known, const pl_member_id_t *agents,
 		    size_t count)
 {
@@ -353,6 +376,12 @@
 	add_number_(status, "flows", stats.flows);
 	add_number_(status, "slots", stats.load.slots);
 	add_number_(status, "busy", stats.load.busy);
+	add_number_(status, "limit_milli", stats.load.limit);
+	add_number_(status, "request_ms", stats.load.request_ms);
+	add_number_(status, "usual_ms", stats.usual_ms);
+	add_number_(status, "slowness_milli", stats.slowness_milli);
+	add_number_(status, "cold_ms", stats.cold_ms);
+	add_number_(status, "cold_refused", stats.cold_refused);
 	add_number_(status, "taken", stats.accepted);
 	add_number_(status, "refused", stats.refused);
 	add_number_(status, "refused_evacuated", stats.evacuated_refused);
@@ -381,6 +410,7 @@
 	.start = start_,
 	.routing = routing_,
 	.roster = roster_,
+	.policy = policy_,
 	.frame = ignore_frame_,
 	.frame_failed = ignore_frame_,
 	.agent_boot_ended = agent_boot_ended_,
--- a/src/daemon/node_routing.c
+++ b/src/daemon/node_routing.c
@@ -136,11 +136,26 @@
 	pl_timer_arm(pl_node_timers_(node), &node->rebuild, due);
 }
 
+/* Passes the role the policy of the service that its settings name. */
+static void publish_policy_(const pl_node_t *node)
+{
+	const pl_document_t *document = pl_node_config_document(node->config);
+	const pl_section_t *section;
+
+	if (!node->role || !node->role_ops->policy || !document)
+		return;
+	section = pl_document_find(document, node->settings->flows.service);
+	if (section)
+		node->role_ops->policy(node->role,
+				       &pl_section_service(section)->policy);
+}
+
 void pl_node_document_in_force_(void *ctx)
 {
 	pl_node_t *node = ctx;
 
 	pl_member_set_revision(node->members, pl_node_revision(node));
+	publish_policy_(node);
 	pl_node_schedule_rebuild_(node);
 }
 
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -58,6 +58,9 @@
 	/** The data centre of this process is evacuated, or no longer. May be
 	 * NULL. */
 	void (*evacuated)(void *role, bool evacuated);
+	/** The configuration in force gives the role's service @p policy. May be
+	 * NULL. */
+	void (*policy)(void *role, const pl_service_policy_t *policy);
 	/** The process was suspended for so long that it continues under the
 	 * new identity @p boot. */
 	void (*paused)(void *role, uint64_t boot);
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -43,6 +43,7 @@
 	pl_flow_table_on_evict(agent->flows, pl_flow_on_evict_);
 	pl_flow_backend_init_(agent);
 	pl_flow_work_init_(agent);
+	pl_flow_pace_init_(agent);
 	pl_flow_load_report_init_(agent);
 	pl_timer_init(&agent->expiry_timer, expire_flows_, agent);
 	pl_timer_arm(timers, &agent->expiry_timer,
@@ -71,7 +72,7 @@
 
 	load.busy += (uint32_t)pl_work_queue_in_time(&agent->queue,
 						     pl_flow_agent_now_(agent));
-	load.request_ms = (uint32_t)agent->request_ms;
+	pl_flow_pace_add_load_(agent, &load);
 	return load;
 }
 
@@ -171,6 +172,10 @@
 		refuse_opening_(agent, message);
 		return;
 	}
+	if (!pl_flow_pace_admits_flow_(agent)) {
+		pl_flow_pace_refuse_cold_(agent, message);
+		return;
+	}
 	flow = pl_flow_get_or_add_(agent, &message->flow);
 	pl_flow_set_state_(agent, flow, FLOW_NEW);
 	flow->entry = message->sender;
@@ -516,6 +521,7 @@
 	stats->flows = count_open_flows_(agent);
 	stats->load = pl_flow_agent_load_(agent);
 	stats->evacuated = agent->evacuated;
+	pl_flow_pace_add_stats_(agent, stats);
 	stats->serving = pl_flow_backend_accepts_(agent);
 	stats->flows_complete = pl_flow_backend_knows_all_flows_(agent);
 	stats->backend_down = agent->backend_down;
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -247,6 +247,7 @@
 	bool first = agent->report.id[0] == '\0';
 	const char *foreign = foreign_reason_(agent, report);
 	pl_flow_report_result_t result;
+	bool started = false;
 
 	if (foreign) {
 		log_foreign_(report, foreign);
@@ -260,10 +261,12 @@
 	if (!first && !same_process_(&agent->report, report)) {
 		log_replaced_(&agent->report, report);
 		no_flows_left_(agent);
+		started = true;
 	}
 	if (first && report->sequence <= FIRST_SEQUENCE) {
 		fail_probes_(agent);
 		agent->flows_complete = true;
+		started = true;
 	}
 	agent->backend_seen = true;
 	agent->backend_down = false;
@@ -271,6 +274,9 @@
 	agent->report = *report;
 	agent->earlier.id[0] = '\0';
 	agent->report_at = pl_flow_agent_now_(agent);
+	if (started || (first && report->warmup_ms > 0))
+		pl_flow_pace_server_started_(agent);
+	pl_flow_pace_reported_(agent);
 	set_serving_(agent, !report->draining);
 	return PL_FLOW_REPORT_ACCEPTED;
 }
--- a/src/flow/agent_evacuate.c
+++ b/src/flow/agent_evacuate.c
@@ -70,5 +70,5 @@
 	if (evacuated)
 		refuse_queued_(agent);
 	else
-		agent->returned_at = pl_flow_agent_now_(agent);
+		pl_flow_pace_returned_(agent);
 }
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -138,6 +138,7 @@
 	pl_ms_t timeout_ms =
 		(pl_ms_t)(caller_answer_ms_(agent) * RESERVED_TIMES);
 
+	pl_flow_pace_count_(agent);
 	set_reserved_(agent, flow, true);
 	take_slot_(agent, flow,
 		   CLAMP(timeout_ms, RESERVED_MIN_MS, RESERVED_MAX_MS));
@@ -155,6 +156,8 @@
 {
 	if (flow->slot_reserved)
 		flow->slot_since = pl_flow_agent_now_(agent);
+	else
+		pl_flow_pace_count_(agent);
 	set_reserved_(agent, flow, false);
 	take_slot_(agent, flow,
 		   CLAMP((pl_ms_t)(agent->request_ms * REQUEST_TIMEOUT_TIMES),
@@ -188,8 +191,10 @@
 	const pl_flow_agent_t *agent = ctx;
 	const flow_t *flow = PL_CONTAINER_OF(work, flow_t, work);
 
-	return flow->state == FLOW_NEW ? has_room_for_flow_(agent) :
-					 has_slot_(agent);
+	return flow->state == FLOW_NEW ?
+		       has_room_for_flow_(agent) &&
+			       pl_flow_pace_admits_flow_(agent) :
+		       has_slot_(agent);
 }
 
 /* Updates the count of queued requests when the flow leaves the queue. */
@@ -243,6 +248,7 @@
 		pl_histogram_record(PL_HISTOGRAM_REQUEST, took * US_PER_MS);
 		agent->request_ms =
 			update_mean_(agent->request_ms, (double)took);
+		pl_flow_pace_answered_(agent, flow, took);
 	}
 	pl_flow_work_free_slot_(agent, flow);
 }
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -228,6 +228,7 @@
 			.load = load->load,
 			.unreported = count_unreported_(entry, load),
 			.age_ms = pl_flow_entry_now_(entry) - load->reported_at,
+			.tried = load->next > 0,
 			.local = ranked[i].endpoint->datacentre ==
 				 entry->params.datacentre,
 		};
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -2,14 +2,17 @@
  * @file
  * Internal structures of the flow agent: flow records (agent_flow.c), packets
  * of entries and the backend server (agent.c), slots and queued work
- * (agent_work.c), load reports to entries (agent_report.c) and the state of
- * the backend server (agent_backend.c).
+ * (agent_work.c), load reports to entries (agent_report.c), the pace of a
+ * started or cold server (agent_pace.c) and the state of the backend server
+ * (agent_backend.c).
  */
 #ifndef PL_FLOW_AGENT_PRIVATE_H
 #define PL_FLOW_AGENT_PRIVATE_H
 
 #include "private/flow_table.h"
+#include <pimentolift/balance/cold_gate.h>
 #include <pimentolift/balance/load.h>
+#include <pimentolift/balance/pace.h>
 #include "private/packet_queue.h"
 #include <pimentolift/balance/work_queue.h>
 
@@ -83,6 +86,10 @@
 	/** Mean time from the delivery of an opening packet to the caller's
 	 * next packet; 0 before the first. */
 	double caller_answer_ms;
+	/* agent_pace.c */
+	pl_pace_t pace;
+	pl_cold_gate_t cold_gate;
+	pl_ms_t warmup_ms; /**< time that a server is cold after its return */
 	/* agent_backend.c */
 	pl_backend_report_t report; /**< the last one; id is "" before it */
 	pl_ms_t report_at; /**< arrival of the last report */
@@ -100,7 +107,6 @@
 	bool backend_seen;
 	bool backend_down; /**< the server has ended and no new one was seen */
 	bool evacuated; /**< the data centre gets no new flows */
-	pl_ms_t returned_at; /**< end of the last evacuation; 0: none */
 	bool flows_complete; /**< every flow of the server had a record */
 	/** When the record of a flow that may be open was last evicted; 0: never
 	 * since the server's start. */
@@ -178,8 +184,30 @@
 void pl_flow_work_discard_(pl_flow_agent_t *agent, flow_t *flow);
 
 /* agent_pace.c */
+void pl_flow_pace_init_(pl_flow_agent_t *agent);
 /** Requests that the server may be given at once; 0: no limit is known. */
 uint32_t pl_flow_pace_slots_(const pl_flow_agent_t *agent);
+/** Whether a cold server bears one more opening packet now. */
+bool pl_flow_pace_admits_flow_(const pl_flow_agent_t *agent);
+/** Counts a new flow, or a request on an open one, as delivered. */
+void pl_flow_pace_count_(pl_flow_agent_t *agent);
+/** A server process has started, or one that was not known reports. */
+void pl_flow_pace_server_started_(pl_flow_agent_t *agent);
+/** The last report of the server has been stored. */
+void pl_flow_pace_reported_(pl_flow_agent_t *agent);
+/** The data centre of the server is no longer evacuated. */
+void pl_flow_pace_returned_(pl_flow_agent_t *agent);
+/** Returns an opening packet that is too much for a cold server. */
+void pl_flow_pace_refuse_cold_(pl_flow_agent_t *agent,
+			       const pl_flow_message_t *message);
+/** The server answered a request of @p flow after @p took_ms. */
+void pl_flow_pace_answered_(pl_flow_agent_t *agent, const flow_t *flow,
+			    pl_ms_t took_ms);
+/** Fills in the fields of @p load and of @p stats that the pace gives. */
+void pl_flow_pace_add_load_(const pl_flow_agent_t *agent,
+			    pl_endpoint_load_t *load);
+void pl_flow_pace_add_stats_(const pl_flow_agent_t *agent,
+			     pl_flow_agent_stats_t *stats);
 
 /* agent_backend.c */
 void pl_flow_backend_init_(pl_flow_agent_t *agent);
--- a/test/config/document_test.c
+++ b/test/config/document_test.c
@@ -70,6 +70,42 @@
 	pl_document_put(document);
 }
 
+/* Limits of cold servers are appended: a section without them has the bytes, and
+ * so the hash, that earlier releases give it. */
+static void limits_of_cold_servers_are_appended(void **state)
+{
+	g_autofree char *text = g_strconcat("format = 1\n"
+					    "[[service]]\n"
+					    "name = \"permits\"\n"
+					    "addresses = [\"192.0.2.1:5683\"]\n"
+					    "warmup_ms = 2000\n"
+					    "warmup_rate_milli = 5500\n",
+					    NULL);
+	g_autofree char *plain = g_strndup(text, strstr(text, "warmup") - text);
+	pl_document_t *with = parse_document_(text);
+	pl_document_t *without = parse_document_(plain);
+	pl_section_t *copy = NULL;
+	const uint8_t *bytes;
+	size_t plain_len;
+	size_t len;
+	char *diff = pl_document_diff(without, with);
+
+	(void)state;
+	pl_section_bytes(pl_document_at(without, 0), &plain_len);
+	bytes = pl_section_bytes(pl_document_at(with, 0), &len);
+	/* 3 bytes for each number */
+	assert_int_equal(len, plain_len + 6);
+	assert_int_equal(pl_section_decode(bytes, len, &copy, NULL), PL_OK);
+	assert_int_equal(pl_section_service(copy)->policy.warmup_ms, 2000);
+	assert_int_equal(pl_section_service(copy)->policy.warmup_rate_milli,
+			 5500);
+	assert_non_null(strstr(diff, "warmup_rate_milli 0 -> 5500"));
+	free(diff);
+	pl_section_put(copy);
+	pl_document_put(with);
+	pl_document_put(without);
+}
+
 static void hash_is_independent_of_the_text_layout(void **state)
 {
 	pl_document_t *one = parse_document_(base_text_);
@@ -323,6 +359,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(section_round_trips_and_truncation_is_refused),
+		cmocka_unit_test(limits_of_cold_servers_are_appended),
 		cmocka_unit_test(hash_is_independent_of_the_text_layout),
 		cmocka_unit_test(every_problem_names_its_line),
 		cmocka_unit_test(weights_of_a_shared_address_round_trip),
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -377,6 +377,7 @@
 		.sequence = server->sequence + 1,
 		.slots = server->slots,
 		.draining = server->draining,
+		.warmup_ms = server->warmup_ms,
 	};
 
 	g_strlcpy(report.service, world->agents[index].service,
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -45,6 +45,7 @@
 	unsigned int slots;
 	unsigned int queue_max;
 	pl_ms_t work_ms;
+	uint32_t warmup_ms; /* how much longer it reports that it is slow */
 	uint64_t born_ms;
 	uint64_t clock_behind_ms; /* of its machine, at its next start */
 	uint64_t sequence;
--- a/test/platform/config_test.c
+++ b/test/platform/config_test.c
@@ -173,6 +173,36 @@
 	g_string_free(text, TRUE);
 }
 
+static void limits_of_cold_servers_are_read(void **state)
+{
+	static const char text[] =
+		"{\"version\":3,\"routes\":["
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"/1/\",\"service\":\"a\"},"
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"/2/\",\"service\":\"b\"},"
+		"{\"host\":\"1.2.3.4\",\"prefix\":\"/3/\",\"service\":\"c\"}],"
+		"\"services\":[null,{\"warmup_s\":9},"
+		"{\"name\":\"a\",\"warmup_s\":2.0,\"warmup_per_s\":5.5},"
+		"{\"name\":\"b\",\"warmup_s\":3,\"warmup_per_s\":0.0},"
+		"{\"name\":\"c\",\"warmup_s\":-1,\"warmup_per_s\":\"7\"}]}";
+	static const uint32_t expected[][2] = { { 2000, 5500 },
+						{ 3000, 0 },
+						{ 0, 0 } };
+	pl_document_t *document;
+	size_t skipped;
+
+	(void)state;
+	assert_int_equal(decode_(text, &document, &skipped), PL_OK);
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+		const pl_service_policy_t *policy =
+			&pl_section_service(pl_document_at(document, i))
+				 ->policy;
+
+		assert_int_equal(policy->warmup_ms, expected[i][0]);
+		assert_int_equal(policy->warmup_rate_milli, expected[i][1]);
+	}
+	pl_document_put(document);
+}
+
 static void unreadable_routes_are_skipped(void **state)
 {
 	static const char text[] =
@@ -238,6 +268,7 @@
 		cmocka_unit_test(routes_become_sections),
 		cmocka_unit_test(route_keeps_a_service_whatever_its_weights),
 		cmocka_unit_test(routes_of_the_largest_value_are_all_kept),
+		cmocka_unit_test(limits_of_cold_servers_are_read),
 		cmocka_unit_test(unreadable_routes_are_skipped),
 		cmocka_unit_test(invalid_documents_are_rejected),
 	};
