Pace: requests that a server leaves unanswered count as slow ones

A server that takes requests and never answers, or resets their flows, was not told apart from others: its slots get free by a timeout.

Errors by the status of an answer: the product does not read what callers and servers say to each other.

A slot that times out and a reset before the answer count as an answer of eight times the usual time.

--- a/include/pimentolift/balance/pace.h
+++ b/include/pimentolift/balance/pace.h
@@ -80,6 +80,10 @@
 				  pl_ms_t took_ms,
 				  const pl_pace_sample_t *sample);
 
+/** The server did not answer a request in time, or reset its flow. */
+pl_pace_change_t pl_pace_failed(pl_pace_t *pace,
+				const pl_pace_sample_t *sample);
+
 /** Limit in thousandths of a slot; 0: as many requests as there are slots. */
 uint32_t pl_pace_limit(const pl_pace_t *pace, pl_ms_t now);
 
--- a/src/balance/pace.c
+++ b/src/balance/pace.c
@@ -21,6 +21,9 @@
 /** Mean time to answer, in times the usual one, from which on a server without
  * a limit counts as slow: far above what chance does. */
 #define SLOW_TIMES 3.0
+/** Slowness that a failure counts as. A server that fails two requests in five
+ * and answers the others as usual is slow then. */
+#define FAILED_TIMES 8.0
 /** Growth over what was served in the last second. */
 #define STEP PL_PACE_SLOT
 
@@ -80,11 +83,10 @@
 	return slowness;
 }
 
-pl_pace_change_t pl_pace_answered(pl_pace_t *pace, uint64_t kind,
-				  pl_ms_t took_ms,
-				  const pl_pace_sample_t *sample)
+/* Adds a measurement to the recent ones and applies the policy. */
+static pl_pace_change_t update_(pl_pace_t *pace, double slowness,
+				const pl_pace_sample_t *sample)
 {
-	double slowness = measure_(pace, kind, (double)took_ms);
 	bool limited = pace->limit > 0;
 
 	pace->slowness += (slowness - pace->slowness) / RECENT_PARTS;
@@ -107,6 +109,18 @@
 	return limited ? PL_PACE_SAME : PL_PACE_SLOWED;
 }
 
+pl_pace_change_t pl_pace_answered(pl_pace_t *pace, uint64_t kind,
+				  pl_ms_t took_ms,
+				  const pl_pace_sample_t *sample)
+{
+	return update_(pace, measure_(pace, kind, (double)took_ms), sample);
+}
+
+pl_pace_change_t pl_pace_failed(pl_pace_t *pace, const pl_pace_sample_t *sample)
+{
+	return update_(pace, FAILED_TIMES, sample);
+}
+
 uint32_t pl_pace_usual_ms(const pl_pace_t *pace)
 {
 	const pl_pace_usual_t *most = &pace->usual[0];
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -456,6 +456,8 @@
 	if (!opens && !(packet->flags & PL_PACKET_RST))
 		pl_flow_confirm_(agent, flow);
 	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
+	if (packet->flags & PL_PACKET_RST)
+		pl_flow_pace_failed_(agent, flow);
 	if (packet->data_len > 0)
 		pl_flow_work_answered_(agent, flow);
 	else if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
--- a/src/flow/agent_pace.c
+++ b/src/flow/agent_pace.c
@@ -66,34 +66,49 @@
 				 agent->report.warmup_ms);
 }
 
-void pl_flow_pace_answered_(pl_flow_agent_t *agent, const flow_t *flow,
-			    pl_ms_t took_ms)
+static pl_pace_sample_t sample_(const pl_flow_agent_t *agent)
 {
 	pl_ms_t now = pl_flow_agent_now_(agent);
-	const pl_pace_sample_t sample = {
+
+	return (pl_pace_sample_t){
 		.now = now,
 		.slots = agent->load.slots,
 		.mean_busy = pl_load_snapshot(&agent->load, now).mean_busy,
 	};
+}
 
-	switch (pl_pace_answered(&agent->pace, kind_(flow), took_ms, &sample)) {
-	case PL_PACE_FULL:
+static void log_change_(const pl_flow_agent_t *agent, pl_pace_change_t change)
+{
+	if (change == PL_PACE_FULL)
 		pl_event(PL_EVENT_PACE_FULL,
 			 "backend server %s: all %u slots after %u ms",
 			 agent->report.id, agent->load.slots,
-			 (unsigned int)(now - agent->pace.since));
-		break;
-	case PL_PACE_SLOWED:
-		pl_counter_add(PL_COUNTER_PACE_SLOWED, 1);
-		pl_event(PL_EVENT_PACE_SLOWED,
-			 "backend server %s: %u thousandths of a slot, answers "
-			 "take %.1f times as long as usual",
-			 agent->report.id, agent->pace.limit,
-			 agent->pace.slowness);
-		break;
-	default:
-		break;
-	}
+			 (unsigned int)(pl_flow_agent_now_(agent) -
+					agent->pace.since));
+	if (change != PL_PACE_SLOWED)
+		return;
+	pl_counter_add(PL_COUNTER_PACE_SLOWED, 1);
+	pl_event(PL_EVENT_PACE_SLOWED,
+		 "backend server %s: %u thousandths of a slot, answers take "
+		 "%.1f times as long as usual, or fail",
+		 agent->report.id, agent->pace.limit, agent->pace.slowness);
+}
+
+void pl_flow_pace_answered_(pl_flow_agent_t *agent, const flow_t *flow,
+			    pl_ms_t took_ms)
+{
+	const pl_pace_sample_t sample = sample_(agent);
+
+	log_change_(agent, pl_pace_answered(&agent->pace, kind_(flow), took_ms,
+					    &sample));
+}
+
+void pl_flow_pace_failed_(pl_flow_agent_t *agent, const flow_t *flow)
+{
+	const pl_pace_sample_t sample = sample_(agent);
+
+	if (flow->holds_slot && !flow->slot_reserved)
+		log_change_(agent, pl_pace_failed(&agent->pace, &sample));
 }
 
 void pl_flow_pace_add_load_(const pl_flow_agent_t *agent,
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -261,9 +261,11 @@
 
 static void on_slot_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
+	flow_t *flow = PL_CONTAINER_OF(timer, flow_t, slot_timer);
+
 	(void)now;
-	pl_flow_work_free_slot_(ctx,
-				PL_CONTAINER_OF(timer, flow_t, slot_timer));
+	pl_flow_pace_failed_(ctx, flow);
+	pl_flow_work_free_slot_(ctx, flow);
 }
 
 /* Hands opening packets back that were queued for OPENING_QUEUED_MAX_MS. */
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -203,6 +203,8 @@
 /** The server answered a request of @p flow after @p took_ms. */
 void pl_flow_pace_answered_(pl_flow_agent_t *agent, const flow_t *flow,
 			    pl_ms_t took_ms);
+/** The request of @p flow, if it has one, ends without an answer. */
+void pl_flow_pace_failed_(pl_flow_agent_t *agent, const flow_t *flow);
 /** Fills in the fields of @p load and of @p stats that the pace gives. */
 void pl_flow_pace_add_load_(const pl_flow_agent_t *agent,
 			    pl_endpoint_load_t *load);
--- a/test/flow/pace_test.c
+++ b/test/flow/pace_test.c
@@ -182,6 +182,34 @@
 	world_delete(world);
 }
 
+/* Load pattern: a server takes requests and never answers. Its slots get free
+ * when its requests time out, so it looked as idle as the others. */
+static void mute_server_gets_little_work(void **state)
+{
+	world_t *world = world_new(2, 8, 66);
+	server_t *server = &world->servers[7];
+	pl_flow_agent_stats_t stats;
+	uint64_t before;
+
+	(void)state;
+	world_run(world, 500);
+	start_calls_(world, 300, 4000);
+	server->mute = true;
+	start_calls_(world, 300, 2000);
+	pl_flow_agent_stats(world->agents[7].agent, &stats);
+	assert_int_equal(stats.load.limit, PL_PACE_SLOT);
+	before = server->requests_started;
+	start_calls_(world, 300, 2000);
+	print_message("%u of 600 requests at a mute server of 8\n",
+		      (unsigned int)(server->requests_started - before));
+	assert_in_range(server->requests_started - before, 1, 7);
+	server->mute = false;
+	start_calls_(world, 300, 8000);
+	pl_flow_agent_stats(world->agents[7].agent, &stats);
+	assert_int_equal(stats.load.limit, 0);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -190,6 +218,7 @@
 		cmocka_unit_test(cold_server_gets_what_it_bears),
 		cmocka_unit_test(returned_server_gets_what_it_bears),
 		cmocka_unit_test(restarted_agent_paces_no_warm_server),
+		cmocka_unit_test(mute_server_gets_little_work),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -202,6 +202,10 @@
 {
 	server_t *server = flow->server;
 
+	if (server->mute) {
+		server->requests_started++;
+		return;
+	}
 	if (server->busy >= server->slots) {
 		if (g_queue_get_length(server->waiting) < server->queue_max) {
 			g_queue_push_tail(server->waiting, flow);
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -59,6 +59,7 @@
 	uint64_t opened_while_draining;
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
+	bool mute; /* takes requests and never answers them */
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
 	bool resets_unowned;
