--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -43,6 +43,7 @@
 	pl_flow_table_on_evict(agent->flows, pl_flow_on_evict_);
 	pl_flow_backend_init_(agent);
 	pl_flow_work_init_(agent);
+	pl_flow_pace_init_(agent);
 	pl_flow_load_report_init_(agent);
 	pl_timer_init(&agent->expiry_timer, expire_flows_, agent);
 	pl_timer_arm(timers, &agent->expiry_timer,
@@ -72,7 +73,7 @@
 	load.busy += (uint32_t)pl_work_queue_in_time(&agent->queue,
 						     pl_flow_agent_now_(agent));
 	load.waiting = (uint32_t)agent->queue.count;
-	load.request_ms = (uint32_t)agent->request_ms;
+	pl_flow_pace_add_load_(agent, &load);
 	return load;
 }
 
@@ -176,6 +177,10 @@
 		pl_flow_refuse_not_serving_(agent, message);
 		return;
 	}
+	if (!pl_flow_pace_admits_flow_(agent)) {
+		pl_flow_pace_refuse_cold_(agent, message);
+		return;
+	}
 	if (!pl_flow_admit_(agent, message, &waits))
 		return;
 	flow = pl_flow_get_or_add_(agent, &message->flow);
@@ -185,7 +190,9 @@
 	flow->confirmed = false;
 	flow->request_due = request_due_(agent, message);
 	agent->stats.accepted++;
-	if (!waits)
+	if (waits)
+		pl_flow_pace_count_(agent);
+	else
 		pl_flow_work_reserve_slot_(agent, flow);
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
@@ -451,6 +458,8 @@
 	if (!opens && !(packet->flags & PL_PACKET_RST))
 		pl_flow_confirm_(agent, flow);
 	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
+	if (packet->flags & PL_PACKET_RST)
+		pl_flow_pace_failed_(agent, flow);
 	if (packet->data_len > 0)
 		pl_flow_work_answered_(agent, flow);
 	else if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
@@ -516,6 +525,7 @@
 	stats->flows = count_open_flows_(agent);
 	stats->load = pl_flow_agent_load_(agent);
 	stats->evacuated = agent->evacuated;
+	pl_flow_pace_add_stats_(agent, stats);
 	stats->serving = pl_flow_backend_accepts_(agent);
 	stats->flows_complete = pl_flow_backend_knows_all_flows_(agent);
 	stats->backend_down = agent->backend_down;
--- a/src/flow/agent_evacuate.c
+++ b/src/flow/agent_evacuate.c
@@ -71,7 +71,7 @@
 		refuse_queued_(agent);
 		return;
 	}
-	agent->returned_at = pl_flow_agent_now_(agent);
 	/* what was measured before says little of a server that got no work */
 	agent->request_ms = 0;
+	pl_flow_pace_returned_(agent);
 }
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -137,6 +137,7 @@
 	pl_ms_t timeout_ms =
 		(pl_ms_t)(caller_answer_ms_(agent) * RESERVED_TIMES);
 
+	pl_flow_pace_count_(agent);
 	set_reserved_(agent, flow, true);
 	take_slot_(agent, flow,
 		   CLAMP(timeout_ms, RESERVED_MIN_MS, RESERVED_MAX_MS));
@@ -154,6 +155,8 @@
 {
 	if (flow->slot_reserved)
 		flow->slot_since = pl_flow_agent_now_(agent);
+	else
+		pl_flow_pace_count_(agent);
 	set_reserved_(agent, flow, false);
 	flow->request_open = true;
 	take_slot_(agent, flow,
@@ -243,6 +246,7 @@
 		pl_histogram_record(PL_HISTOGRAM_REQUEST, took * US_PER_MS);
 		agent->request_ms =
 			update_mean_(agent->request_ms, (double)took);
+		pl_flow_pace_answered_(agent, flow, took);
 	}
 	flow->request_open = false;
 	pl_flow_work_free_slot_(agent, flow);
@@ -256,9 +260,11 @@
 
 static void on_slot_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
+	flow_t *flow = PL_CONTAINER_OF(timer, flow_t, slot_timer);
+
 	(void)now;
-	pl_flow_work_free_slot_(ctx,
-				PL_CONTAINER_OF(timer, flow_t, slot_timer));
+	pl_flow_pace_failed_(ctx, flow);
+	pl_flow_work_free_slot_(ctx, flow);
 }
 
 static void on_drop_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -17,6 +17,9 @@
 
 /** Time until an opening packet shows in the load that its agent reports. */
 #define REPORT_DELAY_MS 10
+/** Age up to which a reported load is used. Agents report to an entry for 2 s
+ * after its last packet, each change of their load at once. */
+#define LOAD_VALID_MS 3000
 /** Opening packets recorded per agent. */
 #define SENT_TIMES_MAX 8
 
@@ -87,6 +90,15 @@
 	return count;
 }
 
+static bool sent_within_(const agent_load_t *load, pl_ms_t now, pl_ms_t within)
+{
+	for (unsigned int i = 0; i < SENT_TIMES_MAX; i++) {
+		if (load->sent[i] != 0 && now - load->sent[i] <= within)
+			return true;
+	}
+	return false;
+}
+
 bool pl_flow_entry_was_offered_(const cached_flow_t *flow, pl_member_id_t agent)
 {
 	for (size_t i = 0; i < flow->offered_count; i++) {
@@ -203,6 +215,27 @@
 		       candidate->load.slots;
 }
 
+/* A load that was reported too long ago is not known any more, and an endpoint
+ * that was sent nothing since then is as one that was never tried. */
+static pl_place_candidate_t make_candidate_(pl_flow_entry_t *entry,
+					    const pl_endpoint_t *endpoint)
+{
+	const agent_load_t *known = get_load_(entry, endpoint->agent);
+	pl_ms_t now = pl_flow_entry_now_(entry);
+	pl_place_candidate_t candidate = {
+		.agent = endpoint->agent,
+		.weight = endpoint->weight,
+		.unreported = count_unreported_(entry, known),
+		.age_ms = now - known->reported_at,
+		.tried = sent_within_(known, now, LOAD_VALID_MS),
+		.local = endpoint->datacentre == entry->params.datacentre,
+	};
+
+	if (candidate.age_ms <= LOAD_VALID_MS)
+		candidate.load = known->load;
+	return candidate;
+}
+
 /* Returns the endpoint of @p service for an opening packet, or NULL; sets
  * @p last if there is no other endpoint to offer the packet to. */
 static const pl_endpoint_t *choose_endpoint_(pl_flow_entry_t *entry,
@@ -220,20 +253,8 @@
 	*last = count <= 1 || flow->offered_count + 1 >= PL_FLOW_OFFERS_MAX;
 	if (count == 0)
 		return NULL;
-	for (size_t i = 0; i < count; i++) {
-		const agent_load_t *load =
-			get_load_(entry, ranked[i].endpoint->agent);
-
-		candidates[i] = (pl_place_candidate_t){
-			.agent = ranked[i].endpoint->agent,
-			.weight = ranked[i].endpoint->weight,
-			.load = load->load,
-			.unreported = count_unreported_(entry, load),
-			.age_ms = pl_flow_entry_now_(entry) - load->reported_at,
-			.local = ranked[i].endpoint->datacentre ==
-				 entry->params.datacentre,
-		};
-	}
+	for (size_t i = 0; i < count; i++)
+		candidates[i] = make_candidate_(entry, ranked[i].endpoint);
 	chosen = entry->params.placement->choose(candidates, count);
 	/* if the best endpoint is full, the others need no offer */
 	if (is_full_(&candidates[chosen]))
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -202,6 +202,10 @@
 {
 	server_t *server = flow->server;
 
+	if (server->mute) {
+		server->requests_started++;
+		return;
+	}
 	if (server->busy >= server->slots) {
 		if (g_queue_get_length(server->waiting) < server->queue_max) {
 			g_queue_push_tail(server->waiting, flow);
@@ -377,6 +381,7 @@
 		.sequence = server->sequence + 1,
 		.slots = server->slots,
 		.draining = server->draining,
+		.warmup_ms = server->warmup_ms,
 	};
 
 	g_strlcpy(report.service, world->agents[index].service,
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -45,6 +45,7 @@
 	unsigned int slots;
 	unsigned int queue_max;
 	pl_ms_t work_ms;
+	uint32_t warmup_ms; /* how much longer it reports that it is slow */
 	uint64_t born_ms;
 	uint64_t clock_behind_ms; /* of its machine, at its next start */
 	uint64_t sequence;
@@ -58,6 +59,7 @@
 	uint64_t opened_while_draining;
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
+	bool mute; /* takes requests and never answers them */
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
 	bool resets_unowned;
