--- a/test/flow/evacuate_test.c
+++ b/test/flow/evacuate_test.c
@@ -237,6 +237,42 @@
 	world_delete(world);
 }
 
+static uint64_t opened_(const world_t *world, int first, int last)
+{
+	uint64_t opened = 0;
+
+	for (int i = first; i <= last; i++)
+		opened += world->servers[i].opened;
+	return opened;
+}
+
+/* A caller uses the port of a flow that it closed again. The entry, which still
+ * knows the former owner, must not leave the new flow with that one's agent. */
+static void reused_ports_open_flows_elsewhere(void **state)
+{
+	world_t *world = world_in_two_datacentres_(8);
+	call_t *calls[CALLERS];
+	uint64_t evacuated;
+	uint64_t elsewhere;
+
+	(void)state;
+	call_many_(world, calls, false);
+	world_run(world, 1000);
+	evacuated = opened_(world, FIRST, LAST);
+	elsewhere = opened_(world, LAST + 1, AGENTS - 1);
+	assert_true(evacuated > 0);
+	set_gates_(world, FIRST, LAST, true);
+	for (int i = 0; i < CALLERS; i++) {
+		calls[i]->copies = 0;
+		world_resend_opening(calls[i]);
+	}
+	world_run(world, 200);
+	assert_int_equal(opened_(world, FIRST, LAST), evacuated);
+	assert_true(opened_(world, LAST + 1, AGENTS - 1) >=
+		    elsewhere + evacuated);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -249,6 +285,7 @@
 		cmocka_unit_test(new_flows_return_after_the_withdrawal),
 		cmocka_unit_test(flows_are_rejected_once_no_endpoint_is_left),
 		cmocka_unit_test(late_copies_harm_no_open_flow),
+		cmocka_unit_test(reused_ports_open_flows_elsewhere),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -639,6 +639,21 @@
 	fleet_delete(fleet);
 }
 
+/* Also while the budget is spent on the records of a cold start. */
+static void evacuations_spread_during_a_cold_start(void **state)
+{
+	fleet_t *fleet = fleet_new(17, 300, 4);
+
+	(void)state;
+	for (size_t i = 0; i < fleet->count; i++)
+		fleet_start(fleet, i);
+	fleet_run(fleet, 2000);
+	evacuate_(fleet, 5, 0, 70, 1);
+	fleet_run(fleet, 1500);
+	assert_int_equal(count_holding_others_(fleet, 1), 0);
+	fleet_delete(fleet);
+}
+
 /* A member that starts while a data centre is evacuated, with the store away,
  * learns it from its peers with the first answers. */
 static void starting_member_learns_of_evacuations(void **state)
@@ -737,6 +752,7 @@
 		cmocka_unit_test(revision_reaches_all_nodes),
 		cmocka_unit_test(store_generation_reaches_all_nodes),
 		cmocka_unit_test(evacuations_reach_all_within_a_second),
+		cmocka_unit_test(evacuations_spread_during_a_cold_start),
 		cmocka_unit_test(starting_member_learns_of_evacuations),
 		cmocka_unit_test(older_evacuations_are_ignored),
 		cmocka_unit_test(members_that_missed_the_end_learn_of_it),
