--- a/src/daemon/node_config.c
+++ b/src/daemon/node_config.c
@@ -187,10 +187,10 @@
 static void on_range_watch_(void *ctx, const pl_kv_reply_t *reply)
 {
 	pl_node_config_t *config = ctx;
-	pl_kv_reply_t document =
-		split_reply_(config, reply, config->watched_after);
+	pl_kv_reply_t document;
 
 	config->watch = NULL;
+	document = split_reply_(config, reply, config->watched_after);
 	pl_config_sync_watch_done(config->sync, &document);
 }
 
