--- a/src/flow/entry_split.c
+++ b/src/flow/entry_split.c
@@ -42,13 +42,11 @@
 {
 	entry->summaries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, g_free);
-	entry->shares = g_array_new(FALSE, TRUE, sizeof(pl_flow_share_t));
 }
 
 void pl_flow_split_finish_(pl_flow_entry_t *entry)
 {
 	g_hash_table_destroy(entry->summaries);
-	g_array_free(entry->shares, TRUE);
 }
 
 void pl_flow_split_routing_changed_(pl_flow_entry_t *entry)
@@ -211,22 +209,19 @@
 static pl_flow_share_t *get_share_(pl_flow_entry_t *entry,
 				   const pl_addr_t *addr, const char *service)
 {
-	pl_flow_share_t new = { .address = *addr };
-
-	for (guint i = 0; i < entry->shares->len; i++) {
-		pl_flow_share_t *share =
-			&g_array_index(entry->shares, pl_flow_share_t, i);
+	pl_flow_share_t *share = entry->shares;
 
+	for (size_t i = 0; i < entry->share_count; i++, share++) {
 		if (pl_addr_equal(&share->address, addr) &&
 		    strcmp(share->service, service) == 0)
 			return share;
 	}
-	if (entry->shares->len == PL_FLOW_SHARES_MAX)
+	if (entry->share_count == PL_FLOW_SHARES_MAX)
 		return NULL;
-	g_strlcpy(new.service, service, sizeof(new.service));
-	g_array_append_val(entry->shares, new);
-	return &g_array_index(entry->shares, pl_flow_share_t,
-			      entry->shares->len - 1);
+	entry->share_count++;
+	share->address = *addr;
+	g_strlcpy(share->service, service, sizeof(share->service));
+	return share;
 }
 
 static void count_share_(pl_flow_entry_t *entry, const cached_flow_t *flow,
@@ -248,10 +243,10 @@
 {
 	pl_route_share_t current[PL_ROUTE_SHARES_MAX];
 
-	for (guint i = 0; i < entry->shares->len; i++) {
+	for (size_t i = 0; i < entry->share_count; i++) {
 		size_t count;
 
-		shares[i] = g_array_index(entry->shares, pl_flow_share_t, i);
+		shares[i] = entry->shares[i];
 		count = pl_routing_shares(entry->routing, &shares[i].address,
 					  current);
 		for (size_t k = 0; k < count; k++) {
@@ -260,7 +255,7 @@
 				shares[i].weight = current[k].weight;
 		}
 	}
-	return entry->shares->len;
+	return entry->share_count;
 }
 
 void pl_flow_split_placed_(pl_flow_entry_t *entry, const cached_flow_t *flow,
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -124,7 +124,8 @@
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to agent_load_t */
 	GHashTable *summaries; /**< service to its load, see entry_split.c */
-	GArray *shares; /**< pl_flow_share_t, without the weights */
+	pl_flow_share_t shares[PL_FLOW_SHARES_MAX]; /**< without the weights */
+	size_t share_count;
 	pl_list_t lookups;
 	pl_timer_t query_timer;
 	int64_t query_tokens; /**< token bucket, in thousandths of a byte */
