Admission and order of work at the agent

The agent knew only the time until an answer is late. It ran requests whose callers had given up, in an overload first the oldest of the late ones, which are the most likely to be dead. Opening packets waited for 120 ms at one agent after the other until the caller gave up the attempt after 1.4 s; its next attempt looked like new work. Nothing was refused.

Now FORWARD carries the time until the caller gives up (timeout_ms). - balance/admit: a flow opens with a slot, opens and waits, goes back, or is refused as hopeless. The entry resets a refused flow if no other endpoint may have accepted it, and remembers the deadlines for the retry. - order "rescue": strict priority with a floor of one slot in twelve; late work goes first while all of it can be served. - queued requests are dropped at their callers' deadline or reset. - a flow that may wait is opened at once; its request waits. - answers that come after the timeout of their slot are measured. - load reports carry waiting and request_ms.

Simulated callers no longer count answers after their deadline, and the simulated route states it.

--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -80,6 +80,12 @@
 	  "requests and new flows that found no slot at once")                \
 	X(PL_COUNTER_FLOWS_HANDED_BACK, "flows_handed_back",                  \
 	  "opening packets that an agent did not take")                       \
+	X(PL_COUNTER_FLOWS_REFUSED, "flows_refused",                          \
+	  "flows reset because their callers would give up before service")   \
+	X(PL_COUNTER_FLOWS_HOPELESS, "flows_hopeless",                        \
+	  "opening packets refused because their callers give up first")      \
+	X(PL_COUNTER_FLOWS_CALLER_LEFT, "flows_caller_left",                  \
+	  "queued requests dropped because their callers have given up")      \
 	X(PL_COUNTER_FLOWS_EVICTED, "flows_evicted",                          \
 	  "records of open flows that were dropped from a full table")        \
 	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                          \
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -60,6 +60,10 @@
 	  "a report of another backend server was ignored")                    \
 	X(PL_EVENT_REPORT_OUTDATED, 246, "report-outdated", WARNING,           \
 	  "a report of an earlier process of the backend server was ignored")  \
+	X(PL_EVENT_FLOW_REFUSED, 250, "flow-refused", INFO,                    \
+	  "an opening packet was refused; the caller was sent a reset")        \
+	X(PL_EVENT_REQUEST_DROPPED, 251, "request-dropped", INFO,              \
+	  "a queued request was dropped, as its caller has given up")          \
 	X(PL_EVENT_FLOWS_EVICTED, 245, "flows-evicted", WARNING,               \
 	  "an agent's table is full; it no longer knows all flows")            \
 	X(PL_EVENT_FLOW_OVERFLOWED, 247, "flow-overflowed", INFO,              \
--- a/include/pimentolift/flow_entry.h
+++ b/include/pimentolift/flow_entry.h
@@ -57,6 +57,8 @@
 	size_t lookups_open;
 	uint64_t packets_received; /**< from callers */
 	uint64_t placed; /**< opening packets sent to an agent */
+	/** Flows reset because no agent could serve them in time. */
+	uint64_t refused;
 	uint64_t placed_again; /**< of @c placed: after another agent refused */
 	/** Of @c placed: beyond the share of the service, because the service
 	 * of the flow's share had no room. */
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -192,7 +192,7 @@
 		.flows_max = FLOWS_MAX,
 		.report_ms = flows->report_ms,
 		.packets = &pl_platform_packets,
-		.order = &pl_work_order_due,
+		.order = &pl_work_order_rescue,
 	};
 
 	return pl_flow_agent_new(&params, &ops_, role,
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -283,6 +283,7 @@
 	add_number_(status, "replaced", stats.placed_again);
 	add_number_(status, "overflowed", stats.overflowed);
 	add_shares_(role, status);
+	add_number_(status, "refused", stats.refused);
 	add_number_(status, "lookups", stats.lookups);
 	add_number_(status, "lookups_open", stats.lookups_open);
 	add_number_(status, "found", stats.found);
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -55,7 +55,7 @@
 	if (!agent)
 		return;
 	pl_timer_cancel(agent->timers, &agent->expiry_timer);
-	pl_timer_cancel(agent->timers, &agent->opening_timer);
+	pl_timer_cancel(agent->timers, &agent->drop_timer);
 	pl_flow_load_report_finish_(agent);
 	pl_flow_table_delete(agent->flows);
 	g_free(agent);
@@ -71,6 +71,7 @@
 
 	load.busy += (uint32_t)pl_work_queue_in_time(&agent->queue,
 						     pl_flow_agent_now_(agent));
+	load.waiting = (uint32_t)agent->queue.count;
 	load.request_ms = (uint32_t)agent->request_ms;
 	return load;
 }
@@ -83,10 +84,9 @@
 	return node ? PL_CONTAINER_OF(node, flow_t, node) : NULL;
 }
 
-void pl_flow_agent_send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
-				 const pl_flow_key_t *key,
-				 pl_flow_verdict_t verdict,
-				 const uint8_t *packet, size_t len)
+static void send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
+			  const pl_flow_key_t *key, pl_flow_verdict_t verdict,
+			  pl_reason_t reason, const uint8_t *packet, size_t len)
 {
 	bool presumed = verdict == PL_FLOW_OWNED &&
 			pl_flow_probed_ms_(agent, find_flow_(agent, key)) > 0;
@@ -97,6 +97,7 @@
 		.flow = *key,
 		.flags = presumed ? PL_FLOW_PRESUMED : 0,
 		.verdict = verdict,
+		.reason = reason,
 		.load = pl_flow_agent_load_(agent),
 		.packet = packet,
 		.packet_len = len,
@@ -105,6 +106,21 @@
 	agent->ops->send(agent->ctx, entry, &message);
 }
 
+void pl_flow_agent_send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
+				 const pl_flow_key_t *key,
+				 pl_flow_verdict_t verdict,
+				 const uint8_t *packet, size_t len)
+{
+	send_verdict_(agent, entry, key, verdict, PL_REASON_NONE, packet, len);
+}
+
+void pl_flow_agent_send_refusal_(pl_flow_agent_t *agent, pl_member_id_t entry,
+				 const pl_flow_key_t *key, pl_reason_t reason,
+				 const uint8_t *packet, size_t len)
+{
+	send_verdict_(agent, entry, key, PL_FLOW_REFUSED, reason, packet, len);
+}
+
 /* Whether the caller's acknowledgement matches this server's SYN-ACK. An
  * opening packet may be offered to several servers, and the caller answers
  * only one of them. */
@@ -149,28 +165,19 @@
 	return pl_flow_agent_now_(agent) + message->due_ms;
 }
 
-static void refuse_opening_(pl_flow_agent_t *agent,
-			    const pl_flow_message_t *message)
-{
-	agent->stats.refused++;
-	pl_counter_add(PL_COUNTER_FLOWS_HANDED_BACK, 1);
-	hand_back_(agent, message, PL_FLOW_REFUSED);
-}
-
-/* Handles the opening packet of a flow without a record: accepted while the
- * server serves and has a free slot. Without a free slot it is queued if no
- * other server would take it (PL_FLOW_LAST_OFFER), else handed back. */
+/* Handles the opening packet of a flow without a record. */
 static void admit_flow_(pl_flow_agent_t *agent,
 			const pl_flow_message_t *message)
 {
-	bool room = pl_flow_work_can_admit_flow_(agent);
+	bool waits;
 	flow_t *flow;
 
-	if (!pl_flow_backend_accepts_(agent) ||
-	    (!room && !(message->flags & PL_FLOW_LAST_OFFER))) {
-		refuse_opening_(agent, message);
+	if (!pl_flow_backend_accepts_(agent)) {
+		pl_flow_refuse_not_serving_(agent, message);
 		return;
 	}
+	if (!pl_flow_admit_(agent, message, &waits))
+		return;
 	flow = pl_flow_get_or_add_(agent, &message->flow);
 	pl_flow_set_state_(agent, flow, FLOW_NEW);
 	flow->entry = message->sender;
@@ -178,17 +185,8 @@
 	flow->confirmed = false;
 	flow->request_due = request_due_(agent, message);
 	agent->stats.accepted++;
-	if (!room) {
-		pl_packet_queue_add(&flow->pending_packets, message->packet,
-				    message->packet_len);
-		pl_flow_work_enqueue_(agent, flow, flow->request_due,
-				      message->priority);
-		pl_flow_agent_send_verdict_(agent, message->sender,
-					    &message->flow, PL_FLOW_QUEUED,
-					    NULL, 0);
-		return;
-	}
-	pl_flow_work_reserve_slot_(agent, flow);
+	if (!waits)
+		pl_flow_work_reserve_slot_(agent, flow);
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
@@ -206,9 +204,7 @@
 		return;
 	}
 	flow->entry = message->sender;
-	if (!pl_work_is_queued(&flow->work))
-		agent->ops->deliver(agent->ctx, message->packet,
-				    message->packet_len);
+	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
 static void update_from_caller_(pl_flow_agent_t *agent, flow_t *flow,
@@ -278,7 +274,13 @@
 		      (!flow->holds_slot || flow->slot_reserved);
 	pl_ms_t due = flow->request_due ? flow->request_due :
 					  request_due_(agent, message);
+	pl_ms_t expires = pl_flow_expires_(agent, message);
 
+	if (pl_work_is_queued(&flow->work) && (packet->flags & PL_PACKET_RST))
+		pl_flow_caller_left_(agent, flow);
+	if (begins)
+		pl_work_queue_note_arrival(&agent->queue,
+					   pl_flow_agent_now_(agent));
 	if (pl_work_is_queued(&flow->work)) {
 		pl_packet_queue_add(&flow->pending_packets, message->packet,
 				    message->packet_len);
@@ -289,7 +291,8 @@
 		pl_flow_work_free_slot_(agent, flow);
 		pl_packet_queue_add(&flow->pending_packets, message->packet,
 				    message->packet_len);
-		pl_flow_work_enqueue_(agent, flow, due, message->priority);
+		pl_flow_work_enqueue_(agent, flow, due, expires,
+				      message->priority);
 		flow->request_due = 0;
 		return;
 	}
@@ -366,10 +369,7 @@
 
 	if (!flow || flow->state == FLOW_OPEN || flow->state == FLOW_PROBING)
 		return;
-	if (pl_work_is_queued(&flow->work))
-		pl_flow_table_remove(agent->flows, &flow->node);
-	else
-		pl_flow_work_free_slot_(agent, flow);
+	pl_flow_work_free_slot_(agent, flow);
 }
 
 void pl_flow_agent_message(pl_flow_agent_t *agent,
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -4,8 +4,10 @@
  *
  * A request holds a slot from its delivery to the first packet of its answer.
  * A new flow holds one from its opening packet on, as its first request
- * follows at once. Work that finds no free slot is queued in the agent and not
- * in the server, whose queue could not be reordered.
+ * follows at once. A request that finds no free slot is queued in the agent and
+ * not in the server, whose queue could not be reordered. A new flow that may
+ * wait is opened without a slot: its caller would otherwise give up the attempt
+ * to open it, and its next attempt could not be told from a new request.
  */
 #include "private/agent_private.h"
 
@@ -31,11 +33,9 @@
 #define REQUEST_DEFAULT_MS 20
 /** A measurement has a weight of 1 / MEAN_PARTS in the moving mean. */
 #define MEAN_PARTS 16
-/** An opening packet that was queued for this long is handed back to its
- * entry, which may know a less loaded server by now. */
-#define OPENING_QUEUED_MAX_MS 120
-/** Interval at which queued opening packets are checked. */
-#define OPENING_CHECK_INTERVAL_MS 20
+/** Interval at which queued requests whose callers have given up are dropped,
+ * if the server answers nothing. */
+#define DROP_INTERVAL_MS 100
 #define US_PER_MS 1000
 
 static pl_work_t *work_(flow_t *flow)
@@ -87,8 +87,7 @@
 {
 	uint32_t slots = pl_flow_pace_slots_(agent);
 
-	return slots == 0 || agent->load.busy + agent->requests_queued <
-				     slots + extra_flows_(agent);
+	return slots == 0 || agent->load.busy < slots + extra_flows_(agent);
 }
 
 bool pl_flow_work_can_start_request_(const pl_flow_agent_t *agent)
@@ -156,6 +155,7 @@
 	if (flow->slot_reserved)
 		flow->slot_since = pl_flow_agent_now_(agent);
 	set_reserved_(agent, flow, false);
+	flow->request_open = true;
 	take_slot_(agent, flow,
 		   CLAMP((pl_ms_t)(agent->request_ms * REQUEST_TIMEOUT_TIMES),
 			 REQUEST_TIMEOUT_MIN_MS, REQUEST_TIMEOUT_MAX_MS));
@@ -182,55 +182,53 @@
 	pl_packet_queue_clear(&flow->pending_packets);
 }
 
-/* A new flow may be admitted beyond the slots, a request may not. */
 static bool can_start_(void *ctx, const pl_work_t *work)
 {
-	const pl_flow_agent_t *agent = ctx;
-	const flow_t *flow = PL_CONTAINER_OF(work, flow_t, work);
-
-	return flow->state == FLOW_NEW ? has_room_for_flow_(agent) :
-					 has_slot_(agent);
+	(void)work;
+	return has_slot_(ctx);
 }
 
-/* Updates the count of queued requests when the flow leaves the queue. */
-static void count_dequeued_(pl_flow_agent_t *agent, flow_t *flow)
+static pl_work_query_t make_query_(pl_flow_agent_t *agent)
 {
-	if (!flow->request_queued)
-		return;
-	flow->request_queued = false;
-	agent->requests_queued--;
-}
-
-static flow_t *dequeue_(pl_flow_agent_t *agent)
-{
-	const pl_work_query_t query = {
+	return (pl_work_query_t){
 		.now = pl_flow_agent_now_(agent),
 		.request_ms = (pl_ms_t)request_ms_(agent),
+		.slots = pl_flow_pace_slots_(agent),
 		.can_start = can_start_,
 		.ctx = agent,
 	};
+}
+
+pl_ms_t pl_flow_work_ahead_ms_(pl_flow_agent_t *agent, uint32_t priority,
+			       pl_ms_t expires)
+{
+	const pl_work_query_t query = make_query_(agent);
+
+	return pl_work_queue_ahead_ms(&agent->queue, &query, priority, expires);
+}
+
+static flow_t *dequeue_(pl_flow_agent_t *agent)
+{
+	const pl_work_query_t query = make_query_(agent);
 	pl_work_t *work = pl_work_queue_pop(&agent->queue, &query);
 
 	if (!work)
 		return NULL;
 	pl_histogram_record(PL_HISTOGRAM_QUEUE,
 			    (query.now - work->queued_at) * US_PER_MS);
-	count_dequeued_(agent, flow_of_(work));
 	return flow_of_(work);
 }
 
 /* Gives free slots to queued work. */
 static void dispatch_queued_(pl_flow_agent_t *agent)
 {
-	while (has_room_for_flow_(agent) || has_slot_(agent)) {
+	pl_flow_drop_expired_(agent);
+	while (has_slot_(agent)) {
 		flow_t *flow = dequeue_(agent);
 
 		if (!flow)
 			return;
-		if (flow->state == FLOW_NEW)
-			pl_flow_work_reserve_slot_(agent, flow);
-		else
-			pl_flow_work_start_request_(agent, flow);
+		pl_flow_work_start_request_(agent, flow);
 		deliver_pending_(agent, flow);
 	}
 }
@@ -239,11 +237,14 @@
 {
 	pl_ms_t took = pl_flow_agent_now_(agent) - flow->slot_since;
 
-	if (flow->holds_slot && !flow->slot_reserved) {
+	/* also a request whose slot has timed out: else the mean of a server
+	 * that has become slow would stay what it was */
+	if (flow->request_open) {
 		pl_histogram_record(PL_HISTOGRAM_REQUEST, took * US_PER_MS);
 		agent->request_ms =
 			update_mean_(agent->request_ms, (double)took);
 	}
+	flow->request_open = false;
 	pl_flow_work_free_slot_(agent, flow);
 }
 
@@ -260,53 +261,35 @@
 				PL_CONTAINER_OF(timer, flow_t, slot_timer));
 }
 
-/* Hands opening packets back that were queued for OPENING_QUEUED_MAX_MS. */
-static void on_opening_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+static void on_drop_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_flow_agent_t *agent = ctx;
 
-	pl_list_for_each_safe(link, &agent->queue.waiting) {
-		flow_t *flow = flow_of_(PL_CONTAINER_OF(link, pl_work_t, link));
-		const pl_queued_packet_t *packet =
-			pl_packet_queue_first(&flow->pending_packets);
-
-		if (flow->state != FLOW_NEW ||
-		    now - flow->work.queued_at < OPENING_QUEUED_MAX_MS)
-			continue;
-		agent->stats.refused++;
-		pl_flow_agent_send_verdict_(agent, flow->entry, &flow->node.key,
-					    PL_FLOW_REFUSED, packet->bytes,
-					    packet->len);
-		pl_flow_table_remove(agent->flows, &flow->node);
-	}
+	pl_flow_drop_expired_(agent);
 	if (agent->queue.count > 0)
-		pl_timer_arm(agent->timers, timer,
-			     now + OPENING_CHECK_INTERVAL_MS);
+		pl_timer_arm(agent->timers, timer, now + DROP_INTERVAL_MS);
 }
 
 void pl_flow_work_enqueue_(pl_flow_agent_t *agent, flow_t *flow, pl_ms_t due,
-			   uint32_t priority)
+			   pl_ms_t expires, uint32_t priority)
 {
 	pl_ms_t now = pl_flow_agent_now_(agent);
 
 	flow->work.due = due;
+	flow->work.expires = expires;
 	flow->work.priority = priority;
 	agent->stats.queued++;
 	pl_counter_add(PL_COUNTER_FLOWS_WAITED, 1);
-	if (flow->state != FLOW_NEW) {
-		flow->request_queued = true;
-		agent->requests_queued++;
-	}
 	pl_work_queue_add(&agent->queue, work_(flow), now);
-	if (!pl_timer_armed(&agent->opening_timer))
-		pl_timer_arm(agent->timers, &agent->opening_timer,
-			     now + OPENING_CHECK_INTERVAL_MS);
+	if (!pl_timer_armed(&agent->drop_timer))
+		pl_timer_arm(agent->timers, &agent->drop_timer,
+			     now + DROP_INTERVAL_MS);
 }
 
 void pl_flow_work_init_(pl_flow_agent_t *agent)
 {
 	pl_work_queue_init(&agent->queue, agent->params.order);
-	pl_timer_init(&agent->opening_timer, on_opening_timer_, agent);
+	pl_timer_init(&agent->drop_timer, on_drop_timer_, agent);
 }
 
 void pl_flow_work_flow_init_(pl_flow_agent_t *agent, flow_t *flow)
@@ -319,7 +302,7 @@
 void pl_flow_work_discard_(pl_flow_agent_t *agent, flow_t *flow)
 {
 	pl_work_queue_remove(&agent->queue, work_(flow));
-	count_dequeued_(agent, flow);
 	pl_packet_queue_clear(&flow->pending_packets);
+	flow->request_open = false;
 	release_slot_(agent, flow);
 }
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -121,6 +121,17 @@
 	return flow->due > now ? (uint32_t)(flow->due - now) : 0;
 }
 
+/* Time left until the caller of the request gives up; 0: not known. */
+static uint32_t timeout_ms_(const pl_flow_entry_t *entry,
+			    const cached_flow_t *flow)
+{
+	pl_ms_t now = pl_flow_entry_now_(entry);
+
+	if (flow->owner != 0 || flow->expires == 0)
+		return flow->timeout_ms;
+	return flow->expires > now ? (uint32_t)(flow->expires - now) : 1;
+}
+
 static bool is_remote_(const pl_flow_entry_t *entry, pl_member_id_t agent)
 {
 	const pl_endpoint_t *endpoint =
@@ -142,6 +153,7 @@
 			flags | (is_remote_(entry, agent) ? PL_FLOW_REMOTE : 0),
 		.due_ms = due_ms_(entry, flow),
 		.priority = flow->priority,
+		.timeout_ms = timeout_ms_(entry, flow),
 		.packet = bytes,
 		.packet_len = len,
 	};
@@ -225,6 +237,7 @@
 
 	flow->goal_ms =
 		route && route->goal_ms ? route->goal_ms : GOAL_DEFAULT_MS;
+	flow->timeout_ms = route ? route->timeout_ms : 0;
 	flow->priority = route ? route->priority : 0;
 	flow->due = pl_flow_entry_now_(entry) + flow->goal_ms;
 	flow->routed = true;
@@ -239,22 +252,31 @@
 	return copy == 1 ? COPY_1_AFTER_MS : COPY_2_AFTER_MS;
 }
 
-/* Sets the deadline of a flow from its opening packet. The request of a caller
- * that retries after a reset is late already. */
+/* Sets the deadlines of a flow from its opening packet. Those of a retry after
+ * a reset are the deadlines of the attempt before. */
 static void set_due_(pl_flow_entry_t *entry, cached_flow_t *flow, uint32_t copy)
 {
 	pl_ms_t now = pl_flow_entry_now_(entry);
-	pl_ms_t due =
-		now + flow->goal_ms - MIN(copy_age_ms_(copy), flow->goal_ms);
+	pl_flow_deadlines_t deadlines = {
+		.due = now + flow->goal_ms -
+		       MIN(copy_age_ms_(copy), flow->goal_ms),
+	};
 
 	/* a held packet that is routed again is not a new attempt */
 	if (flow->opened == 0 || (copy == 0 && entry->retry_held_since == 0 &&
-				  now - flow->opened >= OPEN_TIMEOUT_MS))
+				  now - flow->opened >= OPEN_TIMEOUT_MS)) {
 		flow->opened = now - MIN(copy_age_ms_(copy), now);
-	if (copy == 0 &&
-	    pl_flow_retries_consume_(entry, flow->node.key.caller_ip))
-		due = now;
-	flow->due = MIN(flow->due, due);
+		flow->expires = 0;
+	}
+	if (flow->expires != 0)
+		deadlines.expires = flow->expires;
+	else if (flow->timeout_ms != 0)
+		deadlines.expires = flow->opened + flow->timeout_ms;
+	if (copy == 0)
+		pl_flow_retries_consume_(entry, flow->node.key.caller_ip,
+					 &deadlines);
+	flow->due = MIN(flow->due, deadlines.due);
+	flow->expires = deadlines.expires;
 }
 
 /* Returns the flow's record, created if needed; @p routed is false without a
@@ -389,6 +411,22 @@
 				    bytes, len);
 }
 
+/* An agent found that the caller gives up before it can be served. The caller
+ * is told so, unless another endpoint may have accepted the flow. */
+static void reset_hopeless_(pl_flow_entry_t *entry, cached_flow_t *flow)
+{
+	const pl_flow_key_t key = flow->node.key;
+	const pl_flow_deadlines_t deadlines = { flow->due, flow->expires };
+
+	if (flow->offers_open || pl_flow_entry_last_offer_(flow) != 0)
+		return;
+	entry->stats.refused++;
+	pl_counter_add(PL_COUNTER_FLOWS_REFUSED, 1);
+	pl_flow_retries_record_reset_(entry, key.caller_ip, &deadlines);
+	pl_flow_table_remove(entry->flows, &flow->node);
+	pl_flow_entry_reset_(entry, &key, 0);
+}
+
 /* An agent refused an opening packet: offers it to another one. */
 static void handle_refused_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			    const pl_flow_message_t *message)
@@ -407,6 +445,10 @@
 	 * a slot */
 	if (pl_flow_entry_now_(entry) - flow->opened >= OPEN_TIMEOUT_MS)
 		return;
+	if (message->reason == PL_REASON_HOPELESS) {
+		reset_hopeless_(entry, flow);
+		return;
+	}
 	entry->stats.placed_again++;
 	pl_flow_entry_place_(entry, flow, message->packet, message->packet_len);
 }
@@ -414,7 +456,9 @@
 /* The agent reset the flow: the caller will retry at once. */
 static void handle_ended_(pl_flow_entry_t *entry, cached_flow_t *flow)
 {
-	pl_flow_retries_record_reset_(entry, flow->node.key.caller_ip);
+	const pl_flow_deadlines_t late = { 0 };
+
+	pl_flow_retries_record_reset_(entry, flow->node.key.caller_ip, &late);
 	pl_flow_table_remove(entry->flows, &flow->node);
 }
 
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -559,12 +559,13 @@
 static void end_dead_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
 	cached_flow_t *flow = lookup->flow;
+	const pl_flow_deadlines_t late = { 0 };
 
 	entry->stats.flows_reset++;
 	pl_counter_add(PL_COUNTER_FLOWS_RESET, 1);
 	log_end_(entry, lookup, PL_EVENT_FLOW_DEAD);
 	pl_flow_entry_reset_(entry, &flow->node.key, lookup->ack);
-	pl_flow_retries_record_reset_(entry, flow->node.key.caller_ip);
+	pl_flow_retries_record_reset_(entry, flow->node.key.caller_ip, &late);
 	pl_flow_lookup_end_(entry, lookup);
 	pl_flow_table_remove(entry->flows, &flow->node);
 }
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -115,6 +115,8 @@
 
 static void clear_offers_(cached_flow_t *flow)
 {
+	if (pl_flow_entry_last_offer_(flow) != 0)
+		flow->offers_open = true;
 	flow->offered_count = 0;
 	flow->ruled_out = 0;
 }
@@ -257,6 +259,15 @@
 	clear_offers_(flow);
 }
 
+/* Whether the flow may be offered to another service if the first endpoint has
+ * no room. */
+static bool may_overflow_(const cached_flow_t *flow,
+			  const pl_flow_split_t *split)
+{
+	return split->divided && split->reason != PL_REASON_NO_ROOM &&
+	       flow->offered_count + 1 < PL_FLOW_OFFERS_MAX;
+}
+
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			  const uint8_t *bytes, size_t len)
 {
@@ -279,6 +290,8 @@
 			pl_flow_hold_add_(entry, bytes, len);
 		return;
 	}
+	if (may_overflow_(flow, &split))
+		last = false;
 	flow->offered[flow->offered_count++] = endpoint->agent;
 	pl_flow_split_placed_(entry, flow, &split);
 	record_sent_(entry, endpoint->agent);
--- a/src/flow/entry_retry.c
+++ b/src/flow/entry_retry.c
@@ -10,10 +10,16 @@
 /** Resets recorded per caller; further retries count as new requests. */
 #define RETRIES_PER_CALLER_MAX 8
 
+/** A reset of a flow whose caller has not retried. */
+typedef struct {
+	pl_ms_t at;
+	pl_flow_deadlines_t deadlines; /**< of its request */
+} reset_t;
+
 /** Resets of flows of one caller. */
 typedef struct {
 	unsigned int count;
-	pl_ms_t reset_at[RETRIES_PER_CALLER_MAX];
+	reset_t resets[RETRIES_PER_CALLER_MAX];
 } caller_resets_t;
 
 void pl_flow_retries_init_(pl_flow_entry_t *entry)
@@ -24,18 +30,19 @@
 
 static void remove_reset_(caller_resets_t *resets, unsigned int index)
 {
-	resets->reset_at[index] = resets->reset_at[--resets->count];
+	resets->resets[index] = resets->resets[--resets->count];
 }
 
 static void remove_old_resets_(caller_resets_t *resets, pl_ms_t now)
 {
 	for (unsigned int i = resets->count; i-- > 0;) {
-		if (now > resets->reset_at[i] + RETRY_WINDOW_MS)
+		if (now > resets->resets[i].at + RETRY_WINDOW_MS)
 			remove_reset_(resets, i);
 	}
 }
 
-void pl_flow_retries_record_reset_(pl_flow_entry_t *entry, uint32_t ip)
+void pl_flow_retries_record_reset_(pl_flow_entry_t *entry, uint32_t ip,
+				   const pl_flow_deadlines_t *deadlines)
 {
 	gpointer key = GUINT_TO_POINTER(ip);
 	caller_resets_t *resets = g_hash_table_lookup(entry->retries, key);
@@ -47,22 +54,26 @@
 	}
 	remove_old_resets_(resets, now);
 	if (resets->count < RETRIES_PER_CALLER_MAX)
-		resets->reset_at[resets->count++] = now;
+		resets->resets[resets->count++] = (reset_t){ now, *deadlines };
 }
 
-bool pl_flow_retries_consume_(pl_flow_entry_t *entry, uint32_t ip)
+void pl_flow_retries_consume_(pl_flow_entry_t *entry, uint32_t ip,
+			      pl_flow_deadlines_t *deadlines)
 {
 	caller_resets_t *resets =
 		g_hash_table_lookup(entry->retries, GUINT_TO_POINTER(ip));
-	pl_ms_t now = pl_flow_entry_now_(entry);
+	const pl_flow_deadlines_t *before;
 
 	if (!resets)
-		return false;
-	remove_old_resets_(resets, now);
+		return;
+	remove_old_resets_(resets, pl_flow_entry_now_(entry));
 	if (resets->count == 0)
-		return false;
+		return;
+	before = &resets->resets[0].deadlines;
+	deadlines->due = MIN(deadlines->due, before->due);
+	if (before->expires != 0)
+		deadlines->expires = MIN(deadlines->expires, before->expires);
 	remove_reset_(resets, 0);
-	return true;
 }
 
 static gboolean is_expired_(gpointer key, gpointer value, gpointer ctx)
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -54,9 +54,9 @@
 	bool slot_reserved; /**< the slot is for a request yet to arrive */
 	pl_ms_t slot_since; /**< time of the reservation or the request */
 	pl_timer_t slot_timer; /**< timeout of the slot */
+	bool request_open; /**< a request was delivered and is not answered */
 	/** Due time of the first request; 0 once that request has arrived. */
 	pl_ms_t request_due;
-	bool request_queued; /**< counted in the agent's queued requests */
 	pl_work_t work;
 	pl_packet_queue_t
 		pending_packets; /**< kept until the flow gets a slot */
@@ -70,14 +70,13 @@
 	pl_flow_table_t *flows;
 	pl_load_t load;
 	pl_timer_t expiry_timer;
-	uint32_t requests_queued; /**< queued requests of open flows */
 	uint32_t slots_reserved; /**< slots for requests yet to arrive */
 	/* agent_report.c */
 	GArray *entries; /**< entry_t, the entries that sent packets recently */
 	pl_endpoint_load_t reported_load; /**< load in the last report */
 	pl_timer_t load_report_timer;
 	pl_work_queue_t queue;
-	pl_timer_t opening_timer; /**< next check of queued opening packets */
+	pl_timer_t drop_timer; /**< next check for callers that gave up */
 	/** Mean time from a request to its answer; 0 before the first. */
 	double request_ms;
 	/** Mean time from the delivery of an opening packet to the caller's
@@ -114,6 +113,10 @@
 				 const pl_flow_key_t *key,
 				 pl_flow_verdict_t verdict,
 				 const uint8_t *packet, size_t len);
+/** Returns an opening packet to its entry. */
+void pl_flow_agent_send_refusal_(pl_flow_agent_t *agent, pl_member_id_t entry,
+				 const pl_flow_key_t *key, pl_reason_t reason,
+				 const uint8_t *packet, size_t len);
 
 pl_endpoint_load_t pl_flow_agent_load_(const pl_flow_agent_t *agent);
 
@@ -169,7 +172,10 @@
 void pl_flow_work_start_request_(pl_flow_agent_t *agent, flow_t *flow);
 /** Queues the flow, with its pending packets, for a slot. */
 void pl_flow_work_enqueue_(pl_flow_agent_t *agent, flow_t *flow, pl_ms_t due,
-			   uint32_t priority);
+			   pl_ms_t expires, uint32_t priority);
+/** Time in which queued work is started that goes ahead of a flow. */
+pl_ms_t pl_flow_work_ahead_ms_(pl_flow_agent_t *agent, uint32_t priority,
+			       pl_ms_t expires);
 /** Frees the slot when the answer begins, and measures the request. */
 void pl_flow_work_answered_(pl_flow_agent_t *agent, flow_t *flow);
 /** Frees the slot and gives it to queued work. */
@@ -177,6 +183,21 @@
 /** Drops the flow's slot, queue place and pending packets. */
 void pl_flow_work_discard_(pl_flow_agent_t *agent, flow_t *flow);
 
+/* agent_admit.c */
+/** When the caller of the message's request gives up; 0: unknown. */
+pl_ms_t pl_flow_expires_(const pl_flow_agent_t *agent,
+			 const pl_flow_message_t *message);
+/** Whether an opening packet is accepted; sets @p waits if it is to be queued.
+ * Otherwise it was returned to its entry. */
+bool pl_flow_admit_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		    bool *waits);
+void pl_flow_refuse_not_serving_(pl_flow_agent_t *agent,
+				 const pl_flow_message_t *message);
+/** Drops the queued request of a flow that its caller has reset. */
+void pl_flow_caller_left_(pl_flow_agent_t *agent, flow_t *flow);
+/** Drops queued work whose callers have given up. */
+void pl_flow_drop_expired_(pl_flow_agent_t *agent);
+
 /* agent_pace.c */
 /** Requests that the server may be given at once; 0: no limit is known. */
 uint32_t pl_flow_pace_slots_(const pl_flow_agent_t *agent);
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -57,6 +57,12 @@
 	bool exhausted; /**< all answered, or the wait for answers is over */
 } lookup_t;
 
+/** Deadlines of the first request of a flow. */
+typedef struct {
+	pl_ms_t due; /**< its answer is late after this time; 0: it is late */
+	pl_ms_t expires; /**< its caller gives up; 0: unknown */
+} pl_flow_deadlines_t;
+
 /** A flow in the cache. */
 typedef struct cached_flow {
 	pl_flow_node_t node;
@@ -69,13 +75,17 @@
 	size_t offered_count;
 	/** Bit i: offered[i] refused the flow, or does not own it. */
 	unsigned int ruled_out;
+	/** An endpoint that is no longer in @c offered may accept the flow. */
+	bool offers_open;
 	/** Agent that queued the opening packet, or 0. */
 	pl_member_id_t queueing_agent;
 	/** Deadline of the first request, counted from its first packet. */
 	pl_ms_t due;
 	pl_ms_t opened; /**< when the caller first sent the opening packet */
+	pl_ms_t expires; /**< caller of the first request gives up; 0: unknown */
 	bool routed; /**< @c goal_ms and @c priority are set */
 	uint32_t goal_ms; /**< latency goal of its route */
+	uint32_t timeout_ms; /**< after which callers give up; 0: unknown */
 	uint32_t priority;
 	lookup_t *lookup; /**< NULL if none is open */
 } cached_flow_t;
@@ -214,10 +224,14 @@
 
 /* entry_retry.c */
 void pl_flow_retries_init_(pl_flow_entry_t *entry);
-/** Records the reset of a flow of caller @p ip; its next flow is a retry. */
-void pl_flow_retries_record_reset_(pl_flow_entry_t *entry, uint32_t ip);
-/** Whether a new flow of caller @p ip is a retry; removes one reset if so. */
-bool pl_flow_retries_consume_(pl_flow_entry_t *entry, uint32_t ip);
+/** Records the reset of a flow of caller @p ip, with the deadlines of its
+ * request; the caller's next flow is a retry. */
+void pl_flow_retries_record_reset_(pl_flow_entry_t *entry, uint32_t ip,
+				   const pl_flow_deadlines_t *deadlines);
+/** If a new flow of caller @p ip is a retry, takes the earlier ones of
+ * @p deadlines and those of the attempt before, and removes that reset. */
+void pl_flow_retries_consume_(pl_flow_entry_t *entry, uint32_t ip,
+			      pl_flow_deadlines_t *deadlines);
 /** Removes callers that did not retry in time. */
 void pl_flow_retries_expire_(pl_flow_entry_t *entry);
 
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -662,7 +662,10 @@
 
 static void add_routes_(const world_t *world, pl_routing_builder_t *builder)
 {
-	pl_route_policy_t route = { .goal_ms = WORLD_GOAL_MS };
+	pl_route_policy_t route = { .goal_ms = WORLD_GOAL_MS,
+				    .timeout_ms = world->hides_timeout ?
+							  0 :
+							  world->deadline_ms };
 	const pl_addr_t addr = service_addr_();
 
 	route.weighted = world->weighted;
@@ -846,11 +849,17 @@
 	pl_timer_arm(call->world->timers, &call->timer, call->world->now + ms);
 }
 
+static void fail_call_(call_t *call)
+{
+	call->state = CALL_FAILED;
+	call->duration = call->world->now - call->started;
+	pl_timer_cancel(call->world->timers, &call->timer);
+}
+
 static void start_attempt_(call_t *call)
 {
 	if (call->attempts == ATTEMPTS_MAX) {
-		call->state = CALL_FAILED;
-		pl_timer_cancel(call->world->timers, &call->timer);
+		fail_call_(call);
 		return;
 	}
 	call->attempts++;
@@ -871,7 +880,7 @@
 
 	(void)timer;
 	if (now - call->started >= call->world->deadline_ms) {
-		call->state = CALL_FAILED;
+		fail_call_(call);
 		return;
 	}
 	if (call->state == CALL_OPENING && call->copies == 3) {
@@ -918,6 +927,12 @@
 			  0);
 }
 
+void world_abort(call_t *call)
+{
+	send_from_caller_(call, PL_PACKET_RST, call->seq, 0, 0);
+	fail_call_(call);
+}
+
 call_t *world_call(world_t *world, uint32_t ip, size_t bytes, bool keep)
 {
 	call_t *call = call_new_(world, ip, bytes, keep);
@@ -942,8 +957,11 @@
 
 static void handle_caller_packet_(call_t *call, const pl_packet_t *packet)
 {
-	if (packet->flags & PL_PACKET_RST) {
-		call->resets++;
+	if (call->world->now - call->started >= call->world->deadline_ms) {
+		fail_call_(call);
+	} else if (packet->flags & PL_PACKET_RST) {
+		if (call->resets++ == 0)
+			call->told_after = call->world->now - call->started;
 		start_attempt_(call);
 	} else if (call->state == CALL_OPENING &&
 		   (packet->flags & PL_PACKET_SYN)) {
@@ -1040,7 +1058,7 @@
 	world->deadline_ms = WORLD_DEADLINE_MS;
 	world->strays =
 		g_hash_table_new_full(key_hash_, key_equal_, g_free, g_free);
-	world->order = &pl_work_order_due;
+	world->order = &pl_work_order_rescue;
 	world->placement = &pl_place_least_wait;
 	world->target = WORLD_SERVICE;
 	world->agent_flows_max = AGENT_FLOWS_MAX;
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -108,15 +108,22 @@
 	pl_ms_t started;
 	unsigned int attempts;
 	/* state of the current attempt */
-	enum { CALL_OPENING, CALL_SENT, CALL_DONE, CALL_FAILED } state;
+	enum {
+		CALL_PAUSED,
+		CALL_OPENING,
+		CALL_SENT,
+		CALL_DONE,
+		CALL_FAILED
+	} state;
 	unsigned int copies;
 	uint32_t server_next_seq;
 	uint32_t seq; /* sequence number of the request's first byte */
 	unsigned int retransmits;
 	bool flow_reused; /* the flow was open already */
 	pl_timer_t timer;
-	pl_ms_t duration; /* time from the start to the answer */
+	pl_ms_t duration; /* time from the start to the answer or failure */
 	unsigned int resets; /* resets received */
+	pl_ms_t told_after; /* time from the start to the first reset */
 	bool has_followup; /* another request was made on its flow */
 } call_t;
 
@@ -137,6 +144,7 @@
 	bool unconfigured; /* routing tables are built without configuration */
 	bool servers_close; /* servers answer a caller's FIN with their own */
 	size_t agent_flows_max; /* capacity of an agent for flow records */
+	bool hides_timeout; /* the route does not state deadline_ms */
 	const char *target; /* service that the route sends new flows to */
 	pl_evacuations_t evacuations; /* known to entries when published */
 	/* If set, the route names both services, with these weights. */
@@ -219,6 +227,9 @@
 /** Starts another request on the flow of the completed call @p before. */
 call_t *world_call_again(world_t *world, const call_t *before);
 
+/** The caller resets the flow of a call. */
+void world_abort(call_t *call);
+
 /** Sends another copy of the opening packet of a call that is opening. */
 void world_resend_opening(call_t *call);
 
