Placement: reports older than 2.5 s count as idle; times to answer get old

An entry that avoided an endpoint kept its last report for good: a mean of all slots, or a time to answer from a slow phase. The agent's mean time to answer is replaced by the next measurement after 2 s without one.

--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -19,6 +19,10 @@
 /** An endpoint counts as slow if its time to answer exceeds the mean of the
  * candidates by this much, in percent; less is within the noise of the mean. */
 #define SLOW_PERCENT 150
+/** A report this old tells nothing: agents report for 2 s after the last packet.
+ * The endpoint counts as idle and of usual speed, as nothing would correct what
+ * the entry knows of an endpoint that it avoids. */
+#define REPORT_AGE_MAX_MS 2500
 #define PERCENT 100
 
 static size_t choose_first_(const pl_place_candidate_t *candidates,
@@ -29,6 +33,11 @@
 	return 0;
 }
 
+static bool is_outdated_(const pl_place_candidate_t *candidate)
+{
+	return candidate->age_ms > REPORT_AGE_MAX_MS;
+}
+
 /* Requests in progress, in thousandths, expected from an older report. */
 static uint64_t present_(const pl_endpoint_load_t *load, pl_ms_t age_ms)
 {
@@ -42,14 +51,16 @@
 static uint64_t utilisation_(const pl_place_candidate_t *candidate)
 {
 	const pl_endpoint_load_t *load = &candidate->load;
-	uint64_t now;
+	uint64_t now = (uint64_t)candidate->unreported * THOUSANDTHS;
+	uint64_t mean = 0;
 	uint64_t utilisation;
 
-	now = present_(load, candidate->age_ms) +
-	      (uint64_t)candidate->unreported * THOUSANDTHS;
-	utilisation = load->slots == 0 ?
-			      UNKNOWN_THOUSANDTHS + now :
-			      (now + load->mean_busy) / 2 / load->slots;
+	if (!is_outdated_(candidate)) {
+		now += present_(load, candidate->age_ms);
+		mean = load->mean_busy;
+	}
+	utilisation = load->slots == 0 ? UNKNOWN_THOUSANDTHS + now :
+					 (now + mean) / 2 / load->slots;
 	if (!candidate->local)
 		utilisation += REMOTE_PENALTY_THOUSANDTHS;
 	/* the weight of a new endpoint ramps up to PL_PLACE_WEIGHT_FULL */
@@ -70,6 +81,12 @@
 	return best;
 }
 
+/* Time to answer of the endpoint, in ms; 0 if not known. */
+static uint64_t request_ms_(const pl_place_candidate_t *candidate)
+{
+	return is_outdated_(candidate) ? 0 : candidate->load.request_ms;
+}
+
 /* Mean time to answer of the candidates, in ms; 0 if not known. */
 static uint64_t mean_request_ms_(const pl_place_candidate_t *candidates,
 				 size_t count)
@@ -78,8 +95,8 @@
 	uint64_t known = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		sum += candidates[i].load.request_ms;
-		known += candidates[i].load.request_ms != 0;
+		sum += request_ms_(&candidates[i]);
+		known += request_ms_(&candidates[i]) != 0;
 	}
 	return known ? sum / known : 0;
 }
@@ -90,13 +107,13 @@
 			       uint64_t usual_ms)
 {
 	const pl_endpoint_load_t *load = &candidate->load;
+	uint64_t request_ms = request_ms_(candidate);
 	uint64_t wait = utilisation_(candidate);
 
-	if (load->slots == 0 ||
-	    load->request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
+	if (load->slots == 0 || request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
 		return wait;
 	/* its own request is slow, too */
-	return (wait + THOUSANDTHS / load->slots) * load->request_ms / usual_ms;
+	return (wait + THOUSANDTHS / load->slots) * request_ms / usual_ms;
 }
 
 static size_t choose_least_wait_(const pl_place_candidate_t *candidates,
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -72,7 +72,7 @@
 	load.busy += (uint32_t)pl_work_queue_in_time(&agent->queue,
 						     pl_flow_agent_now_(agent));
 	load.waiting = (uint32_t)agent->queue.count;
-	load.request_ms = (uint32_t)agent->request_ms;
+	load.request_ms = pl_flow_work_request_ms_(agent);
 	return load;
 }
 
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -31,6 +31,9 @@
 #define REQUEST_TIMEOUT_MAX_MS 3000
 /** Assumed mean request time before the first measurement. */
 #define REQUEST_DEFAULT_MS 20
+/** An older measurement tells nothing of the present: the next one replaces the
+ * mean. A busy server answers many times in this time. */
+#define REQUEST_AGE_MAX_MS 2000
 /** A measurement has a weight of 1 / MEAN_PARTS in the moving mean. */
 #define MEAN_PARTS 16
 /** Interval at which queued requests whose callers have given up are dropped,
@@ -126,6 +129,13 @@
 	pl_load_change(&agent->load, 1, now);
 }
 
+uint32_t pl_flow_work_request_ms_(const pl_flow_agent_t *agent)
+{
+	pl_ms_t age = pl_flow_agent_now_(agent) - agent->request_at;
+
+	return age > REQUEST_AGE_MAX_MS ? 0 : (uint32_t)agent->request_ms;
+}
+
 static double update_mean_(double mean, double measured)
 {
 	return mean == 0 ? measured :
@@ -241,8 +251,10 @@
 	 * that has become slow would stay what it was */
 	if (flow->request_open) {
 		pl_histogram_record(PL_HISTOGRAM_REQUEST, took * US_PER_MS);
-		agent->request_ms =
-			update_mean_(agent->request_ms, (double)took);
+		agent->request_ms = update_mean_(
+			pl_flow_work_request_ms_(agent) ? agent->request_ms : 0,
+			(double)took);
+		agent->request_at = pl_flow_agent_now_(agent);
 	}
 	flow->request_open = false;
 	pl_flow_work_free_slot_(agent, flow);
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -79,6 +79,7 @@
 	pl_timer_t drop_timer; /**< next check for callers that gave up */
 	/** Mean time from a request to its answer; 0 before the first. */
 	double request_ms;
+	pl_ms_t request_at; /**< when @c request_ms was last measured */
 	/** Mean time from the delivery of an opening packet to the caller's
 	 * next packet; 0 before the first. */
 	double caller_answer_ms;
@@ -173,6 +174,8 @@
 /** Queues the flow, with its pending packets, for a slot. */
 void pl_flow_work_enqueue_(pl_flow_agent_t *agent, flow_t *flow, pl_ms_t due,
 			   pl_ms_t expires, uint32_t priority);
+/** Mean time of a request; 0 if none was measured recently. */
+uint32_t pl_flow_work_request_ms_(const pl_flow_agent_t *agent);
 /** Time in which queued work is started that goes ahead of a flow. */
 pl_ms_t pl_flow_work_ahead_ms_(pl_flow_agent_t *agent, uint32_t priority,
 			       pl_ms_t expires);
