--- a/src/flow/agent_pace.c
+++ b/src/flow/agent_pace.c
@@ -115,7 +115,7 @@
 			    pl_endpoint_load_t *load)
 {
 	load->limit = pl_pace_limit(&agent->pace, pl_flow_agent_now_(agent));
-	load->request_ms = (uint32_t)agent->request_ms;
+	load->request_ms = pl_flow_work_request_ms_(agent);
 }
 
 void pl_flow_pace_add_stats_(const pl_flow_agent_t *agent,
