flow entry: a presumed owner counts as one that may own the flow, and ends no search

Cause: with two agents presumed to own a flow, the other one did not count as a possible owner, so the claim of either ended the lookup; and while an agent was presumed nobody else was probed, so a flow whose presumed owner never sent a packet was not found.

--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -61,6 +61,9 @@
 /** Packets sent to a server that is presumed to hold the flow, with the probe.
  * A server acknowledges every second packet at the latest. */
 #define PRESUMED_SENT_MAX 2
+/** Time for a presumed owner to be confirmed before others are probed again:
+ * some mean times of a request. */
+#define PRESUMED_WAIT_MS 200
 /** An agent that was unsure is queried again after this time. */
 #define REQUERY_UNSURE_MS 500
 
@@ -130,7 +133,8 @@
 	/** Silent agents that may own the flow and were not probed. */
 	size_t possible_owners;
 	size_t unsure;
-	size_t unresolved; /**< all silent or unsure ones that may own it */
+	/** All that may own it: silent, unsure or presumed to own it. */
+	size_t unresolved;
 	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
 	bool probes_others; /**< @c to_probe is of an unexpected service */
 } pending_t;
@@ -175,10 +179,12 @@
 			pending.silent++;
 			pending.possible_owners += owner && !query->probed;
 			pending.unresolved += owner;
-		} else if (query->verdict == PL_FLOW_UNSURE) {
-			pending.unresolved++;
-			note_unsure_(entry, lookup, expected, query, &pending);
+			continue;
 		}
+		/* one that claims the flow is only presumed to own it */
+		pending.unresolved += query->verdict != PL_FLOW_ABSENT;
+		if (query->verdict == PL_FLOW_UNSURE)
+			note_unsure_(entry, lookup, expected, query, &pending);
 	}
 	return pending;
 }
@@ -228,7 +234,10 @@
 	pl_ms_t now = pl_flow_entry_now_(entry);
 	pl_ms_t first = first_probe_(entry, lookup);
 
-	if (lookup->presumed != 0 || pending->possible_owners > 0 ||
+	if (lookup->presumed != 0 &&
+	    now - lookup->presumed_at < PRESUMED_WAIT_MS)
+		return false;
+	if (pending->possible_owners > 0 ||
 	    now - lookup->packet_at > PACKET_AGE_MAX_MS)
 		return false;
 	return first == 0 || now - first < PROBE_PERIOD_MS ||
@@ -481,7 +490,7 @@
 static bool has_other_owner_(const pl_flow_entry_t *entry,
 			     const lookup_t *lookup, const agent_query_t *query)
 {
-	bool itself = query->answered ? query->verdict == PL_FLOW_UNSURE :
+	bool itself = query->answered ? query->verdict != PL_FLOW_ABSENT :
 					pl_flow_roster_may_own_(entry, lookup,
 								query->agent);
 
@@ -501,6 +510,7 @@
 	}
 	if (lookup->presumed == 0) {
 		lookup->presumed = query->agent;
+		lookup->presumed_at = pl_flow_entry_now_(entry);
 		lookup->presumed_sent = 1;
 	}
 	if (lookup->presumed == query->agent)
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -51,6 +51,7 @@
 	unsigned int probes; /**< probe packets without an answer */
 	/** Agent whose server is presumed to hold the flow, or 0. */
 	pl_member_id_t presumed;
+	pl_ms_t presumed_at; /**< when it was first */
 	size_t presumed_sent; /**< packets that were sent to @c presumed */
 	/** These probes went to services other than the expected one. */
 	bool probes_others;
