--- a/test/balance/place_test.c
+++ b/test/balance/place_test.c
@@ -149,11 +149,11 @@
 
 /* Runs @p per_s flows a second of one request each; the first @p slow servers
  * take @p slow_times as long. Returns the fraction answered too late. */
-static double late_share_(const pl_place_policy_t *policy, double per_s,
+static double late_share_(const pl_place_policy_t *policy, unsigned int per_s,
 			  int slow, pl_ms_t slow_times)
 {
 	replay_t *replay = g_new0(replay_t, 1);
-	double due = 0;
+	unsigned int due = 0;
 	double share;
 
 	replay->policy = policy;
@@ -169,12 +169,13 @@
 			if ((replay->now + 7 * (pl_ms_t)i) % REPORT_MS == 0)
 				report_(replay, i);
 		}
-		for (due += per_s / 1000; due >= 1; due--)
+		due += per_s;
+		for (; due >= 1000; due -= 1000)
 			place_(replay,
 			       g_rand_int_range(replay->random, 0, ENTRIES));
 	}
 	share = (double)replay->late / replay->started;
-	print_message("%s, %.0f a second: %.4f late\n", policy->name, per_s,
+	print_message("%s, %u a second: %.4f late\n", policy->name, per_s,
 		      share);
 	for (int i = 0; i < SERVERS; i++)
 		g_queue_clear(&replay->servers[i].waiting);
@@ -187,7 +188,7 @@
  * busy slots it gets as many flows as another with the same number. */
 static void slow_servers_get_fewer_flows(void **state)
 {
-	double rate = 0.6 * SERVERS * SLOTS * 1000 / WORK_MS;
+	unsigned int rate = SERVERS * SLOTS * 600 / WORK_MS;
 	double wait = late_share_(&pl_place_least_wait, rate, SERVERS / 8, 5);
 	double load =
 		late_share_(&pl_place_least_utilised, rate, SERVERS / 8, 5);
