flow agent: one without a server leaves the roster while it runs

An agent deregisters once its server has neither listened, nor reported for two intervals since the agent's start, nor sent a packet of its own. It registers again with the first report. The test of agents without a server and that of a server that reports no more check both sides; the test's fake of the node now registers an agent whose server serves, as the node does.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -497,6 +497,7 @@
 		handle_bounced_(agent, &packet, bytes, len);
 		return;
 	}
+	agent->backend_spoke = true;
 	key = pl_packet_reply_flow(&packet);
 	if ((packet.flags & PL_PACKET_RST) && !may_pass_reset_(agent, &key))
 		return;
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -338,9 +338,22 @@
 	       !pl_flow_backend_is_gone_(agent);
 }
 
+/* Deregisters an agent whose server has neither listened, reported nor sent a
+ * packet of its own. The roster entry of an earlier process would delay proofs
+ * as soon as this one is killed. */
+static void leave_roster_(pl_flow_agent_t *agent)
+{
+	if (agent->left_roster || agent->backend_spoke ||
+	    !sends_no_reports_(agent))
+		return;
+	agent->left_roster = true;
+	agent->ops->backend_leaving(agent->ctx);
+}
+
 void pl_flow_agent_backend_down(pl_flow_agent_t *agent)
 {
 	agent->refused_at = pl_flow_agent_now_(agent);
+	leave_roster_(agent);
 	if (agent->backend_down || !backend_has_ended_(agent))
 		return;
 	agent->backend_down = true;
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -105,6 +105,10 @@
 	/** A packet or report of the server has arrived since the start of the
 	 * agent or since the last server ended. */
 	bool backend_seen;
+	/** The server sent a packet of its own since the agent's start, rather
+	 * than only handed packets back. */
+	bool backend_spoke;
+	bool left_roster; /**< deregistered for want of a server */
 	bool backend_down; /**< the server has ended and no new one was seen */
 	bool evacuated; /**< the data centre gets no new flows */
 	bool flows_complete; /**< every flow of the server had a record */
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -510,6 +510,9 @@
 	assert_true(stats.flows_complete && !stats.backend_down);
 	pl_flow_agent_stats(world->agents[0].agent, &stats);
 	assert_true(stats.flows_complete && stats.backend_down);
+	/* it may be killed before its server returns */
+	assert_false(world->agents[0].registered);
+	assert_true(world->agents[1].registered);
 	world_delete(world);
 }
 
@@ -711,6 +714,8 @@
 	pl_flow_agent_stats(world->agents[busiest].agent, &stats);
 	assert_true(stats.backend_gone && !stats.backend_down);
 	assert_false(stats.backend_silent);
+	/* it has answered callers, so it stays in the roster meanwhile */
+	assert_true(world->agents[busiest].registered);
 	world->servers[busiest].sends_no_reports = false;
 	world_run(world, 1000);
 	pl_flow_agent_stats(world->agents[busiest].agent, &stats);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -535,9 +535,11 @@
 
 static void op_backend_changed_(void *ctx, bool serving, uint32_t slots)
 {
-	(void)ctx;
-	(void)serving;
+	world_node_t *node = ctx;
+
 	(void)slots;
+	if (serving)
+		node->registered = true;
 }
 
 static void op_backend_leaving_(void *ctx)
