--- a/src/flow/agent_evacuate.c
+++ b/src/flow/agent_evacuate.c
@@ -45,32 +45,13 @@
 		message->packet_len);
 }
 
-/* Hands back the opening packets that were not delivered yet. */
-static void refuse_queued_(pl_flow_agent_t *agent)
-{
-	pl_list_for_each_safe(link, &agent->queue.waiting) {
-		flow_t *flow = PL_CONTAINER_OF(
-			PL_CONTAINER_OF(link, pl_work_t, link), flow_t, work);
-		const pl_queued_packet_t *packet =
-			pl_packet_queue_first(&flow->pending_packets);
-
-		if (flow->state != FLOW_NEW)
-			continue;
-		refuse_(agent, flow->entry, &flow->node.key, packet->bytes,
-			packet->len);
-		pl_flow_table_remove(agent->flows, &flow->node);
-	}
-}
-
 void pl_flow_agent_set_evacuated(pl_flow_agent_t *agent, bool evacuated)
 {
 	if (agent->evacuated == evacuated)
 		return;
 	agent->evacuated = evacuated;
-	if (evacuated) {
-		refuse_queued_(agent);
+	if (evacuated)
 		return;
-	}
 	/* what was measured before says little of a server that got no work */
 	agent->request_ms = 0;
 	pl_flow_pace_returned_(agent);
