--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -75,7 +75,7 @@
 	X(PL_EVENT_PACE_FULL, 261, "pace-full", INFO,                          \
 	  "a backend server is given work for all of its slots")               \
 	X(PL_EVENT_PACE_SLOWED, 262, "pace-slowed", WARNING,                   \
-	  "a backend server is slow or fails, and gets less new work")            \
+	  "a backend server is slow or fails, and gets less new work")         \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                  \
 	  "a member joined")                                                   \
 	X(PL_EVENT_MEMBER_SUSPECT, 301, "member-suspect", INFO,                \
