pimentoctl explain for flows: where a flow would go now, and why

Ruled out: a second set of rules for explanations, which would drift; a copy of the entry's whole state, as its decisions can be made without changing it.

Change: the decisions on an opening packet take a const entry now: pl_flow_choose_ (service and endpoint), pl_flow_split_, pl_flow_entry_opening_. Packets refresh the summary of a service first (pl_flow_split_refresh_); an explanation sums it up without storing it. A load record is created for a packet that is sent only, no longer for each candidate.

--- a/include/pimentolift/balance/place.h
+++ b/include/pimentolift/balance/place.h
@@ -38,6 +38,12 @@
 	size_t (*choose)(const pl_place_candidate_t *candidates, size_t count);
 } pl_place_policy_t;
 
+/** Expected wait by which pl_place_least_wait compares the candidates, in
+ * thousandths of the time in which an endpoint of usual speed answers as many
+ * requests as it has slots. */
+uint64_t pl_place_wait(const pl_place_candidate_t *candidates, size_t count,
+		       size_t index);
+
 /** Rendezvous hashing alone; the baseline for comparisons. */
 extern const pl_place_policy_t pl_place_by_hash;
 /** Least loaded endpoint; one in the entry's data centre is preferred if the
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -137,7 +137,8 @@
 	uint64_t request_ms = present_request_ms_(candidate, usual_ms);
 	uint64_t wait = utilisation_(candidate, paced);
 
-	if (load->slots == 0 || request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
+	if (load->slots == 0 || usual_ms == 0 ||
+	    request_ms * PERCENT <= usual_ms * SLOW_PERCENT)
 		return wait;
 	/* its own request is slow, too */
 	return (wait + THOUSANDTHS / load->slots) * request_ms / usual_ms;
@@ -162,6 +163,14 @@
 	return best;
 }
 
+uint64_t pl_place_wait(const pl_place_candidate_t *candidates, size_t count,
+		       size_t index)
+{
+	return expected_wait_(&candidates[index],
+			      mean_request_ms_(candidates, count),
+			      pace_counts_(candidates, count));
+}
+
 const pl_place_policy_t pl_place_by_hash = { "hash", choose_first_ };
 const pl_place_policy_t pl_place_least_utilised = { "load",
 						    choose_least_utilised_ };
--- a/src/ctl/cmd_node.c
+++ b/src/ctl/cmd_node.c
@@ -6,11 +6,14 @@
 #include "private/ctl.h"
 #include "private/table.h"
 
+#include <pimentolift/addr.h>
 #include <stdio.h>
 #include <string.h>
 
 #define KEY_SERVICE 's'
 #define KEY_CALLER 'l'
+#define KEY_FROM 'f'
+#define KEY_TO 'd'
 
 static const pl_column_t status_columns_[] = {
 	{ "NAME", "name" },
@@ -35,6 +38,32 @@
 	{ "AGENT", "agent" },		{ 0 },
 };
 
+static const pl_column_t service_columns_[] = {
+	{ "SERVICE", "service" },     { "WEIGHT", "weight" },
+	{ "SHARE", "share" },	      { "SLOTS", "slots" },
+	{ "BUSY", "busy" },	      { "MEAN", "mean_busy" },
+	{ "ENDPOINTS", "endpoints" }, { "ACCEPTING", "accepting" },
+	{ "EVACUATED", "evacuated" }, { 0 },
+};
+
+static const pl_column_t candidate_columns_[] = {
+	{ "CANDIDATE", "agent" },
+	{ "DATACENTRE", "datacentre" },
+	{ "DISTANCE", "distance" },
+	{ "MEMBER", "member" },
+	{ "WEIGHT", "weight" },
+	{ "AGE_MS", "age_ms" },
+	{ "SLOTS", "slots" },
+	{ "BUSY", "busy" },
+	{ "UNREPORTED", "unreported" },
+	{ "MEAN/1000", "mean_busy_milli" },
+	{ "LIMIT/1000", "limit_milli" },
+	{ "ANSWER_MS", "request_ms" },
+	{ "WAITING", "waiting" },
+	{ "WAIT/1000", "wait_milli" },
+	{ 0 },
+};
+
 static pl_result_t require_admin_(const pl_ctl_t *ctl, pl_error_t *err)
 {
 	if (ctl->admins->len > 0)
@@ -236,21 +265,82 @@
 		pl_table_print(rank, endpoint_columns_);
 }
 
-static pl_result_t cmd_explain_(pl_ctl_t *ctl, pl_error_t *err)
+static void print_rows_(struct json_object *response, const char *key,
+			const pl_column_t *columns)
+{
+	struct json_object *rows = NULL;
+
+	if (json_object_object_get_ex(response, key, &rows) &&
+	    json_object_is_type(rows, json_type_array) &&
+	    json_object_array_length(rows) > 0)
+		pl_table_print(rows, columns);
+}
+
+static void print_offers_(struct json_object *known)
+{
+	struct json_object *offers = NULL;
+
+	if (!json_object_object_get_ex(known, "offers", &offers))
+		return;
+	for (size_t i = 0; i < json_object_array_length(offers); i++) {
+		struct json_object *offer =
+			json_object_array_get_idx(offers, i);
+
+		printf("offered to %s, refused: %s\n",
+		       text_or_dash_(offer, "agent"),
+		       text_or_dash_(offer, "refused"));
+	}
+}
+
+/* Prints what the entry knows of the flow, and how. */
+static void print_known_(struct json_object *response)
+{
+	struct json_object *known = NULL;
+
+	if (!json_object_object_get_ex(response, "known", &known)) {
+		puts("the entry has no record of the flow");
+		return;
+	}
+	printf("owner %s, known by: %s; dead: %s; queued at %s\n",
+	       text_or_dash_(known, "owner"), text_or_dash_(known, "by"),
+	       text_or_dash_(known, "owner_dead"),
+	       text_or_dash_(known, "queued_at"));
+	print_offers_(known);
+	if (json_object_object_get_ex(known, "queried", NULL))
+		printf("lookup of the owner: %s agents asked, %s have not "
+		       "answered, presumed owner %s\n",
+		       text_or_dash_(known, "queried"),
+		       text_or_dash_(known, "unanswered"),
+		       text_or_dash_(known, "presumed"));
+}
+
+static void print_flow_explanation_(struct json_object *response)
+{
+	printf("flow %s, revision %s\nevacuated: %s\n",
+	       text_or_dash_(response, "flow"),
+	       text_or_dash_(response, "revision"),
+	       text_or_dash_(response, "evacuated"));
+	print_rows_(response, "services", service_columns_);
+	if (json_object_object_get_ex(response, "service", NULL))
+		printf("service: %s (%s; the weights give %s)\n",
+		       text_or_dash_(response, "service"),
+		       text_or_dash_(response, "service_reason"),
+		       text_or_dash_(response, "share_of"));
+	print_rows_(response, "candidates", candidate_columns_);
+	print_known_(response);
+	printf("%s: %s (%s)\n", text_or_dash_(response, "step"),
+	       text_or_dash_(response, "target"),
+	       text_or_dash_(response, "reason"));
+}
+
+/* Sends the request @p path, which is freed, and prints the response. */
+static pl_result_t explain_by_(const pl_ctl_t *ctl, char *path,
+			       void (*print)(struct json_object *response),
+			       pl_error_t *err)
 {
-	const char *service = pl_ctl_value(ctl, KEY_SERVICE, NULL);
-	const char *caller = pl_ctl_value(ctl, KEY_CALLER, NULL);
 	struct json_object *response = NULL;
-	pl_result_t result;
-	char *path;
+	pl_result_t result = request_any_(ctl, path, &response, err);
 
-	if (!service || !caller)
-		return pl_error_set(err, PL_ERR_USAGE,
-				    "options --service=NAME and "
-				    "--caller=IP:PORT are required");
-	path = g_strdup_printf("/explain?service=%s&caller=%s", service,
-			       caller);
-	result = request_any_(ctl, path, &response, err);
 	g_free(path);
 	if (result != PL_OK)
 		return result;
@@ -258,14 +348,66 @@
 		pl_ctl_print_json(response);
 		return PL_OK;
 	}
-	print_explanation_(response);
+	print(response);
 	json_object_put(response);
 	return PL_OK;
 }
 
+static pl_result_t check_ipv4_(const char *option, const char *text,
+			       pl_error_t *err)
+{
+	pl_addr_t addr;
+
+	if (pl_addr_parse(text, &addr, NULL) == PL_OK &&
+	    addr.family == PL_ADDR_IPV4 && addr.port != 0)
+		return PL_OK;
+	return pl_error_set(err, PL_ERR_USAGE,
+			    "--%s: \"%s\" is not an IPv4 address with a port "
+			    "from 1 to 65535",
+			    option, text);
+}
+
+static pl_result_t explain_flow_(const pl_ctl_t *ctl, const char *from,
+				 const char *to, pl_error_t *err)
+{
+	if (!from || !to)
+		return pl_error_set(err, PL_ERR_USAGE,
+				    "options --from=IP:PORT and --to=IP:PORT "
+				    "go together");
+	if (check_ipv4_("from", from, err) != PL_OK ||
+	    check_ipv4_("to", to, err) != PL_OK)
+		return PL_ERR_USAGE;
+	return explain_by_(ctl,
+			   g_strdup_printf("/explain?from=%s&to=%s", from, to),
+			   print_flow_explanation_, err);
+}
+
+static pl_result_t cmd_explain_(pl_ctl_t *ctl, pl_error_t *err)
+{
+	const char *service = pl_ctl_value(ctl, KEY_SERVICE, NULL);
+	const char *caller = pl_ctl_value(ctl, KEY_CALLER, NULL);
+	const char *from = pl_ctl_value(ctl, KEY_FROM, NULL);
+	const char *to = pl_ctl_value(ctl, KEY_TO, NULL);
+
+	if (from || to)
+		return explain_flow_(ctl, from, to, err);
+	if (!service || !caller)
+		return pl_error_set(err, PL_ERR_USAGE,
+				    "options --service=NAME and "
+				    "--caller=IP:PORT, or for a flow "
+				    "--from=IP:PORT and --to=IP:PORT, are "
+				    "required");
+	return explain_by_(ctl,
+			   g_strdup_printf("/explain?service=%s&caller=%s",
+					   service, caller),
+			   print_explanation_, err);
+}
+
 static const struct argp_option explain_options_[] = {
 	{ "service", KEY_SERVICE, "NAME", 0, "Service that is called", 0 },
 	{ "caller", KEY_CALLER, "IP:PORT", 0, "Address of the caller", 0 },
+	{ "from", KEY_FROM, "IP:PORT", 0, "Caller of a flow", 0 },
+	{ "to", KEY_TO, "IP:PORT", 0, "Service address of a flow", 0 },
 	{ 0 },
 };
 
@@ -286,7 +428,8 @@
 	  "given.",
 	  NULL, cmd_metrics_ },
 	{ "explain", "", 0, 0,
-	  "Tells which endpoints a caller's datagrams go to, and why.",
+	  "Tells which endpoints a caller's datagrams go to, or where an entry "
+	  "of flows would send a flow now, and why. Nothing is sent.",
 	  explain_options_, cmd_explain_ },
 	{ 0 },
 };
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -12,6 +12,8 @@
 
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+#define HTTP_GATEWAY_TIMEOUT 504
 
 const char *pl_ctl_value(const pl_ctl_t *ctl, int key, const char *fallback)
 {
@@ -126,9 +128,14 @@
 	struct json_object *text = NULL;
 	bool has_error = root && json_object_is_type(root, json_type_object) &&
 			 json_object_object_get_ex(root, "error", &text);
-	pl_result_t result =
-		status == HTTP_BAD_REQUEST ? PL_ERR_USAGE : PL_ERR_STATE;
-
+	pl_result_t result = PL_ERR_STATE;
+
+	if (status == HTTP_BAD_REQUEST)
+		result = PL_ERR_USAGE;
+	else if (status == HTTP_NOT_FOUND)
+		result = PL_ERR_NOT_FOUND;
+	else if (status == HTTP_GATEWAY_TIMEOUT)
+		result = PL_ERR_TIMEOUT;
 	pl_error_set(err, result, "%s: %s", admin,
 		     has_error ? json_object_get_string(text) : body);
 	json_object_put(root);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -28,7 +28,7 @@
 	"  endpoints        backend servers as a daemon sees them\n"
 	"  drain            drain a daemon: finish its work, accept none\n"
 	"  metrics [NAME]   counters and histograms\n"
-	"  explain          where a caller's datagrams go, and why\n"
+	"  explain          where a caller's datagrams or a flow go, and why\n"
 	"  burn             error-budget burn rates of the objectives\n\n"
 	"`pimentoctl COMMAND --help` lists the options of a command. Exit "
 	"codes: 0 ok, 1 wrong command line, 2 document not valid, 3 conflict "
--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define CUT_MEMBERS_MAX 1024
+#define BITS_PER_BYTE 8
 
 struct pl_admin {
 	pl_node_t *node;
@@ -74,16 +75,64 @@
 				     g_string_free(text, FALSE) };
 }
 
+static bool parse_ipv4_(const char *text, uint32_t *ip, uint16_t *port)
+{
+	pl_addr_t addr;
+
+	if (pl_addr_parse(text, &addr, NULL) != PL_OK ||
+	    addr.family != PL_ADDR_IPV4 || addr.port == 0)
+		return false;
+	*ip = 0;
+	for (size_t i = 0; i < sizeof(*ip); i++)
+		*ip = *ip << BITS_PER_BYTE | addr.ip[i];
+	*port = addr.port;
+	return true;
+}
+
+/* Explains where a flow would go now. */
+static pl_http_response_t explain_flow_(pl_admin_t *admin, const char *from,
+					const char *to)
+{
+	pl_flow_explanation_t explanation;
+	pl_flow_key_t key = { 0 };
+
+	if (!parse_ipv4_(from, &key.caller_ip, &key.caller_port) ||
+	    !parse_ipv4_(to, &key.service_ip, &key.service_port))
+		return error_response_(MHD_HTTP_BAD_REQUEST,
+				       "from and to have to be IPv4 addresses "
+				       "with a port from 1 to 65535");
+	switch (pl_node_explain(admin->node, &key, &explanation)) {
+	case PL_OK:
+		break;
+	case PL_ERR_TIMEOUT:
+		return error_response_(MHD_HTTP_GATEWAY_TIMEOUT,
+				       "the traffic thread is busy; try again");
+	default:
+		return error_response_(MHD_HTTP_CONFLICT,
+				       "this daemon is no entry of flows; ask "
+				       "an entry");
+	}
+	if (explanation.revision != 0 && explanation.service_count == 0)
+		return error_response_(MHD_HTTP_NOT_FOUND,
+				       "no route has this address; its packets "
+				       "are reset (no-service)");
+	return json_response_(
+		pl_admin_explain_flow(admin->node, &key, &explanation));
+}
+
 static pl_http_response_t get_explain_(pl_admin_t *admin,
 				       const pl_http_request_t *request)
 {
 	const char *service = pl_http_query_argument(request, "service");
 	const char *caller = pl_http_query_argument(request, "caller");
-	struct json_object *object =
-		service && caller ?
-			pl_admin_explain(admin->node, service, caller) :
-			NULL;
-
+	const char *from = pl_http_query_argument(request, "from");
+	const char *to = pl_http_query_argument(request, "to");
+	struct json_object *object = NULL;
+
+	if (from && to)
+		return explain_flow_(admin, from, to);
+	if (service && caller)
+		object = pl_admin_explain(admin->node, service, caller);
 	if (!object)
 		return error_response_(MHD_HTTP_BAD_REQUEST,
 				       "needs service=NAME and caller=IP:PORT, "
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -82,6 +82,14 @@
 	return pl_node_config_revision(node->config);
 }
 
+pl_result_t pl_node_explain(pl_node_t *node, const pl_flow_key_t *key,
+			    pl_flow_explanation_t *explanation)
+{
+	if (!node->role || !node->role_ops->explain)
+		return PL_ERR_STATE;
+	return node->role_ops->explain(node->role, key, explanation);
+}
+
 void pl_node_role_status(pl_node_t *node, struct json_object *status)
 {
 	if (node->role)
--- a/src/daemon/private/admin.h
+++ b/src/daemon/private/admin.h
@@ -3,7 +3,8 @@
  * HTTP port for operators and metrics, served by the control thread.
  *
  * GET /status, /endpoints, /burn (JSON), /metrics (Prometheus text),
- * /explain?service=NAME&caller=IP:PORT (JSON); POST /drain;
+ * /explain?service=NAME&caller=IP:PORT and, at an entry of flows,
+ * /explain?from=IP:PORT&to=IP:PORT (JSON); POST /drain;
  * POST /fault?cut=IP:PORT,... if the settings allow fault injection.
  */
 #ifndef PIMENTOLIFT_DAEMON_ADMIN_H
@@ -31,6 +32,11 @@
 struct json_object *pl_admin_explain(pl_node_t *node, const char *service,
 				     const char *caller);
 
+/** Builds the JSON object that explains where the flow @p key would go now. */
+struct json_object *
+pl_admin_explain_flow(pl_node_t *node, const pl_flow_key_t *key,
+		      const pl_flow_explanation_t *explanation);
+
 /** All counters and histograms in the Prometheus text format. */
 GString *pl_admin_metrics(pl_node_t *node);
 
--- a/src/daemon/private/node.h
+++ b/src/daemon/private/node.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <json-c/json.h>
 #include <pimentolift/document.h>
+#include <pimentolift/flow_explain.h>
 #include <pimentolift/loop.h>
 #include <pimentolift/member.h>
 #include <pimentolift/peer.h>
@@ -68,6 +69,10 @@
 	void (*drain)(void *role);
 	/** Whether the drain is complete, so that the process may exit. */
 	bool (*drained)(void *role);
+	/** Explains where the flow @p key would go now; waits for the traffic
+	 * thread, PL_ERR_TIMEOUT if that takes too long. May be NULL. */
+	pl_result_t (*explain)(void *role, const pl_flow_key_t *key,
+			       pl_flow_explanation_t *explanation);
 	/** Adds the role's statistics to @p status. */
 	void (*status)(void *role, struct json_object *status);
 	/** Stops the threads and frees the role. */
@@ -111,6 +116,11 @@
 /** Passes a gossip datagram to the control thread; from any thread. */
 void pl_node_gossip(pl_node_t *node, const uint8_t *bytes, size_t len);
 
+/** See pl_role_ops_t.explain; PL_ERR_STATE if this process is no entry of
+ * flows. On the control thread. */
+pl_result_t pl_node_explain(pl_node_t *node, const pl_flow_key_t *key,
+			    pl_flow_explanation_t *explanation);
+
 /** Adds the evacuated data centres to @p status. */
 void pl_node_evacuation_status(pl_node_t *node, struct json_object *status);
 
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -309,30 +309,49 @@
 	pl_flow_entry_reset_(entry, &key, copy);
 }
 
+bool pl_flow_entry_is_rerouted_(const pl_flow_entry_t *entry,
+				const cached_flow_t *flow)
+{
+	return flow->service != 0 &&
+	       !pl_flow_split_names_(entry, &flow->node.key, flow->service);
+}
+
+pl_flow_opening_t pl_flow_entry_opening_(const pl_flow_entry_t *entry,
+					 const cached_flow_t *flow)
+{
+	if (flow->owner != 0)
+		return OPENING_OWNED;
+	if (flow->queueing_agent != 0)
+		return OPENING_QUEUED;
+	return pl_flow_split_accepts_(entry, &flow->node.key) ?
+		       OPENING_PLACE :
+		       OPENING_UNWEIGHTED;
+}
+
 /* Handles an opening packet or its retransmission. A retransmission goes to
  * another endpoint, because the first one may be dead. */
 static void handle_opening_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
 			    uint32_t copy, const uint8_t *bytes, size_t len)
 {
 	cached_flow_t *flow = get_flow_(entry, key, true);
+	pl_flow_opening_t step;
 
-	if (flow->service != 0 &&
-	    !pl_flow_split_names_(entry, key, flow->service)) {
+	if (pl_flow_entry_is_rerouted_(entry, flow)) {
 		/* the route now belongs to other services */
 		pl_flow_table_remove(entry->flows, &flow->node);
 		flow = get_flow_(entry, key, true);
 	}
-	if (flow->owner == 0 && flow->queueing_agent == 0 &&
-	    !pl_flow_split_accepts_(entry, key)) {
+	step = pl_flow_entry_opening_(entry, flow);
+	if (step == OPENING_UNWEIGHTED) {
 		reject_unweighted_(entry, flow, copy);
 		return;
 	}
 	if (flow->offered_count == 0)
 		set_due_(entry, flow, copy);
-	if (flow->owner != 0)
+	if (step == OPENING_OWNED)
 		pl_flow_entry_forward_(entry, flow, flow->owner,
 				       PL_FLOW_OWNER_KNOWN, bytes, len);
-	else if (flow->queueing_agent == 0)
+	else if (step == OPENING_PLACE)
 		pl_flow_entry_place_(entry, flow, bytes, len);
 }
 
@@ -372,7 +391,7 @@
 		pl_flow_entry_reset_(entry, key, packet->ack);
 }
 
-static bool is_configured_(const pl_flow_entry_t *entry)
+bool pl_flow_entry_is_configured_(const pl_flow_entry_t *entry)
 {
 	return entry->routing && pl_routing_revision(entry->routing) != 0;
 }
@@ -388,7 +407,7 @@
 			  size_t len)
 {
 	const pl_route_service_t *service;
-	bool configured = is_configured_(entry);
+	bool configured = pl_flow_entry_is_configured_(entry);
 	pl_packet_t packet;
 	pl_flow_key_t key;
 
--- a/src/flow/entry_evacuate.c
+++ b/src/flow/entry_evacuate.c
@@ -61,8 +61,8 @@
 	g_hash_table_destroy(before);
 }
 
-static bool is_emptied_for_long_(const pl_flow_entry_t *entry,
-				 pl_service_id_t service)
+bool pl_flow_evacuate_is_emptied_(const pl_flow_entry_t *entry,
+				  pl_service_id_t service)
 {
 	const pl_ms_t *since =
 		g_hash_table_lookup(entry->emptied_since, key_(service));
@@ -77,7 +77,7 @@
 
 	/* A later copy of the packet, or one that was held, may belong to a
 	 * flow that an endpoint has accepted meanwhile. */
-	if (!is_emptied_for_long_(entry, flow->service) ||
+	if (!pl_flow_evacuate_is_emptied_(entry, flow->service) ||
 	    entry->retry_held_since != 0 ||
 	    !entry->params.packets->read(bytes, len, &packet) ||
 	    !pl_packet_opens(&packet) || packet.ack != 0)
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -7,9 +7,6 @@
 #include <pimentolift/counter.h>
 #include <pimentolift/hash.h>
 
-/** Endpoints compared for one flow; in a larger service, those with the highest
- * rendezvous hash. */
-#define CANDIDATES_MAX 16
 /** One candidate in this many is in another data centre. Traffic between data
  * centres is costly, so such a candidate is for when the local endpoints are
  * busier. */
@@ -110,7 +107,8 @@
 
 pl_member_id_t pl_flow_entry_last_offer_(const cached_flow_t *flow)
 {
-	for (size_t i = flow->offered_count; i-- > 0;) {
+	for (size_t i = MIN(flow->offered_count, PL_FLOW_OFFERS_MAX);
+	     i-- > 0;) {
 		if (!(flow->ruled_out & 1U << i))
 			return flow->offered[i];
 	}
@@ -217,10 +215,13 @@
 
 /* A load that was reported too long ago is not known any more, and an endpoint
  * that was sent nothing since then is as one that was never tried. */
-static pl_place_candidate_t make_candidate_(pl_flow_entry_t *entry,
+static pl_place_candidate_t make_candidate_(const pl_flow_entry_t *entry,
 					    const pl_endpoint_t *endpoint)
 {
-	const agent_load_t *known = get_load_(entry, endpoint->agent);
+	static const agent_load_t none;
+	const agent_load_t *record =
+		g_hash_table_lookup(entry->loads, &endpoint->agent);
+	const agent_load_t *known = record ? record : &none;
 	pl_ms_t now = pl_flow_entry_now_(entry);
 	pl_place_candidate_t candidate = {
 		.agent = endpoint->agent,
@@ -236,30 +237,54 @@
 	return candidate;
 }
 
-/* Returns the endpoint of @p service for an opening packet, or NULL; sets
- * @p last if there is no other endpoint to offer the packet to. */
-static const pl_endpoint_t *choose_endpoint_(pl_flow_entry_t *entry,
-					     const cached_flow_t *flow,
-					     const pl_route_service_t *service,
-					     bool *last)
+/* Chooses the endpoint of the service for an opening packet. */
+static void choose_endpoint_(const pl_flow_entry_t *entry,
+			     const cached_flow_t *flow,
+			     pl_flow_choice_t *choice)
 {
-	pl_place_candidate_t candidates[CANDIDATES_MAX];
-	pl_flow_ranked_t ranked[CANDIDATES_MAX];
-	size_t chosen;
+	pl_flow_ranked_t ranked[PL_FLOW_CANDIDATES_MAX];
 	size_t count;
 
-	count = pl_flow_rank_(entry, service, &flow->node.key, is_eligible_,
-			      flow, ranked, CANDIDATES_MAX);
-	*last = count <= 1 || flow->offered_count + 1 >= PL_FLOW_OFFERS_MAX;
+	count = pl_flow_rank_(entry, choice->split.service, &flow->node.key,
+			      is_eligible_, flow, ranked,
+			      PL_FLOW_CANDIDATES_MAX);
+	choice->last =
+		count <= 1 || flow->offered_count + 1 >= PL_FLOW_OFFERS_MAX;
+	choice->count = count;
 	if (count == 0)
-		return NULL;
+		return;
 	for (size_t i = 0; i < count; i++)
-		candidates[i] = make_candidate_(entry, ranked[i].endpoint);
-	chosen = entry->params.placement->choose(candidates, count);
+		choice->candidates[i] =
+			make_candidate_(entry, ranked[i].endpoint);
+	choice->chosen =
+		entry->params.placement->choose(choice->candidates, count);
 	/* if the best endpoint is full, the others need no offer */
-	if (is_full_(&candidates[chosen]))
-		*last = true;
-	return ranked[chosen].endpoint;
+	if (is_full_(&choice->candidates[choice->chosen]))
+		choice->last = true;
+	choice->endpoint = ranked[choice->chosen].endpoint;
+}
+
+/* Whether the flow may be offered to another service if the first endpoint has
+ * no room. */
+static bool may_overflow_(const cached_flow_t *flow,
+			  const pl_flow_split_t *split)
+{
+	return split->divided && split->reason != PL_REASON_NO_ROOM &&
+	       flow->offered_count + 1 < PL_FLOW_OFFERS_MAX;
+}
+
+void pl_flow_choose_(const pl_flow_entry_t *entry, const cached_flow_t *flow,
+		     pl_flow_choice_t *choice)
+{
+	choice->endpoint = NULL;
+	choice->count = 0;
+	choice->last = false;
+	choice->accepted = pl_flow_split_(entry, flow, &choice->split);
+	if (!choice->accepted || flow->offered_count >= PL_FLOW_OFFERS_MAX)
+		return;
+	choose_endpoint_(entry, flow, choice);
+	if (may_overflow_(flow, &choice->split))
+		choice->last = false;
 }
 
 void pl_flow_entry_cancel_offers_(pl_flow_entry_t *entry, cached_flow_t *flow)
@@ -280,44 +305,33 @@
 	clear_offers_(flow);
 }
 
-/* Whether the flow may be offered to another service if the first endpoint has
- * no room. */
-static bool may_overflow_(const cached_flow_t *flow,
-			  const pl_flow_split_t *split)
-{
-	return split->divided && split->reason != PL_REASON_NO_ROOM &&
-	       flow->offered_count + 1 < PL_FLOW_OFFERS_MAX;
-}
-
 void pl_flow_entry_place_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			  const uint8_t *bytes, size_t len)
 {
-	const pl_endpoint_t *endpoint = NULL;
-	pl_flow_split_t split;
-	bool accepted = pl_flow_split_(entry, flow, &split);
-	bool last = false;
-
-	if (accepted)
-		flow->service = split.service->id;
-	if (accepted && flow->offered_count < PL_FLOW_OFFERS_MAX)
-		endpoint = choose_endpoint_(entry, flow, split.service, &last);
-	if (!endpoint) {
+	pl_flow_choice_t choice;
+	pl_member_id_t agent;
+
+	pl_flow_split_refresh_(entry, &flow->node.key);
+	pl_flow_choose_(entry, flow, &choice);
+	if (choice.accepted)
+		flow->service = choice.split.service->id;
+	if (!choice.endpoint) {
 		/* retry a little later, from the first offer; a flow that no
 		 * service takes any more may belong to one that was offered */
-		if (accepted)
+		if (choice.accepted)
 			clear_offers_(flow);
 		entry->stats.no_endpoint++;
 		if (!pl_flow_evacuate_reject_(entry, flow, bytes, len))
 			pl_flow_hold_add_(entry, bytes, len);
 		return;
 	}
-	if (may_overflow_(flow, &split))
-		last = false;
-	flow->offered[flow->offered_count++] = endpoint->agent;
-	pl_flow_split_placed_(entry, flow, &split);
-	record_sent_(entry, endpoint->agent);
+	agent = choice.endpoint->agent;
+	flow->offered[flow->offered_count++] = agent;
+	pl_flow_split_placed_(entry, flow, &choice.split);
+	record_sent_(entry, agent);
 	entry->stats.placed++;
 	pl_counter_add(PL_COUNTER_FLOWS_PLACED, 1);
-	pl_flow_entry_forward_(entry, flow, endpoint->agent,
-			       last ? PL_FLOW_LAST_OFFER : 0, bytes, len);
+	pl_flow_entry_forward_(entry, flow, agent,
+			       choice.last ? PL_FLOW_LAST_OFFER : 0, bytes,
+			       len);
 }
--- a/src/flow/entry_split.c
+++ b/src/flow/entry_split.c
@@ -55,6 +55,12 @@
 	g_hash_table_remove_all(entry->summaries);
 }
 
+/* Whether the address has services with weights. */
+static bool is_divided_(const pl_route_share_t *shares, size_t count)
+{
+	return count > 1 || (count == 1 && shares[0].policy->weighted);
+}
+
 static void add_endpoint_(const pl_flow_entry_t *entry, summary_t *summary,
 			  const pl_endpoint_t *endpoint)
 {
@@ -91,28 +97,55 @@
 	load->mean_busy = (uint32_t)(summary->mean_busy * factor / divisor);
 }
 
-static summary_t *get_summary_(pl_flow_entry_t *entry,
-			       const pl_route_service_t *service)
+static summary_t sum_up_(const pl_flow_entry_t *entry,
+			 const pl_route_service_t *service)
+{
+	summary_t summary = { .at = pl_flow_entry_now_(entry),
+			      .load.service = service->id };
+
+	for (size_t i = 0; i < service->endpoint_count; i++)
+		add_endpoint_(entry, &summary, &service->endpoints[i]);
+	extrapolate_(&summary);
+	return summary;
+}
+
+static summary_t *find_fresh_(const pl_flow_entry_t *entry,
+			      const pl_route_service_t *service)
 {
 	summary_t *summary =
 		g_hash_table_lookup(entry->summaries, &service->id);
-	pl_ms_t now = pl_flow_entry_now_(entry);
 
-	if (summary && now - summary->at < SUMMARY_MS)
+	if (summary && pl_flow_entry_now_(entry) - summary->at < SUMMARY_MS)
 		return summary;
-	if (!summary) {
-		summary = g_new0(summary_t, 1);
-		g_hash_table_insert(
-			entry->summaries,
-			g_memdup2(&service->id, sizeof(service->id)), summary);
-	}
-	*summary = (summary_t){ .at = now, .load.service = service->id };
-	for (size_t i = 0; i < service->endpoint_count; i++)
-		add_endpoint_(entry, summary, &service->endpoints[i]);
-	extrapolate_(summary);
+	return NULL;
+}
+
+static summary_t *get_summary_(pl_flow_entry_t *entry,
+			       const pl_route_service_t *service)
+{
+	summary_t *summary = find_fresh_(entry, service);
+
+	if (summary)
+		return summary;
+	summary = g_new(summary_t, 1);
+	*summary = sum_up_(entry, service);
+	g_hash_table_replace(entry->summaries,
+			     g_memdup2(&service->id, sizeof(service->id)),
+			     summary);
 	return summary;
 }
 
+void pl_flow_split_refresh_(pl_flow_entry_t *entry, const pl_flow_key_t *key)
+{
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	size_t count = pl_flow_entry_shares_(entry, key, shares);
+
+	if (!is_divided_(shares, count))
+		return;
+	for (size_t i = 0; i < count; i++)
+		get_summary_(entry, shares[i].service);
+}
+
 /* Number of endpoints of the service that refused the flow. */
 static uint32_t count_refusals_(const pl_flow_entry_t *entry,
 				const cached_flow_t *flow,
@@ -130,25 +163,26 @@
 	return count;
 }
 
-/* Load of the service as far as it matters to the flow. Endpoints that refused
- * the flow had no room, and were the least loaded ones. */
-static pl_split_service_t get_load_(pl_flow_entry_t *entry,
-				    const cached_flow_t *flow,
-				    const pl_route_share_t *share)
+pl_split_service_t pl_flow_split_load_(const pl_flow_entry_t *entry,
+				       const cached_flow_t *flow,
+				       const pl_route_share_t *share)
 {
-	const summary_t *summary = get_summary_(entry, share->service);
-	pl_split_service_t load = summary->load;
+	const summary_t *fresh = find_fresh_(entry, share->service);
+	const summary_t summary =
+		fresh ? *fresh : sum_up_(entry, share->service);
+	pl_split_service_t load = summary.load;
 	uint32_t refusals = count_refusals_(entry, flow, share->service->id);
 
 	load.weight = share->weight;
-	load.busy = MIN(load.busy + summary->placed, load.slots);
+	load.busy = MIN(load.busy + summary.placed, load.slots);
+	/* endpoints that refused had no room, and were the least loaded ones */
 	if (refusals >= MIN(REFUSALS_FULL, load.endpoints))
 		load.busy = load.slots;
 	return load;
 }
 
 /* Decides by the weights of @p shares and the room of their services. */
-static pl_split_decision_t decide_(pl_flow_entry_t *entry,
+static pl_split_decision_t decide_(const pl_flow_entry_t *entry,
 				   const cached_flow_t *flow,
 				   const pl_route_share_t *shares, size_t count)
 {
@@ -160,7 +194,7 @@
 	};
 
 	for (size_t i = 0; i < count; i++)
-		services[i] = get_load_(entry, flow, &shares[i]);
+		services[i] = pl_flow_split_load_(entry, flow, &shares[i]);
 	return pl_split_choose(&snapshot);
 }
 
@@ -183,7 +217,7 @@
 	return named_(shares, count, service) != NULL;
 }
 
-bool pl_flow_split_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+bool pl_flow_split_(const pl_flow_entry_t *entry, const cached_flow_t *flow,
 		    pl_flow_split_t *split)
 {
 	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
@@ -193,7 +227,9 @@
 	/* the route may have got other services since the first offer */
 	if (flow->service != 0 && !named_(shares, count, flow->service))
 		return false;
-	split->divided = count != 1 || shares[0].policy->weighted;
+	split->divided = is_divided_(shares, count);
+	if (count == 0)
+		return false;
 	if (split->divided)
 		decision = decide_(entry, flow, shares, count);
 	if (decision.reason == PL_REASON_NO_SERVICE)
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -11,7 +11,9 @@
 
 #include <glib.h>
 #include <pimentolift/balance/reason.h>
+#include <pimentolift/balance/split.h>
 #include <pimentolift/flow_entry.h>
+#include <pimentolift/flow_explain.h>
 
 /** Query of a lookup to one agent. */
 typedef struct {
@@ -185,6 +187,25 @@
 void pl_flow_entry_route_(pl_flow_entry_t *entry, const uint8_t *bytes,
 			  size_t len);
 
+/** What is done with an opening packet, or a copy of one. */
+typedef enum {
+	OPENING_UNWEIGHTED, /**< no service of the route takes new flows */
+	OPENING_OWNED, /**< goes to the owner */
+	OPENING_QUEUED, /**< dropped: an agent queued the first copy */
+	OPENING_PLACE,
+} pl_flow_opening_t;
+
+pl_flow_opening_t pl_flow_entry_opening_(const pl_flow_entry_t *entry,
+					 const cached_flow_t *flow);
+
+/** Whether the route no longer names the service of the flow, so that an opening
+ * packet starts another flow. */
+bool pl_flow_entry_is_rerouted_(const pl_flow_entry_t *entry,
+				const cached_flow_t *flow);
+
+/** Whether a configuration is in force. */
+bool pl_flow_entry_is_configured_(const pl_flow_entry_t *entry);
+
 /* entry_hold.c */
 void pl_flow_hold_init_(pl_flow_entry_t *entry);
 void pl_flow_hold_finish_(pl_flow_entry_t *entry);
@@ -203,6 +224,10 @@
 bool pl_flow_evacuate_reject_(pl_flow_entry_t *entry, const cached_flow_t *flow,
 			      const uint8_t *bytes, size_t len);
 
+/** Whether the service has had only evacuated endpoints for a while. */
+bool pl_flow_evacuate_is_emptied_(const pl_flow_entry_t *entry,
+				  pl_service_id_t service);
+
 /* entry_liveness.c */
 void pl_flow_liveness_init_(pl_flow_entry_t *entry);
 void pl_flow_liveness_finish_(pl_flow_entry_t *entry);
@@ -300,8 +325,15 @@
 			    const pl_flow_key_t *key);
 /** Chooses the service of a flow that has no owner; returns false if none takes
  * it, or if the route no longer names the service that it was offered to. */
-bool pl_flow_split_(pl_flow_entry_t *entry, const cached_flow_t *flow,
+bool pl_flow_split_(const pl_flow_entry_t *entry, const cached_flow_t *flow,
 		    pl_flow_split_t *split);
+/** Sums the load of the services of @p key up again if that is due; otherwise
+ * each pl_flow_split_() does, which changes nothing. */
+void pl_flow_split_refresh_(pl_flow_entry_t *entry, const pl_flow_key_t *key);
+/** Load of a service of the route as far as it matters to the flow. */
+pl_split_service_t pl_flow_split_load_(const pl_flow_entry_t *entry,
+				       const cached_flow_t *flow,
+				       const pl_route_share_t *share);
 /** Records that the flow was offered to an endpoint of the chosen service. */
 void pl_flow_split_placed_(pl_flow_entry_t *entry, const cached_flow_t *flow,
 			   const pl_flow_split_t *split);
@@ -310,6 +342,22 @@
 pl_service_id_t pl_flow_split_expected_(const pl_flow_entry_t *entry,
 					const pl_flow_key_t *key);
 
+/** Choice of the service and the endpoint of an opening packet. */
+typedef struct {
+	pl_flow_split_t split; /**< unset unless @c accepted */
+	bool accepted; /**< a service takes the flow */
+	/** NULL: no endpoint takes the packet now. */
+	const pl_endpoint_t *endpoint;
+	bool last; /**< there is no other endpoint to offer the packet to */
+	size_t count; /**< candidates; 0: none, or there were all offers */
+	pl_place_candidate_t candidates[PL_FLOW_CANDIDATES_MAX];
+	size_t chosen; /**< index of the candidate */
+} pl_flow_choice_t;
+
+/** Chooses as pl_flow_entry_place_() does; changes nothing. */
+void pl_flow_choose_(const pl_flow_entry_t *entry, const cached_flow_t *flow,
+		     pl_flow_choice_t *choice);
+
 /* entry_query.c */
 void pl_flow_query_init_(pl_flow_entry_t *entry);
 /** Service whose agents most likely own the flow of a lookup; 0 if unknown. */
--- a/test/ctl/ctl_test.c
+++ b/test/ctl/ctl_test.c
@@ -115,6 +115,29 @@
 			 PL_ERR_UNAVAILABLE);
 }
 
+static void explain_rejects_addresses(void **state)
+{
+	static const char *const wrong[] = { "10.0.0.1", "10.0.0.1:0",
+					     "10.0.0.1:65536", "[::1]:80" };
+	fixture_t *f = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		char *to = g_strdup_printf("--to=%s", wrong[i]);
+
+		assert_int_equal(run_ctl_(f, "explain", "--admin=127.0.0.1:1",
+					  "--from=10.0.0.1:9", to, NULL),
+				 PL_ERR_USAGE);
+		assert_non_null(strstr(f->err, wrong[i]));
+		g_free(to);
+	}
+	assert_int_equal(run_ctl_(f, "explain", "--to=10.0.0.1:80", NULL),
+			 PL_ERR_USAGE);
+	assert_int_equal(run_ctl_(f, "explain", "--admin=127.0.0.1:1",
+				  "--from=10.0.0.1:9", "--to=10.0.0.1:80",
+				  NULL),
+			 PL_ERR_UNAVAILABLE);
+}
+
 static void check_reports_every_problem(void **state)
 {
 	fixture_t *f = *state;
@@ -253,6 +276,7 @@
 #define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
 	const struct CMUnitTest tests[] = {
 		TEST_(usage_errors_are_reported),
+		TEST_(explain_rejects_addresses),
 		TEST_(check_reports_every_problem),
 		TEST_(promote_copies_document_unchanged),
 		TEST_(conflicting_apply_prints_difference),
--- a/test/ctl/node_test.c
+++ b/test/ctl/node_test.c
@@ -215,6 +215,12 @@
 				  NULL),
 			 PL_ERR_USAGE);
 	g_free(out);
+	/* it serves datagrams, not flows */
+	assert_int_equal(run_ctl_(&out, "explain", "-a", f->daemons[0].admin,
+				  "--from=192.0.2.7:4000",
+				  "--to=192.0.2.10:5683", NULL),
+			 PL_ERR_STATE);
+	g_free(out);
 	assert_int_equal(
 		run_ctl_(&out, "endpoints", "-a", f->daemons[1].admin, NULL),
 		PL_OK);
