--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Internal structures of an entry: packets and flow cache (entry.c), endpoints
- * and their load (entry_place.c), lookup of a flow's owner (entry_lookup.c).
+ * Internal structures of an entry: packets and flow cache (entry.c), messages of
+ * agents (entry_verdict.c), endpoints and their load (entry_place.c), services of
+ * a route (entry_split.c), lookup of a flow's owner (entry_lookup.c).
  */
 #ifndef PL_FLOW_ENTRY_PRIVATE_H
 #define PL_FLOW_ENTRY_PRIVATE_H
@@ -15,6 +16,9 @@
 #include <pimentolift/flow_entry.h>
 #include <pimentolift/flow_explain.h>
 
+/** A caller gives up opening a flow after this time. */
+#define OPEN_TIMEOUT_MS 1400
+
 /** Query of a lookup to one agent. */
 typedef struct {
 	pl_member_id_t agent;
