flow agent: flows of the process that replaces a server are not reset with its own

Cause: an agent that accepts a report of another process resets all flows that it knows. Between the start of that process and the report it lets flows in, which open at the new process.

Ruled out: refusing new flows while two processes claim to be the server (a single delayed report would stop a server that serves; two tests guard that).

Flows that the server opened or used since the start of the new process are kept. Its start is its age by the report, one interval at most, or its first report.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -455,6 +455,7 @@
 		/* the server sends packets of the flow, so it holds it */
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
 	}
+	flow->held_at = pl_flow_agent_now_(agent);
 	if (!opens && !(packet->flags & PL_PACKET_RST))
 		pl_flow_confirm_(agent, flow);
 	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -76,10 +76,11 @@
 				    PL_FLOW_ENDED, NULL, 0);
 }
 
-/* Resets the open flows of a server process that has ended, and removes all
- * flow records. Without a reset the callers would wait for an answer until
- * their deadline. */
-static void reset_all_flows_(pl_flow_agent_t *agent)
+/* Resets the open flows of a server process that has ended, and removes their
+ * records. Without a reset the callers would wait for an answer until their
+ * deadline. Flows that the server opened or used at @p since or later are held
+ * by the process that came after it. */
+static void reset_flows_before_(pl_flow_agent_t *agent, pl_ms_t since)
 {
 	uint64_t before = agent->stats.resets;
 
@@ -88,6 +89,8 @@
 			PL_CONTAINER_OF(link, pl_flow_node_t, link);
 		const flow_t *flow = PL_CONTAINER_OF(node, flow_t, node);
 
+		if (flow->held_at >= since)
+			continue;
 		if (flow->state == FLOW_OPEN && flow->confirmed &&
 		    !flow->closed)
 			reset_flow_(agent, flow);
@@ -101,15 +104,39 @@
 			 agent->stats.resets - before);
 }
 
-/* The server process has ended, and its successor holds no flow yet. */
-static void no_flows_left_(pl_flow_agent_t *agent)
+/* The server process has ended; its successor, if there is one, may have opened
+ * flows from @p since on. */
+static void flows_ended_(pl_flow_agent_t *agent, pl_ms_t since)
 {
-	reset_all_flows_(agent);
+	reset_flows_before_(agent, since);
 	agent->flows_complete = true;
 	agent->evicted_at = 0;
 	agent->request_ms = 0;
 }
 
+static bool same_process_(const pl_backend_report_t *a,
+			  const pl_backend_report_t *b)
+{
+	return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
+}
+
+/* When the process of @p report started, by this agent's clock; at least, when
+ * it first reported. Its age counts for one interval of reports at most, as the
+ * time of day may have been set meanwhile. */
+static pl_ms_t process_since_(const pl_flow_agent_t *agent,
+			      const pl_backend_report_t *report)
+{
+	pl_ms_t now = pl_flow_agent_now_(agent);
+	uint64_t age = report->received_ms > report->born_ms ?
+			       report->received_ms - report->born_ms :
+			       0;
+	pl_ms_t since = now - MIN(MIN(age, agent->params.report_ms), now);
+
+	return same_process_(&agent->earlier, report) ?
+		       MIN(since, agent->earlier_since) :
+		       since;
+}
+
 /* Marks all flows that are being probed as absent: a server that has just
  * started holds none of them. */
 static void fail_probes_(pl_flow_agent_t *agent)
@@ -124,12 +151,6 @@
 	}
 }
 
-static bool same_process_(const pl_backend_report_t *a,
-			  const pl_backend_report_t *b)
-{
-	return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
-}
-
 /* Whether the known process has stopped to report while that of @p report has
  * not. Such a process has replaced the known one, although it seems to have
  * started earlier: the machine's clock was set back in between. A report that
@@ -261,7 +282,7 @@
 		return result;
 	if (!first && !same_process_(&agent->report, report)) {
 		log_replaced_(&agent->report, report);
-		no_flows_left_(agent);
+		flows_ended_(agent, process_since_(agent, report));
 		started = true;
 	}
 	if (first && report->sequence <= FIRST_SEQUENCE) {
@@ -358,7 +379,7 @@
 		return;
 	agent->backend_down = true;
 	agent->backend_seen = false;
-	no_flows_left_(agent);
+	flows_ended_(agent, UINT64_MAX);
 	if (agent->serving)
 		set_serving_(agent, false);
 }
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -86,6 +86,7 @@
 
 void pl_flow_reopen_(pl_flow_agent_t *agent, flow_t *flow)
 {
+	flow->held_at = pl_flow_agent_now_(agent);
 	flow->closed = false;
 	flow->caller_closed = false;
 	flow->server_closed = false;
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -49,6 +49,9 @@
 	pl_ms_t probed_at;
 	bool forwarded_as_known; /**< forwarded with PL_FLOW_OWNER_KNOWN */
 	bool entry_keeps_copy; /**< the entry keeps copies of its packets */
+	/** When the opening packet was delivered or the server last sent a packet
+	 * of the flow. */
+	pl_ms_t held_at;
 	bool closed; /**< the caller or the server closed or reset it */
 	bool caller_closed; /**< the caller sent a FIN */
 	bool server_closed; /**< the server sent a FIN */
--- a/test/flow/flow_test.c
+++ b/test/flow/flow_test.c
@@ -954,6 +954,32 @@
 	world_delete(world);
 }
 
+/* Guards against resets of flows that their server holds: between the restart of
+ * a server whose clock was set back and the report by which it was accepted, the
+ * agent let flows in as for the process before, and reset them with its flows. */
+static void
+flows_of_a_server_that_is_not_accepted_yet_are_not_reset(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = world_with_flows_(2, 1, 52, calls, CALLERS);
+
+	(void)state;
+	world_run(world, 3000);
+	world_crash_server(world, 0);
+	world->servers[0].clock_behind_ms = world->now - 1;
+	world_start_server(world, 0);
+	world_run(world, 50);
+	for (int i = 0; i < CALLERS; i++)
+		calls[i] =
+			world_call(world, 100 + (uint32_t)i, SMALL_BYTES, true);
+	world_run(world, 2600);
+	for (int i = 0; i < CALLERS; i++)
+		calls[i] = world_call_again(world, calls[i]);
+	world_run(world, 1500);
+	assert_int_equal(world->false_resets, 0);
+	world_delete(world);
+}
+
 /* Delayed reports of an ended process never replace one that reports, however
  * many there are; nor do several that arrive at once after a pause. */
 static void delayed_reports_replace_no_live_process(void **state)
@@ -1498,6 +1524,8 @@
 			draining_server_keeps_its_flows_and_gets_no_new_ones),
 		cmocka_unit_test(report_of_an_earlier_process_is_ignored),
 		cmocka_unit_test(server_whose_clock_was_set_back_is_accepted),
+		cmocka_unit_test(
+			flows_of_a_server_that_is_not_accepted_yet_are_not_reset),
 		cmocka_unit_test(delayed_reports_replace_no_live_process),
 		cmocka_unit_test(foreign_reports_change_nothing),
 		cmocka_unit_test(packet_of_another_service_is_not_delivered),
