--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -101,13 +101,13 @@
 	X(PL_COUNTER_FLOWS_LOST, "flows_lost",                                \
 	  "lookups that ended without an owner")                              \
 	X(PL_COUNTER_FLOWS_RESET, "flows_reset",                              \
-	  "flows reset because nobody can own them")                          \
+	  "flows reset because no agent can own them")                        \
 	X(PL_COUNTER_FLOWS_EVACUATED, "flows_evacuated",                      \
 	  "opening packets refused as the data centre is evacuated")          \
 	X(PL_COUNTER_FLOWS_REJECTED, "flows_rejected",                        \
 	  "new flows reset as all their endpoints are evacuated")             \
 	X(PL_COUNTER_DROP_LOG, "drop_log",                                    \
-	  "log lines that nobody took in time")                               \
+	  "log lines dropped because their reader was too slow")              \
 	X(PL_COUNTER_INVARIANT_BROKEN, "invariant_broken",                    \
 	  "internal invariants that were broken")
 
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -307,7 +307,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	bool done;
-	bool abandoned; /* nobody waits; the traffic thread frees it */
+	bool abandoned; /* the wait timed out; the traffic thread frees it */
 	pl_flow_explanation_t explanation;
 } explain_task_t;
 
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -77,9 +77,9 @@
 }
 
 /* Guards against needless lookups under overload: opening packets are handed
- * back and offered again, here by servers that are leaving. The entry used to look up the owner of the
- * caller's next packet at all agents, so that the packet arrived up to a second
- * after the slot that was reserved for it. */
+ * back and offered again, here by servers that are leaving. The entry used to
+ * look up the owner of the caller's next packet at all agents, so that the packet
+ * arrived up to a second after the slot that was reserved for it. */
 static void flows_placed_by_the_entry_need_no_lookup(void **state)
 {
 	world_t *world = world_new(1, 6, 32);
