soak of flows: an answer to a former process's report acknowledges no drain

Cause: the recovery replaces a draining server at once. A heartbeat of the former process that was under way then set drain_acked_at of the new one, and the soak closed the listener of a server that serves a second later. Its agent saw the connection refused each second, reset its flows, and no request was served after the faults (0 of 121).

--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -386,6 +386,8 @@
 						   CLOCK_BEHIND_MAX_MS) :
 			0;
 	soak->server_restart_at[index] = 0;
+	/* an answer under way acknowledges the drain of the former process */
+	soak->nodes[soak->entries + index].request_drains = false;
 	soak->drain_acked_at[index] = 0;
 	soak->world->servers[index].draining = false;
 	soak->listener_fds[index] = soak_open_listener(soak, index);
