flow agent: copies of a request that was dropped at its deadline take no slot

Cause: a caller that gives up on a kept flow leaves the flow open, and its stack goes on with up to eight retransmissions (11 s). The agent dropped the request at its deadline and took the next copy for a new request with the whole time before it. Its due time was the latest in the queue, so it was served first. The log of one flow: dropped at 25.057 s, queued again at 26.24 s, which is the sixth retransmission of its packet, reset by its stack at 31.04 s.

Ruled out: the order (rescue) alone: without the copies the same load recovers in the test; servers that have become slow: they were marked from 24 s on, after the queue had grown.

Change: the agent remembers that the request expired and drops its copies, until the flow carries another request.

--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -86,6 +86,8 @@
 	  "opening packets refused because their callers give up first")      \
 	X(PL_COUNTER_FLOWS_CALLER_LEFT, "flows_caller_left",                  \
 	  "queued requests dropped because their callers have given up")      \
+	X(PL_COUNTER_FLOWS_COPY_DROPPED, "flows_copy_dropped",                \
+	  "copies of requests that were dropped at their deadline")           \
 	X(PL_COUNTER_FLOWS_REFUSED_COLD, "flows_refused_cold",                \
 	  "opening packets refused because the backend server is cold")       \
 	X(PL_COUNTER_PACE_STARTED, "pace_started",                            \
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -341,7 +341,8 @@
 					    &message->flow, PL_FLOW_OWNED, NULL,
 					    0);
 	update_from_caller_(agent, flow, message, packet);
-	deliver_or_enqueue_(agent, flow, message, packet);
+	if (!pl_flow_drop_copy_(flow, packet))
+		deliver_or_enqueue_(agent, flow, message, packet);
 }
 
 static void handle_locate_(pl_flow_agent_t *agent,
--- a/src/flow/agent_admit.c
+++ b/src/flow/agent_admit.c
@@ -84,18 +84,26 @@
 		 pl_flow_agent_now_(agent) - flow->work.queued_at);
 }
 
-/* The request was not delivered: a copy of it that still arrives counts as a
- * new request. */
-static void drop_queued_(pl_flow_agent_t *agent, flow_t *flow)
+void pl_flow_caller_left_(pl_flow_agent_t *agent, flow_t *flow)
 {
+	log_dropped_(agent, flow, "with a reset");
 	flow->request_end_valid = false;
 	pl_flow_work_discard_(agent, flow);
 }
 
-void pl_flow_caller_left_(pl_flow_agent_t *agent, flow_t *flow)
+bool pl_flow_drop_copy_(flow_t *flow, const pl_packet_t *packet)
 {
-	log_dropped_(agent, flow, "with a reset");
-	drop_queued_(agent, flow);
+	uint32_t end = packet->seq + packet->data_len;
+
+	if (!flow->request_expired || packet->data_len == 0)
+		return false;
+	if ((int32_t)(end - flow->request_end) <= 0) {
+		pl_counter_add(PL_COUNTER_FLOWS_COPY_DROPPED, 1);
+		return true;
+	}
+	/* a new request: the server needs the bytes before it, too */
+	flow->request_expired = false;
+	return false;
 }
 
 void pl_flow_drop_expired_(pl_flow_agent_t *agent)
@@ -107,6 +115,7 @@
 		flow_t *flow = PL_CONTAINER_OF(work, flow_t, work);
 
 		log_dropped_(agent, flow, "at its deadline");
-		drop_queued_(agent, flow);
+		flow->request_expired = true;
+		pl_flow_work_discard_(agent, flow);
 	}
 }
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -91,6 +91,7 @@
 	flow->caller_closed = false;
 	flow->server_closed = false;
 	flow->request_open = false;
+	flow->request_expired = false;
 	pl_flow_table_set_expendable(agent->flows, &flow->node, false);
 }
 
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -40,6 +40,9 @@
 	pl_timer_t probe_timer; /**< end of the probe */
 	uint32_t request_end; /**< sequence number after the last request */
 	bool request_end_valid; /**< @c request_end is valid */
+	/** The last request was dropped at its deadline: copies of it come from
+	 * a stack whose caller has given up. */
+	bool request_expired;
 	/** A packet of the caller or the server has shown that the server
 	 * holds the flow; a probe that was not handed back only makes
 	 * it likely. */
@@ -211,6 +214,10 @@
 				 const pl_flow_message_t *message);
 /** Drops the queued request of a flow that its caller has reset. */
 void pl_flow_caller_left_(pl_flow_agent_t *agent, flow_t *flow);
+/** Returns whether the packet is a copy of a request that was dropped at its
+ * deadline; such a copy is dropped as well, until the flow carries another
+ * request. */
+bool pl_flow_drop_copy_(flow_t *flow, const pl_packet_t *packet);
 /** Drops queued work whose callers have given up. */
 void pl_flow_drop_expired_(pl_flow_agent_t *agent);
 
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -567,6 +567,37 @@
 	world_delete(world);
 }
 
+/* Share in time of the calls from 2 s after a burst of three times the room on,
+ * at two thirds of the room. */
+static double share_after_burst_(bool stacks_repeat)
+{
+	world_t *world = world_new(2, 8, 46);
+	double share;
+	pl_ms_t from;
+
+	world->stacks_repeat = stacks_repeat;
+	world_run(world, 1100);
+	start_calls_(world, BURST_ROOM_PER_S * 3, 4000);
+	start_calls_(world, BURST_ROOM_PER_S * 2 / 3, 2000);
+	from = world->now;
+	start_calls_(world, BURST_ROOM_PER_S * 2 / 3, 4000);
+	world_run(world, 2000);
+	share = world_share_in_time(world, from);
+	print_message("%.3f in time after the burst\n", share);
+	world_delete(world);
+	return share;
+}
+
+/* Load pattern: callers of a burst have given up and their stacks retransmit
+ * their requests. Dropped requests came back that way as new ones, and the
+ * server never caught up. */
+static void copies_of_dropped_requests_take_no_slot(void **state)
+{
+	(void)state;
+	assert_true(share_after_burst_(true) >
+		    share_after_burst_(false) - 0.01);
+}
+
 /* Guards against a server that has become slow and is still taken for a fast
  * one: answers that came after the timeout of their slot were not measured. */
 static void slow_answers_are_measured(void **state)
@@ -607,6 +638,7 @@
 		cmocka_unit_test(requests_of_callers_that_gave_up_are_not_run),
 		cmocka_unit_test(
 			requests_of_callers_that_reset_their_flow_are_not_run),
+		cmocka_unit_test(copies_of_dropped_requests_take_no_slot),
 		cmocka_unit_test(slow_answers_are_measured),
 	};
 
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -21,6 +21,9 @@
 #define SERVICE_PORT 8443
 #define RETRANSMIT_FIRST_MS 200
 #define RETRANSMIT_MAX_MS 1600
+/** After as many retransmissions without an answer a caller's stack ends the
+ * flow. */
+#define RETRANSMITS_MAX 8
 #define OPENING_TIMEOUT_MS 1400
 #define ATTEMPTS_MAX 3
 /* Membership declares an agent that never answered dead after this time. */
@@ -880,17 +883,40 @@
 	arm_call_timer_(call, RETRANSMIT_FIRST_MS);
 }
 
+static void retransmit_(call_t *call)
+{
+	send_request_(call);
+	call->retransmits++;
+	arm_call_timer_(call,
+			MIN((pl_ms_t)RETRANSMIT_FIRST_MS << call->retransmits,
+			    RETRANSMIT_MAX_MS));
+}
+
+/* The caller has given up, but its stack knows nothing of that. */
+static void repeat_for_nobody_(call_t *call)
+{
+	if (call->retransmits < RETRANSMITS_MAX)
+		retransmit_(call);
+	else
+		send_from_caller_(call, PL_PACKET_RST, call->seq, 0, 0);
+}
+
 static void on_call_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	static const pl_ms_t copies[] = { 0, 200, 600, OPENING_TIMEOUT_MS };
 	call_t *call = ctx;
+	bool sent = call->state == CALL_SENT;
 
 	(void)timer;
-	if (now - call->started >= call->world->deadline_ms) {
+	if (call->state != CALL_FAILED &&
+	    now - call->started >= call->world->deadline_ms) {
 		fail_call_(call);
-		return;
+		if (!sent || !call->world->stacks_repeat)
+			return;
 	}
-	if (call->state == CALL_OPENING && call->copies == 3) {
+	if (call->state == CALL_FAILED) {
+		repeat_for_nobody_(call);
+	} else if (call->state == CALL_OPENING && call->copies == 3) {
 		start_attempt_(call);
 	} else if (call->state == CALL_OPENING) {
 		send_from_caller_(call, PL_PACKET_SYN, call->seq - 1,
@@ -899,11 +925,7 @@
 		arm_call_timer_(call, copies[call->copies] -
 					      copies[call->copies - 1]);
 	} else if (call->state == CALL_SENT) {
-		send_request_(call);
-		call->retransmits++;
-		arm_call_timer_(call, MIN((pl_ms_t)RETRANSMIT_FIRST_MS
-						  << call->retransmits,
-					  RETRANSMIT_MAX_MS));
+		retransmit_(call);
 	}
 }
 
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -171,6 +171,9 @@
 	double entry_loss; /* share of the messages that get lost there */
 	pl_ms_t server_delay_max_ms; /* until an agent gets a server's packet */
 	pl_ms_t deadline_ms; /* of the calls */
+	/* Callers that give up leave their flow open: what it has not got across
+	 * is retransmitted. */
+	bool stacks_repeat;
 	const world_transport_t *transport; /* NULL: simulated */
 	void *ctx;
 };
