Compare all endpoints of a data centre that has few before those of others

Cause: an entry compares 12 endpoints of its own data centre and 4 others. With fewer than 12, as during a release, it took the 16 that the hash prefers among all data centres, so most of its own endpoints were none and work crossed data centres although they had room.

Ruled out: the penalty on remote endpoints, which decides among the candidates only; load reports that are old, as the same calls stay local with 12 endpoints.

Change: all local endpoints are candidates, and remote ones fill up the rest.

--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -195,8 +195,10 @@
 	if (count == max)
 		return count;
 	/* too few local endpoints: fill up with remote ones */
-	filter.any_datacentre = true;
-	return rank_endpoints_(service, key, &filter, ranked, max);
+	count = rank_endpoints_(service, key, &filter, ranked, max);
+	filter.local = false;
+	return count + rank_endpoints_(service, key, &filter, ranked + count,
+				       max - count);
 }
 
 /* Whether the flow @p ctx may be offered to the endpoint. */
--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -406,6 +406,15 @@
 	assert_true(served_in_first_datacentre_(3, 400, 10) >= 380);
 }
 
+/* Load pattern: a data centre has fewer endpoints than are compared, and work
+ * for 42 % of their slots. The candidates were then chosen from all data centres,
+ * so most of its endpoints were none, and one call in six went elsewhere. */
+static void few_local_endpoints_keep_their_work(void **state)
+{
+	(void)state;
+	assert_true(served_in_first_datacentre_(3, 800, 2) >= 780);
+}
+
 /* Load pattern: twice the capacity of one data centre arrives there; servers of
  * the other data centres take the excess. */
 static void overload_of_one_datacentre_is_spread(void **state)
@@ -601,6 +610,7 @@
 		cmocka_unit_test(
 			opening_packets_are_dropped_after_callers_give_up),
 		cmocka_unit_test(low_load_stays_in_its_datacentre),
+		cmocka_unit_test(few_local_endpoints_keep_their_work),
 		cmocka_unit_test(overload_of_one_datacentre_is_spread),
 		cmocka_unit_test(only_placing_entries_get_remote_load_reports),
 		cmocka_unit_test(hopeless_callers_of_a_burst_are_told_at_once),
