Report the load to entries that were told another one

Cause: replies to an entry carry the agent's load of their moment. The next report was left out if the load was what the report before had said to all, so the entry that got a reply in between kept an old load until the next change; an entry new to the agent got none until then. Seen in test/flow/report_test.c: an entry took a server for busy with 2 requests a second after it had become idle.

Ruled out: an expired load, as it counts for 3 s; lost reports, as the simulated links lose nothing.

Change: the agent keeps what each entry was told last and reports to those whose figure differs.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -104,7 +104,7 @@
 		.packet_len = len,
 	};
 
-	agent->ops->send(agent->ctx, entry, &message);
+	pl_flow_load_report_send_(agent, entry, &message);
 }
 
 void pl_flow_agent_send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
@@ -365,7 +365,7 @@
 		items[i].verdict = get_verdict_(agent, flow, asked->ack);
 		items[i].probed_ms = pl_flow_probed_ms_(agent, flow);
 	}
-	agent->ops->send(agent->ctx, message->sender, &answer);
+	pl_flow_load_report_send_(agent, message->sender, &answer);
 }
 
 /* Another server holds the flow: frees its slot or its place in the queue. */
--- a/src/flow/agent_evacuate.c
+++ b/src/flow/agent_evacuate.c
@@ -28,7 +28,7 @@
 	agent->stats.evacuated_refused++;
 	pl_counter_add(PL_COUNTER_FLOWS_HANDED_BACK, 1);
 	pl_counter_add(PL_COUNTER_FLOWS_EVACUATED, 1);
-	agent->ops->send(agent->ctx, entry, &message);
+	pl_flow_load_report_send_(agent, entry, &message);
 }
 
 void pl_flow_evacuate_opening_(pl_flow_agent_t *agent, const flow_t *flow,
--- a/src/flow/agent_pace.c
+++ b/src/flow/agent_pace.c
@@ -166,5 +166,5 @@
 	agent->stats.cold_refused++;
 	pl_counter_add(PL_COUNTER_FLOWS_HANDED_BACK, 1);
 	pl_counter_add(PL_COUNTER_FLOWS_REFUSED_COLD, 1);
-	agent->ops->send(agent->ctx, message->sender, &answer);
+	pl_flow_load_report_send_(agent, message->sender, &answer);
 }
--- a/src/flow/agent_report.c
+++ b/src/flow/agent_report.c
@@ -5,7 +5,9 @@
  * An entry learns the load of an endpoint from the replies to the messages it
  * sends there. With many endpoints it sends few messages to each, and would
  * place new flows by load figures that are seconds old. So an agent reports
- * each change of its load to the entries that sent it packets recently.
+ * each change of its load to the entries that sent it packets recently. Replies
+ * carry the load of their moment to one entry only, so what each entry was told
+ * last is kept.
  */
 #include "private/agent_private.h"
 
@@ -25,22 +27,29 @@
 typedef struct {
 	pl_member_id_t id;
 	pl_ms_t last_packet; /**< arrival of its last packet */
+	pl_endpoint_load_t told; /**< in the last message; no slots: none yet */
 } entry_t;
 
-void pl_flow_load_report_add_entry_(pl_flow_agent_t *agent, pl_member_id_t id)
+static entry_t *find_entry_(const pl_flow_agent_t *agent, pl_member_id_t id)
 {
-	pl_ms_t now = pl_flow_agent_now_(agent);
-	entry_t new = { id, now };
-
 	for (guint i = 0; i < agent->entries->len; i++) {
 		entry_t *entry = &g_array_index(agent->entries, entry_t, i);
 
-		if (entry->id == id) {
-			entry->last_packet = now;
-			return;
-		}
+		if (entry->id == id)
+			return entry;
 	}
-	if (agent->entries->len < ENTRIES_MAX)
+	return NULL;
+}
+
+void pl_flow_load_report_add_entry_(pl_flow_agent_t *agent, pl_member_id_t id)
+{
+	pl_ms_t now = pl_flow_agent_now_(agent);
+	const entry_t new = { .id = id, .last_packet = now };
+	entry_t *known = find_entry_(agent, id);
+
+	if (known)
+		known->last_packet = now;
+	else if (agent->entries->len < ENTRIES_MAX)
 		g_array_append_val(agent->entries, new);
 }
 
@@ -52,36 +61,43 @@
 	       abs((int)a->mean_busy - (int)b->mean_busy) >= MEAN_CHANGE_MIN;
 }
 
-static void send_load_(pl_flow_agent_t *agent, const pl_endpoint_load_t *load)
+void pl_flow_load_report_send_(pl_flow_agent_t *agent, pl_member_id_t id,
+			       const pl_flow_message_t *message)
+{
+	entry_t *entry = find_entry_(agent, id);
+
+	if (entry)
+		entry->told = message->load;
+	agent->ops->send(agent->ctx, id, message);
+}
+
+static void report_changes_(pl_flow_agent_t *agent)
 {
 	const pl_flow_message_t message = {
 		.type = PL_FLOW_LOAD,
 		.sender = agent->params.self,
 		.service = agent->params.service,
-		.load = *load,
+		.load = pl_flow_agent_load_(agent),
 	};
 	pl_ms_t now = pl_flow_agent_now_(agent);
 
 	for (guint i = agent->entries->len; i-- > 0;) {
-		const entry_t *entry =
-			&g_array_index(agent->entries, entry_t, i);
+		entry_t *entry = &g_array_index(agent->entries, entry_t, i);
 
-		if (now - entry->last_packet > ENTRY_EXPIRY_MS)
+		if (now - entry->last_packet > ENTRY_EXPIRY_MS) {
 			g_array_remove_index_fast(agent->entries, i);
-		else
+		} else if (load_changed_(&message.load, &entry->told)) {
+			entry->told = message.load;
 			agent->ops->send(agent->ctx, entry->id, &message);
+		}
 	}
 }
 
 static void on_load_report_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_flow_agent_t *agent = ctx;
-	pl_endpoint_load_t load = pl_flow_agent_load_(agent);
 
-	if (load_changed_(&load, &agent->reported_load)) {
-		agent->reported_load = load;
-		send_load_(agent, &load);
-	}
+	report_changes_(agent);
 	pl_timer_arm(agent->timers, timer, now + REPORT_INTERVAL_MS);
 }
 
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -79,7 +79,6 @@
 	uint32_t slots_reserved; /**< slots for requests yet to arrive */
 	/* agent_report.c */
 	GArray *entries; /**< entry_t, the entries that sent packets recently */
-	pl_endpoint_load_t reported_load; /**< load in the last report */
 	pl_timer_t load_report_timer;
 	pl_work_queue_t queue;
 	pl_timer_t drop_timer; /**< next check for callers that gave up */
@@ -145,6 +144,9 @@
 void pl_flow_load_report_finish_(pl_flow_agent_t *agent);
 /** Records that the entry @p id sent a packet. */
 void pl_flow_load_report_add_entry_(pl_flow_agent_t *agent, pl_member_id_t id);
+/** Sends a message that carries the load to the entry @p id. */
+void pl_flow_load_report_send_(pl_flow_agent_t *agent, pl_member_id_t id,
+			       const pl_flow_message_t *message);
 
 /* agent_flow.c */
 /** Returns the record of the flow, a new one if there is none. */
