Retry the removal of a roster entry without longer and longer pauses

Cause: an agent that stops waits 3 s for the removal of its entry. With a store that is away, calls end after 1 s and the pause between them doubles, so the next attempt may come after the agent's machine has lost power although the store was back. The entry then names an agent that is dead for good, and after a loss of all no flow can be proved dead until membership has declared that one dead.

Ruled out: the room of the servers, as proofs and not queues stopped; the check of a running agent without a server, which needs two intervals of reports, as the agent ran for two seconds only.

Change: removals are tried again after 200 to 400 ms each; writes still back off.

--- a/src/roster/registration.c
+++ b/src/roster/registration.c
@@ -9,7 +9,10 @@
 #include <pimentolift/event.h>
 #include <string.h>
 
-/** Delay of the first retry of a failed call; it doubles with each failure. */
+/** Delay of the first retry of a failed call; it doubles with each failure to
+ * write. Removals go on at this pace: proofs that flows are dead wait for an
+ * entry that its agent leaves behind, and an agent that stops does not wait
+ * for long. */
 #define RETRY_MS 200
 #define RETRY_DOUBLINGS_MAX 5
 #define HEX 16
@@ -106,7 +109,9 @@
 			    const pl_kv_reply_t *reply)
 {
 	unsigned int doublings =
-		MIN(registration->failures, RETRY_DOUBLINGS_MAX);
+		registration->removing ?
+			0 :
+			MIN(registration->failures, RETRY_DOUBLINGS_MAX);
 	pl_ms_t pause = (pl_ms_t)RETRY_MS << doublings;
 
 	if (registration->failures == 0)
--- a/test/roster/registration_test.c
+++ b/test/roster/registration_test.c
@@ -238,11 +238,30 @@
 	assert_false(pl_registration_is_deregistering(f->registration));
 }
 
+/* Guards against an entry that is left behind: the store was away when the agent
+ * stopped, and the pause before the next attempt was longer than the agent waits
+ * for its removal. */
+static void entry_is_removed_soon_after_the_store_is_back(void **state)
+{
+	fixture_t *f = *state;
+
+	register_(f);
+	f->store->down = true;
+	pl_registration_deregister(f->registration);
+	run_(f, 2500);
+	assert_true(kv_fake_has(f->store, f->key));
+	f->store->down = false;
+	run_(f, 500);
+	assert_false(kv_fake_has(f->store, f->key));
+	assert_false(pl_registration_is_deregistering(f->registration));
+}
+
 int main(void)
 {
 #define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
 	const struct CMUnitTest tests[] = {
 		TEST_(registration_without_the_store_times_out_and_is_retried),
+		TEST_(entry_is_removed_soon_after_the_store_is_back),
 		TEST_(refused_agent_is_registered_by_another_member),
 		TEST_(late_registration_by_another_member_changes_nothing),
 		TEST_(entry_lost_in_a_restore_is_written_again),
