Registration: removals that fail for long become rare again

Cause: a removal was tried again every 200 to 400 ms without end. While the store is away, each agent whose server is gone would call it three times a second, and the calls of a site are limited.

Change: the first ten failures do not lengthen the pause (an agent that stops waits 3 s), the later ones double it as for writes.

Test: registration removals_from_a_dead_store_become_rare, out of 1 to 15 calls in a minute without the limit.

--- a/src/roster/registration.c
+++ b/src/roster/registration.c
@@ -9,12 +9,13 @@
 #include <pimentolift/event.h>
 #include <string.h>
 
-/** Delay of the first retry of a failed call; it doubles with each failure to
- * write. Removals go on at this pace: proofs that flows are dead wait for an
- * entry that its agent leaves behind, and an agent that stops does not wait
- * for long. */
+/** Delay of the first retry of a failed call; it doubles with each failure. */
 #define RETRY_MS 200
 #define RETRY_DOUBLINGS_MAX 5
+/** Failed removals that do not lengthen the delay. Proofs that flows are dead
+ * wait for an entry that its agent leaves behind, and an agent that stops waits
+ * 3 s for its removal. */
+#define EAGER_REMOVALS 10
 #define HEX 16
 /** While the store is unavailable an agent serves after this time without being
  * registered: by then every entry knows it from the membership. */
@@ -108,10 +109,11 @@
 static void schedule_retry_(pl_registration_t *registration,
 			    const pl_kv_reply_t *reply)
 {
-	unsigned int doublings =
-		registration->removing ?
-			0 :
-			MIN(registration->failures, RETRY_DOUBLINGS_MAX);
+	unsigned int eager = registration->removing ? EAGER_REMOVALS : 0;
+	unsigned int doublings = registration->failures > eager ?
+					 MIN(registration->failures - eager,
+					     RETRY_DOUBLINGS_MAX) :
+					 0;
 	pl_ms_t pause = (pl_ms_t)RETRY_MS << doublings;
 
 	if (registration->failures == 0)
--- a/test/roster/registration_test.c
+++ b/test/roster/registration_test.c
@@ -256,12 +256,29 @@
 	assert_false(pl_registration_is_deregistering(f->registration));
 }
 
+/* Guards against a store that is called three times a second by each agent whose
+ * server is gone. */
+static void removals_from_a_dead_store_become_rare(void **state)
+{
+	fixture_t *f = *state;
+	unsigned int calls;
+
+	register_(f);
+	f->store->down = true;
+	pl_registration_deregister(f->registration);
+	run_(f, 10000);
+	calls = f->store->started;
+	run_(f, 60000);
+	assert_in_range(f->store->started - calls, 1, 15);
+}
+
 int main(void)
 {
 #define TEST_(name) cmocka_unit_test_setup_teardown(name, set_up_, tear_down_)
 	const struct CMUnitTest tests[] = {
 		TEST_(registration_without_the_store_times_out_and_is_retried),
 		TEST_(entry_is_removed_soon_after_the_store_is_back),
+		TEST_(removals_from_a_dead_store_become_rare),
 		TEST_(refused_agent_is_registered_by_another_member),
 		TEST_(late_registration_by_another_member_changes_nothing),
 		TEST_(entry_lost_in_a_restore_is_written_again),
