Lookup of flows: the probes in a file of their own

Which servers are probed, and when, is a decision of its own: its functions moved to entry_probe.c unchanged but for their names. The lookup keeps queries, answers and the end.

--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -7,15 +7,8 @@
  * flows to, then those of all services, because the flow may have been opened
  * under an earlier configuration. An agent that is unsure, because its server
  * started before the agent did, is probed: it is sent one real packet of the
- * flow, and its server hands the packet back if it does not hold the flow. Only
- * a few agents are probed at the same time.
- *
- * A probe puts a packet of the flow in front of a server that may not hold it,
- * and routers move a flow from entry to entry, each with a lookup of its own.
- * So no server is probed while another agent has yet to say whether it holds
- * the flow, and agents tell which of their servers got a probe and when.
- * A server is presumed to hold the flow if it does not hand the probe back;
- * its own packet or its agent's record confirms that.
+ * flow, and its server hands the packet back if it does not hold the flow (see
+ * entry_probe.c).
  */
 #include "private/entry_private.h"
 
@@ -25,8 +18,8 @@
 #include <string.h>
 
 /** Interval between two checks of a lookup: its age divided by the divisor,
- * clamped to the limits, so that old lookups are checked less often. */
-#define RECHECK_MIN_MS 60
+ * clamped to RECHECK_MIN_MS and this, so that old lookups are checked less
+ * often. */
 #define RECHECK_MAX_MS 400
 #define RECHECK_AGE_DIVISOR 4
 /** An agent that has not answered after this time counts as silent. */
@@ -35,35 +28,14 @@
  * up to 1.6 s, and agents count as unreachable after 1.5 s: a shorter timeout
  * would drop the queued packet before the flow can be proved dead. */
 #define LOOKUP_TIMEOUT_MS 4000
-/** Concurrent probes of one lookup. */
-#define PROBES_MAX 4
 /** Age of a lookup after which the roster is requested although agents are
  * silent. */
 #define ROSTER_AFTER_MS 200
-/** A probe without an answer is given up after this time. */
-#define PROBE_TIMEOUT_MS 100
 #define US_PER_MS 1000
 /** Agents listed in one log line. */
 #define LOGGED_AGENTS_MAX 6
 /** Lookups open at the same time; packets that would need more are dropped. */
 #define LOOKUPS_OPEN_MAX 4096
-/** All probes of a flow are sent within this time of the first one. Three packets
- * that reach only servers which do not hold the flow, over 2 s, count as
- * misdirected, and a probe may wait on a slow link. */
-#define PROBE_PERIOD_MS 1000
-/** Age of the caller's last packet up to which its flow is probed. Callers
- * retransmit, so after this time the routers send the flow to another entry,
- * which probes too. */
-#define PACKET_AGE_MAX_MS 1500
-/** Probes of a flow count for this long: callers give up a request that is not
- * answered by then, and send nothing more on its flow. */
-#define PROBES_COUNT_MS 10000
-/** Packets sent to a server that is presumed to hold the flow, with the probe.
- * A server acknowledges every second packet at the latest. */
-#define PRESUMED_SENT_MAX 2
-/** Time for a presumed owner to be confirmed before others are probed again:
- * some mean times of a request. */
-#define PRESUMED_WAIT_MS 200
 /** An agent that was unsure is queried again after this time. */
 #define REQUERY_UNSURE_MS 500
 
@@ -85,7 +57,8 @@
 	return find_query_(lookup, agent);
 }
 
-static void arm_timer_(pl_flow_entry_t *entry, lookup_t *lookup, pl_ms_t pause)
+void pl_flow_lookup_arm_timer_(pl_flow_entry_t *entry, lookup_t *lookup,
+			       pl_ms_t pause)
 {
 	pl_timer_arm(entry->timers, &lookup->timer,
 		     pl_flow_entry_now_(entry) + pause);
@@ -127,167 +100,36 @@
 	pl_flow_lookup_end_(entry, lookup);
 }
 
-/* Agents of a lookup that have not ruled the flow out. */
-typedef struct {
-	size_t silent;
-	/** Silent agents that may own the flow and were not probed. */
-	size_t possible_owners;
-	size_t unsure;
-	/** All that may own it: silent, unsure or presumed to own it. */
-	size_t unresolved;
-	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
-	bool probes_others; /**< @c to_probe is of an unexpected service */
-} pending_t;
-
-/* Notes that the agent of @p query is unsure. Those of the expected service are
- * probed first, so that other servers receive packets of the flow only if it is
- * none of these. */
-static void note_unsure_(const pl_flow_entry_t *entry, const lookup_t *lookup,
-			 pl_service_id_t expected, agent_query_t *query,
-			 pending_t *pending)
-{
-	bool other = expected != 0 && query->service != expected;
-
-	pending->unsure++;
-	if (query->probed || query->service == 0 ||
-	    pl_flow_liveness_is_dead_(entry, query->agent))
-		return;
-	/* wait for the probes of the expected service */
-	if (other && lookup->probes > 0 && !lookup->probes_others)
-		return;
-	if (!pending->to_probe || (pending->probes_others && !other)) {
-		pending->to_probe = query;
-		pending->probes_others = other;
-	}
-}
-
-static pending_t count_pending_(const pl_flow_entry_t *entry,
-				const lookup_t *lookup)
-{
-	pl_service_id_t expected =
-		pl_flow_query_expected_service_(entry, lookup->flow);
-	pending_t pending = { 0 };
-
-	for (guint i = 0; i < lookup->queries->len; i++) {
-		agent_query_t *query =
-			&g_array_index(lookup->queries, agent_query_t, i);
-
-		if (!query->answered) {
-			bool owner = pl_flow_roster_may_own_(entry, lookup,
-							     query->agent);
-
-			pending.silent++;
-			pending.possible_owners += owner && !query->probed;
-			pending.unresolved += owner;
-			continue;
-		}
-		/* one that claims the flow is only presumed to own it */
-		pending.unresolved += query->verdict != PL_FLOW_ABSENT;
-		if (query->verdict == PL_FLOW_UNSURE)
-			note_unsure_(entry, lookup, expected, query, &pending);
-	}
-	return pending;
-}
-
-static void probe_(pl_flow_entry_t *entry, lookup_t *lookup,
-		   agent_query_t *query)
-{
-	const pl_queued_packet_t *packet =
-		pl_packet_queue_first(&lookup->packets);
-
-	query->probed = true;
-	query->probe_sent_at = pl_flow_entry_now_(entry);
-	if (query->probed_at == 0)
-		query->probed_at = query->probe_sent_at;
-	lookup->probes++;
-	pl_flow_entry_forward_probe_(entry, lookup->flow, query, packet->bytes,
-				     packet->len);
-	arm_timer_(entry, lookup, PROBE_TIMEOUT_MS);
-}
-
-/* When the first probe of the flow that still counts was sent, by any entry; 0
- * if there was none. Each agent that answers tells of its own. */
-static pl_ms_t first_probe_(const pl_flow_entry_t *entry,
-			    const lookup_t *lookup)
-{
-	pl_ms_t now = pl_flow_entry_now_(entry);
-	pl_ms_t first = 0;
-
-	for (guint i = 0; i < lookup->queries->len; i++) {
-		pl_ms_t at = g_array_index(lookup->queries, agent_query_t, i)
-				     .probed_at;
-
-		if (at != 0 && now - at <= PROBES_COUNT_MS &&
-		    (first == 0 || at < first))
-			first = at;
-	}
-	return first;
-}
-
-/* Whether a server may be probed now: only if no agent that may own the flow is
- * silent. Then all probes of the flow by other entries are known too, and the
- * owner is among the agents that are left to probe. All are probed in a short
- * time; if one agent is left later, it is the owner. */
-static bool may_probe_(const pl_flow_entry_t *entry, const lookup_t *lookup,
-		       const pending_t *pending)
-{
-	pl_ms_t now = pl_flow_entry_now_(entry);
-	pl_ms_t first = first_probe_(entry, lookup);
-
-	if (lookup->presumed != 0 &&
-	    now - lookup->presumed_at < PRESUMED_WAIT_MS)
-		return false;
-	if (pending->possible_owners > 0 ||
-	    now - lookup->packet_at > PACKET_AGE_MAX_MS)
-		return false;
-	return first == 0 || now - first < PROBE_PERIOD_MS ||
-	       pending->unresolved == 1;
-}
-
-/* Sends the probes that are allowed now, several in parallel. */
-static void probe_next_(pl_flow_entry_t *entry, lookup_t *lookup,
-			pending_t *pending)
-{
-	if (!may_probe_(entry, lookup, pending)) {
-		pl_flow_roster_refresh_(entry, lookup);
-		arm_timer_(entry, lookup, RECHECK_MIN_MS);
-		return;
-	}
-	while (pending->to_probe && lookup->probes < PROBES_MAX) {
-		lookup->probes_others = pending->probes_others;
-		probe_(entry, lookup, pending->to_probe);
-		*pending = count_pending_(entry, lookup);
-	}
-}
-
 /* Takes the next steps of a lookup that the answers so far allow. */
 static void advance_lookup_(pl_flow_entry_t *entry, lookup_t *lookup)
 {
 	pl_ms_t age = pl_flow_entry_now_(entry) - lookup->widened_at;
-	pending_t pending = count_pending_(entry, lookup);
+	pl_flow_pending_t pending = pl_flow_probe_count_pending_(entry, lookup);
 
 	if (lookup->probes >= PROBES_MAX)
 		return;
 	/* the routing table of an entry that has just joined lists no
 	 * endpoints */
 	if (lookup->queries->len == 0) {
-		arm_timer_(entry, lookup, RECHECK_MIN_MS);
+		pl_flow_lookup_arm_timer_(entry, lookup, RECHECK_MIN_MS);
 		return;
 	}
 	if (pending.silent > 0 && age < ANSWER_TIMEOUT_MS) {
-		arm_timer_(entry, lookup, ANSWER_TIMEOUT_MS - age);
+		pl_flow_lookup_arm_timer_(entry, lookup,
+					  ANSWER_TIMEOUT_MS - age);
 		return;
 	}
 	if (!lookup->wide) {
 		lookup->wide = true;
 		if (pl_flow_query_(entry, lookup)) {
 			lookup->widened_at = pl_flow_entry_now_(entry);
-			arm_timer_(entry, lookup, ANSWER_TIMEOUT_MS);
+			pl_flow_lookup_arm_timer_(entry, lookup,
+						  ANSWER_TIMEOUT_MS);
 			return;
 		}
 	}
 	if (pending.to_probe) {
-		probe_next_(entry, lookup, &pending);
+		pl_flow_probe_next_(entry, lookup, &pending);
 		return;
 	}
 	if (lookup->probes > 0)
@@ -300,9 +142,10 @@
 	    pl_flow_roster_proves_dead_(entry, lookup))
 		end_dead_(entry, lookup);
 	else
-		arm_timer_(entry, lookup,
-			   CLAMP(age / RECHECK_AGE_DIVISOR, RECHECK_MIN_MS,
-				 RECHECK_MAX_MS));
+		pl_flow_lookup_arm_timer_(entry, lookup,
+					  CLAMP(age / RECHECK_AGE_DIVISOR,
+						RECHECK_MIN_MS,
+						RECHECK_MAX_MS));
 }
 
 /* Formats the answers for the log: the first LOGGED_AGENTS_MAX agents that did
@@ -447,7 +290,7 @@
 	entry->stats.lookups_open++;
 	lookup->widened_at = lookup->started;
 	pl_flow_query_(entry, lookup);
-	arm_timer_(entry, lookup, ANSWER_TIMEOUT_MS);
+	pl_flow_lookup_arm_timer_(entry, lookup, ANSWER_TIMEOUT_MS);
 	return lookup;
 }
 
@@ -465,38 +308,6 @@
 	pl_packet_queue_add(&lookup->packets, bytes, len);
 }
 
-/* Sends the presumed owner the next packets that it may get while the flow may
- * have another owner. */
-static void send_to_presumed_(pl_flow_entry_t *entry, lookup_t *lookup,
-			      const agent_query_t *query)
-{
-	size_t i = 0;
-
-	pl_list_for_each(link, &lookup->packets.list) {
-		const pl_queued_packet_t *packet =
-			PL_CONTAINER_OF(link, pl_queued_packet_t, link);
-
-		if (i++ < lookup->presumed_sent)
-			continue;
-		if (lookup->presumed_sent == PRESUMED_SENT_MAX)
-			return;
-		lookup->presumed_sent++;
-		pl_flow_entry_forward_probe_(entry, lookup->flow, query,
-					     packet->bytes, packet->len);
-	}
-}
-
-/* Whether an agent other than the one of @p query may own the flow. */
-static bool has_other_owner_(const pl_flow_entry_t *entry,
-			     const lookup_t *lookup, const agent_query_t *query)
-{
-	bool itself = query->answered ? query->verdict != PL_FLOW_ABSENT :
-					pl_flow_roster_may_own_(entry, lookup,
-								query->agent);
-
-	return count_pending_(entry, lookup).unresolved > itself;
-}
-
 /* Handles the claim of an agent whose server did not hand a probe back. It is
  * the owner if no other agent may be; else it stays presumed until it, or
  * another one, is confirmed. Returns whether the lookup has ended. */
@@ -504,7 +315,8 @@
 			     agent_query_t *query)
 {
 	query->probed = true;
-	if (lookup->wide && !has_other_owner_(entry, lookup, query)) {
+	if (lookup->wide &&
+	    !pl_flow_probe_has_other_owner_(entry, lookup, query)) {
 		set_owner_(entry, lookup, query->agent, query->service);
 		return true;
 	}
@@ -514,26 +326,10 @@
 		lookup->presumed_sent = 1;
 	}
 	if (lookup->presumed == query->agent)
-		send_to_presumed_(entry, lookup, query);
+		pl_flow_probe_send_to_presumed_(entry, lookup, query);
 	return false;
 }
 
-/* Updates when the agent's server got a probe. One that the agent has not seen
- * by the time at which it would have been handed back was lost. */
-static void note_probed_(const pl_flow_entry_t *entry, agent_query_t *query,
-			 const pl_flow_claim_t *claim)
-{
-	pl_ms_t now = pl_flow_entry_now_(entry);
-
-	if (claim->probed_ms > 0)
-		query->probed_at = now - MIN(claim->probed_ms, now - 1);
-	if (claim->verdict != PL_FLOW_UNSURE || claim->probed_ms > 0 ||
-	    !query->probed || now - query->probe_sent_at < PROBE_TIMEOUT_MS)
-		return;
-	query->probed = false;
-	query->probed_at = 0;
-}
-
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
 			     const pl_flow_claim_t *claim)
 {
@@ -548,7 +344,7 @@
 		return;
 	if (query->probed && verdict == PL_FLOW_ABSENT && lookup->probes > 0)
 		lookup->probes--;
-	note_probed_(entry, query, claim);
+	pl_flow_probe_note_(entry, query, claim);
 	if (lookup->presumed == claim->agent && verdict == PL_FLOW_ABSENT)
 		lookup->presumed = 0;
 	query->service = claim->service;
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -2,7 +2,8 @@
  * @file
  * Internal structures of an entry: packets and flow cache (entry.c), messages of
  * agents (entry_verdict.c), endpoints and their load (entry_place.c), services of
- * a route (entry_split.c), lookup of a flow's owner (entry_lookup.c).
+ * a route (entry_split.c), lookup of a flow's owner (entry_lookup.c) and its
+ * probes (entry_probe.c).
  */
 #ifndef PL_FLOW_ENTRY_PRIVATE_H
 #define PL_FLOW_ENTRY_PRIVATE_H
@@ -18,6 +19,10 @@
 
 /** A caller gives up opening a flow after this time. */
 #define OPEN_TIMEOUT_MS 1400
+/** Concurrent probes of one lookup. */
+#define PROBES_MAX 4
+/** Shortest interval between two checks of a lookup. */
+#define RECHECK_MIN_MS 60
 
 /** Query of a lookup to one agent. */
 typedef struct {
@@ -414,5 +419,38 @@
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
 			     const pl_flow_claim_t *claim);
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
+/** Checks the lookup again after @p pause. */
+void pl_flow_lookup_arm_timer_(pl_flow_entry_t *entry, lookup_t *lookup,
+			       pl_ms_t pause);
+
+/* entry_probe.c */
+/** Agents of a lookup that have not ruled the flow out. */
+typedef struct {
+	size_t silent;
+	/** Silent agents that may own the flow and were not probed. */
+	size_t possible_owners;
+	size_t unsure;
+	/** All that may own it: silent, unsure or presumed to own it. */
+	size_t unresolved;
+	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
+	bool probes_others; /**< @c to_probe is of an unexpected service */
+} pl_flow_pending_t;
+
+pl_flow_pending_t pl_flow_probe_count_pending_(const pl_flow_entry_t *entry,
+					       const lookup_t *lookup);
+/** Sends the probes that are allowed now, several in parallel. */
+void pl_flow_probe_next_(pl_flow_entry_t *entry, lookup_t *lookup,
+			 pl_flow_pending_t *pending);
+/** Updates when the agent's server got a probe. */
+void pl_flow_probe_note_(const pl_flow_entry_t *entry, agent_query_t *query,
+			 const pl_flow_claim_t *claim);
+/** Whether an agent other than the one of @p query may own the flow. */
+bool pl_flow_probe_has_other_owner_(const pl_flow_entry_t *entry,
+				    const lookup_t *lookup,
+				    const agent_query_t *query);
+/** Sends the presumed owner the next packets that it may get while the flow may
+ * have another owner. */
+void pl_flow_probe_send_to_presumed_(pl_flow_entry_t *entry, lookup_t *lookup,
+				     const agent_query_t *query);
 
 #endif
