Membership: a check of many members suspects a few at a time

An entry has the agents checked that leave queries of its lookups unanswered. On a saturated link (11 Mbit/s, just after the start of the entry) these are all: it probed 50 live agents in the same instant, none answered in 0.7 s, and its suspicions reached all members at once. The agents' refutations did not all arrive within the 2.7 s of a suspicion, so running agents were declared dead, got no new flows, and counted as dead in proofs, for seconds.

A check probes a live member out of its turn only while fewer than five members are probed or suspected by this process; else the member waits for the usual turn. All members together probe each one every 0.5 s on average, so a machine that died is found as before.

Test check_of_many_suspects_few_at_once: 50 suspects before, at most 10 after.

--- a/include/pimentolift/member.h
+++ b/include/pimentolift/member.h
@@ -250,10 +250,10 @@
 
 /**
  * Checks on the member @p id, which should be running but does not respond. A
- * member that the table lists as alive is probed at once. A dead member is
- * reported through the callback @c absent at once. A member that left or is
- * unknown is probed for a while, and then either becomes alive in the table or
- * is reported as absent.
+ * member that the table lists as alive is probed at once, unless several others
+ * are already; then it waits for its turn. A dead member is reported through the
+ * callback @c absent at once. A member that left or is unknown is probed for a
+ * while, and then either becomes alive in the table or is reported as absent.
  */
 void pl_member_check_liveness(pl_member_table_t *table, pl_member_id_t id);
 
--- a/src/member/liveness.c
+++ b/src/member/liveness.c
@@ -13,6 +13,10 @@
 #define ANSWER_TIMEOUT_MS 1500
 /** Without any datagram for this long, this process may be cut off itself. */
 #define NO_CONTACT_MS 500
+/** Live members that are checked, or suspected by this process, at the same
+ * time. If more do not answer, the reason may be this process's own link, and a
+ * suspicion of all members spreads faster than they can refute it. */
+#define CHECKS_MAX 5
 
 /** A member passed to pl_member_check_liveness() that has not answered yet. */
 typedef struct {
@@ -57,7 +61,8 @@
 	if (member && pl_member_live_(member)) {
 		/* usual failure detection, without waiting for its turn */
 		if (member->state == PL_MEMBER_ALIVE &&
-		    !pl_member_probing_(table, id))
+		    !pl_member_probing_(table, id) &&
+		    pl_member_detections_(table) < CHECKS_MAX)
 			pl_member_probe_(table, PL_PROBE_DETECT, id);
 		return;
 	}
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -272,6 +272,9 @@
 		      pl_member_id_t target);
 /** Whether a probe of kind PL_PROBE_DETECT is outstanding. */
 bool pl_member_probing_(const pl_member_table_t *table, pl_member_id_t target);
+/** Number of members that this process probes to detect a failure, or suspects
+ * after such a probe. */
+size_t pl_member_detections_(const pl_member_table_t *table);
 /** Handles a received PL_GOSSIP_PING_REQ. */
 void pl_member_ping_req_(pl_member_table_t *table,
 			 const pl_gossip_message_t *message);
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -70,6 +70,19 @@
 	return false;
 }
 
+size_t pl_member_detections_(const pl_member_table_t *table)
+{
+	size_t count = 0;
+
+	pl_list_for_each(node, &table->probes)
+		count += PL_CONTAINER_OF(node, pl_probe_t, link)->kind ==
+			 PL_PROBE_DETECT;
+	pl_list_for_each(node, &table->suspects)
+		count += PL_CONTAINER_OF(node, pl_member_t, suspect_link)
+				 ->own_suspicion;
+	return count;
+}
+
 void pl_member_ping_req_(pl_member_table_t *table,
 			 const pl_gossip_message_t *message)
 {
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -220,6 +220,31 @@
 	fleet_delete(fleet);
 }
 
+/* An entry has all agents that do not answer its queries checked. If its own
+ * link carries nothing for a while, it must not suspect all of them. */
+static void check_of_many_suspects_few_at_once(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		fleet_t *fleet = fleet_new(seed, 70, 3);
+		size_t suspects = 0;
+
+		fleet_start_all(fleet);
+		fleet->nodes[5].group = 1;
+		for (int round = 0; round < 2; round++) {
+			for (size_t i = 6; i < 56; i++)
+				pl_member_check_liveness(fleet->nodes[5].table,
+							 fleet->nodes[i].id);
+			fleet_run(fleet, 500);
+		}
+		for (size_t i = 0; i < fleet->count; i++)
+			suspects +=
+				fleet_state(fleet, 5, i) == PL_MEMBER_SUSPECT;
+		assert_in_range(suspects, 1, 10);
+		fleet_delete(fleet);
+	}
+}
+
 /* Renewing a watch often must not raise the probe rate. */
 static void renewed_watch_keeps_the_probe_rate(void **state)
 {
@@ -735,6 +760,7 @@
 			unknown_member_without_answer_is_reported_as_absent),
 		cmocka_unit_test(
 			checked_member_that_starts_is_not_reported_as_absent),
+		cmocka_unit_test(check_of_many_suspects_few_at_once),
 		cmocka_unit_test(checked_member_that_died_is_suspected_soon),
 		cmocka_unit_test(checked_member_that_left_or_died),
 		cmocka_unit_test(renewed_watch_keeps_the_probe_rate),
