Flow agent: an opening packet that comes late hides no open flow

An agent that is younger than its server doesn't know the server's flows and says "unsure" of one without a record. A copy of the packet that opened the flow made a record, "new" or "offered", with which the agent said that its server doesn't hold the flow. With the word of all others that is the proof: the flow was reset although its server serves. Copies are sent up to 0.6 s after the first one and may wait for 0.4 s at an entry and longer on its link.

Without the packet that acknowledges the server's own, such a record says no more than none: "absent" only if the agent knows all flows of its server, else "unsure", and the server is probed.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -133,10 +133,12 @@
 static pl_flow_verdict_t get_verdict_(const pl_flow_agent_t *agent,
 				      const flow_t *flow, uint32_t ack)
 {
+	pl_flow_verdict_t unknown = pl_flow_backend_knows_all_flows_(agent) ?
+					    PL_FLOW_ABSENT :
+					    PL_FLOW_UNSURE;
+
 	if (!flow)
-		return pl_flow_backend_knows_all_flows_(agent) ?
-			       PL_FLOW_ABSENT :
-			       PL_FLOW_UNSURE;
+		return unknown;
 	switch (flow->state) {
 	case FLOW_OPEN:
 		return PL_FLOW_OWNED;
@@ -145,7 +147,11 @@
 		return agent->backend_seen ? PL_FLOW_OWNED : PL_FLOW_UNSURE;
 	case FLOW_OFFERED:
 		return acknowledges_server_(flow, ack) ? PL_FLOW_OWNED :
-							 PL_FLOW_ABSENT;
+							 unknown;
+	case FLOW_NEW:
+		/* the opening packet may be a late copy of a flow that the
+		 * server has held since before this agent's start */
+		return unknown;
 	default:
 		return PL_FLOW_ABSENT;
 	}
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -257,12 +257,17 @@
 	send_from_server_(server, &answer);
 }
 
-static void handle_server_opening_(server_t *server, const pl_packet_t *packet)
+static void handle_server_opening_(server_t *server, pl_packet_t *packet)
 {
 	const pl_flow_key_t key = pl_packet_flow(packet);
 	server_flow_t *flow = g_hash_table_lookup(server->flows, &key);
 	pl_packet_t answer;
 
+	if (flow && server->copies != COPY_ANSWERED) {
+		if (server->copies == COPY_HANDED_BACK)
+			hand_back_(server, packet);
+		return;
+	}
 	if (!flow) {
 		flow = g_new0(server_flow_t, 1);
 		flow->key = key;
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -62,6 +62,8 @@
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
 	bool mute; /* takes requests and never answers them */
+	/* What it does with a copy of the packet that opened a flow. */
+	enum { COPY_ANSWERED, COPY_IGNORED, COPY_HANDED_BACK } copies;
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
 	bool resets_unowned;
