Flow agent: a copy of an opening packet that is handed back ends no flow

A server hands an opening packet back when it can't accept it. The agent took that as proof that the server doesn't hold the flow, also for a late copy of the packet that had opened it: the record became "absent", and the next entry that looked the flow up had the proof to reset it, in its first seconds.

Such a packet says something of a flow only before the server has answered one of its packets, and while no probe is open. What the server answers to the flow's other packets still counts.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -425,6 +425,14 @@
 		handle_forward_(agent, message, &packet);
 }
 
+/* Whether the server has answered packets of the flow, or may have. It then may
+ * hold the flow although it cannot accept a copy of the opening packet. */
+static bool may_be_held_(const flow_t *flow)
+{
+	return flow->state == FLOW_OFFERED || flow->state == FLOW_PROBING ||
+	       flow->state == FLOW_OPEN;
+}
+
 /* Handles a packet that the server returned because it does not hold the
  * flow, or cannot accept a new one. */
 static void handle_bounced_(pl_flow_agent_t *agent, const pl_packet_t *packet,
@@ -437,7 +445,7 @@
 
 	agent->stats.bounced++;
 	pl_counter_add(PL_COUNTER_FLOWS_BOUNCED, 1);
-	if (!flow)
+	if (!flow || (opens && may_be_held_(flow)))
 		return;
 	agent->params.packets->clear_bounced(bytes, len);
 	keep = flow->state == FLOW_PROBING && flow->entry_keeps_copy;
--- a/test/flow/owner_test.c
+++ b/test/flow/owner_test.c
@@ -42,11 +42,29 @@
 	world_delete(world);
 }
 
+/* A full server may hand back a copy of the packet that opened a flow although
+ * it holds the flow. */
+static void opening_packet_handed_back_ends_no_flow(void **state)
+{
+	world_t *world = world_new(1, 4, 5);
+	call_t *call = world_call(world, 1, REQUEST_BYTES, true);
+
+	(void)state;
+	world_run(world, 500);
+	assert_int_equal(call->state, CALL_DONE);
+	world->servers[world_owner(world, call)].copies = COPY_HANDED_BACK;
+	world_resend_opening(call);
+	world_run(world, 100);
+	assert_flow_goes_on_(world, call);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			late_opening_packet_does_not_hide_an_open_flow),
+		cmocka_unit_test(opening_packet_handed_back_ends_no_flow),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
