soak of flows: a write that the store leaves unanswered is no refusal

No kept log says what the store answered. By reading: this soak makes no fault of the store, the key is written without a condition, and the stand-in answers such a write with 200 only; what is left is a call without an answer within its 2 s (the stand-in runs in the soak's own process), or one that could not connect. The soak took both for a refusal: its fault, not the product's.

The operators repeat a write without an answer, five times at most: it has no condition, so it may be made twice. A store that never answers, or refuses, is reported as before, and the line before says what it answered.

Test lost_answer_is_no_refusal: a breach with one call, none now. store_that_never_answers_is_reported passes before and after.

--- a/test/soak/flow_soak_writers.c
+++ b/test/soak/flow_soak_writers.c
@@ -7,48 +7,56 @@
 
 #include <pimentolift/registration.h>
 #include <platform/platform.h>
+#include <stdio.h>
 #include <string.h>
 
+/** Most calls for one change. A call without an answer may have taken effect;
+ * the operators' changes have no condition and may be made twice. */
+#define CALLS_MAX 5
+#define CALL_TIMEOUT_MS 2000
 /** Largest step between two versions of the configuration. */
 #define VERSION_STEP_MAX 5
 
-static void on_config_stored_(void *ctx, const pl_kv_reply_t *reply)
+static void on_answer_(void *ctx, const pl_kv_reply_t *reply)
 {
 	*(pl_result_t *)ctx = reply->result;
+	if (reply->result != PL_OK)
+		printf("the store answered an operator: %s: %s\n",
+		       pl_result_name(reply->result), reply->message);
 }
 
-static bool store_(soak_t *soak, const char *key, const char *text)
+/* Writes @p text to @p key, or removes the key if @p text is NULL. */
+static pl_result_t call_store_(const soak_t *soak, const char *key,
+			       const char *text)
 {
 	char *url = g_strdup_printf("http://127.0.0.1:%u",
 				    pl_store_port(soak->store));
-	pl_kv_t *kv = pl_platform_store_new(url, 2000);
+	pl_kv_t *kv = pl_platform_store_new(url, CALL_TIMEOUT_MS);
 	pl_result_t result = PL_ERR_TIMEOUT;
 
-	pl_kv_put(kv,
-		  &(pl_kv_write_t){ .key = key,
-				    .value = text,
-				    .value_len = strlen(text),
-				    .expected_index = PL_KV_ANY },
-		  on_config_stored_, &result);
+	if (text)
+		pl_kv_put(kv,
+			  &(pl_kv_write_t){ .key = key,
+					    .value = text,
+					    .value_len = strlen(text),
+					    .expected_index = PL_KV_ANY },
+			  on_answer_, &result);
+	else
+		pl_kv_remove(kv, key, PL_KV_ANY, on_answer_, &result);
 	while (pl_kv_pending(kv) > 0)
 		pl_kv_wait(kv, 100);
 	pl_kv_delete(kv);
 	g_free(url);
-	return result == PL_OK;
+	return result;
 }
 
-static bool remove_(soak_t *soak, const char *key)
+/* Returns whether the store confirmed the change. */
+static bool change_(const soak_t *soak, const char *key, const char *text)
 {
-	char *url = g_strdup_printf("http://127.0.0.1:%u",
-				    pl_store_port(soak->store));
-	pl_kv_t *kv = pl_platform_store_new(url, 2000);
-	pl_result_t result = PL_ERR_TIMEOUT;
+	pl_result_t result = PL_ERR_UNKNOWN_OUTCOME;
 
-	pl_kv_remove(kv, key, PL_KV_ANY, on_config_stored_, &result);
-	while (pl_kv_pending(kv) > 0)
-		pl_kv_wait(kv, 100);
-	pl_kv_delete(kv);
-	g_free(url);
+	for (int i = 0; i < CALLS_MAX && result == PL_ERR_UNKNOWN_OUTCOME; i++)
+		result = call_store_(soak, key, text);
 	return result == PL_OK;
 }
 
@@ -62,12 +70,12 @@
 					    pl_platform_operator_prefix, i);
 
 		if (i != soak->evacuated)
-			done = remove_(soak, key) && done;
+			done = change_(soak, key, NULL) && done;
 		else
-			done = store_(soak, key,
-				      values[g_rand_int_range(
-					      soak->random, 0,
-					      G_N_ELEMENTS(values))]) &&
+			done = change_(soak, key,
+				       values[g_rand_int_range(
+					       soak->random, 0,
+					       G_N_ELEMENTS(values))]) &&
 			       done;
 		g_free(key);
 	}
@@ -138,7 +146,7 @@
 					      WORLD_SERVICE);
 	}
 	g_string_append(text, "],\"services\":[]}");
-	stored = store_(soak, pl_platform_config_key, text->str);
+	stored = change_(soak, pl_platform_config_key, text->str);
 	g_string_free(text, TRUE);
 	return stored;
 }
@@ -168,7 +176,7 @@
 		names[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(names))],
 		NULL);
 
-	if (soak->store_up_at == 0 && !store_(soak, key, "\xff"))
+	if (soak->store_up_at == 0 && !change_(soak, key, "\xff"))
 		soak_report_breach(soak, "the store refused a key");
 	g_free(key);
 	g_free(prefix);
