--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -3,30 +3,13 @@
 #define SMALL_BYTES 200
 #define MULTI_PACKET_BYTES (20 * 1200 + 300)
 
-/* Starts @p per_s calls a second for @p ms, each on a new flow. */
-static void start_calls_(world_t *world, unsigned int per_s, pl_ms_t ms)
-{
-	pl_ms_t until = world->now + ms;
-	unsigned int due = 0;
-
-	while (world->now < until) {
-		world_run(world, 1);
-		due += per_s;
-		for (; due >= 1000; due -= 1000)
-			world_call(world,
-				   1 + (uint32_t)g_rand_int_range(world->random,
-								  0, 400),
-				   SMALL_BYTES, false);
-	}
-}
-
 static void run_outage_(world_t *world, pl_ms_t ms, unsigned int per_s)
 {
 	for (int i = 0; i < world->agent_count; i++) {
 		world_kill_agent(world, i);
 		world_crash_server(world, i);
 	}
-	start_calls_(world, per_s, ms);
+	world_start_calls(world, SMALL_BYTES, per_s, ms);
 	for (int i = 0; i < world->agent_count; i++) {
 		world_start_agent(world, i);
 		world_start_server(world, i);
@@ -54,7 +37,7 @@
 	/* until then second attempts of calls from the outage arrive, which
 	 * cannot be distinguished from new calls */
 	from = world->now + 1400;
-	start_calls_(world, 320, 3000);
+	world_start_calls(world, SMALL_BYTES, 320, 3000);
 	world_run(world, 3500);
 	fraction = world_share_in_time(world, from);
 	world_delete(world);
@@ -90,7 +73,7 @@
 		world->servers[i].draining = true;
 	world_run(world, 1100);
 	/* 9 slots with 25 ms per request serve 360 requests a second */
-	start_calls_(world, 900, 1500);
+	world_start_calls(world, SMALL_BYTES, 900, 1500);
 	world_run(world, 200);
 	pl_flow_entry_stats(world->entries[0].entry, &stats);
 	print_message("%" G_GUINT64_FORMAT " placed, %" G_GUINT64_FORMAT
@@ -201,7 +184,7 @@
 	(void)state;
 	world_run(world, 1100);
 	run_outage_(world, 800, 300);
-	start_calls_(world, 300, 1500);
+	world_start_calls(world, SMALL_BYTES, 300, 1500);
 	world_run(world, 4000);
 	failed = world_failed(world, 0);
 	print_message("%zu of %u failed\n", failed, world->calls->len);
@@ -240,7 +223,7 @@
 		pl_flow_agent_stats(world->agents[i].agent, &stats);
 		assert_int_equal(stats.load.busy, 0);
 	}
-	start_calls_(world, 150, 500);
+	world_start_calls(world, SMALL_BYTES, 150, 500);
 	world_run(world, 300);
 	assert_true(world_share_in_time(world, from) > 0.97);
 	world_delete(world);
@@ -302,7 +285,7 @@
 	}
 	world_publish(world);
 	world_run(world, 1100);
-	start_calls_(world, 300, 2000);
+	world_start_calls(world, SMALL_BYTES, 300, 2000);
 	world_run(world, 1000);
 	for (int i = 0; i < world->agent_count; i++)
 		most = MAX(most, world->servers[i].requests_started);
@@ -332,7 +315,7 @@
 
 	(void)state;
 	world_run(world, 1100);
-	start_calls_(world, 150, 2000);
+	world_start_calls(world, SMALL_BYTES, 150, 2000);
 	world_run(world, 500);
 	for (int i = 0; i < world->agent_count; i++) {
 		pl_flow_agent_stats(world->agents[i].agent, &stats);
@@ -488,9 +471,9 @@
 	}
 	world_publish(world);
 	world_run(world, 1100);
-	start_calls_(world, BURST_ROOM_PER_S * 6 / 10, 1000);
-	start_calls_(world, BURST_ROOM_PER_S * 3, 3000);
-	start_calls_(world, BURST_ROOM_PER_S * 6 / 10, 2000);
+	world_start_calls(world, SMALL_BYTES, BURST_ROOM_PER_S * 6 / 10, 1000);
+	world_start_calls(world, SMALL_BYTES, BURST_ROOM_PER_S * 3, 3000);
+	world_start_calls(world, SMALL_BYTES, BURST_ROOM_PER_S * 6 / 10, 2000);
 	world_run(world, 4000);
 	for (guint i = 0; i < world->calls->len; i++) {
 		const call_t *call = world->calls->pdata[i];
@@ -576,9 +559,9 @@
 
 	(void)state;
 	world_run(world, 1100);
-	start_calls_(world, 40, 1000);
+	world_start_calls(world, SMALL_BYTES, 40, 1000);
 	world->servers[0].work_ms = 1000;
-	start_calls_(world, 40, 3000);
+	world_start_calls(world, SMALL_BYTES, 40, 3000);
 	pl_flow_agent_stats(world->agents[0].agent, &stats);
 	assert_true(stats.load.request_ms > 300);
 	world_delete(world);
--- a/test/flow/pace_test.c
+++ b/test/flow/pace_test.c
@@ -4,22 +4,6 @@
 
 #define SMALL_BYTES 200
 
-static void start_calls_(world_t *world, unsigned int per_s, pl_ms_t ms)
-{
-	pl_ms_t until = world->now + ms;
-	unsigned int due = 0;
-
-	while (world->now < until) {
-		world_run(world, 1);
-		due += per_s;
-		for (; due >= 1000; due -= 1000)
-			world_call(world,
-				   1 + (uint32_t)g_rand_int_range(world->random,
-								  0, 400),
-				   SMALL_BYTES, false);
-	}
-}
-
 static void replace_server_(world_t *world, int index, uint32_t warmup_ms)
 {
 	world_crash_server(world, index);
@@ -41,11 +25,11 @@
 	world->agents[7].listed = false;
 	world_publish(world);
 	world_run(world, 500);
-	start_calls_(world, 60, 2000);
+	world_start_calls(world, SMALL_BYTES, 60, 2000);
 	world->agents[7].listed = true;
 	replace_server_(world, 7, 0);
 	world->servers[7].requests_started = 0;
-	start_calls_(world, 60, 3000);
+	world_start_calls(world, SMALL_BYTES, 60, 3000);
 	world_run(world, 300);
 	assert_int_equal(world_failed(world, 0), 0);
 	/* its share is 22 */
@@ -64,11 +48,11 @@
 	world->agents[7].listed = false;
 	world_publish(world);
 	world_run(world, 500);
-	start_calls_(world, 60, 1000);
+	world_start_calls(world, SMALL_BYTES, 60, 1000);
 	world->agents[7].listed = true;
 	world_kill_agent(world, 7);
 	world_publish(world);
-	start_calls_(world, 60, 2000);
+	world_start_calls(world, SMALL_BYTES, 60, 2000);
 	world_run(world, 300);
 	assert_int_equal(world_failed(world, 0), 0);
 	for (guint i = 0; i < world->calls->len; i++) {
@@ -149,7 +133,7 @@
 	set_cold_limit_(world, 7);
 	world_run(world, 3500);
 	pl_flow_agent_set_evacuated(agent, true);
-	start_calls_(world, 200, 1000);
+	world_start_calls(world, SMALL_BYTES, 200, 1000);
 	world_run(world, 500);
 	server->requests_started = 0;
 	pl_flow_agent_set_evacuated(agent, false);
@@ -193,18 +177,18 @@
 
 	(void)state;
 	world_run(world, 500);
-	start_calls_(world, 300, 4000);
+	world_start_calls(world, SMALL_BYTES, 300, 4000);
 	server->mute = true;
-	start_calls_(world, 300, 2000);
+	world_start_calls(world, SMALL_BYTES, 300, 2000);
 	pl_flow_agent_stats(world->agents[7].agent, &stats);
 	assert_int_equal(stats.load.limit, PL_PACE_SLOT);
 	before = server->requests_started;
-	start_calls_(world, 300, 2000);
+	world_start_calls(world, SMALL_BYTES, 300, 2000);
 	print_message("%u of 600 requests at a mute server of 8\n",
 		      (unsigned int)(server->requests_started - before));
 	assert_in_range(server->requests_started - before, 1, 7);
 	server->mute = false;
-	start_calls_(world, 300, 8000);
+	world_start_calls(world, SMALL_BYTES, 300, 8000);
 	pl_flow_agent_stats(world->agents[7].agent, &stats);
 	assert_int_equal(stats.load.limit, 0);
 	world_delete(world);
--- a/test/flow/split_test.c
+++ b/test/flow/split_test.c
@@ -32,22 +32,6 @@
 	return count;
 }
 
-static void start_calls_(world_t *world, unsigned int per_s, pl_ms_t ms)
-{
-	pl_ms_t until = world->now + ms;
-	unsigned int due = 0;
-
-	while (world->now < until) {
-		world_run(world, 1);
-		due += per_s;
-		for (; due >= 1000; due -= 1000)
-			world_call(world,
-				   1 + (uint32_t)g_rand_int_range(world->random,
-								  0, 400),
-				   SMALL_BYTES, false);
-	}
-}
-
 /* Fraction answered in time in a burst of 1.25 times what the first service
  * can serve, which is less than both can, after a load of 0.6. */
 static double burst_(uint32_t first, uint32_t second, uint64_t *on_second)
@@ -57,9 +41,9 @@
 	pl_ms_t from;
 
 	set_weights_(world, first, second);
-	start_calls_(world, 290, 2000);
+	world_start_calls(world, SMALL_BYTES, 290, 2000);
 	from = world->now;
-	start_calls_(world, 600, 3000);
+	world_start_calls(world, SMALL_BYTES, 600, 3000);
 	world_run(world, 3500);
 	*on_second = requests_of_second_(world);
 	fraction = world_share_in_time(world, from);
@@ -93,7 +77,7 @@
 
 	(void)state;
 	set_weights_(world, 700000, 300000);
-	start_calls_(world, 200, 10000);
+	world_start_calls(world, SMALL_BYTES, 200, 10000);
 	world_run(world, 1000);
 	share = (double)requests_of_second_(world) /
 		(double)world_requests_started(world);
@@ -157,7 +141,7 @@
 	set_weights_(world, 1000000, 0);
 	assert_flows_go_on_(world, calls);
 	before = requests_of_second_(world);
-	start_calls_(world, 600, 1000);
+	world_start_calls(world, SMALL_BYTES, 600, 1000);
 	world_run(world, 2000);
 	assert_int_equal(requests_of_second_(world), before);
 	for (int i = 0; i < world->entry_count; i++) {
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -1198,6 +1198,23 @@
 	world_advance(world, world->now + ms);
 }
 
+void world_start_calls(world_t *world, size_t bytes, unsigned int per_s,
+		       pl_ms_t ms)
+{
+	pl_ms_t until = world->now + ms;
+	unsigned int due = 0;
+
+	while (world->now < until) {
+		world_run(world, 1);
+		due += per_s;
+		for (; due >= 1000; due -= 1000)
+			world_call(world,
+				   1 + (uint32_t)g_rand_int_range(world->random,
+								  0, 400),
+				   bytes, false);
+	}
+}
+
 double world_share_in_time(const world_t *world, pl_ms_t from)
 {
 	size_t all = 0;
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -230,6 +230,11 @@
 /** Starts a request on a new flow. */
 call_t *world_call(world_t *world, uint32_t ip, size_t bytes, bool keep);
 
+/** Starts @p per_s requests a second for @p ms, each of @p bytes on a new
+ * flow. */
+void world_start_calls(world_t *world, size_t bytes, unsigned int per_s,
+		       pl_ms_t ms);
+
 /** Starts another request on the flow of the completed call @p before. */
 call_t *world_call_again(world_t *world, const call_t *before);
 
