Membership: a member that was declared dead by mistake hears of it by a check

A process whose own link is saturated declares live members dead alone: its suspicion doesn't get out in time.

The check of a dead member sends it a probe with the record of its death, as other probes do; if it lives it refutes the record.

--- a/src/member/liveness.c
+++ b/src/member/liveness.c
@@ -67,6 +67,8 @@
 		return;
 	}
 	if (member && member->state == PL_MEMBER_DEAD) {
+		/* if this is a mistake, the member refutes it */
+		pl_member_probe_(table, PL_PROBE_CONTACT, id);
 		report_absent_(table, id);
 		return;
 	}
--- a/test/member/member_test.c
+++ b/test/member/member_test.c
@@ -245,6 +245,29 @@
 	}
 }
 
+/* A member that a cut-off process declared dead by mistake hears of it by the
+ * next check, and refutes it. */
+static void checked_member_that_is_not_dead_refutes_it(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		fleet_t *fleet = fleet_new(seed, 30, 2);
+
+		fleet_start_all(fleet);
+		fleet->nodes[3].group = 1;
+		pl_member_check_liveness(fleet->nodes[3].table,
+					 fleet->nodes[12].id);
+		while (fleet_state(fleet, 3, 12) != PL_MEMBER_DEAD)
+			fleet_run(fleet, FLEET_STEP_MS);
+		fleet->nodes[3].group = 0;
+		pl_member_check_liveness(fleet->nodes[3].table,
+					 fleet->nodes[12].id);
+		fleet_run(fleet, 5 * FLEET_STEP_MS);
+		assert_int_equal(fleet_state(fleet, 3, 12), PL_MEMBER_ALIVE);
+		fleet_delete(fleet);
+	}
+}
+
 /* Renewing a watch often must not raise the probe rate. */
 static void renewed_watch_keeps_the_probe_rate(void **state)
 {
@@ -761,6 +784,7 @@
 		cmocka_unit_test(
 			checked_member_that_starts_is_not_reported_as_absent),
 		cmocka_unit_test(check_of_many_suspects_few_at_once),
+		cmocka_unit_test(checked_member_that_is_not_dead_refutes_it),
 		cmocka_unit_test(checked_member_that_died_is_suspected_soon),
 		cmocka_unit_test(checked_member_that_left_or_died),
 		cmocka_unit_test(renewed_watch_keeps_the_probe_rate),
