soak of flows: the one documented exception of resets is told from faults

Its logs: all processes were killed and restarted, agent 0 was stopped at 33.66 s, before it said that it was ready and before any member had joined it ("paused for 2469 ms" until 36.13); the entries checked it from 33.69 s on, reported it as absent at 35.19 s (306) and reset its server's flows with four agents' words and its silence (243). That is the exception of docs/design/platform.md, "Proof that a flow is dead": an agent that no member ever had a record of, and that nobody reaches for 1.5 s.

Such resets are printed and are no breach in exactly this case: all processes were killed at the same time, the agent has answered no request since, and has been stopped for 1.5 s and still is. The resets are counted for the server that holds the flow. All else is a breach as before, also with an agent that was stopped for 1.499 s, or for longer after it had answered anything.

--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -59,6 +59,7 @@
 	uint64_t unowned_packets; /* received, of flows that it does not hold */
 	uint64_t opened; /* flows, of all its processes */
 	uint64_t opened_while_draining;
+	uint64_t false_resets; /* of flows that it holds */
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
 	bool mute; /* takes requests and never answers them */
--- a/test/soak/flow_soak.h
+++ b/test/soak/flow_soak.h
@@ -31,6 +31,8 @@
 	pl_process_t *process; /* NULL while it is down */
 	pl_ms_t restart_at; /* 0: no restart is due */
 	pl_ms_t resume_at; /* 0: not stopped by SIGSTOP */
+	pl_ms_t frozen_at; /* when it was last stopped by SIGSTOP */
+	bool answered; /* a request, since all processes were killed */
 	bool exit_expected; /* SIGTERM or SIGKILL was sent */
 	int failed_probes; /* ready probes that failed in a row */
 	CURL *request; /* ready probe or heartbeat in progress, or NULL */
@@ -67,6 +69,7 @@
 	pl_ms_t evacuated_since; /* acknowledged, or the store's last fault */
 	uint64_t opened[SOAK_NODES_MAX]; /* flows, at the last check */
 	bool left_out; /* the configuration does not name the other service */
+	bool all_killed; /* all processes were killed at the same time */
 	unsigned int breaches;
 	unsigned int faults;
 	const char *last_fault;
@@ -112,6 +115,8 @@
 			 const pl_backend_report_t *report);
 /** Sends an agent a heartbeat that is malformed or describes another server. */
 void soak_send_foreign_report(soak_t *soak);
+/** Reports each flow that was reset although its server holds it. */
+void soak_check_resets(soak_t *soak);
 /** Ends the fault of the store when due. */
 void soak_step_store(soak_t *soak);
 /** Reports each agent whose server serves and that the roster lacks. */
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -239,6 +239,7 @@
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&node);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	node->answered |= status != 0;
 	if (node->entry)
 		node->failed_probes =
 			status == 200 ? 0 : node->failed_probes + 1;
@@ -297,6 +298,7 @@
 	if (!node)
 		return;
 	pl_process_signal(node->process, SIGSTOP);
+	node->frozen_at = soak->world->now;
 	node->resume_at = soak->world->now +
 			  (pl_ms_t)g_rand_int_range(soak->random, 200, 3500);
 }
@@ -341,9 +343,11 @@
 
 static void kill_all_nodes_(soak_t *soak)
 {
+	soak->all_killed = true;
 	for (int i = 0; i < soak->entries + soak->agents; i++) {
 		soak_node_t *node = &soak->nodes[i];
 
+		node->answered = false;
 		if (!node->process)
 			continue;
 		node->exit_expected = true;
