--- a/test/balance/pace_test.c
+++ b/test/balance/pace_test.c
@@ -4,6 +4,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "pace_baselines.h"
+
 #include <math.h>
 #include <pimentolift/balance/pace.h>
 #include <pimentolift/balance/place.h>
@@ -12,7 +14,6 @@
 
 #define SEEDS 16
 #define SERVERS 12
-#define SLOTS 3
 #define ENTRIES 4
 #define OFFERS 4
 #define REPORT_MS 100
@@ -107,7 +108,8 @@
 	server->born = sim->now;
 	server->queued = 0;
 	server->request_ms = 0;
-	server->load = (pl_load_t){ .slots = SLOTS, .changed_at = sim->now };
+	server->load =
+		(pl_load_t){ .slots = PACE_SLOTS, .changed_at = sim->now };
 	pl_pace_start(&server->pace, sim->now);
 	for (int k = 0; k < sim->flow_count; k++) {
 		if (sim->flows[k].server == i)
@@ -133,30 +135,19 @@
 
 	flow->pending = true;
 	flow->in_service = false;
-	if (server->load.busy < SLOTS)
+	if (server->load.busy < PACE_SLOTS)
 		begin_(sim, flow);
 	else
 		server->queued++;
 }
 
-static uint32_t next_none_(const pl_pace_t *pace,
-			   const pl_pace_sample_t *sample)
-{
-	(void)pace;
-	(void)sample;
-	return SLOTS * PL_PACE_SLOT;
-}
-
-/* The baseline without a pace; loads carry no limit. */
-static const pl_pace_policy_t none_ = { "none", next_none_ };
-
 static pl_endpoint_load_t load_(sim_t *sim, const server_t *server)
 {
 	pl_endpoint_load_t load = pl_load_snapshot(&server->load, sim->now);
 
 	load.busy += server->queued;
 	load.request_ms = (uint32_t)server->request_ms;
-	if (sim->run->policy != &none_)
+	if (sim->run->policy != &pace_none)
 		load.limit = pl_pace_limit(&server->pace, sim->now);
 	return load;
 }
@@ -198,8 +189,8 @@
 		last = offer == OFFERS - 1 || count == 1 ||
 		       candidates[chosen].load.busy +
 				       candidates[chosen].unreported >=
-			       SLOTS;
-		if (last || server->load.busy + server->queued < SLOTS) {
+			       PACE_SLOTS;
+		if (last || server->load.busy + server->queued < PACE_SLOTS) {
 			flow->server = index[chosen];
 			request_(sim, flow);
 			return;
@@ -242,7 +233,7 @@
 				     (server->request_ms * 15 + took) / 16;
 	sample = (pl_pace_sample_t){
 		.now = sim->now,
-		.slots = SLOTS,
+		.slots = PACE_SLOTS,
 		.mean_busy =
 			pl_load_snapshot(&server->load, sim->now).mean_busy,
 	};
@@ -275,7 +266,7 @@
 		if (flow->server < 0 || !flow->pending || flow->in_service)
 			continue;
 		server = &sim->servers[flow->server];
-		if (server->load.busy < SLOTS) {
+		if (server->load.busy < PACE_SLOTS) {
 			server->queued--;
 			begin_(sim, flow);
 		}
@@ -306,8 +297,8 @@
 
 static void step_(sim_t *sim)
 {
-	double rate =
-		sim->run->load * SERVERS * SLOTS / WORK_MS / sim->run->requests;
+	double rate = sim->run->load * SERVERS * PACE_SLOTS / WORK_MS /
+		      sim->run->requests;
 	double expect;
 
 	sim->now++;
@@ -355,39 +346,6 @@
 		step_(sim);
 }
 
-/* ---- variants ---- */
-
-/* By age alone: from one slot to all in the time of the pace. */
-static uint32_t next_by_age_(const pl_pace_t *pace,
-			     const pl_pace_sample_t *sample)
-{
-	return (uint32_t)(PL_PACE_SLOT + (SLOTS - 1) * PL_PACE_SLOT *
-						 (sample->now - pace->since) /
-						 3000);
-}
-
-/* Additive increase for quick answers, multiplicative decrease for slow ones. */
-static uint32_t next_aimd_(const pl_pace_t *pace,
-			   const pl_pace_sample_t *sample)
-{
-	(void)sample;
-	return pace->slowness > 1.5 ? pace->limit * 3 / 4 : pace->limit + 250;
-}
-
-/* Gradient of the recent against the usual time to answer. */
-static uint32_t next_gradient_(const pl_pace_t *pace,
-			       const pl_pace_sample_t *sample)
-{
-	double gradient = fmax(0.5, fmin(1, 1.5 / (pace->slowness + 0.01)));
-
-	(void)sample;
-	return (uint32_t)(pace->limit * (0.8 + 0.2 * gradient)) + 250;
-}
-
-static const pl_pace_policy_t by_age_ = { "age", next_by_age_ };
-static const pl_pace_policy_t aimd_ = { "aimd", next_aimd_ };
-static const pl_pace_policy_t gradient_ = { "gradient", next_gradient_ };
-
 /* ---- events ---- */
 
 static void one_start_(void *ctx)
@@ -465,9 +423,9 @@
  * part in time is at the affected servers. */
 static double gain_(const run_t *scene)
 {
-	const pl_pace_policy_t *const others[] = { &by_age_, &aimd_,
-						   &gradient_ };
-	result_t without = measure_(scene, &none_);
+	const pl_pace_policy_t *const others[] = { &pace_by_age, &pace_aimd,
+						   &pace_gradient };
+	result_t without = measure_(scene, &pace_none);
 	result_t with = measure_(scene, &pl_pace_by_answers);
 
 	/* the figures of docs/design/pace.md */
@@ -564,7 +522,7 @@
 static void server_that_did_not_start_is_not_paced(void **state)
 {
 	const pl_pace_sample_t sample = { .now = 2000,
-					  .slots = SLOTS,
+					  .slots = PACE_SLOTS,
 					  .mean_busy = 900 };
 	pl_pace_t pace;
 
@@ -581,7 +539,7 @@
 static void usual_times_are_told_apart_by_kind(void **state)
 {
 	pl_pace_sample_t sample = { .now = 2000,
-				    .slots = SLOTS,
+				    .slots = PACE_SLOTS,
 				    .mean_busy = 900 };
 	pl_pace_t pace;
 
