Flow entry: a copy of an opening packet is refused by no reset

An agent that finds a new flow hopeless has the entry reset it, unless the entry knows of an offer that may be accepted. A copy of an opening packet that the routers send to another entry is the first packet which that one sees: it knows of no offer, while a server that another entry offered the flow to may hold it. Then the open flow was reset, in its first 0.6 s and what the copy waits on links. The two other resets of opening packets (no weight, evacuated) leave copies out.

If the first packet of a flow at an entry is a copy, an endpoint may accept it elsewhere, and the entry does not refuse it.

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -259,10 +259,14 @@
 		.due = now + flow->goal_ms -
 		       MIN(copy_age_ms_(copy), flow->goal_ms),
 	};
+	bool first = flow->opened == 0;
 
+	/* other entries had the earlier copies; their endpoints may accept */
+	if (first && copy > 0)
+		flow->offers_open = true;
 	/* a held packet that is routed again is not a new attempt */
-	if (flow->opened == 0 || (copy == 0 && entry->retry_held_since == 0 &&
-				  now - flow->opened >= OPEN_TIMEOUT_MS)) {
+	if (first || (copy == 0 && entry->retry_held_since == 0 &&
+		      now - flow->opened >= OPEN_TIMEOUT_MS)) {
 		flow->opened = now - MIN(copy_age_ms_(copy), now);
 		flow->expires = 0;
 	}
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -92,7 +92,8 @@
 	size_t offered_count;
 	/** Bit i: offered[i] refused the flow, or does not own it. */
 	unsigned int ruled_out;
-	/** An endpoint that is no longer in @c offered may accept the flow. */
+	/** An endpoint that is not in @c offered, or no longer, may accept the
+	 * flow. */
 	bool offers_open;
 	/** Agent that queued the opening packet, or 0. */
 	pl_member_id_t queueing_agent;
--- a/test/flow/owner_test.c
+++ b/test/flow/owner_test.c
@@ -59,12 +59,57 @@
 	world_delete(world);
 }
 
+static void route_to_(world_t *world, int entry)
+{
+	for (int i = 0; i < world->entry_count; i++)
+		world->in_rotation[i] = i == entry;
+}
+
+/* Lists only the agents from @p first to @p last at an entry. */
+static void publish_some_(world_t *world, int entry, int first, int last)
+{
+	for (int i = 0; i < world->agent_count; i++)
+		world->agents[i].listed = i >= first && i <= last;
+	world_publish_to(world, entry);
+}
+
+/* A copy of an opening packet reaches another entry than the first one, by
+ * which the flow was opened. All servers that this entry knows have more work
+ * than they can do in time. */
+static void hopeless_copy_resets_no_open_flow(void **state)
+{
+	world_t *world = world_new(2, 4, 5);
+
+	(void)state;
+	for (int i = 0; i < world->agent_count; i++)
+		world->servers[i].work_ms = 200;
+	world->deadline_ms = 1000;
+	publish_some_(world, 0, 0, 1);
+	publish_some_(world, 1, 2, 3);
+	route_to_(world, 1);
+	world_start_calls(world, REQUEST_BYTES, 120, 3000);
+	for (int i = 0; i < 20; i++) {
+		call_t *call;
+
+		route_to_(world, 0);
+		call = world_call(world, 500, REQUEST_BYTES, true);
+		world_run(world, 12);
+		assert_true(world_owner(world, call) >= 0);
+		route_to_(world, 1);
+		world_resend_opening(call);
+		world_start_calls(world, REQUEST_BYTES, 120, 200);
+	}
+	assert_int_equal(world->false_resets, 0);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			late_opening_packet_does_not_hide_an_open_flow),
 		cmocka_unit_test(opening_packet_handed_back_ends_no_flow),
+		cmocka_unit_test(hopeless_copy_resets_no_open_flow),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
