--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -133,10 +133,12 @@
 static pl_flow_verdict_t get_verdict_(const pl_flow_agent_t *agent,
 				      const flow_t *flow, uint32_t ack)
 {
+	pl_flow_verdict_t unknown = pl_flow_backend_knows_all_flows_(agent) ?
+					    PL_FLOW_ABSENT :
+					    PL_FLOW_UNSURE;
+
 	if (!flow)
-		return pl_flow_backend_knows_all_flows_(agent) ?
-			       PL_FLOW_ABSENT :
-			       PL_FLOW_UNSURE;
+		return unknown;
 	switch (flow->state) {
 	case FLOW_OPEN:
 		return PL_FLOW_OWNED;
@@ -145,7 +147,11 @@
 		return agent->backend_seen ? PL_FLOW_OWNED : PL_FLOW_UNSURE;
 	case FLOW_OFFERED:
 		return acknowledges_server_(flow, ack) ? PL_FLOW_OWNED :
-							 PL_FLOW_ABSENT;
+							 unknown;
+	case FLOW_NEW:
+		/* the opening packet may be a late copy of a flow that the
+		 * server has held since before this agent's start */
+		return unknown;
 	default:
 		return PL_FLOW_ABSENT;
 	}
@@ -420,6 +426,14 @@
 		handle_forward_(agent, message, &packet);
 }
 
+/* Whether the server has answered packets of the flow, or may have. It then may
+ * hold the flow although it cannot accept a copy of the opening packet. */
+static bool may_be_held_(const flow_t *flow)
+{
+	return flow->state == FLOW_OFFERED || flow->state == FLOW_PROBING ||
+	       flow->state == FLOW_OPEN;
+}
+
 /* Handles a packet that the server returned because it does not hold the
  * flow, or cannot accept a new one. */
 static void handle_bounced_(pl_flow_agent_t *agent, const pl_packet_t *packet,
@@ -432,7 +446,7 @@
 
 	agent->stats.bounced++;
 	pl_counter_add(PL_COUNTER_FLOWS_BOUNCED, 1);
-	if (!flow)
+	if (!flow || (opens && may_be_held_(flow)))
 		return;
 	agent->params.packets->clear_bounced(bytes, len);
 	keep = flow->state == FLOW_PROBING && flow->entry_keeps_copy;
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -2,7 +2,8 @@
  * @file
  * Internal structures of an entry: packets and flow cache (entry.c), messages of
  * agents (entry_verdict.c), endpoints and their load (entry_place.c), services of
- * a route (entry_split.c), lookup of a flow's owner (entry_lookup.c).
+ * a route (entry_split.c), lookup of a flow's owner (entry_lookup.c) and its
+ * probes (entry_probe.c).
  */
 #ifndef PL_FLOW_ENTRY_PRIVATE_H
 #define PL_FLOW_ENTRY_PRIVATE_H
@@ -18,6 +19,12 @@
 
 /** A caller gives up opening a flow after this time. */
 #define OPEN_TIMEOUT_MS 1400
+/** Concurrent probes of one lookup. */
+#define PROBES_MAX 4
+/** Shortest interval between two checks of a lookup. */
+#define RECHECK_MIN_MS 60
+/** Most transmissions of a query. */
+#define QUERY_SENDS_MAX 6
 
 /** Query of a lookup to one agent. */
 typedef struct {
@@ -49,6 +56,9 @@
 	GHashTable
 		*query_index; /**< agent to its position in queries, plus 1 */
 	size_t unanswered; /**< queries without an answer */
+	size_t answered_sent; /**< queries that were sent and answered */
+	size_t answered_resent; /**< those of them that were sent again */
+	pl_ms_t answers_ms; /**< sum of the times to their answers */
 	pl_packet_queue_t packets;
 	pl_ms_t packet_at; /**< arrival of the caller's last packet */
 	uint32_t ack; /**< acknowledgement number of the first packet */
@@ -82,7 +92,8 @@
 	size_t offered_count;
 	/** Bit i: offered[i] refused the flow, or does not own it. */
 	unsigned int ruled_out;
-	/** An endpoint that is no longer in @c offered may accept the flow. */
+	/** An endpoint that is not in @c offered, or no longer, may accept the
+	 * flow. */
 	bool offers_open;
 	/** Agent that queued the opening packet, or 0. */
 	pl_member_id_t queueing_agent;
@@ -141,6 +152,8 @@
 	GHashTable *unanswered_since;
 	GHashTable *dead_agents; /**< agents that membership declared dead */
 	GHashTable *retries; /**< caller's IP to caller_resets_t */
+	/** Share of answers that took another query, mean of the last lookups. */
+	double resent_share;
 	pl_flow_roster_t roster;
 	bool roster_pending; /**< a request is open */
 	pl_ms_t roster_requested_at; /**< time of the last request */
@@ -235,6 +248,16 @@
 /* entry_liveness.c */
 void pl_flow_liveness_init_(pl_flow_entry_t *entry);
 void pl_flow_liveness_finish_(pl_flow_entry_t *entry);
+/** Records the first answer to a query: how well the link carries them. */
+void pl_flow_liveness_answered_(const pl_flow_entry_t *entry, lookup_t *lookup,
+				const agent_query_t *query);
+/** Records how well the link carried the queries of a lookup that ends. */
+void pl_flow_liveness_lookup_ended_(pl_flow_entry_t *entry,
+				    const lookup_t *lookup);
+/** Whether the agent of @p query counts as dead in the lookup. */
+bool pl_flow_liveness_silence_counts_(const pl_flow_entry_t *entry,
+				      const lookup_t *lookup,
+				      const agent_query_t *query);
 /** Records that @p agent sent a message. */
 void pl_flow_liveness_heard_(pl_flow_entry_t *entry, pl_member_id_t agent);
 /** Treats the agents that a new routing table lists as alive again. */
@@ -414,5 +437,38 @@
 void pl_flow_lookup_verdict_(pl_flow_entry_t *entry, lookup_t *lookup,
 			     const pl_flow_claim_t *claim);
 void pl_flow_lookup_end_(pl_flow_entry_t *entry, lookup_t *lookup);
+/** Checks the lookup again after @p pause. */
+void pl_flow_lookup_arm_timer_(pl_flow_entry_t *entry, lookup_t *lookup,
+			       pl_ms_t pause);
+
+/* entry_probe.c */
+/** Agents of a lookup that have not ruled the flow out. */
+typedef struct {
+	size_t silent;
+	/** Silent agents that may own the flow and were not probed. */
+	size_t possible_owners;
+	size_t unsure;
+	/** All that may own it: silent, unsure or presumed to own it. */
+	size_t unresolved;
+	agent_query_t *to_probe; /**< next unsure agent to probe, or NULL */
+	bool probes_others; /**< @c to_probe is of an unexpected service */
+} pl_flow_pending_t;
+
+pl_flow_pending_t pl_flow_probe_count_pending_(const pl_flow_entry_t *entry,
+					       const lookup_t *lookup);
+/** Sends the probes that are allowed now, several in parallel. */
+void pl_flow_probe_next_(pl_flow_entry_t *entry, lookup_t *lookup,
+			 pl_flow_pending_t *pending);
+/** Updates when the agent's server got a probe. */
+void pl_flow_probe_note_(const pl_flow_entry_t *entry, agent_query_t *query,
+			 const pl_flow_claim_t *claim);
+/** Whether an agent other than the one of @p query may own the flow. */
+bool pl_flow_probe_has_other_owner_(const pl_flow_entry_t *entry,
+				    const lookup_t *lookup,
+				    const agent_query_t *query);
+/** Sends the presumed owner the next packets that it may get while the flow may
+ * have another owner. */
+void pl_flow_probe_send_to_presumed_(pl_flow_entry_t *entry, lookup_t *lookup,
+				     const agent_query_t *query);
 
 #endif
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -59,9 +59,12 @@
 	uint64_t unowned_packets; /* received, of flows that it does not hold */
 	uint64_t opened; /* flows, of all its processes */
 	uint64_t opened_while_draining;
+	uint64_t false_resets; /* of flows that it holds */
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
 	bool mute; /* takes requests and never answers them */
+	/* What it does with a copy of the packet that opened a flow. */
+	enum { COPY_ANSWERED, COPY_IGNORED, COPY_HANDED_BACK } copies;
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
 	bool resets_unowned;
@@ -231,6 +234,11 @@
 /** Starts a request on a new flow. */
 call_t *world_call(world_t *world, uint32_t ip, size_t bytes, bool keep);
 
+/** Starts @p per_s requests a second for @p ms, each of @p bytes on a new
+ * flow. */
+void world_start_calls(world_t *world, size_t bytes, unsigned int per_s,
+		       pl_ms_t ms);
+
 /** Starts another request on the flow of the completed call @p before. */
 call_t *world_call_again(world_t *world, const call_t *before);
 
