Flows of an evacuated service wait at the route's other services

Cause: when every endpoint of the service that the weights give was evacuated and the route's other service had no free slot, the split stayed with the emptied service, and the entry reset the flow as one that no endpoint can take. Nobody looked at the other services.

Change: a service without endpoints passes its flows on to a service with a weight above 0 that has endpoints, also when that one is full; they wait there.

Ruled out: reporting these flows as overflow.

--- a/include/pimentolift/balance/split.h
+++ b/include/pimentolift/balance/split.h
@@ -39,7 +39,8 @@
 	size_t share; /**< index of the service that the weights give */
 	/** PL_REASON_SHARE; PL_REASON_OVERFLOW; PL_REASON_NO_ROOM if the
 	 * service of the share has no room, but no other one accepts more than
-	 * its share; PL_REASON_NO_SERVICE if no weight is above 0. */
+	 * its share, and if it has no endpoint and no other one has room: the
+	 * flow waits at one that has endpoints, if any; PL_REASON_NO_SERVICE if no weight is above 0. */
 	pl_reason_t reason;
 } pl_split_decision_t;
 
--- a/src/balance/split.c
+++ b/src/balance/split.c
@@ -72,6 +72,11 @@
 	return service->weight > 0 && has_room_(service);
 }
 
+static bool has_endpoints_(const pl_split_service_t *service)
+{
+	return service->weight > 0 && service->endpoints > 0;
+}
+
 static bool has_weight_(const pl_split_service_t *service)
 {
 	return service->weight > 0;
@@ -102,6 +107,7 @@
 {
 	size_t share = choose_(snapshot, has_weight_);
 	pl_split_decision_t decision = { share, share, PL_REASON_SHARE };
+	bool emptied;
 	size_t other;
 
 	if (share == snapshot->count) {
@@ -111,13 +117,14 @@
 	if (has_room_(&snapshot->services[share]))
 		return decision;
 	/* the flows of a service without endpoints would be lost */
-	other = choose_(snapshot, snapshot->services[share].endpoints > 0 ?
-					  takes_overflow_ :
-					  is_alternative_);
+	emptied = snapshot->services[share].endpoints == 0;
+	other = choose_(snapshot, emptied ? is_alternative_ : takes_overflow_);
 	decision.reason = PL_REASON_NO_ROOM;
-	if (other < snapshot->count) {
-		decision.index = other;
+	if (other < snapshot->count)
 		decision.reason = PL_REASON_OVERFLOW;
-	}
+	else if (emptied)
+		other = choose_(snapshot, has_endpoints_);
+	if (other < snapshot->count)
+		decision.index = other;
 	return decision;
 }
--- a/src/flow/entry_evacuate.c
+++ b/src/flow/entry_evacuate.c
@@ -2,8 +2,9 @@
  * @file
  * Services of which every endpoint is in an evacuated data centre.
  *
- * Nothing that an entry waits for would give such a service an endpoint, so its
- * new flows are reset at once and their callers can try elsewhere.
+ * Nothing that an entry waits for would give such a service an endpoint. If all
+ * services of a route are in this state, its new flows are reset at once and
+ * their callers can try elsewhere.
  */
 #include "private/entry_private.h"
 
@@ -61,8 +62,8 @@
 	g_hash_table_destroy(before);
 }
 
-bool pl_flow_evacuate_is_emptied_(const pl_flow_entry_t *entry,
-				  pl_service_id_t service)
+static bool is_emptied_long_(const pl_flow_entry_t *entry,
+			     pl_service_id_t service)
 {
 	const pl_ms_t *since =
 		g_hash_table_lookup(entry->emptied_since, key_(service));
@@ -70,6 +71,23 @@
 	return since && pl_flow_entry_now_(entry) - *since >= EMPTIED_MIN_MS;
 }
 
+bool pl_flow_evacuate_leaves_none_(const pl_flow_entry_t *entry,
+				   const pl_flow_key_t *key)
+{
+	pl_route_share_t shares[PL_ROUTE_SHARES_MAX];
+	size_t count = pl_flow_entry_shares_(entry, key, shares);
+	bool found = false;
+
+	for (size_t i = 0; i < count; i++) {
+		if (shares[i].weight == 0)
+			continue;
+		if (!is_emptied_long_(entry, shares[i].service->id))
+			return false;
+		found = true;
+	}
+	return found;
+}
+
 bool pl_flow_evacuate_reject_(pl_flow_entry_t *entry, const cached_flow_t *flow,
 			      const uint8_t *bytes, size_t len)
 {
@@ -77,7 +95,7 @@
 
 	/* A later copy of the packet, or one that was held, may belong to a
 	 * flow that an endpoint has accepted meanwhile. */
-	if (!pl_flow_evacuate_is_emptied_(entry, flow->service) ||
+	if (!pl_flow_evacuate_leaves_none_(entry, &flow->node.key) ||
 	    entry->retry_held_since != 0 ||
 	    !entry->params.packets->read(bytes, len, &packet) ||
 	    !pl_packet_opens(&packet) || packet.ack != 0)
--- a/src/flow/entry_explain.c
+++ b/src/flow/entry_explain.c
@@ -102,8 +102,7 @@
 	if (choice.endpoint) {
 		out->chosen = choice.chosen;
 		set_step_(out, PL_FLOW_STEP_OFFER, PL_REASON_LEAST_LOADED);
-	} else if (pl_flow_evacuate_is_emptied_(entry,
-						choice.split.service->id)) {
+	} else if (pl_flow_evacuate_leaves_none_(entry, &flow->node.key)) {
 		set_step_(out, PL_FLOW_STEP_RESET, PL_REASON_EVACUATED);
 	}
 }
--- a/src/flow/entry_split.c
+++ b/src/flow/entry_split.c
@@ -304,10 +304,10 @@
 	get_summary_(entry, split->service)->placed++;
 	if (flow->offered_count == 1)
 		count_share_(entry, flow, split);
-	if (split->reason != PL_REASON_OVERFLOW) {
+	if (split->service == split->share)
 		pl_counter_add(PL_COUNTER_FLOWS_BY_SHARE, 1);
+	if (split->reason != PL_REASON_OVERFLOW)
 		return;
-	}
 	entry->stats.overflowed++;
 	pl_counter_add(PL_COUNTER_FLOWS_OVERFLOWED, 1);
 	pl_event(PL_EVENT_FLOW_OVERFLOWED,
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -223,14 +223,15 @@
 void pl_flow_evacuate_init_(pl_flow_entry_t *entry);
 void pl_flow_evacuate_finish_(pl_flow_entry_t *entry);
 void pl_flow_evacuate_routing_changed_(pl_flow_entry_t *entry);
-/** Resets a new flow whose service has only evacuated endpoints, and has had no
- * others for a while; returns false if it did not. */
+/** Resets a new flow of a route that is left without endpoints; returns false
+ * if it did not. */
 bool pl_flow_evacuate_reject_(pl_flow_entry_t *entry, const cached_flow_t *flow,
 			      const uint8_t *bytes, size_t len);
 
-/** Whether the service has had only evacuated endpoints for a while. */
-bool pl_flow_evacuate_is_emptied_(const pl_flow_entry_t *entry,
-				  pl_service_id_t service);
+/** Whether all services with a weight above 0 that the route of the flow names
+ * have had only evacuated endpoints for a while. */
+bool pl_flow_evacuate_leaves_none_(const pl_flow_entry_t *entry,
+				   const pl_flow_key_t *key);
 
 /* entry_liveness.c */
 void pl_flow_liveness_init_(pl_flow_entry_t *entry);
--- a/test/balance/split_test.c
+++ b/test/balance/split_test.c
@@ -172,6 +172,22 @@
 	assert_int_equal(decision.reason, PL_REASON_OVERFLOW);
 }
 
+/* Guards against flows that are rejected although they could wait for a slot. */
+static void flows_wait_at_a_service_that_has_endpoints(void **state)
+{
+	const pl_split_service_t services[] = {
+		{ .service = 1, .weight = 1000000 },
+		{ 2, 1, 10, 100, 100, 100 },
+		{ 3, 0, 10, 100, 0, 0 },
+	};
+	pl_split_decision_t decision = choose_(services, 3, 1);
+
+	(void)state;
+	assert_int_equal(decision.share, 0);
+	assert_int_equal(decision.index, 1);
+	assert_int_equal(decision.reason, PL_REASON_NO_ROOM);
+}
+
 static void service_of_weight_0_is_never_chosen(void **state)
 {
 	const pl_split_service_t drained[] = { { .service = 1 },
@@ -200,6 +216,7 @@
 			full_service_overflows_into_what_others_can_spare),
 		cmocka_unit_test(
 			service_without_endpoints_uses_all_room_of_others),
+		cmocka_unit_test(flows_wait_at_a_service_that_has_endpoints),
 		cmocka_unit_test(service_of_weight_0_is_never_chosen),
 	};
 
--- a/test/flow/evacuate_test.c
+++ b/test/flow/evacuate_test.c
@@ -1,6 +1,8 @@
 #include "world.h"
 
 #define CALLERS 30
+/** Within a second and a half, more than two servers can serve meanwhile. */
+#define LOADED_CALLERS 180
 #define SMALL_BYTES 200
 #define AGENTS 4
 /** Data centre that the tests evacuate, with the servers FIRST to LAST; the
@@ -209,6 +211,46 @@
 	world_delete(world);
 }
 
+/* The first service of the route is evacuated as a whole, and the second one has
+ * more work than slots: flows wait there. Only when that one is evacuated too,
+ * nothing is left to wait for. */
+static void flows_are_kept_while_another_service_has_endpoints(void **state)
+{
+	world_t *world = world_in_two_datacentres_(9);
+	call_t *calls[LOADED_CALLERS];
+	call_t *call;
+
+	(void)state;
+	world_split_services(world, LAST + 1);
+	world->weighted = true;
+	world->weights[0] = 900000;
+	world->weights[1] = 100000;
+	world_run(world, 1100);
+	set_gates_(world, FIRST, LAST, true);
+	tell_entries_(world, true);
+	world_run(world, 3000);
+	for (int i = LAST + 1; i < AGENTS; i++)
+		world->servers[i].work_ms = 60;
+	for (uint32_t i = 0; i < LOADED_CALLERS; i++) {
+		calls[i] = world_call(world, 1 + i, SMALL_BYTES, false);
+		world_run(world, 6);
+	}
+	world_run(world, WORLD_DEADLINE_MS);
+	for (int i = 0; i < LOADED_CALLERS; i++) {
+		assert_int_equal(calls[i]->resets, 0);
+		assert_int_equal(calls[i]->state, CALL_DONE);
+	}
+	assert_int_equal(flows_in_evacuated_(world), 0);
+	set_gates_(world, LAST + 1, AGENTS - 1, true);
+	pl_evacuations_add(&world->evacuations, ELSEWHERE);
+	world_publish(world);
+	world_run(world, 3000);
+	call = world_call(world, 1, SMALL_BYTES, false);
+	world_run(world, 50);
+	assert_true(call->resets > 0);
+	world_delete(world);
+}
+
 /* A copy of the opening packet that arrives once the flow is open must neither
  * be rejected nor open the flow at a second server. */
 static void late_copies_harm_no_open_flow(void **state)
@@ -284,6 +326,8 @@
 		cmocka_unit_test(queued_flows_are_handed_back),
 		cmocka_unit_test(new_flows_return_after_the_withdrawal),
 		cmocka_unit_test(flows_are_rejected_once_no_endpoint_is_left),
+		cmocka_unit_test(
+			flows_are_kept_while_another_service_has_endpoints),
 		cmocka_unit_test(late_copies_harm_no_open_flow),
 		cmocka_unit_test(reused_ports_open_flows_elsewhere),
 	};
