soak of flows: fault "weights", and a check of who gets new flows

The soak never gave its route several services with weights. The fault names both services, with weights of which one may be 0; a later change of the configuration names one service again.

Check: a server starts no request on a flow that its caller opened more than 3 s (the time of a change in the settings that the processes run with) after the service lost its share, which holds for changes of the configuration too. The time starts anew while the store has a fault or an entry is stopped, as neither can learn of a change.

--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -159,7 +159,7 @@
 
 	if (!g_hash_table_add(soak->started_requests, name))
 		soak_report_breach(soak, "request %s ran twice", name);
-	(void)server;
+	soak_check_share(soak, server, key);
 }
 
 static const world_transport_t transport_ = {
@@ -264,6 +264,7 @@
 	soak_step_nodes(soak);
 	check_drains_(soak);
 	soak_check_evacuation(soak);
+	soak_step_shares(soak);
 	if (soak->world->false_resets > 0)
 		soak_report_breach(soak,
 				   "a flow was reset while its server held it");
--- a/test/soak/flow_soak.h
+++ b/test/soak/flow_soak.h
@@ -20,6 +20,9 @@
 /** Time after an acknowledged evacuation, with the store in order, from which
  * no new flow may arrive. */
 #define SOAK_EVACUATE_LIMIT_MS 5000
+/** Time after an acknowledged configuration, with the store in order, from which
+ * it has to be followed: the default of the processes' settings. */
+#define SOAK_CONFIG_LIMIT_MS 3000
 #define SOAK_DATACENTRES 3
 
 /** A process under test. */
@@ -63,6 +66,11 @@
 	bool store_goes_back; /* it comes back from its last copy */
 	unsigned int version; /* of the configuration */
 	const char *target; /* service that the route sends new flows to */
+	bool weighted; /* the route names both services instead */
+	unsigned int weights[WORLD_SERVICES]; /* desk, other */
+	/* Acknowledged end of new flows, or the last fault after which a process
+	 * may not know of it; 0: the service takes new flows. */
+	pl_ms_t closed_since[WORLD_SERVICES];
 	int evacuated; /* data centre that operators evacuate, or -1 */
 	pl_ms_t evacuated_since; /* acknowledged, or the store's last fault */
 	uint64_t opened[SOAK_NODES_MAX]; /* flows, at the last check */
@@ -97,6 +105,13 @@
 bool soak_store_config(soak_t *soak);
 /** Sends new flows to another service, and may leave the former one out. */
 void soak_change_config(soak_t *soak);
+/** Gives the route both services, with weights of which one may be 0. */
+void soak_change_weights(soak_t *soak);
+/** Defers the check of shares while processes cannot learn of a change. */
+void soak_step_shares(soak_t *soak);
+/** Reports a flow whose service had no share when its caller opened it. */
+void soak_check_share(soak_t *soak, const server_t *server,
+		      const pl_flow_key_t *key);
 /** Evacuates a data centre, or withdraws the request. */
 void soak_change_evacuation(soak_t *soak);
 /** Withdraws the request to evacuate, if there is one. */
--- a/test/soak/flow_soak_nodes.c
+++ b/test/soak/flow_soak_nodes.c
@@ -506,6 +506,7 @@
 		{ "config", soak_change_config },
 		{ "config", soak_change_config },
 		{ "evacuate", soak_change_evacuation },
+		{ "weights", soak_change_weights },
 		{ "foreign-report", soak_send_foreign_report },
 		{ "foreign-entry", soak_store_foreign_entry },
 	};
--- a/test/soak/flow_soak_writers.c
+++ b/test/soak/flow_soak_writers.c
@@ -118,44 +118,146 @@
 	}
 }
 
+static const char *const services_[] = { WORLD_SERVICE, WORLD_OTHER_SERVICE };
+
+static bool takes_new_flows_(const soak_t *soak, int service)
+{
+	return soak->weighted ? soak->weights[service] > 0 :
+				strcmp(soak->target, services_[service]) == 0;
+}
+
+static void append_target_(const soak_t *soak, GString *text)
+{
+	static const char backend[] = "%s{\"service\":\"%s\",\"weight\":%u}";
+
+	if (!soak->weighted) {
+		g_string_append_printf(text, "\"service\":\"%s\"}",
+				       soak->target);
+		return;
+	}
+	g_string_append(text, "\"backends\":[");
+	for (int i = 0; i < WORLD_SERVICES; i++)
+		g_string_append_printf(text, backend, i > 0 ? "," : "",
+				       services_[i], soak->weights[i]);
+	g_string_append(text, "]}");
+}
+
 /* The callers' route, and one to the other service unless that is left out. */
 bool soak_store_config(soak_t *soak)
 {
 	static const char route[] = "{\"host\":\"198.18.0.%d\","
 				    "\"prefix\":\"/8443/\",\"goal_ms\":200,"
-				    "\"priority\":1,\"service\":\"%s\"}";
+				    "\"priority\":1,";
 	bool desk = strcmp(soak->target, WORLD_SERVICE) == 0;
 	GString *text = g_string_new(NULL);
 	bool stored;
 
 	g_string_append_printf(text, "{\"version\":%u,\"routes\":[",
 			       soak->version);
-	g_string_append_printf(text, route, 1, soak->target);
+	g_string_append_printf(text, route, 1);
+	append_target_(soak, text);
 	if (!soak->left_out) {
 		g_string_append_c(text, ',');
-		g_string_append_printf(text, route, 2,
-				       desk ? WORLD_OTHER_SERVICE :
-					      WORLD_SERVICE);
+		g_string_append_printf(text, route, 2);
+		g_string_append_printf(text, "\"service\":\"%s\"}",
+				       services_[desk]);
 	}
 	g_string_append(text, "],\"services\":[]}");
 	stored = store_(soak, pl_platform_config_key, text->str);
 	g_string_free(text, TRUE);
+	for (int i = 0; i < WORLD_SERVICES; i++) {
+		if (takes_new_flows_(soak, i))
+			soak->closed_since[i] = 0;
+		else if (soak->closed_since[i] == 0)
+			soak->closed_since[i] = soak->world->now;
+	}
 	return stored;
 }
 
+static void step_version_(soak_t *soak)
+{
+	soak->version += (unsigned int)g_rand_int_range(soak->random, 1,
+							VERSION_STEP_MAX + 1);
+}
+
+static void write_config_(soak_t *soak)
+{
+	if (!soak_store_config(soak))
+		soak_report_breach(soak, "the store refused the configuration");
+}
+
+void soak_change_weights(soak_t *soak)
+{
+	static const unsigned int weights[][WORLD_SERVICES] = {
+		{ 90, 10 }, { 50, 50 }, { 100, 0 }, { 0, 1 }
+	};
+	int choice = g_rand_int_range(soak->random, 0, G_N_ELEMENTS(weights));
+
+	/* the store would not confirm the write */
+	if (soak->store_up_at != 0)
+		return;
+	step_version_(soak);
+	soak->weighted = true;
+	memcpy(soak->weights, weights[choice], sizeof(soak->weights));
+	write_config_(soak);
+}
+
+void soak_step_shares(soak_t *soak)
+{
+	bool disturbed = soak->store_up_at != 0;
+
+	for (int i = 0; i < soak->entries; i++)
+		disturbed = disturbed || soak->nodes[i].resume_at != 0;
+	for (int i = 0; disturbed && i < WORLD_SERVICES; i++) {
+		if (soak->closed_since[i] != 0)
+			soak->closed_since[i] = soak->world->now;
+	}
+}
+
+/* The call that opened the flow, or NULL if a later one used it. */
+static const call_t *find_opener_(const soak_t *soak, const pl_flow_key_t *key)
+{
+	const GPtrArray *calls = soak->world->calls;
+
+	for (guint i = calls->len; i-- > 0;) {
+		const call_t *call = calls->pdata[i];
+
+		if (call->ip == key->caller_ip &&
+		    call->port == key->caller_port)
+			return call->flow_reused ? NULL : call;
+	}
+	return NULL;
+}
+
+void soak_check_share(soak_t *soak, const server_t *server,
+		      const pl_flow_key_t *key)
+{
+	const char *name = soak->world->agents[server->index].service;
+	int service = strcmp(name, WORLD_SERVICE) != 0;
+	pl_ms_t closed_since = soak->closed_since[service];
+	const call_t *call = find_opener_(soak, key);
+
+	/* the call may have opened the flow later than it started */
+	if (call && closed_since != 0 && call->started > closed_since &&
+	    call->started - closed_since > SOAK_CONFIG_LIMIT_MS)
+		soak_report_breach(soak,
+				   "server %d received a new flow although %s "
+				   "takes none",
+				   server->index, name);
+}
+
 void soak_change_config(soak_t *soak)
 {
 	/* the store would not confirm the write */
 	if (soak->store_up_at != 0)
 		return;
-	soak->version += (unsigned int)g_rand_int_range(soak->random, 1,
-							VERSION_STEP_MAX + 1);
+	step_version_(soak);
+	soak->weighted = false;
 	soak->target = strcmp(soak->target, WORLD_SERVICE) == 0 ?
 			       WORLD_OTHER_SERVICE :
 			       WORLD_SERVICE;
 	soak->left_out = g_rand_boolean(soak->random);
-	if (!soak_store_config(soak))
-		soak_report_breach(soak, "the store refused the configuration");
+	write_config_(soak);
 }
 
 void soak_store_foreign_entry(soak_t *soak)
