A watcher that the store turns away hands the watch over

Cause: the watchers of a data centre are the two members with the highest hash, whether the store serves them or not. If it turned away just these, nobody learned of a configuration or of a request to evacuate until it served them again.

Change: after two failed calls in a row, or one that timed out, a watcher stops and tells the first eight members of its data centre whose watch failed how long ago (frame config-handover, event 407). The order of the watchers puts members that failed last, the most recent failure at the end, so the watch passes on until a member is served. The delay between calls goes with it: an outage causes no more calls than before. A member that failed watches again after 30 s; one that starts beside it is told.

Ruled out: signs of life of the watchers to everybody (messages all the time for a rare case); the state in the membership's datagrams (goes to all agents and data centres); letting those that take over call in addition (config_sync platform_outage_causes_few_calls_and_no_delay allows 156 calls in 60 s for six watchers).

Tests: config_watchers, new. The requests to evacuate come with the same call as the document; no test turns away the watchers of real processes, as the stand-in store cannot tell its callers apart.

--- a/include/pimentolift/config_codec.h
+++ b/include/pimentolift/config_codec.h
@@ -2,11 +2,13 @@
  * @file
  * @defgroup config_codec Codec of configuration frames
  *
- * Bodies of the frames PL_PEER_CONFIG_PULL and PL_PEER_CONFIG_PUSH. A pull is
- * the msgpack array [have]. A push is [kind, revision, base, hash,
- * [[changed_revision, section]...], [[name, removed_revision]...]]; a section
- * is the canonical encoding of @ref document and is relayed unchanged. A
- * receiver ignores trailing array elements that it does not know.
+ * Bodies of the frames PL_PEER_CONFIG_PULL, PL_PEER_CONFIG_PUSH and
+ * PL_PEER_CONFIG_HANDOVER. A pull is the msgpack array [have]. A push is [kind,
+ * revision, base, hash, [[changed_revision, section]...], [[name,
+ * removed_revision]...]]; a section is the canonical encoding of @ref document
+ * and is relayed unchanged. A handover is [failed_calls, [[member,
+ * age_ms]...]]. A receiver ignores trailing array elements that it does not
+ * know.
  * @{
  */
 #ifndef PIMENTOLIFT_CONFIG_CODEC_H
@@ -53,6 +55,22 @@
 	size_t removal_count;
 } pl_config_push_t;
 
+/** Failures that a handover lists at most. */
+#define PL_CONFIG_FAILURES_MAX 32
+
+/** The last failed watch of a member. */
+typedef struct {
+	pl_member_id_t member;
+	uint64_t age_ms;
+} pl_config_failure_t;
+
+/** Body of a handover: the sender no longer watches the store. */
+typedef struct {
+	uint64_t failed_calls; /**< in a row, also those of earlier watchers */
+	pl_config_failure_t failures[PL_CONFIG_FAILURES_MAX];
+	size_t count;
+} pl_config_handover_t;
+
 /**
  * Appends a pull to @p out; @p have is the revision held, 0 for none, or
  * @ref PL_CONFIG_PULL_REVISION_ONLY.
@@ -72,6 +90,14 @@
 pl_result_t pl_config_decode_push(const uint8_t *body, size_t len,
 				  pl_config_push_t *push);
 
+void pl_config_encode_handover(const pl_config_handover_t *handover,
+			       GByteArray *out);
+
+/** Decodes a handover; failures past the first PL_CONFIG_FAILURES_MAX are
+ * ignored. */
+pl_result_t pl_config_decode_handover(const uint8_t *body, size_t len,
+				      pl_config_handover_t *handover);
+
 /** Frees the section and removal lists of a push. */
 void pl_config_push_finish(pl_config_push_t *push);
 
--- a/include/pimentolift/config_sync.h
+++ b/include/pimentolift/config_sync.h
@@ -5,7 +5,8 @@
  * Keeps the newest configuration document in force on one member. The module
  * has no sockets, threads or clock of its own. A member learns of a new
  * revision in three ways: it watches the key-value store, if it is one of the
- * few watchers; peers announce their revision by gossip; and peers send an
+ * few watchers (a watcher that the store fails hands over to another member);
+ * peers announce their revision by gossip; and peers send an
  * offer as soon as they hold a new revision. The member then pulls the changed
  * sections from the peer that announced the revision. The revision in force
  * never decreases: older documents are ignored, whatever their source.
@@ -138,7 +139,8 @@
 void pl_config_sync_peer_revision(pl_config_sync_t *sync, pl_member_id_t peer,
 				  uint64_t revision);
 
-/** Handles a frame of type PL_PEER_CONFIG_PULL or PL_PEER_CONFIG_PUSH. */
+/** Handles a frame of type PL_PEER_CONFIG_PULL, PL_PEER_CONFIG_PUSH or
+ * PL_PEER_CONFIG_HANDOVER. */
 pl_result_t pl_config_sync_frame(pl_config_sync_t *sync,
 				 const pl_peer_frame_t *frame);
 
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -104,6 +104,8 @@
 	  "this member starts or resumes its watch of the configuration")      \
 	X(PL_EVENT_CONFIG_BEHIND, 406, "config-behind", WARNING,               \
 	  "a known revision could not be pulled in time; the store is read")   \
+	X(PL_EVENT_CONFIG_HANDOVER, 407, "config-handover", WARNING,           \
+	  "the store fails for this member; others watch the configuration")   \
 	X(PL_EVENT_PLATFORM_DOWN, 410, "platform-down", WARNING,               \
 	  "the platform's key-value service does not answer")                  \
 	X(PL_EVENT_ROSTER_FAILED, 412, "roster-failed", WARNING,               \
--- a/include/pimentolift/peer.h
+++ b/include/pimentolift/peer.h
@@ -34,7 +34,8 @@
 	X(PL_PEER_ROSTER_REQUEST, 12, "roster-request") \
 	X(PL_PEER_ROSTER, 13, "roster-response")        \
 	X(PL_PEER_REGISTER, 14, "register")             \
-	X(PL_PEER_REGISTERED, 15, "registered")
+	X(PL_PEER_REGISTERED, 15, "registered")         \
+	X(PL_PEER_CONFIG_HANDOVER, 16, "config-handover")
 
 typedef enum {
 #define PL_PEER_ENUM_(id, number, name) id = (number),
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -155,6 +155,7 @@
 	pl_sync_start_init(sync);
 	pl_sync_pull_init(sync);
 	pl_sync_serve_init(sync);
+	pl_sync_watchers_init(sync);
 	pl_sync_watch_init(sync);
 	return sync;
 }
@@ -164,6 +165,7 @@
 	if (!sync)
 		return;
 	pl_sync_watch_finish(sync);
+	pl_sync_watchers_finish(sync);
 	pl_sync_serve_finish(sync);
 	pl_sync_pull_finish(sync);
 	pl_sync_start_finish(sync);
@@ -199,6 +201,7 @@
 		g_array_append_val(sync->peers, item);
 		set_peer_index_(sync, peer, sync->peers->len - 1);
 	}
+	pl_sync_watchers_peer_up(sync, &item);
 	pl_sync_watch_evaluate_soon(sync);
 }
 
@@ -229,6 +232,8 @@
 	sync->stats.bytes_in += frame->body_len;
 	if (frame->type == PL_PEER_CONFIG_PULL)
 		return pl_sync_handle_pull(sync, frame);
+	if (frame->type == PL_PEER_CONFIG_HANDOVER)
+		return pl_sync_handle_handover(sync, frame);
 	assert(frame->type == PL_PEER_CONFIG_PUSH);
 	return pl_sync_handle_push(sync, frame);
 }
--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -2,7 +2,8 @@
  * @file
  * Parts of the configuration core: start (sync_start.c), pulls and received
  * pushes (sync_pull.c), responses and announcements to peers (sync_serve.c),
- * the platform (sync_watch.c), and the public functions (config_sync.c).
+ * the platform (sync_watch.c), the choice of those that watch it
+ * (sync_watchers.c), and the public functions (config_sync.c).
  */
 #ifndef PL_CONFIG_SYNC_PRIVATE_H
 #define PL_CONFIG_SYNC_PRIVATE_H
@@ -73,6 +74,12 @@
 	uint64_t reported_revision; /**< last revision reported as invalid */
 } watch_t;
 
+/** Failed watches of the members of this data centre. */
+typedef struct {
+	pl_timer_t timer; /**< next removal of old failures */
+	GArray *failures; /**< failure_t, one for each member */
+} watchers_t;
+
 struct pl_config_sync {
 	pl_member_id_t self;
 	pl_datacentre_id_t datacentre;
@@ -89,6 +96,7 @@
 	announcement_t announcement;
 	rate_limit_t pull_limit;
 	watch_t watch;
+	watchers_t watchers;
 	pl_ms_t older_logged_at;
 	pl_config_sync_stats_t stats;
 };
@@ -177,17 +185,16 @@
 
 /* sync_watch.c */
 
-/**
- * Whether this member ranks high enough in its data centre to watch the
- * platform.
- */
-bool pl_sync_is_watcher(const pl_config_sync_t *sync);
 void pl_sync_watch_init(pl_config_sync_t *sync);
 void pl_sync_watch_finish(pl_config_sync_t *sync);
 
 /** Schedules the decision whether to watch, after a membership change. */
 void pl_sync_watch_evaluate_soon(pl_config_sync_t *sync);
 
+/** Starts or ends the watch as this member is one of the watchers or not.
+ * @p failed_calls of earlier watchers in a row delay the start. */
+void pl_sync_watch_evaluate(pl_config_sync_t *sync, unsigned int failed_calls);
+
 /**
  * Returns the document in a reply of the platform if it is valid and newer
  * than the one in force, else NULL.
@@ -195,4 +202,28 @@
 pl_document_t *pl_sync_reply_document(pl_config_sync_t *sync,
 				      const pl_kv_reply_t *reply);
 
+/* sync_watchers.c */
+
+void pl_sync_watchers_init(pl_config_sync_t *sync);
+void pl_sync_watchers_finish(pl_config_sync_t *sync);
+
+/**
+ * Whether this member is among the first of its data centre that should watch
+ * the platform.
+ */
+bool pl_sync_is_watcher(const pl_config_sync_t *sync);
+
+/** Hands the watch over to other members after it has failed repeatedly; goes
+ * on if all others failed more recently. */
+void pl_sync_watch_hand_over(pl_config_sync_t *sync);
+
+/** The platform answered this member's watch. */
+void pl_sync_watch_succeeded(pl_config_sync_t *sync);
+
+/** Tells a member that may have started anew that this one does not watch. */
+void pl_sync_watchers_peer_up(pl_config_sync_t *sync, const peer_t *peer);
+
+pl_result_t pl_sync_handle_handover(pl_config_sync_t *sync,
+				    const pl_peer_frame_t *frame);
+
 #endif
--- a/src/config/sync_watch.c
+++ b/src/config/sync_watch.c
@@ -1,21 +1,24 @@
 /**
  * @file
- * Watch of the platform: selection of the watchers, and the documents received.
+ * Watch of the platform, and the documents received.
  */
 #include "private/sync_private.h"
 
 #include <pimentolift/envelope.h>
 #include <pimentolift/event.h>
-#include <pimentolift/hash.h>
 
 /** Delay from a membership change to the selection of watchers. */
 #define EVALUATE_DELAY_MS 500
 /** Shortest time between the starts of two watches. */
 #define WATCH_INTERVAL_MS 100
-/** First delay after a failed watch; doubled after each further failure. */
+/** First delay after a failed watch; doubled after each further failure, also
+ * by members that take over, so that an outage causes no more calls. */
 #define WATCH_DELAY_MS 250
 /** Longest delay after a failed watch. */
 #define WATCH_DELAY_MAX_MS 3000
+/** Failed calls in a row after which another member takes over; a waiting watch
+ * alone may be cut at any time. */
+#define HANDOVER_FAILURES 2
 /** Longest delay of the read after a restore of the platform, so that the
  * watchers do not all read at once. */
 #define RESTORED_READ_MS 100
@@ -39,29 +42,6 @@
 		sync->ops->unwatch(sync->ctx);
 }
 
-/* Rendezvous hashing: in each data centre the members with the highest scores
- * are the watchers. */
-static uint64_t watcher_score_(pl_member_id_t member,
-			       pl_datacentre_id_t datacentre)
-{
-	return pl_hash(&member, sizeof(member), datacentre);
-}
-
-bool pl_sync_is_watcher(const pl_config_sync_t *sync)
-{
-	uint64_t own = watcher_score_(sync->self, sync->datacentre);
-	unsigned int higher = 0;
-
-	for (guint i = 0; i < sync->peers->len; i++) {
-		const peer_t *peer = &g_array_index(sync->peers, peer_t, i);
-
-		if (peer->datacentre == sync->datacentre &&
-		    watcher_score_(peer->id, sync->datacentre) > own)
-			higher++;
-	}
-	return higher < sync->params.watchers;
-}
-
 static void log_watch_(const pl_config_sync_t *sync)
 {
 	const pl_kv_position_t *position = &sync->watch.position;
@@ -83,23 +63,41 @@
 	sync->ops->watch(sync->ctx, sync->watch.position);
 }
 
-static void on_evaluate_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+/* Delay after the failed call @p number in a row, from 0 on. */
+static pl_ms_t failure_delay_(pl_config_sync_t *sync, unsigned int number)
+{
+	pl_ms_t delay = (pl_ms_t)WATCH_DELAY_MS
+			<< MIN(number, WATCH_DOUBLINGS_MAX);
+
+	return pl_sync_jitter(sync, MIN(delay, WATCH_DELAY_MAX_MS));
+}
+
+static void start_watching_(pl_config_sync_t *sync, unsigned int failed_calls)
+{
+	if (failed_calls == 0) {
+		log_watch_(sync);
+		open_watch_(sync);
+		return;
+	}
+	sync->watch.failures = failed_calls;
+	pl_timer_arm(sync->timers, &sync->watch.retry,
+		     pl_sync_now(sync) +
+			     failure_delay_(sync, failed_calls - 1));
+}
+
+void pl_sync_watch_evaluate(pl_config_sync_t *sync, unsigned int failed_calls)
 {
-	pl_config_sync_t *sync = ctx;
 	watch_t *watch = &sync->watch;
 	bool is_watcher = sync->phase == PHASE_RUNNING &&
 			  !sync->params.replica_only &&
 			  pl_sync_is_watcher(sync);
 
-	(void)timer;
-	(void)now;
 	if (is_watcher == watch->is_watcher)
 		return;
 	watch->is_watcher = is_watcher;
 	watch->position = (pl_kv_position_t){ 0 };
 	if (is_watcher) {
-		log_watch_(sync);
-		open_watch_(sync);
+		start_watching_(sync, failed_calls);
 		return;
 	}
 	pl_timer_cancel(sync->timers, &watch->retry);
@@ -108,6 +106,13 @@
 	watch->open = false;
 }
 
+static void on_evaluate_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
+{
+	(void)timer;
+	(void)now;
+	pl_sync_watch_evaluate(ctx, 0);
+}
+
 void pl_sync_watch_evaluate_soon(pl_config_sync_t *sync)
 {
 	if (sync->phase == PHASE_RUNNING &&
@@ -129,20 +134,13 @@
 	open_watch_(sync);
 }
 
-static pl_ms_t failure_delay_(pl_config_sync_t *sync)
+/* Delay until the next watch after a failed one. */
+static pl_ms_t note_failure_(pl_config_sync_t *sync)
 {
-	watch_t *watch = &sync->watch;
-	unsigned int doublings = watch->failures < WATCH_DOUBLINGS_MAX ?
-					 watch->failures :
-					 WATCH_DOUBLINGS_MAX;
-	pl_ms_t delay = (pl_ms_t)WATCH_DELAY_MS << doublings;
-
-	watch->failures++;
 	/* The platform may return from an older copy, with fewer changes than
 	 * before: the next call reads the present value. */
-	watch->position = (pl_kv_position_t){ 0 };
-	return pl_sync_jitter(
-		sync, delay < WATCH_DELAY_MAX_MS ? delay : WATCH_DELAY_MAX_MS);
+	sync->watch.position = (pl_kv_position_t){ 0 };
+	return failure_delay_(sync, sync->watch.failures++);
 }
 
 /* Delay until the next watch after a successful one. */
@@ -153,6 +151,7 @@
 	pl_ms_t now = pl_sync_now(sync);
 
 	watch->failures = 0;
+	pl_sync_watch_succeeded(sync);
 	/* the index decreased: the store was reset, so start from 0 */
 	if (position.index < watch->position.index)
 		position.index = 0;
@@ -256,11 +255,15 @@
 	if (reply->result == PL_OK || reply->result == PL_ERR_NOT_FOUND)
 		delay = success_delay_(sync, reply->position);
 	else
-		delay = failure_delay_(sync);
+		delay = note_failure_(sync);
 	document = pl_sync_reply_document(sync, reply);
 	if (document)
 		pl_sync_put_in_force(sync, document);
 	pl_document_put(document);
+	/* a call that timed out took longer than several that were refused */
+	if (sync->watch.failures >= HANDOVER_FAILURES ||
+	    reply->result == PL_ERR_TIMEOUT)
+		pl_sync_watch_hand_over(sync);
 	if (sync->watch.is_watcher)
 		pl_timer_arm(sync->timers, &sync->watch.retry,
 			     pl_sync_now(sync) + delay);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -186,6 +186,7 @@
 		break;
 	case PL_PEER_CONFIG_PULL:
 	case PL_PEER_CONFIG_PUSH:
+	case PL_PEER_CONFIG_HANDOVER:
 		pl_node_config_frame(node->config, frame);
 		break;
 	case PL_PEER_ROSTER_REQUEST:
@@ -214,6 +215,7 @@
 		break;
 	case PL_PEER_CONFIG_PULL:
 	case PL_PEER_CONFIG_PUSH:
+	case PL_PEER_CONFIG_HANDOVER:
 		pl_node_config_frame_failed(node->config, frame);
 		break;
 	case PL_PEER_ROSTER_REQUEST:
--- a/src/proto/config_codec.c
+++ b/src/proto/config_codec.c
@@ -9,10 +9,12 @@
 #include <msgpack.h>
 #include <string.h>
 
-/* Minimum lengths of the arrays of a pull, a push, and a pair in its lists. */
+/* Minimum lengths of the arrays of a pull, a push, a pair in a list, and a
+ * handover. */
 #define PULL_FIELDS 1
 #define PUSH_FIELDS 6
 #define PAIR_FIELDS 2
+#define HANDOVER_FIELDS 2
 
 static int append_bytes_(void *data, const char *bytes, size_t len)
 {
@@ -60,6 +62,22 @@
 	}
 }
 
+void pl_config_encode_handover(const pl_config_handover_t *handover,
+			       GByteArray *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, append_bytes_);
+	msgpack_pack_array(&packer, HANDOVER_FIELDS);
+	msgpack_pack_uint64(&packer, handover->failed_calls);
+	msgpack_pack_array(&packer, handover->count);
+	for (size_t i = 0; i < handover->count; i++) {
+		msgpack_pack_array(&packer, PAIR_FIELDS);
+		msgpack_pack_uint64(&packer, handover->failures[i].member);
+		msgpack_pack_uint64(&packer, handover->failures[i].age_ms);
+	}
+}
+
 /* Elements of @p object if it is an array of at least @p min, else NULL. */
 static const msgpack_object *array_elements_(const msgpack_object *object,
 					     size_t min)
@@ -153,6 +171,44 @@
 	       read_sections_(&at[4], push) && read_removals_(&at[5], push);
 }
 
+static bool read_handover_(const msgpack_object *root,
+			   pl_config_handover_t *handover)
+{
+	const msgpack_object *at = array_elements_(root, HANDOVER_FIELDS);
+
+	if (!at || !read_number_(&at[0], &handover->failed_calls) ||
+	    at[1].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	handover->count = MIN(at[1].via.array.size, PL_CONFIG_FAILURES_MAX);
+	for (size_t i = 0; i < handover->count; i++) {
+		const msgpack_object *pair =
+			array_elements_(&at[1].via.array.ptr[i], PAIR_FIELDS);
+		pl_config_failure_t *failure = &handover->failures[i];
+
+		if (!pair || !read_number_(&pair[0], &failure->member) ||
+		    !read_number_(&pair[1], &failure->age_ms))
+			return false;
+	}
+	return true;
+}
+
+pl_result_t pl_config_decode_handover(const uint8_t *body, size_t len,
+				      pl_config_handover_t *handover)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	bool valid;
+
+	if (!pl_msgpack_counts_valid(body, len))
+		return PL_ERR_MALFORMED;
+	msgpack_unpacked_init(&unpacked);
+	valid = msgpack_unpack_next(&unpacked, (const char *)body, len,
+				    &offset) == MSGPACK_UNPACK_SUCCESS &&
+		read_handover_(&unpacked.data, handover);
+	msgpack_unpacked_destroy(&unpacked);
+	return valid ? PL_OK : PL_ERR_MALFORMED;
+}
+
 pl_result_t pl_config_decode_pull(const uint8_t *body, size_t len,
 				  uint64_t *have)
 {
