--- a/test/flow/evacuate_test.c
+++ b/test/flow/evacuate_test.c
@@ -85,6 +85,28 @@
 	world_delete(world);
 }
 
+/* Every server gets as many flows as without the request. */
+static void unknown_datacentres_change_nothing(void **state)
+{
+	world_t *plain = world_in_two_datacentres_(10);
+	world_t *world = world_in_two_datacentres_(10);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	world_publish(plain);
+	call_many_(plain, calls, true);
+	pl_evacuations_add(&world->evacuations, ELSEWHERE + 1);
+	world_publish(world);
+	call_many_(world, calls, true);
+	for (int i = 0; i < AGENTS; i++)
+		assert_int_equal(world->servers[i].opened,
+				 plain->servers[i].opened);
+	assert_true(flows_in_evacuated_(world) > 0);
+	assert_true(world_share_in_time(world, 0) == 1);
+	world_delete(plain);
+	world_delete(world);
+}
+
 /* Entries that have not heard yet offer flows to agents that have: none is
  * delivered there, and none is lost. */
 static void agents_refuse_flows_of_entries_that_lag_behind(void **state)
@@ -320,6 +342,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			entries_open_no_flow_in_an_evacuated_datacentre),
+		cmocka_unit_test(unknown_datacentres_change_nothing),
 		cmocka_unit_test(
 			agents_refuse_flows_of_entries_that_lag_behind),
 		cmocka_unit_test(open_flows_stay_in_an_evacuated_datacentre),
