Test: watchers that get no answers any more

The watch ends late and the next call times out; others take over within 15 s, the bound while the store serves some members only.

--- a/test/config/sync_fake.c
+++ b/test/config/sync_fake.c
@@ -7,6 +7,11 @@
 /** Longest delay of a frame. */
 #define FRAME_DELAY_MAX_MS 20
 #define PLATFORM_DELAY_MS 2
+/** Timeout of a call. */
+#define CALL_TIMEOUT_MS 1000
+/** Longest time in which an entry of flows ends a watch without an answer: 70 %
+ * of the shortest bound of a change, and the timeout. */
+#define SILENT_WATCH_MS 3100
 #define GOSSIP_INTERVAL_MS 1000
 #define STEP_MS 10
 #define DEADLINE_MIN_MS 100
@@ -39,8 +44,9 @@
 	reply->position.generation = fake->generation;
 	reply->position.index = fake->frozen ? fake->frozen_index : fake->index;
 	reply->modify_index = reply->position.index;
-	reply->result = fake->down || node->platform_blocked ?
-				PL_ERR_UNAVAILABLE :
+	reply->result = node->platform_silent ? PL_ERR_TIMEOUT :
+			fake->down || node->platform_blocked ?
+						PL_ERR_UNAVAILABLE :
 			value ? PL_OK :
 				PL_ERR_NOT_FOUND;
 	if (reply->result == PL_OK) {
@@ -141,7 +147,9 @@
 	node->watch_index = after.index;
 	node->watch_serial++;
 	schedule_delivery_(node, DELIVER_WATCH,
-			   at_once ? PLATFORM_DELAY_MS : PL_KV_WAIT_MS);
+			   node->platform_silent ? CALL_TIMEOUT_MS :
+			   at_once		 ? PLATFORM_DELAY_MS :
+						   PL_KV_WAIT_MS);
 }
 
 static void unwatch_(void *ctx)
@@ -279,7 +287,7 @@
 	for (size_t i = 0; i < fake->count; i++) {
 		node_t *node = &fake->nodes[i];
 
-		if (!node->sync || !node->watching)
+		if (!node->sync || !node->watching || node->platform_silent)
 			continue;
 		node->watch_serial++;
 		schedule_delivery_(node, DELIVER_WATCH, PLATFORM_DELAY_MS);
@@ -355,6 +363,17 @@
 	answer_watches_(fake);
 }
 
+void fake_silence_platform(fake_t *fake, size_t index)
+{
+	node_t *node = &fake->nodes[index];
+
+	node->platform_silent = true;
+	if (!node->watching)
+		return;
+	node->watch_serial++;
+	schedule_delivery_(node, DELIVER_WATCH, SILENT_WATCH_MS);
+}
+
 void fake_set_down(fake_t *fake, bool down)
 {
 	fake->down = down;
--- a/test/config/sync_fake.h
+++ b/test/config/sync_fake.h
@@ -25,6 +25,7 @@
 	unsigned int start_count; /**< number of starts */
 	unsigned int group; /**< members of other groups are unreachable */
 	bool platform_blocked; /**< cannot reach the platform */
+	bool platform_silent; /**< gets no answers from the platform */
 	/**
 	 * The member only holds a replica: it never contacts the platform and
 	 * is not a peer of other members, but they receive its gossip.
@@ -94,6 +95,9 @@
 
 /** Makes the platform unreachable or reachable for one member. */
 void fake_block_platform(fake_t *fake, size_t node, bool blocked);
+/** Makes the platform answer one member no longer: its open watch ends when it
+ * would without a change, and calls time out. */
+void fake_silence_platform(fake_t *fake, size_t node);
 /** Makes the platform unreachable or reachable for all members. */
 void fake_set_down(fake_t *fake, bool down);
 
--- a/test/config/watchers_test.c
+++ b/test/config/watchers_test.c
@@ -125,6 +125,28 @@
 	}
 }
 
+/* As above, with watchers that get no answers any more. */
+static void others_take_over_from_watchers_that_hear_nothing(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		bool watchers[NODES];
+		model_t model;
+		fake_t *fake = start_fleet_(seed, &model);
+
+		for (size_t i = 0; i < NODES; i++)
+			watchers[i] = is_watcher_(fake, i);
+		for (size_t i = 0; i < NODES; i++) {
+			if (watchers[i])
+				fake_silence_platform(fake, i);
+		}
+		change_(fake, &model);
+		fake_run(fake, CONFIG_DISTURBED_MS);
+		assert_true(fake_all_at(fake, 2));
+		fake_delete(fake);
+	}
+}
+
 /* As above, until the platform serves a quarter of the members only. */
 static void watch_passes_on_until_a_member_is_served(void **state)
 {
@@ -207,6 +229,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			others_take_over_from_watchers_that_are_turned_away),
+		cmocka_unit_test(
+			others_take_over_from_watchers_that_hear_nothing),
 		cmocka_unit_test(watch_passes_on_until_a_member_is_served),
 		cmocka_unit_test(outage_leaves_few_watchers),
 		cmocka_unit_test(damaged_handovers_are_refused),
