--- a/test/flow/evacuate_test.c
+++ b/test/flow/evacuate_test.c
@@ -1,6 +1,8 @@
 #include "world.h"
 
 #define CALLERS 30
+/** Within a second and a half, more than two servers can serve meanwhile. */
+#define LOADED_CALLERS 180
 #define SMALL_BYTES 200
 #define AGENTS 4
 /** Data centre that the tests evacuate, with the servers FIRST to LAST; the
@@ -83,6 +85,28 @@
 	world_delete(world);
 }
 
+/* Every server gets as many flows as without the request. */
+static void unknown_datacentres_change_nothing(void **state)
+{
+	world_t *plain = world_in_two_datacentres_(10);
+	world_t *world = world_in_two_datacentres_(10);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	world_publish(plain);
+	call_many_(plain, calls, true);
+	pl_evacuations_add(&world->evacuations, ELSEWHERE + 1);
+	world_publish(world);
+	call_many_(world, calls, true);
+	for (int i = 0; i < AGENTS; i++)
+		assert_int_equal(world->servers[i].opened,
+				 plain->servers[i].opened);
+	assert_true(flows_in_evacuated_(world) > 0);
+	assert_true(world_share_in_time(world, 0) == 1);
+	world_delete(plain);
+	world_delete(world);
+}
+
 /* Entries that have not heard yet offer flows to agents that have: none is
  * delivered there, and none is lost. */
 static void agents_refuse_flows_of_entries_that_lag_behind(void **state)
@@ -209,6 +233,46 @@
 	world_delete(world);
 }
 
+/* The first service of the route is evacuated as a whole, and the second one has
+ * more work than slots: flows wait there. Only when that one is evacuated too,
+ * nothing is left to wait for. */
+static void flows_are_kept_while_another_service_has_endpoints(void **state)
+{
+	world_t *world = world_in_two_datacentres_(9);
+	call_t *calls[LOADED_CALLERS];
+	call_t *call;
+
+	(void)state;
+	world_split_services(world, LAST + 1);
+	world->weighted = true;
+	world->weights[0] = 900000;
+	world->weights[1] = 100000;
+	world_run(world, 1100);
+	set_gates_(world, FIRST, LAST, true);
+	tell_entries_(world, true);
+	world_run(world, 3000);
+	for (int i = LAST + 1; i < AGENTS; i++)
+		world->servers[i].work_ms = 60;
+	for (uint32_t i = 0; i < LOADED_CALLERS; i++) {
+		calls[i] = world_call(world, 1 + i, SMALL_BYTES, false);
+		world_run(world, 6);
+	}
+	world_run(world, WORLD_DEADLINE_MS);
+	for (int i = 0; i < LOADED_CALLERS; i++) {
+		assert_int_equal(calls[i]->resets, 0);
+		assert_int_equal(calls[i]->state, CALL_DONE);
+	}
+	assert_int_equal(flows_in_evacuated_(world), 0);
+	set_gates_(world, LAST + 1, AGENTS - 1, true);
+	pl_evacuations_add(&world->evacuations, ELSEWHERE);
+	world_publish(world);
+	world_run(world, 3000);
+	call = world_call(world, 1, SMALL_BYTES, false);
+	world_run(world, 50);
+	assert_true(call->resets > 0);
+	world_delete(world);
+}
+
 /* A copy of the opening packet that arrives once the flow is open must neither
  * be rejected nor open the flow at a second server. */
 static void late_copies_harm_no_open_flow(void **state)
@@ -278,12 +342,15 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			entries_open_no_flow_in_an_evacuated_datacentre),
+		cmocka_unit_test(unknown_datacentres_change_nothing),
 		cmocka_unit_test(
 			agents_refuse_flows_of_entries_that_lag_behind),
 		cmocka_unit_test(open_flows_stay_in_an_evacuated_datacentre),
 		cmocka_unit_test(queued_flows_are_handed_back),
 		cmocka_unit_test(new_flows_return_after_the_withdrawal),
 		cmocka_unit_test(flows_are_rejected_once_no_endpoint_is_left),
+		cmocka_unit_test(
+			flows_are_kept_while_another_service_has_endpoints),
 		cmocka_unit_test(late_copies_harm_no_open_flow),
 		cmocka_unit_test(reused_ports_open_flows_elsewhere),
 	};
--- a/test/soak/flow_soak.c
+++ b/test/soak/flow_soak.c
@@ -159,7 +159,7 @@
 
 	if (!g_hash_table_add(soak->started_requests, name))
 		soak_report_breach(soak, "request %s ran twice", name);
-	(void)server;
+	soak_check_share(soak, server, key);
 }
 
 static const world_transport_t transport_ = {
@@ -265,6 +265,7 @@
 	check_drains_(soak);
 	soak_check_evacuation(soak);
 	soak_check_resets(soak);
+	soak_step_shares(soak);
 }
 
 static void run_for_(soak_t *soak, pl_ms_t ms, bool faults, int calls_per_s)
