explain: the step "queued", which no agent brings about, is gone

Since agents open a flow that may wait at once, none sends the verdict "queued". The entry still kept the agent of it, and explain a step that could not be reached: its test had to leave it out.

An agent of the release before last may still send it: the offer then stands, and a copy of the opening packet goes to another endpoint, as for any agent that does not answer.

Ruled out: another number for "ended" (agents of the last release send 5), and dropping the message (the load that it carries is true).

--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -70,7 +70,9 @@
 	PL_FLOW_ABSENT, /**< its backend server does not hold the flow */
 	PL_FLOW_UNSURE, /**< unknown: the server may be older than the agent */
 	PL_FLOW_REFUSED, /**< the agent did not accept the opening packet */
-	PL_FLOW_QUEUED, /**< the opening packet is queued for a slot */
+	/** Not sent, and ignored. Agents of earlier releases sent it when they
+	 * queued an opening packet. */
+	PL_FLOW_RESERVED,
 	/** Reset by the agent: the backend server that held it exited. */
 	PL_FLOW_ENDED,
 	PL_FLOW_VERDICT_COUNT,
--- a/include/pimentolift/flow_explain.h
+++ b/include/pimentolift/flow_explain.h
@@ -23,7 +23,6 @@
 typedef enum {
 	PL_FLOW_STEP_OFFER, /**< offer the flow to the chosen candidate */
 	PL_FLOW_STEP_OWNER, /**< forward it to the flow's owner */
-	PL_FLOW_STEP_QUEUED, /**< drop it: an agent queued the first copy */
 	PL_FLOW_STEP_HOLD, /**< hold it for a short time */
 	PL_FLOW_STEP_RESET, /**< reset the flow */
 	PL_FLOW_STEP_DROP, /**< drop it: a server may have accepted the flow */
@@ -47,7 +46,6 @@
 	bool cached;
 	pl_member_id_t owner; /**< 0: not known; else its agent claimed it */
 	bool owner_dead; /**< membership declared @c owner dead */
-	pl_member_id_t queueing_agent; /**< queued the opening packet, or 0 */
 	pl_member_id_t offered[PL_FLOW_OFFERS_MAX];
 	size_t offered_count;
 	unsigned int ruled_out; /**< bit i: offered[i] refused */
--- a/src/ctl/cmd_node.c
+++ b/src/ctl/cmd_node.c
@@ -301,10 +301,9 @@
 		puts("the entry has no record of the flow");
 		return;
 	}
-	printf("owner %s, known by: %s; dead: %s; queued at %s\n",
+	printf("owner %s, known by: %s; dead: %s\n",
 	       text_or_dash_(known, "owner"), text_or_dash_(known, "by"),
-	       text_or_dash_(known, "owner_dead"),
-	       text_or_dash_(known, "queued_at"));
+	       text_or_dash_(known, "owner_dead"));
 	print_offers_(known);
 	if (json_object_object_get_ex(known, "queried", NULL))
 		printf("lookup of the owner: %s agents asked, %s have not "
--- a/src/daemon/admin_explain.c
+++ b/src/daemon/admin_explain.c
@@ -123,7 +123,6 @@
 		add_text_(object, "by", "its agent said that it owns the flow");
 		add_bool_(object, "owner_dead", known->owner_dead);
 	}
-	add_agent_(object, "queued_at", node, known->queueing_agent);
 	for (size_t i = 0; i < known->offered_count; i++) {
 		struct json_object *offer = json_object_new_object();
 
@@ -152,8 +151,6 @@
 			   explanation->candidates[chosen].agent);
 	else if (explanation->step == PL_FLOW_STEP_OWNER)
 		add_agent_(object, "target", node, known->owner);
-	else if (explanation->step == PL_FLOW_STEP_QUEUED)
-		add_agent_(object, "target", node, known->queueing_agent);
 }
 
 struct json_object *
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -319,8 +319,6 @@
 {
 	if (flow->owner != 0)
 		return OPENING_OWNED;
-	if (flow->queueing_agent != 0)
-		return OPENING_QUEUED;
 	return pl_flow_split_accepts_(entry, &flow->node.key) ?
 		       OPENING_PLACE :
 		       OPENING_UNWEIGHTED;
@@ -349,7 +347,7 @@
 	if (step == OPENING_OWNED)
 		pl_flow_entry_forward_(entry, flow, flow->owner,
 				       PL_FLOW_OWNER_KNOWN, bytes, len);
-	else if (step == OPENING_PLACE)
+	else
 		pl_flow_entry_place_(entry, flow, bytes, len);
 }
 
--- a/src/flow/entry_explain.c
+++ b/src/flow/entry_explain.c
@@ -6,8 +6,8 @@
 
 #include <string.h>
 
-const char *const pl_flow_step_names[] = { "offer", "owner", "queued",
-					   "hold",  "reset", "drop" };
+const char *const pl_flow_step_names[] = { "offer", "owner", "hold", "reset",
+					   "drop" };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(pl_flow_step_names) == PL_FLOW_STEP_COUNT);
 
@@ -26,7 +26,6 @@
 	known->owner = flow->owner;
 	known->owner_dead = flow->owner != 0 &&
 			    pl_flow_liveness_is_dead_(entry, flow->owner);
-	known->queueing_agent = flow->queueing_agent;
 	memcpy(known->offered, flow->offered, sizeof(known->offered));
 	known->offered_count = flow->offered_count;
 	known->ruled_out = flow->ruled_out;
@@ -123,9 +122,6 @@
 	case OPENING_OWNED:
 		set_step_(out, PL_FLOW_STEP_OWNER, PL_REASON_NONE);
 		return;
-	case OPENING_QUEUED:
-		set_step_(out, PL_FLOW_STEP_QUEUED, PL_REASON_WAIT);
-		return;
 	case OPENING_PLACE:
 		explain_place_(entry, flow, out);
 		return;
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -109,7 +109,6 @@
 	cached_flow_t *flow = lookup->flow;
 
 	flow->owner = owner;
-	flow->queueing_agent = 0;
 	pl_flow_entry_cancel_offers_(entry, flow);
 	flow->service = service;
 	entry->stats.found++;
--- a/src/flow/entry_verdict.c
+++ b/src/flow/entry_verdict.c
@@ -26,15 +26,12 @@
 static void handle_refused_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			    const pl_flow_message_t *message)
 {
-	if (flow->queueing_agent == message->sender)
-		flow->queueing_agent = 0;
 	/* an evacuated agent drops copies of a flow that is open there */
 	if (flow->owner == message->sender &&
 	    message->reason == PL_REASON_EVACUATED)
 		flow->owner = 0;
 	pl_flow_entry_rule_out_(flow, message->sender);
-	if (message->packet_len == 0 || flow->owner != 0 ||
-	    flow->queueing_agent != 0)
+	if (message->packet_len == 0 || flow->owner != 0)
 		return;
 	/* the caller has given up this attempt; another offer would only occupy
 	 * a slot */
@@ -92,7 +89,6 @@
 	if (message->flags & PL_FLOW_PRESUMED)
 		return;
 	flow->owner = message->sender;
-	flow->queueing_agent = 0;
 	pl_flow_entry_cancel_offers_(entry, flow);
 	flow->service = message->service;
 }
@@ -175,10 +171,8 @@
 		handle_ended_(entry, flow);
 	else if (message->verdict == PL_FLOW_REFUSED)
 		handle_refused_(entry, flow, message);
-	else if (message->verdict == PL_FLOW_QUEUED)
-		flow->queueing_agent = flow->owner == 0 ? message->sender : 0;
 	else if (message->verdict == PL_FLOW_OWNED)
 		handle_owned_(entry, flow, message);
-	else
+	else if (message->verdict != PL_FLOW_RESERVED)
 		handle_not_owner_(entry, flow, message);
 }
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -84,8 +84,6 @@
 	unsigned int ruled_out;
 	/** An endpoint that is no longer in @c offered may accept the flow. */
 	bool offers_open;
-	/** Agent that queued the opening packet, or 0. */
-	pl_member_id_t queueing_agent;
 	/** Deadline of the first request, counted from its first packet. */
 	pl_ms_t due;
 	pl_ms_t opened; /**< when the caller first sent the opening packet */
@@ -195,7 +193,6 @@
 typedef enum {
 	OPENING_UNWEIGHTED, /**< no service of the route takes new flows */
 	OPENING_OWNED, /**< goes to the owner */
-	OPENING_QUEUED, /**< dropped: an agent queued the first copy */
 	OPENING_PLACE,
 } pl_flow_opening_t;
 
--- a/src/proto/flow_codec.c
+++ b/src/proto/flow_codec.c
@@ -23,8 +23,8 @@
 /** Chunk size of the msgpack zone. */
 #define ZONE_BYTES 2048
 
-const char *const pl_flow_verdict_names[] = { "owned",	 "absent", "unsure",
-					      "refused", "waits",  "ended" };
+const char *const pl_flow_verdict_names[] = { "owned",	 "absent",   "unsure",
+					      "refused", "reserved", "ended" };
 static_assert(G_N_ELEMENTS(pl_flow_verdict_names) == PL_FLOW_VERDICT_COUNT,
 	      "a name for each verdict");
 
--- a/test/flow/explain_test.c
+++ b/test/flow/explain_test.c
@@ -172,7 +172,7 @@
 	}
 	for (int i = 0; i < PL_FLOW_STEP_COUNT; i++) {
 		print_message("%s: %u\n", pl_flow_step_names[i], seen[i]);
-		assert_true(seen[i] > 0 || i == PL_FLOW_STEP_QUEUED);
+		assert_true(seen[i] > 0);
 	}
 }
 
@@ -227,6 +227,30 @@
 	}
 }
 
+/* An agent of an earlier release says that it queued the opening packet: the
+ * offer stands, and a copy is handled as without the message. */
+static void reserved_verdicts_change_nothing(void **state)
+{
+	const pl_flow_key_t key = { PROBE_IP, SERVICE_IP, 1, SERVICE_PORT };
+	world_t *world = new_world_(1);
+	pl_flow_entry_t *entry = world->entries[0].entry;
+	pl_flow_explanation_t before;
+	pl_flow_explanation_t after;
+	pl_flow_message_t message = { .type = PL_FLOW_VERDICT, .flow = key };
+
+	(void)state;
+	send_opening_(entry, &key, 0);
+	before = explain_(entry, &key);
+	assert_int_equal(before.known.offered_count, 1);
+	message.sender = before.known.offered[0];
+	message.verdict = PL_FLOW_RESERVED;
+	pl_flow_entry_message(entry, &message);
+	after = explain_(entry, &key);
+	assert_memory_equal(&after.known, &before.known, sizeof(after.known));
+	assert_int_equal(after.step, PL_FLOW_STEP_OFFER);
+	world_delete(world);
+}
+
 static void unknown_addresses_are_named(void **state)
 {
 	const pl_flow_key_t key = { PROBE_IP, SERVICE_IP, 1, SERVICE_PORT + 1 };
@@ -246,6 +270,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(explanation_and_placement_agree),
 		cmocka_unit_test(explaining_changes_nothing),
+		cmocka_unit_test(reserved_verdicts_change_nothing),
 		cmocka_unit_test(unknown_addresses_are_named),
 	};
 
