view: recovery of views in a file of its own

What follows the failure, restart or silence of an owner is now view_recovery.c, which calls view_replica.c and is not called by it; the table calls both when the endpoints change. The claims for previous owners are queued in a loop of their own, in the same order. No other change.

Ruled out: splitting the storing of others' replicas from the sending of own records, as confirmations and claims need both.

view, view_move, view_random, proto_view_codec pass as before.

--- a/src/view/private/view_private.h
+++ b/src/view/private/view_private.h
@@ -492,10 +492,7 @@
 /** Sends queued records and claims now. */
 void pl_view_flush(pl_view_table_t *table);
 
-/**
- * Chooses the backups again after the service's endpoints changed, and recovers
- * the views of owners that restarted.
- */
+/** Chooses the backups again after the service's endpoints changed. */
 void pl_view_replica_reassign(pl_view_table_t *table);
 
 /** Finds the replica of the view with @p key, or NULL. */
@@ -516,6 +513,17 @@
 void pl_view_replica_send_failed(pl_view_table_t *table, pl_member_id_t peer,
 				 const pl_view_message_t *message);
 
+/* view_recovery.c */
+
+void pl_view_recovery_init(pl_view_table_t *table);
+void pl_view_recovery_finish(pl_view_table_t *table);
+
+/**
+ * Recovers the views of owners that restarted, after the service's endpoints
+ * changed, and watches the owners that are unreachable.
+ */
+void pl_view_recovery_check(pl_view_table_t *table);
+
 /* view_balance.c */
 
 void pl_view_balance_init(pl_view_table_t *table);
--- a/src/view/view_table.c
+++ b/src/view/view_table.c
@@ -83,6 +83,7 @@
 	pl_view_claim_init(table);
 	pl_view_handover_init(table);
 	pl_view_replica_init(table);
+	pl_view_recovery_init(table);
 	return table;
 }
 
@@ -99,6 +100,7 @@
 		pl_view_delete(view);
 		g_hash_table_iter_init(&iter, table->views);
 	}
+	pl_view_recovery_finish(table);
 	pl_view_replica_finish(table);
 	pl_view_handover_finish(table);
 	pl_view_claim_finish(table);
@@ -142,6 +144,7 @@
 	table->endpoints_hash = hash;
 	pl_view_balance_later(table);
 	pl_view_replica_reassign(table);
+	pl_view_recovery_check(table);
 	pl_view_handover_send_offers(table);
 }
 
