explain: the wait for the traffic thread, exit codes and agents are tested

The path to exit code 12 had no test: the wait for the traffic thread was part of the role of the entry, which only a whole process runs. It is pl_loop_call() of the event loop now, without other change: a call that a thread does not get to in time returns false and is not run later.

Ruled out: stopping the traffic thread of a real process from a test, which needs a fault switch in the product.

--- a/include/pimentolift/loop.h
+++ b/include/pimentolift/loop.h
@@ -4,8 +4,8 @@
  *
  * Each thread has one loop, which waits for file descriptors with epoll,
  * drives the thread's timer service, and runs functions that other threads
- * post to it. A turn is one iteration of the loop. Only pl_loop_post() and
- * pl_loop_stop() may be called from other threads while the loop runs.
+ * post to it. A turn is one iteration of the loop. Only pl_loop_post(),
+ * pl_loop_call() and pl_loop_stop() may be called from other threads while the loop runs.
  * @{
  */
 #ifndef PIMENTOLIFT_LOOP_H
@@ -13,6 +13,7 @@
 
 #include <pimentolift/result.h>
 #include <pimentolift/timer.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct pl_loop pl_loop_t;
@@ -65,5 +66,15 @@
 /** Queues @p callback to run on the loop's thread; callable from any thread. */
 void pl_loop_post(pl_loop_t *loop, pl_loop_callback_t callback, void *ctx);
 
+/**
+ * Runs @p callback on the loop's thread and waits up to @p wait_ms for its end;
+ * callable from any other thread.
+ *
+ * @return false if it had not begun in that time; it is not run later either, so
+ * that @p ctx may end with the call
+ */
+bool pl_loop_call(pl_loop_t *loop, pl_loop_callback_t callback, void *ctx,
+		  pl_ms_t wait_ms);
+
 #endif
 /** @} */
--- a/src/daemon/flow_entry_role.c
+++ b/src/daemon/flow_entry_role.c
@@ -9,7 +9,6 @@
 #include <platform/platform.h>
 
 #include <stdatomic.h>
-#include <time.h>
 
 /** Capacity of the flow cache, in flows; about 30 MB. */
 #define FLOWS_MAX 200000
@@ -22,8 +21,6 @@
 /** Longest wait for an explanation; the control thread does nothing else
  * meanwhile. */
 #define EXPLAIN_WAIT_MS 500
-#define NS_PER_MS 1000000
-#define NS_PER_S 1000000000
 
 typedef struct {
 	pl_flow_thread_t thread;
@@ -303,89 +300,27 @@
 /* An explanation that the control thread waits for. */
 typedef struct {
 	flow_entry_role_t *role;
-	pl_flow_key_t key;
-	pthread_mutex_t lock;
-	pthread_cond_t changed;
-	bool done;
-	bool abandoned; /* the wait timed out; the traffic thread frees it */
-	pl_flow_explanation_t explanation;
+	const pl_flow_key_t *key;
+	pl_flow_explanation_t *explanation;
 } explain_task_t;
 
-static explain_task_t *explain_task_new_(flow_entry_role_t *role,
-					 const pl_flow_key_t *key)
-{
-	explain_task_t *task = g_new0(explain_task_t, 1);
-	pthread_condattr_t attr;
-
-	task->role = role;
-	task->key = *key;
-	pthread_mutex_init(&task->lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&task->changed, &attr);
-	pthread_condattr_destroy(&attr);
-	return task;
-}
-
-static void explain_task_free_(explain_task_t *task)
-{
-	pthread_cond_destroy(&task->changed);
-	pthread_mutex_destroy(&task->lock);
-	g_free(task);
-}
-
 static void run_explain_(void *ctx)
 {
-	explain_task_t *task = ctx;
-	bool abandoned;
-
-	pthread_mutex_lock(&task->lock);
-	abandoned = task->abandoned;
-	if (!abandoned)
-		pl_flow_entry_explain(task->role->core, &task->key,
-				      &task->explanation);
-	task->done = true;
-	pthread_cond_signal(&task->changed);
-	pthread_mutex_unlock(&task->lock);
-	if (abandoned)
-		explain_task_free_(task);
-}
+	const explain_task_t *task = ctx;
 
-/* Waits with the lock held; returns false if the time is over. */
-static bool await_explanation_(explain_task_t *task)
-{
-	struct timespec until;
-
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_nsec += (long)EXPLAIN_WAIT_MS * NS_PER_MS;
-	until.tv_sec += until.tv_nsec / NS_PER_S;
-	until.tv_nsec %= NS_PER_S;
-	while (!task->done) {
-		if (pthread_cond_timedwait(&task->changed, &task->lock,
-					   &until) != 0)
-			return task->done;
-	}
-	return true;
+	pl_flow_entry_explain(task->role->core, task->key, task->explanation);
 }
 
 static pl_result_t explain_(void *ctx, const pl_flow_key_t *key,
 			    pl_flow_explanation_t *explanation)
 {
 	flow_entry_role_t *role = ctx;
-	explain_task_t *task = explain_task_new_(role, key);
-	bool done;
-
-	pl_loop_post(role->thread.loop, run_explain_, task);
-	pthread_mutex_lock(&task->lock);
-	done = await_explanation_(task);
-	if (done)
-		*explanation = task->explanation;
-	task->abandoned = !done;
-	pthread_mutex_unlock(&task->lock);
-	if (!done)
-		return PL_ERR_TIMEOUT;
-	explain_task_free_(task);
-	return PL_OK;
+	explain_task_t task = { role, key, explanation };
+
+	return pl_loop_call(role->thread.loop, run_explain_, &task,
+			    EXPLAIN_WAIT_MS) ?
+		       PL_OK :
+		       PL_ERR_TIMEOUT;
 }
 
 static void stop_(void *ctx)
--- a/test/ctl/node_test.c
+++ b/test/ctl/node_test.c
@@ -79,27 +79,15 @@
 	return 0;
 }
 
-/*
- * Starts an entry and waits until it is ready. Its seed is the first daemon if
- * @p seeded; otherwise it can discover others only through the platform.
- */
-static daemon_t *start_entry_(fixture_t *f, bool seeded)
+/* Starts a daemon with the settings @p text and waits until it is ready; frees
+ * @p text. */
+static daemon_t *start_daemon_(fixture_t *f, char *text)
 {
 	daemon_t *daemon = &f->daemons[f->count];
 	char *argv[] = { PIMENTOLIFTD, "--config", NULL, NULL };
 	char line[256] = "";
-	char *text;
 	int fd = -1;
 
-	text = g_strdup_printf(
-		"role = \"entry\"\nname = \"entry-%zu\"\n"
-		"environment = \"trial\"\ndatacentre = \"gent\"\n"
-		"secret = \"0123456789abcdef\"\nseeds = [%s%s%s]\n"
-		"stop_timeout_ms = 1000\n"
-		"[platform]\nurl = \"%s\"\ntimeout_ms = 500\n"
-		"[entry]\nlisten = [\"127.0.0.1:0\"]\n",
-		f->count, seeded ? "\"" : "", seeded ? f->daemons[0].inner : "",
-		seeded ? "\"" : "", f->url);
 	daemon->settings =
 		g_strdup_printf("%s/%zu.toml", f->directory, f->count);
 	argv[2] = daemon->settings;
@@ -118,6 +106,42 @@
 	return daemon;
 }
 
+/*
+ * Starts an entry and waits until it is ready. Its seed is the first daemon if
+ * @p seeded; otherwise it can discover others only through the platform.
+ */
+static daemon_t *start_entry_(fixture_t *f, bool seeded)
+{
+	return start_daemon_(
+		f, g_strdup_printf(
+			   "role = \"entry\"\nname = \"entry-%zu\"\n"
+			   "environment = \"trial\"\ndatacentre = \"gent\"\n"
+			   "secret = \"0123456789abcdef\"\nseeds = [%s%s%s]\n"
+			   "stop_timeout_ms = 1000\n"
+			   "[platform]\nurl = \"%s\"\ntimeout_ms = 500\n"
+			   "[entry]\nlisten = [\"127.0.0.1:0\"]\n",
+			   f->count, seeded ? "\"" : "",
+			   seeded ? f->daemons[0].inner : "",
+			   seeded ? "\"" : "", f->url));
+}
+
+/* Starts a daemon of flows; @p more are further settings of the role. */
+static daemon_t *start_flow_daemon_(fixture_t *f, const char *role,
+				    const char *more)
+{
+	return start_daemon_(
+		f,
+		g_strdup_printf("role = \"%s\"\ntraffic = \"flows\"\n"
+				"name = \"%s-%zu\"\nenvironment = \"trial\"\n"
+				"datacentre = \"gent\"\n"
+				"secret = \"0123456789abcdef\"\n"
+				"stop_timeout_ms = 1000\n"
+				"[platform]\nurl = \"%s\"\ntimeout_ms = 500\n"
+				"[flows]\nlisten = \"127.0.0.1:0\"\n"
+				"ready = \"127.0.0.1:0\"\n%s",
+				role, role, f->count, f->url, more));
+}
+
 /* Runs pimentoctl; @p out is its standard output, freed with g_free(). */
 static int run_ctl_(char **out, ...)
 {
@@ -242,6 +266,33 @@
 	g_free(out);
 }
 
+/* Only an entry of flows explains where a flow would go; an agent refers to it. */
+static void entries_of_flows_explain(void **state)
+{
+	fixture_t *f = *state;
+	const daemon_t *agent = start_flow_daemon_(
+		f, "agent",
+		"backend = \"127.0.0.1:9\"\noutbound = \"127.0.0.1:0\"\n"
+		"reports = \"127.0.0.1:0\"\nservice = \"desk\"\n");
+	const daemon_t *entry = start_flow_daemon_(f, "entry", "");
+	char *out = NULL;
+
+	assert_int_equal(run_ctl_(&out, "explain", "-a", agent->admin,
+				  "--from=192.0.2.7:4000",
+				  "--to=192.0.2.10:5683", NULL),
+			 PL_ERR_STATE);
+	assert_string_equal(out, "");
+	g_free(out);
+	/* it holds new flows until a configuration is in force */
+	assert_int_equal(run_ctl_(&out, "explain", "-a", entry->admin,
+				  "--from=192.0.2.7:4000",
+				  "--to=192.0.2.10:5683", NULL),
+			 PL_OK);
+	assert_non_null(strstr(out, "192.0.2.10:5683, revision 0\n"));
+	assert_non_null(strstr(out, "hold: - (none)\n"));
+	g_free(out);
+}
+
 /* Number of live members that the daemon knows, including itself. */
 static int64_t get_alive_members_(const daemon_t *daemon)
 {
@@ -286,6 +337,8 @@
 		cmocka_unit_test_setup_teardown(
 			daemons_discover_each_other_through_platform, set_up_,
 			tear_down_),
+		cmocka_unit_test_setup_teardown(entries_of_flows_explain,
+						set_up_, tear_down_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/net/loop_test.c
+++ b/test/net/loop_test.c
@@ -11,6 +11,8 @@
 
 #define THREADS 4
 #define POSTS 5000
+/** Far longer than a running loop needs. */
+#define WAIT_MS 30000
 
 typedef struct {
 	pl_loop_t *loop;
@@ -89,11 +91,67 @@
 	}
 }
 
+static void *run_loop_(void *ctx)
+{
+	pl_loop_run(ctx);
+	return NULL;
+}
+
+static void note_thread_(void *ctx)
+{
+	*(pthread_t *)ctx = pthread_self();
+}
+
+static void call_runs_on_the_loops_thread(void **state)
+{
+	pl_loop_t *loop = pl_loop_new(NULL);
+	pthread_t thread;
+	pthread_t ran_on = pthread_self();
+
+	(void)state;
+	pthread_create(&thread, NULL, run_loop_, loop);
+	assert_true(pl_loop_call(loop, note_thread_, &ran_on, WAIT_MS));
+	assert_true(pthread_equal(ran_on, thread));
+	pl_loop_stop(loop);
+	pthread_join(thread, NULL);
+	pl_loop_delete(loop);
+}
+
+static void count_call_(void *ctx)
+{
+	++*(unsigned int *)ctx;
+}
+
+static void stop_(void *ctx)
+{
+	pl_loop_stop(ctx);
+}
+
+/* A thread that does not get to the call in time must not run it later: what it
+ * would fill in is gone. */
+static void call_that_timed_out_never_runs(void **state)
+{
+	pl_loop_t *loop = pl_loop_new(NULL);
+	unsigned int calls = 0;
+
+	(void)state;
+	assert_false(pl_loop_call(loop, count_call_, &calls, 1));
+	assert_false(pl_loop_call(loop, count_call_, &calls, 0));
+	pl_loop_post(loop, stop_, loop);
+	pl_loop_run(loop);
+	assert_false(pl_loop_call(loop, count_call_, &calls, 0));
+	/* deletes the last call with the loop */
+	pl_loop_delete(loop);
+	assert_int_equal(calls, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(all_posts_from_other_threads_run),
 		cmocka_unit_test(removed_watch_is_not_called),
+		cmocka_unit_test(call_runs_on_the_loops_thread),
+		cmocka_unit_test(call_that_timed_out_never_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
