Pace: a started server may use all its slots by age after 1 s

Cause: work is placed where the least part of the limit is busy. The limit was what the server served in the last second plus one slot, so with a part u of the peers' slots busy it settled at u / (1 - u) busy slots instead of 3 u (0.64 instead of 1.17), and only age led out of that, after 3 s.

Now age gives all slots after 1 s; slow answers limit it as before.

--- a/include/pimentolift/balance/pace.h
+++ b/include/pimentolift/balance/pace.h
@@ -47,8 +47,9 @@
 	uint32_t (*next)(const pl_pace_t *pace, const pl_pace_sample_t *sample);
 } pl_pace_policy_t;
 
-/** What the server served in the last second plus one slot; while answers are
- * slow, at most its slots divided by how slow they are. */
+/** What the server served in the last second plus one slot, but no less than its
+ * age gives; while answers are slow, at most its slots divided by how slow they
+ * are. */
 extern const pl_pace_policy_t pl_pace_by_answers;
 
 /** What a change of the limit means. */
--- a/src/balance/pace.c
+++ b/src/balance/pace.c
@@ -9,6 +9,11 @@
 /** Time for which a server is paced: by then the mean over the last second
  * shows what it serves to 95 %, and new flows are placed by that. */
 #define PACE_MS 3000
+/** Age at which a server may use all its slots, unless its answers are slow.
+ * Until then it is reported ten times, after which placement by load does not
+ * flood it; what it served plus a step alone would keep it below its share where
+ * the others have room. */
+#define RAMP_MS 1000
 /** Weight of a measurement in the usual time: 1 / USUAL_PARTS. */
 #define USUAL_PARTS 128
 /** Measurements after which the usual time of a kind is known. */
@@ -139,7 +144,7 @@
 	uint64_t age = sample->now - pace->since;
 
 	return (uint32_t)(PL_PACE_SLOT +
-			  (sample->slots - 1) * PL_PACE_SLOT * age / PACE_MS);
+			  (sample->slots - 1) * PL_PACE_SLOT * age / RAMP_MS);
 }
 
 static uint32_t next_by_answers_(const pl_pace_t *pace,
--- a/test/balance/pace_test.c
+++ b/test/balance/pace_test.c
@@ -49,6 +49,7 @@
 	uint32_t unreported[ENTRIES];
 	uint32_t answers; /* in the measured span */
 	uint32_t in_time;
+	uint64_t busy_ms; /* of its slots, from SHARE_FROM to SHARE_UNTIL */
 } server_t;
 
 /* What a run is made of. */
@@ -79,6 +80,11 @@
 
 #define EVENT_AT 6000
 #define MEASURE_MS 5000
+/** A started server has its full share of the work after two seconds: this is the
+ * second that follows. */
+#define SHARE_FROM (EVENT_AT + 2000)
+#define SHARE_UNTIL (EVENT_AT + 3000)
+#define SHARE_FULL 0.9
 
 static double next_(uint32_t *random)
 {
@@ -326,6 +332,8 @@
 	for (int i = 0; i < SERVERS; i++) {
 		server_t *server = &sim->servers[i];
 
+		if (sim->now >= SHARE_FROM && sim->now < SHARE_UNTIL)
+			server->busy_ms += server->load.busy;
 		if ((sim->now + (pl_ms_t)i * 8) % REPORT_MS != 0)
 			continue;
 		server->reported = load_(sim, server);
@@ -423,8 +431,26 @@
 	double in_time; /* part of all requests */
 	double mean_ms;
 	double in_time_affected; /* part of those at the affected servers */
+	/* busy slots of an affected server, as a part of a peer's */
+	double share;
 } result_t;
 
+static double share_(const sim_t *sim)
+{
+	int affected = sim->run->affected;
+	double own = 0;
+	double peers = 0;
+
+	for (int i = 0; i < SERVERS; i++) {
+		if (i < affected)
+			own += (double)sim->servers[i].busy_ms / affected;
+		else
+			peers += (double)sim->servers[i].busy_ms /
+				 (SERVERS - affected);
+	}
+	return peers > 0 ? own / peers : 1;
+}
+
 static void add_run_(const run_t *run, uint32_t seed, result_t *result)
 {
 	sim_t *sim = sim_new_(run);
@@ -443,6 +469,7 @@
 		in_time += sim->servers[i].in_time;
 	}
 	result->in_time_affected += (double)in_time / answers / SEEDS;
+	result->share += share_(sim) / SEEDS;
 	free(sim);
 }
 
@@ -455,9 +482,9 @@
 	for (uint32_t seed = 0; seed < SEEDS; seed++)
 		add_run_(&run, seed, &result);
 	print_message("%-28s %-8s in time %.4f, mean %.1f ms, affected "
-		      "%.4f\n",
+		      "%.4f, share %.2f\n",
 		      run.name, policy->name, result.in_time, result.mean_ms,
-		      result.in_time_affected);
+		      result.in_time_affected, result.share);
 	return result;
 }
 
@@ -498,6 +525,28 @@
 	assert_true(gain_(&flows) > 0);
 }
 
+/* Load pattern: a server starts in a service that has room. Its limit is a part
+ * of its slots, and by the busy part of that it looked as busy as its peers. */
+static void started_server_gets_its_share(void **state)
+{
+	static const double loads[] = { 0.4, 0.6, 0.85 };
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		const run_t run = { .name = "one start, its share",
+				    .load = loads[i],
+				    .requests = 8,
+				    .pause = 700,
+				    .at_event = one_start_,
+				    .affected = 1 };
+
+		if (getenv("PL_TEST_TABLE"))
+			measure_(&run, &none_);
+		assert_true(measure_(&run, &pl_pace_by_answers).share >=
+			    SHARE_FULL);
+	}
+}
+
 /* Load pattern: half of the servers are replaced at once. */
 static void release_of_half_a_service(void **state)
 {
@@ -601,6 +650,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(one_start_in_a_busy_service),
+		cmocka_unit_test(started_server_gets_its_share),
 		cmocka_unit_test(release_of_half_a_service),
 		cmocka_unit_test(start_of_a_whole_service),
 		cmocka_unit_test(burst_after_a_start),
