--- a/src/flow/agent_pace.c
+++ b/src/flow/agent_pace.c
@@ -80,11 +80,12 @@
 static void log_change_(const pl_flow_agent_t *agent, pl_pace_change_t change)
 {
 	if (change == PL_PACE_FULL)
-		pl_event(PL_EVENT_PACE_FULL,
-			 "backend server %s: all %u slots after %u ms",
-			 agent->report.id, agent->load.slots,
-			 (unsigned int)(pl_flow_agent_now_(agent) -
-					agent->pace.since));
+		pl_event(
+			PL_EVENT_PACE_FULL,
+			"backend server %s: all %u slots; limit ended after %u ms",
+			agent->report.id, agent->load.slots,
+			(unsigned int)(pl_flow_agent_now_(agent) -
+				       agent->pace.since));
 	if (change != PL_PACE_SLOWED)
 		return;
 	pl_counter_add(PL_COUNTER_PACE_SLOWED, 1);
