--- a/test/flow/load_test.c
+++ b/test/flow/load_test.c
@@ -613,10 +613,10 @@
 
 	world->stacks_repeat = stacks_repeat;
 	world_run(world, 1100);
-	start_calls_(world, BURST_ROOM_PER_S * 3, 4000);
-	start_calls_(world, BURST_ROOM_PER_S * 2 / 3, 2000);
+	world_start_calls(world, SMALL_BYTES, BURST_ROOM_PER_S * 3, 4000);
+	world_start_calls(world, SMALL_BYTES, BURST_ROOM_PER_S * 2 / 3, 2000);
 	from = world->now;
-	start_calls_(world, BURST_ROOM_PER_S * 2 / 3, 4000);
+	world_start_calls(world, SMALL_BYTES, BURST_ROOM_PER_S * 2 / 3, 4000);
 	world_run(world, 2000);
 	share = world_share_in_time(world, from);
 	print_message("%.3f in time after the burst\n", share);
