Health of backend servers: ejection by how they answer real work

Cause: a server that answers errors at once looks idle and quick, so it draws new flows; one that hangs or is slow kept one slot for new flows; a server that ends and starts by turns got its share at each start. None of this shows in what servers report of themselves.

balance/health.c decides for one server from its answers (missing, reset, refused, slow, or far shorter and quicker than usual) and from its ends. The agent hands new flows back while its server is ejected, except one at a time as a probe and those that no other server takes; load reports carry the level. Entries keep at least half of a service in use: the worst are out first, and all of a level are treated alike.

Ruled out: reported health (false both ways); reading the customers' protocol. A report of an earlier release has no level and counts as good.

--- a/include/pimentolift/balance/load.h
+++ b/include/pimentolift/balance/load.h
@@ -23,6 +23,7 @@
 	uint32_t limit;
 	uint32_t request_ms; /**< mean time to answer; 0: not measured */
 	uint32_t waiting; /**< requests and new flows without a slot */
+	uint32_t health; /**< see @ref pl_health_level_t */
 } pl_endpoint_load_t;
 
 /** Requests in progress and their moving mean. */
--- a/include/pimentolift/balance/pace.h
+++ b/include/pimentolift/balance/pace.h
@@ -91,5 +91,8 @@
  * 0: not known. */
 uint32_t pl_pace_usual_ms(const pl_pace_t *pace);
 
+/** Usual time to answer of one kind of request; 0: not known. */
+double pl_pace_kind_usual_ms(const pl_pace_t *pace, uint64_t kind);
+
 #endif
 /** @} */
--- a/include/pimentolift/balance/place.h
+++ b/include/pimentolift/balance/place.h
@@ -28,6 +28,7 @@
 	/** An opening packet was sent there since the entry's start. */
 	bool tried;
 	bool local; /**< in the same data centre as the entry */
+	bool out; /**< ejected; chosen only if all candidates are */
 } pl_place_candidate_t;
 
 /** A placement policy. Candidates are passed in descending order of their
--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -92,6 +92,12 @@
 	  "backend servers that started or came back")                        \
 	X(PL_COUNTER_PACE_SLOWED, "pace_slowed",                              \
 	  "times that a backend server became slow")                          \
+	X(PL_COUNTER_FLOWS_REFUSED_EJECTED, "flows_refused_ejected",          \
+	  "opening packets refused because the backend server is ejected")    \
+	X(PL_COUNTER_HEALTH_EJECTED, "health_ejected",                        \
+	  "times that a backend server was ejected")                          \
+	X(PL_COUNTER_HEALTH_RETURNED, "health_returned",                      \
+	  "times that an ejected backend server got new flows again")         \
 	X(PL_COUNTER_FLOWS_EVICTED, "flows_evicted",                          \
 	  "records of open flows that were dropped from a full table")        \
 	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                          \
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -76,6 +76,10 @@
 	  "a backend server is given work for all of its slots")               \
 	X(PL_EVENT_PACE_SLOWED, 262, "pace-slowed", WARNING,                   \
 	  "a backend server is slow or fails, and gets less new work")         \
+	X(PL_EVENT_HEALTH_EJECTED, 263, "health-ejected", WARNING,             \
+	  "a backend server fails or is slow, and gets no new flows")          \
+	X(PL_EVENT_HEALTH_RETURNED, 264, "health-returned", INFO,              \
+	  "an ejected backend server answers as usual, and gets new flows")    \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                  \
 	  "a member joined")                                                   \
 	X(PL_EVENT_MEMBER_SUSPECT, 301, "member-suspect", INFO,                \
--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -62,6 +62,9 @@
 	/** VERDICT: the server is only presumed to hold the flow: it did not
 	 * hand back a probe, but has sent no packet of the flow yet. */
 	PL_FLOW_PRESUMED = 16,
+	/** The service has too few other endpoints: an opening packet goes to
+	 * the backend server also if it is ejected. */
+	PL_FLOW_NEEDED = 32,
 } pl_flow_flag_t;
 
 /** State of a flow as an agent knows it. */
--- a/include/pimentolift/flow_agent.h
+++ b/include/pimentolift/flow_agent.h
@@ -14,6 +14,7 @@
 #define PIMENTOLIFT_FLOW_AGENT_H
 
 #include <pimentolift/backend_report.h>
+#include <pimentolift/balance/health.h>
 #include <pimentolift/flow.h>
 #include <pimentolift/timer.h>
 #include <pimentolift/balance/work_queue.h>
@@ -85,6 +86,10 @@
 	uint32_t cold_ms; /**< how much longer the server is cold */
 	/** Opening packets refused because the server is cold. */
 	uint64_t cold_refused;
+	uint32_t health; /**< see @ref pl_health_level_t */
+	pl_health_cause_t health_cause; /**< of the last ejection */
+	/** Opening packets refused because the server is ejected. */
+	uint64_t ejected_refused;
 } pl_flow_agent_stats_t;
 
 pl_flow_agent_t *pl_flow_agent_new(const pl_flow_agent_params_t *params,
--- a/src/balance/pace.c
+++ b/src/balance/pace.c
@@ -132,6 +132,19 @@
 	return (uint32_t)most->usual_ms;
 }
 
+double pl_pace_kind_usual_ms(const pl_pace_t *pace, uint64_t kind)
+{
+	for (unsigned int i = 0; i < PL_PACE_KINDS; i++) {
+		const pl_pace_usual_t *usual = &pace->usual[i];
+
+		if (usual->kind == kind)
+			return usual->answers >= USUAL_MIN_ANSWERS ?
+				       usual->usual_ms :
+				       0;
+	}
+	return 0;
+}
+
 /* From one slot to all by age: a server that gets little work is not kept from
  * more of it for longer than this. */
 static uint32_t ramp_(const pl_pace_t *pace, const pl_pace_sample_t *sample)
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -26,6 +26,9 @@
  * it has recovered, so it is tried again after a few of these. */
 #define SLOW_HALF_AGE_MS 1000
 
+/** Added to the wait of an ejected endpoint; longer than any other wait. */
+#define OUT_WAIT (UINT64_C(1) << 48)
+
 static size_t choose_first_(const pl_place_candidate_t *candidates,
 			    size_t count)
 {
@@ -130,8 +133,8 @@
 
 /* Expected wait of a new flow, in thousandths of the time in which an endpoint
  * of usual speed answers as many requests as it has slots. */
-static uint64_t expected_wait_(const pl_place_candidate_t *candidate,
-			       uint64_t usual_ms, bool paced)
+static uint64_t wait_in_use_(const pl_place_candidate_t *candidate,
+			     uint64_t usual_ms, bool paced)
 {
 	const pl_endpoint_load_t *load = &candidate->load;
 	uint64_t request_ms = present_request_ms_(candidate, usual_ms);
@@ -144,6 +147,13 @@
 	return (wait + THOUSANDTHS / load->slots) * request_ms / usual_ms;
 }
 
+static uint64_t expected_wait_(const pl_place_candidate_t *candidate,
+			       uint64_t usual_ms, bool paced)
+{
+	return wait_in_use_(candidate, usual_ms, paced) +
+	       (candidate->out ? OUT_WAIT : 0);
+}
+
 static size_t choose_least_wait_(const pl_place_candidate_t *candidates,
 				 size_t count)
 {
--- a/src/ctl/cmd_node.c
+++ b/src/ctl/cmd_node.c
@@ -60,6 +60,8 @@
 	{ "LIMIT/1000", "limit_milli" },
 	{ "ANSWER_MS", "request_ms" },
 	{ "WAITING", "waiting" },
+	{ "HEALTH", "health" },
+	{ "OUT", "out" },
 	{ "WAIT/1000", "wait_milli" },
 	{ 0 },
 };
--- a/src/daemon/admin_explain.c
+++ b/src/daemon/admin_explain.c
@@ -5,6 +5,7 @@
 #include "private/admin.h"
 
 #include <glib.h>
+#include <pimentolift/balance/health.h>
 
 static void add_text_(struct json_object *object, const char *key,
 		      const char *value)
@@ -110,6 +111,8 @@
 	add_number_(object, "limit_milli", load->limit);
 	add_number_(object, "request_ms", load->request_ms);
 	add_number_(object, "waiting", load->waiting);
+	add_text_(object, "health", pl_health_level_name(load->health));
+	add_bool_(object, "out", candidate->out);
 	return object;
 }
 
--- a/src/daemon/flow_agent_role.c
+++ b/src/daemon/flow_agent_role.c
@@ -382,6 +382,13 @@
 	add_number_(status, "slowness_milli", stats.slowness_milli);
 	add_number_(status, "cold_ms", stats.cold_ms);
 	add_number_(status, "cold_refused", stats.cold_refused);
+	json_object_object_add(
+		status, "health",
+		json_object_new_string(pl_health_level_name(stats.health)));
+	json_object_object_add(status, "health_cause",
+			       json_object_new_string(pl_health_cause_name(
+				       stats.health_cause)));
+	add_number_(status, "refused_ejected", stats.ejected_refused);
 	add_number_(status, "taken", stats.accepted);
 	add_number_(status, "refused", stats.refused);
 	add_number_(status, "refused_evacuated", stats.evacuated_refused);
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -44,6 +44,7 @@
 	pl_flow_backend_init_(agent);
 	pl_flow_work_init_(agent);
 	pl_flow_pace_init_(agent);
+	pl_flow_health_init_(agent);
 	pl_flow_load_report_init_(agent);
 	pl_timer_init(&agent->expiry_timer, expire_flows_, agent);
 	pl_timer_arm(timers, &agent->expiry_timer,
@@ -74,6 +75,7 @@
 						     pl_flow_agent_now_(agent));
 	load.waiting = (uint32_t)agent->queue.count;
 	pl_flow_pace_add_load_(agent, &load);
+	pl_flow_health_add_load_(agent, &load);
 	return load;
 }
 
@@ -181,6 +183,10 @@
 		pl_flow_pace_refuse_cold_(agent, message);
 		return;
 	}
+	if (!pl_flow_health_admits_(agent, message)) {
+		pl_flow_health_refuse_(agent, message);
+		return;
+	}
 	if (!pl_flow_admit_(agent, message, &waits))
 		return;
 	flow = pl_flow_get_or_add_(agent, &message->flow);
@@ -194,6 +200,7 @@
 		pl_flow_pace_count_(agent);
 	else
 		pl_flow_work_reserve_slot_(agent, flow);
+	pl_flow_health_flow_admitted_(agent, flow);
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
@@ -433,6 +440,8 @@
 	pl_counter_add(PL_COUNTER_FLOWS_BOUNCED, 1);
 	if (!flow)
 		return;
+	if (opens && flow->state == FLOW_NEW)
+		pl_flow_health_refused_(agent);
 	agent->params.packets->clear_bounced(bytes, len);
 	keep = flow->state == FLOW_PROBING && flow->entry_keeps_copy;
 	pl_flow_set_state_(agent, flow, FLOW_ABSENT);
@@ -459,10 +468,12 @@
 	if (!opens && !(packet->flags & PL_PACKET_RST))
 		pl_flow_confirm_(agent, flow);
 	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
-	if (packet->flags & PL_PACKET_RST)
+	if (packet->flags & PL_PACKET_RST) {
+		pl_flow_health_failed_(agent, flow, PL_HEALTH_RESET);
 		pl_flow_pace_failed_(agent, flow);
+	}
 	if (packet->data_len > 0)
-		pl_flow_work_answered_(agent, flow);
+		pl_flow_work_answered_(agent, flow, packet->data_len);
 	else if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
 		pl_flow_work_free_slot_(agent, flow);
 }
@@ -528,6 +539,8 @@
 	stats->load = pl_flow_agent_load_(agent);
 	stats->evacuated = agent->evacuated;
 	pl_flow_pace_add_stats_(agent, stats);
+	stats->health = stats->load.health;
+	stats->health_cause = agent->health.cause;
 	stats->serving = pl_flow_backend_accepts_(agent);
 	stats->flows_complete = pl_flow_backend_knows_all_flows_(agent);
 	stats->backend_down = agent->backend_down;
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -281,6 +281,8 @@
 	if (result != PL_FLOW_REPORT_ACCEPTED)
 		return result;
 	if (!first && !same_process_(&agent->report, report)) {
+		if (!agent->backend_down)
+			pl_flow_health_ended_(agent);
 		log_replaced_(&agent->report, report);
 		flows_ended_(agent, process_since_(agent, report));
 		started = true;
@@ -377,6 +379,8 @@
 	leave_roster_(agent);
 	if (agent->backend_down || !backend_has_ended_(agent))
 		return;
+	if (agent->report.id[0] != '\0')
+		pl_flow_health_ended_(agent);
 	agent->backend_down = true;
 	agent->backend_seen = false;
 	flows_ended_(agent, UINT64_MAX);
--- a/src/flow/agent_pace.c
+++ b/src/flow/agent_pace.c
@@ -14,7 +14,7 @@
 #define THOUSANDTHS 1000
 
 /* Requests to one address are one kind. */
-static uint64_t kind_(const flow_t *flow)
+uint64_t pl_flow_pace_kind_(const flow_t *flow)
 {
 	const pl_flow_key_t *key = &flow->node.key;
 
@@ -42,7 +42,7 @@
 	pl_cold_gate_count(&agent->cold_gate, pl_flow_agent_now_(agent));
 }
 
-static void start_(pl_flow_agent_t *agent, const char *why)
+void pl_flow_pace_start_(pl_flow_agent_t *agent, const char *why)
 {
 	pl_pace_start(&agent->pace, pl_flow_agent_now_(agent));
 	pl_counter_add(PL_COUNTER_PACE_STARTED, 1);
@@ -52,7 +52,7 @@
 
 void pl_flow_pace_server_started_(pl_flow_agent_t *agent)
 {
-	start_(agent, "started");
+	pl_flow_pace_start_(agent, "started");
 }
 
 /* A server that reports that it is warm may still be cold since its data centre
@@ -99,8 +99,9 @@
 {
 	const pl_pace_sample_t sample = sample_(agent);
 
-	log_change_(agent, pl_pace_answered(&agent->pace, kind_(flow), took_ms,
-					    &sample));
+	log_change_(agent,
+		    pl_pace_answered(&agent->pace, pl_flow_pace_kind_(flow),
+				     took_ms, &sample));
 }
 
 void pl_flow_pace_failed_(pl_flow_agent_t *agent, const flow_t *flow)
@@ -142,7 +143,7 @@
 
 	if (now + agent->warmup_ms > agent->cold_gate.cold_until)
 		pl_cold_gate_set(&agent->cold_gate, now, agent->warmup_ms);
-	start_(agent, "its data centre is back in service");
+	pl_flow_pace_start_(agent, "its data centre is back in service");
 }
 
 /* Hands an opening packet back, also if no other server has room: the entry
--- a/src/flow/agent_report.c
+++ b/src/flow/agent_report.c
@@ -48,7 +48,7 @@
 			  const pl_endpoint_load_t *b)
 {
 	return a->slots != b->slots || a->busy != b->busy ||
-	       (a->limit == 0) != (b->limit == 0) ||
+	       (a->limit == 0) != (b->limit == 0) || a->health != b->health ||
 	       abs((int)a->mean_busy - (int)b->mean_busy) >= MEAN_CHANGE_MIN;
 }
 
--- a/src/flow/agent_work.c
+++ b/src/flow/agent_work.c
@@ -178,6 +178,7 @@
 {
 	pl_timer_cancel(agent->timers, &flow->slot_timer);
 	set_reserved_(agent, flow, false);
+	pl_flow_health_slot_freed_(agent, flow);
 	if (!flow->holds_slot)
 		return;
 	flow->holds_slot = false;
@@ -246,7 +247,8 @@
 	}
 }
 
-void pl_flow_work_answered_(pl_flow_agent_t *agent, flow_t *flow)
+void pl_flow_work_answered_(pl_flow_agent_t *agent, flow_t *flow,
+			    uint32_t bytes)
 {
 	pl_ms_t took = pl_flow_agent_now_(agent) - flow->slot_since;
 
@@ -258,6 +260,7 @@
 			pl_flow_work_request_ms_(agent) ? agent->request_ms : 0,
 			(double)took);
 		agent->request_at = pl_flow_agent_now_(agent);
+		pl_flow_health_answered_(agent, flow, took, bytes);
 		pl_flow_pace_answered_(agent, flow, took);
 	}
 	flow->request_open = false;
@@ -275,6 +278,7 @@
 	flow_t *flow = PL_CONTAINER_OF(timer, flow_t, slot_timer);
 
 	(void)now;
+	pl_flow_health_failed_(ctx, flow, PL_HEALTH_SILENT);
 	pl_flow_pace_failed_(ctx, flow);
 	pl_flow_work_free_slot_(ctx, flow);
 }
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -3,14 +3,15 @@
  * Internal structures of the flow agent: flow records (agent_flow.c), packets
  * of entries and the backend server (agent.c), slots and queued work
  * (agent_work.c), load reports to entries (agent_report.c), the pace of a
- * started or cold server (agent_pace.c) and the state of the backend server
- * (agent_backend.c).
+ * started or cold server (agent_pace.c), the health of the server
+ * (agent_health.c) and its state (agent_backend.c).
  */
 #ifndef PL_FLOW_AGENT_PRIVATE_H
 #define PL_FLOW_AGENT_PRIVATE_H
 
 #include "private/flow_table.h"
 #include <pimentolift/balance/cold_gate.h>
+#include <pimentolift/balance/health.h>
 #include <pimentolift/balance/load.h>
 #include <pimentolift/balance/pace.h>
 #include "private/packet_queue.h"
@@ -61,6 +62,7 @@
 	pl_ms_t slot_since; /**< time of the reservation or the request */
 	pl_timer_t slot_timer; /**< timeout of the slot */
 	bool request_open; /**< a request was delivered and is not answered */
+	bool health_probe; /**< opened to probe an ejected server */
 	/** Due time of the first request; 0 once that request has arrived. */
 	pl_ms_t request_due;
 	pl_work_t work;
@@ -93,6 +95,8 @@
 	pl_pace_t pace;
 	pl_cold_gate_t cold_gate;
 	pl_ms_t warmup_ms; /**< time that a server is cold after its return */
+	/* agent_health.c */
+	pl_health_t health;
 	/* agent_backend.c */
 	pl_backend_report_t report; /**< the last one; id is "" before it */
 	pl_ms_t report_at; /**< arrival of the last report */
@@ -193,7 +197,8 @@
 pl_ms_t pl_flow_work_ahead_ms_(pl_flow_agent_t *agent, uint32_t priority,
 			       pl_ms_t expires);
 /** Frees the slot when the answer begins, and measures the request. */
-void pl_flow_work_answered_(pl_flow_agent_t *agent, flow_t *flow);
+void pl_flow_work_answered_(pl_flow_agent_t *agent, flow_t *flow,
+			    uint32_t bytes);
 /** Frees the slot and gives it to queued work. */
 void pl_flow_work_free_slot_(pl_flow_agent_t *agent, flow_t *flow);
 /** Drops the flow's slot, queue place and pending packets. */
@@ -235,6 +240,10 @@
 void pl_flow_pace_answered_(pl_flow_agent_t *agent, const flow_t *flow,
 			    pl_ms_t took_ms);
 /** The request of @p flow, if it has one, ends without an answer. */
+/** Kind of the flow's requests: their address. */
+uint64_t pl_flow_pace_kind_(const flow_t *flow);
+/** Gives the server work step by step from now on. */
+void pl_flow_pace_start_(pl_flow_agent_t *agent, const char *why);
 void pl_flow_pace_failed_(pl_flow_agent_t *agent, const flow_t *flow);
 /** Fills in the fields of @p load and of @p stats that the pace gives. */
 void pl_flow_pace_add_load_(const pl_flow_agent_t *agent,
@@ -256,4 +265,30 @@
 /** Whether the backend server accepts opening packets now. */
 bool pl_flow_backend_accepts_(const pl_flow_agent_t *agent);
 
+/* agent_health.c */
+void pl_flow_health_init_(pl_flow_agent_t *agent);
+/** The server has begun to answer a request, with @p bytes of data. Comes before
+ * pl_flow_pace_answered_(). */
+void pl_flow_health_answered_(pl_flow_agent_t *agent, const flow_t *flow,
+			      pl_ms_t took_ms, uint32_t bytes);
+/** The server did not answer the request of @p flow in time, or reset it. */
+void pl_flow_health_failed_(pl_flow_agent_t *agent, const flow_t *flow,
+			    pl_health_cause_t cause);
+/** The server handed an opening packet back. */
+void pl_flow_health_refused_(pl_flow_agent_t *agent);
+/** The server's process has ended, as it had announced if it was draining. */
+void pl_flow_health_ended_(pl_flow_agent_t *agent);
+/** Whether the opening packet may go to the server. */
+bool pl_flow_health_admits_(const pl_flow_agent_t *agent,
+			    const pl_flow_message_t *message);
+/** The opening packet of @p flow goes to the server. */
+void pl_flow_health_flow_admitted_(pl_flow_agent_t *agent, flow_t *flow);
+/** The flow holds no slot any more. */
+void pl_flow_health_slot_freed_(pl_flow_agent_t *agent, flow_t *flow);
+/** Returns an opening packet to its entry, as the server is ejected. */
+void pl_flow_health_refuse_(pl_flow_agent_t *agent,
+			    const pl_flow_message_t *message);
+void pl_flow_health_add_load_(const pl_flow_agent_t *agent,
+			      pl_endpoint_load_t *load);
+
 #endif
--- a/src/proto/flow_codec.c
+++ b/src/proto/flow_codec.c
@@ -16,6 +16,8 @@
 /** Elements after those, of a message to an agent and of one with a load. */
 #define FORWARD_FIELDS 1
 #define LOAD_FIELDS 4
+/** Elements after those, which the releases before health lack. */
+#define HEALTH_FIELDS 1
 /** Elements per service address. */
 #define ADDRESS_FIELDS 2
 /** Elements per item. */
@@ -111,7 +113,7 @@
 {
 	if (type == PL_FLOW_FORWARD)
 		return FORWARD_FIELDS;
-	return carries_load_(type) ? LOAD_FIELDS : 0;
+	return carries_load_(type) ? LOAD_FIELDS + HEALTH_FIELDS : 0;
 }
 
 /* Packs the elements that only messages of this type have; returns the result
@@ -126,7 +128,8 @@
 	msgpack_pack_uint32(packer, message->load.limit);
 	msgpack_pack_uint32(packer, message->load.request_ms);
 	msgpack_pack_uint32(packer, message->load.waiting);
-	return msgpack_pack_uint32(packer, message->reason);
+	msgpack_pack_uint32(packer, message->reason);
+	return msgpack_pack_uint32(packer, message->load.health);
 }
 
 size_t pl_flow_encode(const pl_key_t *key, const pl_flow_message_t *message,
@@ -303,12 +306,12 @@
 	message->load.limit = 0;
 	message->load.request_ms = 0;
 	message->load.waiting = 0;
+	message->load.health = 0;
 	message->reason = PL_REASON_NONE;
-	if (array->size < FIELDS + extra_fields_(message->type))
-		return true;
 	if (message->type == PL_FLOW_FORWARD)
-		return get_u32_(&extra[0], &message->timeout_ms);
-	if (!carries_load_(message->type))
+		return array->size < FIELDS + FORWARD_FIELDS ||
+		       get_u32_(&extra[0], &message->timeout_ms);
+	if (!carries_load_(message->type) || array->size < FIELDS + LOAD_FIELDS)
 		return true;
 	valid = get_u32_(&extra[0], &message->load.limit) &&
 		get_u32_(&extra[1], &message->load.request_ms) &&
@@ -316,7 +319,8 @@
 		get_u32_(&extra[3], &reason);
 	message->reason =
 		reason < PL_REASON_COUNT ? (pl_reason_t)reason : PL_REASON_NONE;
-	return valid;
+	return valid && (array->size < FIELDS + LOAD_FIELDS + HEALTH_FIELDS ||
+			 get_u32_(&extra[LOAD_FIELDS], &message->load.health));
 }
 
 static pl_result_t read_message_(pl_flow_decoder_t *decoder,
