--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -33,6 +33,7 @@
 
 /* Packet format of the simulation: the header as a struct, then the data. */
 #define HEADER_BYTES sizeof(pl_packet_t)
+#define ERROR_BYTES 100
 #define DATA_MAX 1200
 #define BYTES_MAX 1300
 
@@ -206,6 +207,15 @@
 		server->requests_started++;
 		return;
 	}
+	if (server->errs) {
+		const pl_packet_t error =
+			make_answer_(flow, PL_PACKET_ACK, ERROR_BYTES);
+
+		server->requests_started++;
+		send_from_server_(server, &error);
+		flow->seq += error.data_len;
+		return;
+	}
 	if (server->busy >= server->slots) {
 		if (g_queue_get_length(server->waiting) < server->queue_max) {
 			g_queue_push_tail(server->waiting, flow);
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -62,6 +62,7 @@
 	unsigned int generation; /* number of its ended processes */
 	bool sends_no_reports;
 	bool mute; /* takes requests and never answers them */
+	bool errs; /* answers requests at once, with a short error */
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
 	bool resets_unowned;
