--- a/include/pimentolift/balance/health.h
+++ b/include/pimentolift/balance/health.h
@@ -77,6 +77,7 @@
 	pl_ms_t probe_from; /**< ejected: first probe */
 	unsigned int ejections; /**< in a row, less those served off since */
 	unsigned int good; /**< requests answered well in a row */
+	unsigned int bad; /**< requests answered badly since the first probe */
 	unsigned int probes; /**< new flows in progress that are probes */
 	pl_ms_t ended_at; /**< last unexpected end of the server; 0: never */
 	pl_health_usual_t usual[PL_HEALTH_KINDS];
--- a/src/balance/health.c
+++ b/src/balance/health.c
@@ -20,6 +20,9 @@
 /** Requests answered well in a row that end an ejection. Of servers that fail
  * two requests in five, one in twelve passes. */
 #define GOOD_MIN 5
+/** Requests answered badly, from the first probe on, that prolong an ejection.
+ * One may be long by chance, or be from before the server's recovery. */
+#define BAD_MIN 2
 /** Time from the first ejection to the probes; it doubles with each ejection in
  * a row. */
 #define PROBE_AFTER_MS 1000
@@ -79,6 +82,7 @@
 	health->ejected = true;
 	health->cause = cause;
 	health->good = 0;
+	health->bad = 0;
 	health->changed_at = now;
 	health->probe_from = now + ((pl_ms_t)PROBE_AFTER_MS << doublings);
 	return PL_HEALTH_EJECTED;
@@ -96,8 +100,9 @@
 {
 	health->good = 0;
 	if (health->ejected)
-		return is_due_(health, now) ? eject_(health, cause, now) :
-					      PL_HEALTH_SAME;
+		return is_due_(health, now) && ++health->bad >= BAD_MIN ?
+			       eject_(health, cause, now) :
+			       PL_HEALTH_SAME;
 	health->cause = cause;
 	if (cause == PL_HEALTH_SLOW || health->failed > EJECT_SHARE)
 		return eject_(health, cause, now);
