--- a/test/flow/health_test.c
+++ b/test/flow/health_test.c
@@ -8,7 +8,6 @@
 /** Part of the calls that a server gets if all are well. */
 #define SHARE_PER_S (CALLS_PER_S / SERVERS)
 
-/* Starts calls, one of five on the flow of an earlier one. */
 static void run_calls_(world_t *world, pl_ms_t ms)
 {
 	pl_ms_t until = world->now + ms;
@@ -50,7 +49,7 @@
 }
 
 /* Load pattern: a server answers errors at once. It looks idle and quick, and
- * drew the flows of the others. Its agent is restarted beside it meanwhile. */
+ * drew the flows of the others. */
 static void erring_server_gets_probes_only(void **state)
 {
 	world_t *world = new_world_(81);
@@ -92,8 +91,32 @@
 	world_delete(world);
 }
 
-/* Failure: the agents of two ejected servers of eight are restarted, and with
- * them their state is lost. It comes back by the servers' answers. */
+/* Load pattern: three servers of eight turn mute and three slow. The slow ones,
+ * the best of the ejected, are needed. */
+static void slow_servers_are_needed_beside_mute_ones(void **state)
+{
+	world_t *world = new_world_(85);
+	uint64_t mute = 0;
+	uint64_t slow = 0;
+
+	(void)state;
+	for (int i = 0; i < 6; i++) {
+		world->servers[i].mute = i < 3;
+		world->servers[i].work_ms *= i < 3 ? 1 : 8;
+	}
+	run_calls_(world, 2500);
+	for (int i = 0; i < 6; i++)
+		*(i < 3 ? &mute : &slow) += started_in_(world, i, 500);
+	print_message("%u requests at mute and %u at slow servers\n",
+		      (unsigned int)mute, (unsigned int)slow);
+	/* probes */
+	assert_in_range(mute, 1, 3 * SHARE_PER_S / 10);
+	assert_in_range(slow, 10, 3 * SHARE_PER_S);
+	world_delete(world);
+}
+
+/* Failure: the agent of an ejected server is restarted, and with it its state is
+ * lost. It comes back by the server's answers. */
 static void restarted_agent_ejects_again(void **state)
 {
 	world_t *world = new_world_(83);
@@ -137,6 +160,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(erring_server_gets_probes_only),
 		cmocka_unit_test(servers_that_err_alike_stay_in_use),
+		cmocka_unit_test(slow_servers_are_needed_beside_mute_ones),
 		cmocka_unit_test(restarted_agent_ejects_again),
 		cmocka_unit_test(flapping_server_gets_little_work),
 	};
--- a/test/proto/flow_codec_test.c
+++ b/test/proto/flow_codec_test.c
@@ -63,6 +63,7 @@
 	message.load.limit = 2500;
 	message.load.request_ms = 47;
 	message.load.waiting = 9;
+	message.load.health = 5;
 	decoded = round_trip_(&message);
 	assert_int_equal(decoded.reason, PL_REASON_COLD);
 	assert_memory_equal(&decoded.load, &message.load, sizeof(message.load));
