Health: slow servers stay a matter of pace and placement

Ejection for slowness gained nothing: pace and placement keep new flows from a slow server already.

Levels of ejected servers follow their cause now, by what it costs callers. A request whose slot timed out and that is answered later counts once.

--- a/include/pimentolift/balance/health.h
+++ b/include/pimentolift/balance/health.h
@@ -3,8 +3,9 @@
  * @defgroup health Health of a backend server
  *
  * Whether a backend server gets new flows, found from how it answers real work.
- * Answers servers that are slow, silent or failing although they report that
- * they are well, and servers that end and start by turns.
+ * Answers servers that are silent or failing although they report that they are
+ * well, and servers that end and start by turns. Slow servers are a matter of
+ * @ref pace and @ref place.
  *
  * The agent decides for its server (@ref pl_health_t); the entry keeps enough
  * endpoints of a service in use (@ref pl_health_census_t). What a server
@@ -22,15 +23,15 @@
 /** Kinds of requests whose usual answers are told apart. */
 #define PL_HEALTH_KINDS 4
 
-/** All causes: identifier, name, meaning. */
-#define PL_HEALTH_CAUSE_TABLE(X)                                              \
-	X(PL_HEALTH_NO_CAUSE, "none", "nothing was seen")                     \
-	X(PL_HEALTH_SLOW, "slow", "answers take many times as long as usual") \
-	X(PL_HEALTH_SHORT, "short",                                           \
-	  "answers are far shorter and come far sooner than usual")           \
-	X(PL_HEALTH_REFUSED, "refused", "new flows are refused")              \
-	X(PL_HEALTH_RESET, "reset", "flows are reset before their answer")    \
-	X(PL_HEALTH_SILENT, "silent", "answers are missing")                  \
+/** All causes: identifier, name, meaning. The more a cause costs callers, the
+ * later it comes. */
+#define PL_HEALTH_CAUSE_TABLE(X)                                           \
+	X(PL_HEALTH_NO_CAUSE, "none", "nothing was seen")                  \
+	X(PL_HEALTH_REFUSED, "refused", "new flows are refused")           \
+	X(PL_HEALTH_SHORT, "short",                                        \
+	  "answers are far shorter and come far sooner than usual")        \
+	X(PL_HEALTH_RESET, "reset", "flows are reset before their answer") \
+	X(PL_HEALTH_SILENT, "silent", "answers are missing")               \
 	X(PL_HEALTH_ENDED, "ended", "the server ended, more than once")
 
 typedef enum {
@@ -49,9 +50,8 @@
 	PL_HEALTH_GOOD,
 	PL_HEALTH_SUSPECT, /**< answers badly at times; gets new flows */
 	PL_HEALTH_PROBE, /**< ejected, but due for a probe */
-	PL_HEALTH_OUT, /**< ejected, but it serves what it gets, slowly */
-	PL_HEALTH_LEVELS =
-		PL_HEALTH_OUT + 5, /**< one for each quarter failed */
+	PL_HEALTH_OUT, /**< ejected for the least of the causes */
+	PL_HEALTH_LEVELS = PL_HEALTH_OUT + PL_HEALTH_CAUSE_COUNT - 1,
 } pl_health_level_t;
 
 /** Name of @p level; all of the ejected ones have the same. */
@@ -71,8 +71,6 @@
 		cause; /**< of the last ejection, or of the suspicion */
 	/** Moving share of the requests that failed, 0 to 1. */
 	double failed;
-	/** Moving mean of the last times to answer, divided by the usual ones. */
-	double slowness;
 	pl_ms_t changed_at; /**< last ejection or return */
 	pl_ms_t probe_from; /**< ejected: first probe */
 	unsigned int ejections; /**< in a row, less those served off since */
--- a/include/pimentolift/event.h
+++ b/include/pimentolift/event.h
@@ -77,7 +77,7 @@
 	X(PL_EVENT_PACE_SLOWED, 262, "pace-slowed", WARNING,                   \
 	  "a backend server is slow or fails, and gets less new work")         \
 	X(PL_EVENT_HEALTH_EJECTED, 263, "health-ejected", WARNING,             \
-	  "a backend server fails or is slow, and gets no new flows")          \
+	  "a backend server fails, and gets no new flows")                     \
 	X(PL_EVENT_HEALTH_RETURNED, 264, "health-returned", INFO,              \
 	  "an ejected backend server answers as usual, and gets new flows")    \
 	X(PL_EVENT_MEMBER_JOINED, 300, "member-joined", INFO,                  \
--- a/src/balance/health.c
+++ b/src/balance/health.c
@@ -10,18 +10,11 @@
  * two and three of the last eight requests. */
 #define SUSPECT_SHARE 0.2
 #define EJECT_SHARE 0.3
-/** Mean of the last times to answer, in times the usual ones, from which on a
- * server is ejected. A few long requests among the last ones make it half of
- * that. */
-#define EJECT_SLOWNESS 4.0
-/** Time to answer, in times the usual one, up to which a probe was answered
- * well. */
-#define GOOD_TIMES 3.0
 /** Requests answered well in a row that end an ejection. Of servers that fail
  * two requests in five, one in twelve passes. */
 #define GOOD_MIN 5
 /** Requests answered badly, from the first probe on, that prolong an ejection.
- * One may be long by chance, or be from before the server's recovery. */
+ * One may be from before the server's recovery. */
 #define BAD_MIN 2
 /** Time from the first ejection to the probes; it doubles with each ejection in
  * a row. */
@@ -40,7 +33,6 @@
  * happens often to requests that were worked on. */
 #define SHORT_BYTES_PART 0.5
 #define SHORT_TIME_PART 0.125
-#define QUARTERS 4
 
 static const char *const cause_names_[] = {
 #define CAUSE_NAME_(id, name, meaning) [id] = name,
@@ -64,7 +56,7 @@
 
 void pl_health_init(pl_health_t *health)
 {
-	*health = (pl_health_t){ .slowness = 1 };
+	*health = (pl_health_t){ 0 };
 }
 
 static pl_health_change_t eject_(pl_health_t *health, pl_health_cause_t cause,
@@ -104,7 +96,7 @@
 			       eject_(health, cause, now) :
 			       PL_HEALTH_SAME;
 	health->cause = cause;
-	if (cause == PL_HEALTH_SLOW || health->failed > EJECT_SHARE)
+	if (health->failed > EJECT_SHARE)
 		return eject_(health, cause, now);
 	return PL_HEALTH_SAME;
 }
@@ -115,7 +107,6 @@
 		return PL_HEALTH_SAME;
 	health->ejected = false;
 	health->failed = 0;
-	health->slowness = 1;
 	health->changed_at = now;
 	return PL_HEALTH_RETURNED;
 }
@@ -156,32 +147,14 @@
 	return false;
 }
 
-/* The answer's time as a multiple of the usual one; also adds it to the mean of
- * the last ones. */
-static double measure_(pl_health_t *health, const pl_health_answer_t *answer)
-{
-	double times = answer->usual_ms > 0 ?
-			       (double)answer->took_ms / answer->usual_ms :
-			       1;
-
-	health->slowness += (times - health->slowness) / RECENT_PARTS;
-	return times;
-}
-
 pl_health_change_t pl_health_answered(pl_health_t *health,
 				      const pl_health_answer_t *answer)
 {
 	bool is_short = is_short_(usual_of_(health, answer->kind), answer);
-	double times;
 
 	add_failed_(health, is_short ? 1 : 0);
-	if (is_short)
-		return bad_(health, PL_HEALTH_SHORT, answer->now);
-	times = measure_(health, answer);
-	if (health->ejected ? times > GOOD_TIMES :
-			      health->slowness > EJECT_SLOWNESS)
-		return bad_(health, PL_HEALTH_SLOW, answer->now);
-	return good_(health, answer->now);
+	return is_short ? bad_(health, PL_HEALTH_SHORT, answer->now) :
+			  good_(health, answer->now);
 }
 
 pl_health_change_t pl_health_failed(pl_health_t *health,
@@ -198,7 +171,6 @@
 
 	health->ended_at = now;
 	health->failed = 0;
-	health->slowness = 1;
 	return again ? eject_(health, PL_HEALTH_ENDED, now) : PL_HEALTH_SAME;
 }
 
@@ -206,7 +178,6 @@
 {
 	health->ejected = false;
 	health->failed = 0;
-	health->slowness = 1;
 	health->good = 0;
 }
 
@@ -234,11 +205,7 @@
 							PL_HEALTH_GOOD;
 	if (pl_health_admits(health, now))
 		return PL_HEALTH_PROBE;
-	if (health->cause == PL_HEALTH_SLOW)
-		return PL_HEALTH_OUT;
-	if (health->cause == PL_HEALTH_ENDED)
-		return PL_HEALTH_OUT + QUARTERS;
-	return PL_HEALTH_OUT + 1 + (uint32_t)(health->failed * (QUARTERS - 1));
+	return PL_HEALTH_OUT + (uint32_t)health->cause - PL_HEALTH_REFUSED;
 }
 
 void pl_health_census_add(pl_health_census_t *census, uint32_t level)
--- a/src/flow/agent_health.c
+++ b/src/flow/agent_health.c
@@ -26,11 +26,9 @@
 		pl_counter_add(PL_COUNTER_HEALTH_EJECTED, 1);
 		pl_event(PL_EVENT_HEALTH_EJECTED,
 			 "backend server %s: %s, %u %% of the last requests "
-			 "failed, answers take %.1f times as long as usual, "
-			 "probes in %u ms",
+			 "failed, probes in %u ms",
 			 agent->report.id, pl_health_cause_name(health->cause),
 			 (unsigned int)(health->failed * PERCENT),
-			 health->slowness,
 			 (unsigned int)(health->probe_from -
 					pl_flow_agent_now_(agent)));
 	} else if (change == PL_HEALTH_RETURNED) {
@@ -55,7 +53,10 @@
 		.bytes = bytes,
 	};
 
-	handle_change_(agent, pl_health_answered(&agent->health, &answer));
+	/* one whose slot timed out has counted as failed */
+	if (flow->holds_slot)
+		handle_change_(agent,
+			       pl_health_answered(&agent->health, &answer));
 }
 
 void pl_flow_health_failed_(pl_flow_agent_t *agent, const flow_t *flow,
