Health: design note; only a flow that holds a slot counts as a probe

A flow that waits without a slot at an ejected server counted as a probe until its record expired if its caller sent nothing, and kept real probes away for that time.

--- a/src/balance/health.c
+++ b/src/balance/health.c
@@ -11,7 +11,7 @@
 #define SUSPECT_SHARE 0.2
 #define EJECT_SHARE 0.3
 /** Requests answered well in a row that end an ejection. Of servers that fail
- * two requests in five, one in twelve passes. */
+ * two requests in five, one in seven passes. */
 #define GOOD_MIN 5
 /** Requests answered badly, from the first probe on, that prolong an ejection.
  * One may be from before the server's recovery. */
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -196,11 +196,12 @@
 	flow->confirmed = false;
 	flow->request_due = request_due_(agent, message);
 	agent->stats.accepted++;
-	if (waits)
+	if (waits) {
 		pl_flow_pace_count_(agent);
-	else
+	} else {
 		pl_flow_work_reserve_slot_(agent, flow);
-	pl_flow_health_flow_admitted_(agent, flow);
+		pl_flow_health_slot_reserved_(agent, flow);
+	}
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
--- a/src/flow/agent_health.c
+++ b/src/flow/agent_health.c
@@ -92,7 +92,7 @@
 	       pl_health_admits(&agent->health, pl_flow_agent_now_(agent));
 }
 
-void pl_flow_health_flow_admitted_(pl_flow_agent_t *agent, flow_t *flow)
+void pl_flow_health_slot_reserved_(pl_flow_agent_t *agent, flow_t *flow)
 {
 	if (!agent->health.ejected || flow->health_probe)
 		return;
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -281,8 +281,8 @@
 /** Whether the opening packet may go to the server. */
 bool pl_flow_health_admits_(const pl_flow_agent_t *agent,
 			    const pl_flow_message_t *message);
-/** The opening packet of @p flow goes to the server. */
-void pl_flow_health_flow_admitted_(pl_flow_agent_t *agent, flow_t *flow);
+/** The opening packet of @p flow goes to the server, and holds a slot. */
+void pl_flow_health_slot_reserved_(pl_flow_agent_t *agent, flow_t *flow);
 /** The flow holds no slot any more. */
 void pl_flow_health_slot_freed_(pl_flow_agent_t *agent, flow_t *flow);
 /** Returns an opening packet to its entry, as the server is ejected. */
