Health: the end of a server's process counts once

A packet that a server sent before its end may arrive after its agent has noticed the end; the next refused connection then counted as a second end, and one crash ejected the server.

--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -281,8 +281,8 @@
 	if (result != PL_FLOW_REPORT_ACCEPTED)
 		return result;
 	if (!first && !same_process_(&agent->report, report)) {
-		if (!agent->backend_down)
-			pl_flow_health_ended_(agent);
+		pl_flow_health_ended_(agent);
+		agent->end_counted = false;
 		log_replaced_(&agent->report, report);
 		flows_ended_(agent, process_since_(agent, report));
 		started = true;
--- a/src/flow/agent_health.c
+++ b/src/flow/agent_health.c
@@ -77,6 +77,9 @@
 
 void pl_flow_health_ended_(pl_flow_agent_t *agent)
 {
+	if (agent->end_counted)
+		return;
+	agent->end_counted = true;
 	if (agent->report.draining)
 		pl_health_replaced(&agent->health);
 	else
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -97,6 +97,7 @@
 	pl_ms_t warmup_ms; /**< time that a server is cold after its return */
 	/* agent_health.c */
 	pl_health_t health;
+	bool end_counted; /**< the end of the reported process */
 	/* agent_backend.c */
 	pl_backend_report_t report; /**< the last one; id is "" before it */
 	pl_ms_t report_at; /**< arrival of the last report */
@@ -276,7 +277,8 @@
 			    pl_health_cause_t cause);
 /** The server handed an opening packet back. */
 void pl_flow_health_refused_(pl_flow_agent_t *agent);
-/** The server's process has ended, as it had announced if it was draining. */
+/** The reported process has ended, as it had announced if it was draining. May
+ * come more than once for a process. */
 void pl_flow_health_ended_(pl_flow_agent_t *agent);
 /** Whether the opening packet may go to the server. */
 bool pl_flow_health_admits_(const pl_flow_agent_t *agent,
--- a/test/flow/health_test.c
+++ b/test/flow/health_test.c
@@ -155,6 +155,25 @@
 	world_delete(world);
 }
 
+/* Guards against one crash that counts twice: packets that the server sent before
+ * it ended arrive after the agent has noticed the end. */
+static void one_crash_ejects_no_server(void **state)
+{
+	world_t *world = new_world_(86);
+
+	(void)state;
+	world->server_delay_max_ms = 50;
+	run_calls_(world, 500);
+	world_crash_server(world, 7);
+	world_report_backend_down(world, 7);
+	run_calls_(world, 60);
+	world_report_backend_down(world, 7);
+	run_calls_(world, 500);
+	world_start_server(world, 7);
+	assert_int_equal(stats_(world, 7).health, PL_HEALTH_GOOD);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -162,6 +181,7 @@
 		cmocka_unit_test(servers_that_err_alike_stay_in_use),
 		cmocka_unit_test(erring_servers_are_needed_beside_mute_ones),
 		cmocka_unit_test(restarted_agent_ejects_again),
+		cmocka_unit_test(one_crash_ejects_no_server),
 		cmocka_unit_test(flapping_server_gets_little_work),
 	};
 
