--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -72,6 +72,9 @@
 	agent->stats.resets++;
 	pl_counter_add(PL_COUNTER_FLOWS_RESET, 1);
 	agent->ops->send_to_caller(agent->ctx, &flow->node.key, bytes, len);
+	/* only the server has sent packets of the flow to this agent */
+	if (flow->entry == 0)
+		return;
 	pl_flow_agent_send_verdict_(agent, flow->entry, &flow->node.key,
 				    PL_FLOW_ENDED, NULL, 0);
 }
@@ -281,6 +284,8 @@
 	if (result != PL_FLOW_REPORT_ACCEPTED)
 		return result;
 	if (!first && !same_process_(&agent->report, report)) {
+		pl_flow_health_ended_(agent);
+		agent->end_counted = false;
 		log_replaced_(&agent->report, report);
 		flows_ended_(agent, process_since_(agent, report));
 		started = true;
@@ -377,6 +382,8 @@
 	leave_roster_(agent);
 	if (agent->backend_down || !backend_has_ended_(agent))
 		return;
+	if (agent->report.id[0] != '\0')
+		pl_flow_health_ended_(agent);
 	agent->backend_down = true;
 	agent->backend_seen = false;
 	flows_ended_(agent, UINT64_MAX);
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -65,6 +65,7 @@
 	bool mute; /* takes requests and never answers them */
 	/* What it does with a copy of the packet that opened a flow. */
 	enum { COPY_ANSWERED, COPY_IGNORED, COPY_HANDED_BACK } copies;
+	bool errs; /* answers requests at once, with a short error */
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
 	bool resets_unowned;
