flow entry: the ejected endpoints of a service are counted once in 20 ms

Change: the level from which on endpoints are out is kept for 20 ms, as the load of a service is; explain reads it and keeps nothing. The code moves from entry_place.c to a file of its own.

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -61,6 +61,7 @@
 				  on_flow_release_, entry);
 	pl_flow_loads_init_(entry);
 	pl_flow_split_init_(entry);
+	pl_flow_ejected_init_(entry);
 	pl_flow_roster_init_(entry);
 	pl_flow_liveness_init_(entry);
 	pl_flow_retries_init_(entry);
@@ -84,6 +85,7 @@
 	pl_flow_table_delete(entry->flows);
 	g_hash_table_destroy(entry->loads);
 	pl_flow_split_finish_(entry);
+	pl_flow_ejected_finish_(entry);
 	pl_flow_roster_finish_(entry);
 	pl_flow_liveness_finish_(entry);
 	g_hash_table_destroy(entry->retries);
@@ -100,6 +102,7 @@
 	entry->routing = routing;
 	pl_flow_evacuate_routing_changed_(entry);
 	pl_flow_split_routing_changed_(entry);
+	pl_flow_ejected_routing_changed_(entry);
 	pl_flow_liveness_routing_changed_(entry);
 	pl_flow_lookup_reroute_(entry);
 	pl_flow_query_new_agents_(entry);
--- a/src/flow/entry_place.c
+++ b/src/flow/entry_place.c
@@ -240,43 +240,6 @@
 	return candidate;
 }
 
-/* Level of health from which on endpoints of the service are out. */
-static uint32_t out_from_(const pl_flow_entry_t *entry,
-			  const pl_route_service_t *service)
-{
-	pl_health_census_t census = { 0 };
-
-	for (size_t i = 0; i < service->endpoint_count; i++) {
-		const pl_endpoint_t *endpoint = &service->endpoints[i];
-		pl_endpoint_load_t load = { 0 };
-		pl_ms_t age;
-
-		if (endpoint->state != PL_ENDPOINT_SERVING ||
-		    endpoint->evacuated)
-			continue;
-		if (pl_flow_loads_get_(entry, endpoint->agent, &load, &age) &&
-		    age > LOAD_VALID_MS)
-			load.health = PL_HEALTH_GOOD;
-		pl_health_census_add(&census, load.health);
-	}
-	return pl_health_out_from(&census);
-}
-
-static void mark_out_(const pl_flow_entry_t *entry, pl_flow_choice_t *choice)
-{
-	uint32_t from = PL_HEALTH_LEVELS;
-
-	for (size_t i = 0; i < choice->count; i++) {
-		pl_place_candidate_t *candidate = &choice->candidates[i];
-
-		if (candidate->load.health < PL_HEALTH_OUT)
-			continue;
-		if (from == PL_HEALTH_LEVELS)
-			from = out_from_(entry, choice->split.service);
-		candidate->out = candidate->load.health >= from;
-	}
-}
-
 /* Chooses the endpoint of the service for an opening packet. */
 static void choose_endpoint_(const pl_flow_entry_t *entry,
 			     const cached_flow_t *flow,
@@ -296,7 +259,7 @@
 	for (size_t i = 0; i < count; i++)
 		choice->candidates[i] =
 			make_candidate_(entry, ranked[i].endpoint);
-	mark_out_(entry, choice);
+	pl_flow_ejected_mark_(entry, choice);
 	choice->chosen =
 		entry->params.placement->choose(choice->candidates, count);
 	/* if the best endpoint is full, the others need no offer */
@@ -377,6 +340,7 @@
 	}
 	agent = choice.endpoint->agent;
 	flow->offered[flow->offered_count++] = agent;
+	pl_flow_ejected_keep_(entry, &choice);
 	pl_flow_split_placed_(entry, flow, &choice.split);
 	record_sent_(entry, agent);
 	entry->stats.placed++;
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -140,6 +140,7 @@
 	pl_flow_table_t *flows;
 	GHashTable *loads; /**< agent to agent_load_t */
 	GHashTable *summaries; /**< service to its load, see entry_split.c */
+	GHashTable *out_levels; /**< service to a level, see entry_ejected.c */
 	pl_flow_share_t shares[PL_FLOW_SHARES_MAX]; /**< without the weights */
 	size_t share_count;
 	pl_list_t lookups;
@@ -377,8 +378,22 @@
 	size_t count; /**< candidates; 0: none, or there were all offers */
 	pl_place_candidate_t candidates[PL_FLOW_CANDIDATES_MAX];
 	size_t chosen; /**< index of the candidate */
+	/** Level of health from which on candidates are out; 0: none of them is
+	 * ejected. */
+	uint32_t out_from;
 } pl_flow_choice_t;
 
+/* entry_ejected.c */
+void pl_flow_ejected_init_(pl_flow_entry_t *entry);
+void pl_flow_ejected_finish_(pl_flow_entry_t *entry);
+void pl_flow_ejected_routing_changed_(pl_flow_entry_t *entry);
+/** Marks the candidates that are out; changes nothing else. */
+void pl_flow_ejected_mark_(const pl_flow_entry_t *entry,
+			   pl_flow_choice_t *choice);
+/** Keeps the level that the choice was made with for the next ones. */
+void pl_flow_ejected_keep_(pl_flow_entry_t *entry,
+			   const pl_flow_choice_t *choice);
+
 /** Chooses as pl_flow_entry_place_() does; changes nothing. */
 void pl_flow_choose_(const pl_flow_entry_t *entry, const cached_flow_t *flow,
 		     pl_flow_choice_t *choice);
