Membership: what is in progress is counted once for many checks

A check walked the list of suspects; with thousands of agents that are checked at the same time, while thousands are suspected, that is their product.

--- a/src/member/liveness.c
+++ b/src/member/liveness.c
@@ -45,6 +45,16 @@
 	g_free(check);
 }
 
+/* Whether another live member may be checked out of its turn. Those in progress
+ * are counted once when many are checked at the same time. */
+static bool may_detect_(pl_member_table_t *table)
+{
+	if (table->detections_at != table->now)
+		table->detections = pl_member_detections_(table);
+	table->detections_at = table->now;
+	return table->detections < CHECKS_MAX;
+}
+
 static void report_absent_(pl_member_table_t *table, pl_member_id_t id)
 {
 	if (table->ops.absent)
@@ -60,10 +70,11 @@
 		return;
 	if (member && pl_member_live_(member)) {
 		/* usual failure detection, without waiting for its turn */
-		if (member->state == PL_MEMBER_ALIVE &&
-		    !pl_member_probing_(table, id) &&
-		    pl_member_detections_(table) < CHECKS_MAX)
+		if (member->state == PL_MEMBER_ALIVE && may_detect_(table) &&
+		    !pl_member_probing_(table, id)) {
 			pl_member_probe_(table, PL_PROBE_DETECT, id);
+			table->detections++;
+		}
 		return;
 	}
 	if (member && member->state == PL_MEMBER_DEAD) {
--- a/src/member/private/member_private.h
+++ b/src/member/private/member_private.h
@@ -163,6 +163,8 @@
 	pl_list_t watches;
 	pl_list_t suspects; /* by deadline */
 	pl_list_t liveness_checks; /* liveness.c */
+	size_t detections; /* see pl_member_detections_(), at detections_at */
+	pl_ms_t detections_at;
 	uint32_t sequence;
 	size_t probe_index;
 	size_t sweep_index;
