Failures as time to answer are taken out again: ejection does the same

It was written beside the part health, whose ejection keeps new flows from a server that resets them; two means for one end would have to be tuned against each other.

--- a/include/pimentolift/balance/load.h
+++ b/include/pimentolift/balance/load.h
@@ -21,8 +21,7 @@
 	/** Requests that the server may be given at once at its present pace,
 	 * in thousandths; 0: as many as it has slots. */
 	uint32_t limit;
-	/** Mean time to answer, more while requests fail; 0: not measured. */
-	uint32_t request_ms;
+	uint32_t request_ms; /**< mean time to answer; 0: not measured */
 	uint32_t waiting; /**< requests and new flows without a slot */
 } pl_endpoint_load_t;
 
--- a/include/pimentolift/balance/pace.h
+++ b/include/pimentolift/balance/pace.h
@@ -66,7 +66,6 @@
 	/** Moving mean of the last times to answer, each divided by the usual
 	 * one of its kind; 1: as usual. */
 	double slowness;
-	pl_ms_t failed_at; /**< last request that failed; 0: none */
 	pl_pace_usual_t usual[PL_PACE_KINDS];
 };
 
@@ -88,13 +87,6 @@
 /** Limit in thousandths of a slot; 0: as many requests as there are slots. */
 uint32_t pl_pace_limit(const pl_pace_t *pace, pl_ms_t now);
 
-/** Time to answer in milliseconds to expect of the server at @p now, whose mean
- * is @p measured_ms. A server that fails requests at once answers quickly and has
- * free slots, so what failures cost counts as time; the less, the longer ago the
- * last one was. */
-uint32_t pl_pace_expected_ms(const pl_pace_t *pace, pl_ms_t now,
-			     uint32_t measured_ms);
-
 /** Usual time to answer in milliseconds, of the kind that was measured most;
  * 0: not known. */
 uint32_t pl_pace_usual_ms(const pl_pace_t *pace);
--- a/src/balance/pace.c
+++ b/src/balance/pace.c
@@ -4,7 +4,6 @@
  */
 #include <pimentolift/balance/pace.h>
 
-#include <math.h>
 #include <string.h>
 
 /** Time for which a server is paced: by then the mean over the last second
@@ -25,10 +24,6 @@
 /** Slowness that a failure counts as. A server that fails two requests in five
  * and answers the others as usual is slow then. */
 #define FAILED_TIMES 8.0
-/** Time after a failure in which half of what failures show still counts. A
- * server that gets no new flows shows no recovery, so it is tried again after
- * a few of these. */
-#define FAILED_HALF_LIFE_MS 400.0
 /** Growth over what was served in the last second. */
 #define STEP PL_PACE_SLOT
 
@@ -123,24 +118,9 @@
 
 pl_pace_change_t pl_pace_failed(pl_pace_t *pace, const pl_pace_sample_t *sample)
 {
-	pace->failed_at = sample->now;
 	return update_(pace, FAILED_TIMES, sample);
 }
 
-uint32_t pl_pace_expected_ms(const pl_pace_t *pace, pl_ms_t now,
-			     uint32_t measured_ms)
-{
-	double since = (double)(now - pace->failed_at);
-	double times;
-	uint32_t expected_ms;
-
-	if (pace->failed_at == 0 || pace->slowness <= SLOW_TIMES)
-		return measured_ms;
-	times = 1 + (pace->slowness - 1) * exp2(-since / FAILED_HALF_LIFE_MS);
-	expected_ms = (uint32_t)(pl_pace_usual_ms(pace) * times);
-	return expected_ms > measured_ms ? expected_ms : measured_ms;
-}
-
 uint32_t pl_pace_usual_ms(const pl_pace_t *pace)
 {
 	const pl_pace_usual_t *most = &pace->usual[0];
--- a/src/flow/agent_pace.c
+++ b/src/flow/agent_pace.c
@@ -107,20 +107,15 @@
 {
 	const pl_pace_sample_t sample = sample_(agent);
 
-	if (!flow->holds_slot || flow->slot_reserved)
-		return;
-	log_change_(agent, pl_pace_failed(&agent->pace, &sample));
-	pl_flow_load_report_slower_(agent);
+	if (flow->holds_slot && !flow->slot_reserved)
+		log_change_(agent, pl_pace_failed(&agent->pace, &sample));
 }
 
 void pl_flow_pace_add_load_(const pl_flow_agent_t *agent,
 			    pl_endpoint_load_t *load)
 {
-	pl_ms_t now = pl_flow_agent_now_(agent);
-
-	load->limit = pl_pace_limit(&agent->pace, now);
-	load->request_ms = pl_pace_expected_ms(&agent->pace, now,
-					       pl_flow_work_request_ms_(agent));
+	load->limit = pl_pace_limit(&agent->pace, pl_flow_agent_now_(agent));
+	load->request_ms = pl_flow_work_request_ms_(agent);
 }
 
 void pl_flow_pace_add_stats_(const pl_flow_agent_t *agent,
--- a/src/flow/agent_report.c
+++ b/src/flow/agent_report.c
@@ -22,10 +22,6 @@
 #define ENTRIES_MAX 64
 /** Smallest change of the mean that is reported, in thousandths of a slot. */
 #define MEAN_CHANGE_MIN 250
-/** Smallest change of the time to answer that is reported, in percent: the one
- * from which on an endpoint counts as slow. */
-#define REQUEST_CHANGE_PERCENT 150
-#define PERCENT 100
 
 /** An entry that sends packets to this agent. */
 typedef struct {
@@ -57,18 +53,11 @@
 		g_array_append_val(agent->entries, new);
 }
 
-static bool is_slower_(const pl_endpoint_load_t *a, const pl_endpoint_load_t *b)
-{
-	return (uint64_t)a->request_ms * PERCENT >
-	       (uint64_t)b->request_ms * REQUEST_CHANGE_PERCENT;
-}
-
 static bool load_changed_(const pl_endpoint_load_t *a,
 			  const pl_endpoint_load_t *b)
 {
 	return a->slots != b->slots || a->busy != b->busy ||
-	       (a->limit == 0) != (b->limit == 0) || is_slower_(a, b) ||
-	       is_slower_(b, a) ||
+	       (a->limit == 0) != (b->limit == 0) ||
 	       abs((int)a->mean_busy - (int)b->mean_busy) >= MEAN_CHANGE_MIN;
 }
 
@@ -82,11 +71,7 @@
 	agent->ops->send(agent->ctx, id, message);
 }
 
-/* Reports to the entries for which @p differs holds of the present load and of
- * what they were told. */
-static void report_(pl_flow_agent_t *agent,
-		    bool (*differs)(const pl_endpoint_load_t *now,
-				    const pl_endpoint_load_t *told))
+static void report_changes_(pl_flow_agent_t *agent)
 {
 	const pl_flow_message_t message = {
 		.type = PL_FLOW_LOAD,
@@ -101,23 +86,18 @@
 
 		if (now - entry->last_packet > ENTRY_EXPIRY_MS) {
 			g_array_remove_index_fast(agent->entries, i);
-		} else if (differs(&message.load, &entry->told)) {
+		} else if (load_changed_(&message.load, &entry->told)) {
 			entry->told = message.load;
 			agent->ops->send(agent->ctx, entry->id, &message);
 		}
 	}
 }
 
-void pl_flow_load_report_slower_(pl_flow_agent_t *agent)
-{
-	report_(agent, is_slower_);
-}
-
 static void on_load_report_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
 {
 	pl_flow_agent_t *agent = ctx;
 
-	report_(agent, load_changed_);
+	report_changes_(agent);
 	pl_timer_arm(agent->timers, timer, now + REPORT_INTERVAL_MS);
 }
 
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -144,8 +144,6 @@
 void pl_flow_load_report_finish_(pl_flow_agent_t *agent);
 /** Records that the entry @p id sent a packet. */
 void pl_flow_load_report_add_entry_(pl_flow_agent_t *agent, pl_member_id_t id);
-/** Reports the load at once if the server takes longer to answer. */
-void pl_flow_load_report_slower_(pl_flow_agent_t *agent);
 /** Sends a message that carries the load to the entry @p id. */
 void pl_flow_load_report_send_(pl_flow_agent_t *agent, pl_member_id_t id,
 			       const pl_flow_message_t *message);
