--- a/src/view/view_replica.c
+++ b/src/view/view_replica.c
@@ -9,7 +9,6 @@
  */
 #include "private/view_private.h"
 
-#include <assert.h>
 #include <limits.h>
 
 /** Time for which records and claims are collected before they are sent. */
