--- a/include/pimentolift/balance/split.h
+++ b/include/pimentolift/balance/split.h
@@ -38,9 +38,10 @@
 	size_t index; /**< in the snapshot; not set for PL_REASON_NO_SERVICE */
 	size_t share; /**< index of the service that the weights give */
 	/** PL_REASON_SHARE; PL_REASON_OVERFLOW; PL_REASON_NO_ROOM if the
-	 * service of the share has no room, but no other one accepts more than
-	 * its share, and if it has no endpoint and no other one has room: the
-	 * flow waits at one that has endpoints, if any; PL_REASON_NO_SERVICE if no weight is above 0. */
+	 * service of the share has no room and no other one accepts more than
+	 * its share, or if it has no endpoint and no other one has room: the
+	 * flow then waits at one that has endpoints, if any;
+	 * PL_REASON_NO_SERVICE if no weight is above 0. */
 	pl_reason_t reason;
 } pl_split_decision_t;
 
--- a/include/pimentolift/loop.h
+++ b/include/pimentolift/loop.h
@@ -5,7 +5,8 @@
  * Each thread has one loop, which waits for file descriptors with epoll,
  * drives the thread's timer service, and runs functions that other threads
  * post to it. A turn is one iteration of the loop. Only pl_loop_post(),
- * pl_loop_call() and pl_loop_stop() may be called from other threads while the loop runs.
+ * pl_loop_call() and pl_loop_stop() may be called from other threads while the
+ * loop runs.
  * @{
  */
 #ifndef PIMENTOLIFT_LOOP_H
