--- a/src/config/private/sync_private.h
+++ b/src/config/private/sync_private.h
@@ -220,7 +220,7 @@
 /** The platform answered this member's watch. */
 void pl_sync_watch_succeeded(pl_config_sync_t *sync);
 
-/** Tells a member that may have started anew that this one does not watch. */
+/** Tells a member that may have restarted that this one does not watch. */
 void pl_sync_watchers_peer_up(pl_config_sync_t *sync, const peer_t *peer);
 
 pl_result_t pl_sync_handle_handover(pl_config_sync_t *sync,
--- a/src/flow/entry_lookup.c
+++ b/src/flow/entry_lookup.c
@@ -235,7 +235,7 @@
 /* Queries unsure agents again, because they may know more later. The earlier
  * verdict stays in force until the answer, so that the server can be probed in
  * the meantime. The queries that a dead agent leaves unanswered are counted and
- * not begun anew. */
+ * not restarted. */
 static void requery_unsure_(const pl_flow_entry_t *entry, lookup_t *lookup,
 			    pl_ms_t now)
 {
--- a/src/flow/entry_probe.c
+++ b/src/flow/entry_probe.c
@@ -13,9 +13,9 @@
 
 /** A probe without an answer is given up after this time. */
 #define PROBE_TIMEOUT_MS 100
-/** All probes of a flow are sent within this time of the first one. Three packets
- * that reach only servers which do not hold the flow, over 2 s, count as
- * misdirected, and a probe may wait on a slow link. */
+/** All probes of a flow are sent within this time of the first one: packets at
+ * servers that do not hold the flow help nobody, and a probe may wait on a slow
+ * link. */
 #define PROBE_PERIOD_MS 1000
 /** Age of the caller's last packet up to which its flow is probed. Callers
  * retransmit, so after this time the routers send the flow to another entry,
