flow agent: a reused port and a request that follows are no copies of a dropped one

The record of a flow that its caller reset stays, so the first request of a new flow from the same port could be dropped as a copy until its deadline. A request that came while the expired one was waiting was dropped with it, and its copies after it.

Ruled out: clearing the mark on any opening packet, as a late copy of the old one would bring the dead request back.

Change: an opening packet of an ended flow clears the mark; if another request followed, copies count as new ones, as before. A verdict for a flow of which only the server has sent packets goes to nobody, wherever it comes from.

The second case has no test. The stack of the simulated callers now acknowledges the server in its reset, as otherwise the server hands the reset back.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -106,7 +106,9 @@
 		.packet_len = len,
 	};
 
-	pl_flow_load_report_send_(agent, entry, &message);
+	/* 0: only the server has sent packets of the flow to this agent */
+	if (entry != 0)
+		pl_flow_load_report_send_(agent, entry, &message);
 }
 
 void pl_flow_agent_send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
@@ -224,6 +226,11 @@
 		admit_flow_(agent, message);
 		return;
 	}
+	/* the caller uses the port of an ended flow again */
+	if (flow->closed) {
+		flow->request_expired = false;
+		flow->request_end_valid = false;
+	}
 	flow->entry = message->sender;
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
@@ -303,6 +310,7 @@
 		pl_work_queue_note_arrival(&agent->queue,
 					   pl_flow_agent_now_(agent));
 	if (pl_work_is_queued(&flow->work)) {
+		flow->request_follows = flow->request_follows || begins;
 		pl_packet_queue_add(&flow->pending_packets, message->packet,
 				    message->packet_len);
 		return;
@@ -314,6 +322,7 @@
 				    message->packet_len);
 		pl_flow_work_enqueue_(agent, flow, due, expires,
 				      message->priority);
+		flow->request_follows = false;
 		flow->request_due = 0;
 		return;
 	}
--- a/src/flow/agent_admit.c
+++ b/src/flow/agent_admit.c
@@ -115,7 +115,10 @@
 		flow_t *flow = PL_CONTAINER_OF(work, flow_t, work);
 
 		log_dropped_(agent, flow, "at its deadline");
-		flow->request_expired = true;
+		/* the caller of a request that followed still waits: what it
+		 * sends again counts as new */
+		flow->request_expired = !flow->request_follows;
+		flow->request_end_valid = flow->request_expired;
 		pl_flow_work_discard_(agent, flow);
 	}
 }
--- a/src/flow/agent_backend.c
+++ b/src/flow/agent_backend.c
@@ -72,9 +72,6 @@
 	agent->stats.resets++;
 	pl_counter_add(PL_COUNTER_FLOWS_RESET, 1);
 	agent->ops->send_to_caller(agent->ctx, &flow->node.key, bytes, len);
-	/* only the server has sent packets of the flow to this agent */
-	if (flow->entry == 0)
-		return;
 	pl_flow_agent_send_verdict_(agent, flow->entry, &flow->node.key,
 				    PL_FLOW_ENDED, NULL, 0);
 }
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -44,6 +44,8 @@
 	/** The last request was dropped at its deadline: copies of it come from
 	 * a stack whose caller has given up. */
 	bool request_expired;
+	/** Another request came while the last one to be queued was waiting. */
+	bool request_follows;
 	/** A packet of the caller or the server has shown that the server
 	 * holds the flow; a probe that was not handed back only makes
 	 * it likely. */
--- a/test/flow/burst_test.c
+++ b/test/flow/burst_test.c
@@ -140,6 +140,36 @@
 		    share_after_burst_(false) - 0.01);
 }
 
+/* Guards against a caller that reuses the port of a flow whose request was dropped:
+ * its new requests were taken for copies. */
+static void reused_port_of_a_dropped_request_is_served(void **state)
+{
+	call_t *calls[6];
+	world_t *world = new_slow_world_(calls);
+	unsigned int reused = 0;
+	unsigned int served = 0;
+
+	(void)state;
+	world->stacks_repeat = true;
+	world_run(world, 15000);
+	for (int i = 0; i < 6; i++) {
+		const call_t *again;
+
+		if (calls[i]->state != CALL_FAILED)
+			continue;
+		world->next_port = calls[i]->port;
+		again = world_call(world, calls[i]->ip, SMALL_BYTES, false);
+		world_run(world, 2500);
+		served += again->state == CALL_DONE && again->attempts == 1;
+		reused++;
+	}
+	/* one request was under way at its deadline; the simulated server keeps
+	 * its flow, as it ignores resets */
+	assert_true(reused > 1);
+	assert_int_equal(served, reused - 1);
+	world_delete(world);
+}
+
 /* Guards against a server that has become slow and is still taken for a fast
  * one: answers that came after the timeout of their slot were not measured. */
 static void slow_answers_are_measured(void **state)
@@ -164,6 +194,7 @@
 		cmocka_unit_test(
 			requests_of_callers_that_reset_their_flow_are_not_run),
 		cmocka_unit_test(copies_of_dropped_requests_take_no_slot),
+		cmocka_unit_test(reused_port_of_a_dropped_request_is_served),
 		cmocka_unit_test(slow_answers_are_measured),
 	};
 
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -929,7 +929,8 @@
 	if (call->retransmits < RETRANSMITS_MAX)
 		retransmit_(call);
 	else
-		send_from_caller_(call, PL_PACKET_RST, call->seq, 0, 0);
+		send_from_caller_(call, PL_PACKET_RST, call->seq,
+				  call->server_next_seq, 0);
 }
 
 static void on_call_timer_(pl_timer_t *timer, void *ctx, pl_ms_t now)
