--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -36,6 +36,7 @@
 static item_t items_[ITEMS_MAX];
 static int item_count_;
 static uint64_t revision_ = 100;
+static bool down_;
 
 typedef struct {
 	int fd;
@@ -176,7 +177,7 @@
 	bool found = false;
 
 	g_string_append(out, "{\"events\":[");
-	while (!found && !world.stopping) {
+	while (!found && !world.stopping && !down_) {
 		struct timespec until;
 
 		for (int i = 0; i < item_count_; i++) {
@@ -286,7 +287,9 @@
 	if (query)
 		*query++ = '\0';
 	pthread_mutex_lock(&lock_);
-	if (strcmp(path, "/v1/kv-key") == 0)
+	if (down_)
+		status = 503;
+	else if (strcmp(path, "/v1/kv-key") == 0)
 		status = get_key_(query, out);
 	else if (strcmp(path, "/v1/kv-range") == 0)
 		status = get_range_(query, out);
@@ -294,8 +297,11 @@
 		status = watch_(query, out);
 	else if (strcmp(path, "/v1/kv-txn") == 0 && strcmp(method, "POST") == 0)
 		status = transaction_(body, out);
-	else
-		g_string_append(out, "{}");
+	if (down_) {
+		/* a watch that was waiting is cut */
+		g_string_assign(out, "{}");
+		status = 503;
+	}
 	pthread_mutex_unlock(&lock_);
 	g_free(path);
 	return status;
@@ -419,6 +425,15 @@
 	return NULL;
 }
 
+void store_set_up(bool up)
+{
+	pthread_mutex_lock(&lock_);
+	down_ = !up;
+	pthread_cond_broadcast(&changed_);
+	pthread_mutex_unlock(&lock_);
+	note("the store %s", up ? "serves again" : "answers 503");
+}
+
 uint32_t store_ip(const node_t *node)
 {
 	return address(3, node->entry ? 1 + node->index : AGENTS_IP);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -148,6 +148,8 @@
 /** Answers at an address for each entry, at the rate of its link, and at one for
  * all agents. */
 void store_start(void);
+/** The store is up, or answers all calls with 503. */
+void store_set_up(bool up);
 /** Address of the store for a process. */
 uint32_t store_ip(const node_t *node);
 /** Writes a key as the operator; returns its revision. */
