--- a/review/8/scenario.c
+++ b/review/8/scenario.c
@@ -1,70 +1,81 @@
 /**
  * @file
- * A server leaves: it reports that it drains, which its agent acknowledges. A
- * client uses ports again whose flows have ended. No flow that opens later than
- * the bound may reach the server.
+ * Clients open a flow for one request, from a small range of ports, and later
+ * use the ports again for flows that last. Meanwhile entries are restarted one
+ * after the other. No server but the flow's own may reset an open flow, and the
+ * system may not either.
  */
 #include "../standin-2/world.h"
 
-#define PORTS 40
-#define FLOW_GAP_MS 50
-#define DRAIN_MS 3000
-/* time until a port is used again, besides DRAIN_MS */
-#define REUSE_MS 30000
+#include <signal.h>
 
-static uint64_t acked_at_;
-static int late_;
+#define ENTRIES 5
+#define SERVERS 6
+#define PORTS 240
+#define FLOW_GAP_MS 12
+/* time until a port is used again */
+#define REUSE_MS 20000
+#define REQUEST_MS 400
+/* the platform restarts a process after a short delay */
+#define RESTART_MS 500
+#define ROLL_GAP_MS 2500
 
-static void on_taken_(const server_t *server, uint16_t port)
+static void restart_(int entry)
 {
-	uint64_t now = now_ms();
+	node_t *node = &world.entries[entry];
 
-	if (server != &world.servers[0] || acked_at_ == 0 ||
-	    now - acked_at_ <= DRAIN_MS)
+	if (!world.trouble) {
+		run_ms(RESTART_MS + ROLL_GAP_MS);
 		return;
-	late_++;
-	note("server %s takes a flow of port %u %lu ms after its draining was "
-	     "acknowledged",
-	     server->id, port, (unsigned long)(now - acked_at_));
-}
-
-/* Opens a flow for one request from each port in turn. */
-static void use_ports_(uint16_t ports[PORTS])
-{
-	for (int i = 0; i < PORTS; i++) {
-		client_t *client = client_open_once(
-			config_main_ip, config_main_port, "main", ports[i]);
-
-		run_ms(FLOW_GAP_MS);
-		ports[i] = client->port;
-		client_stop(client);
 	}
+	node_signal(node, SIGTERM);
+	node_wait(node);
+	run_ms(RESTART_MS);
+	node_start(node);
+	run_ms(ROLL_GAP_MS);
 }
 
 int scenario(void)
 {
-	uint16_t ports[PORTS] = { 0 };
+	uint16_t ports[PORTS];
+	client_t *clients[PORTS];
+	int broken = 0;
 
-	on_flow_taken = on_taken_;
 	store_start();
 	config_put(7, 110);
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < SERVERS; i++)
 		world.servers[i].service = "permitdesk";
-	world_start(3, 3);
+	world_start(ENTRIES, SERVERS);
 	if (!world_ready())
 		return 2;
-	use_ports_(ports);
+	for (int i = 0; i < PORTS; i++) {
+		client_t *client = client_open_once(
+			config_main_ip, config_main_port, "main", 0);
+
+		run_ms(FLOW_GAP_MS);
+		ports[i] = client->port;
+		if (!client->ended)
+			note("port %u: the flow has not ended", ports[i]);
+		client_stop(client);
+	}
 	run_ms(REUSE_MS);
-	if (world.trouble) {
-		world.servers[0].draining = true;
-		while (!world.servers[0].drain_acked)
-			run_ms(10);
-		acked_at_ = now_ms();
-		note("server %s: draining is acknowledged",
-		     world.servers[0].id);
+	restart_(0);
+	for (int i = 0; i < PORTS; i++) {
+		clients[i] = client_open_once(config_main_ip, config_main_port,
+					      "main", ports[i]);
+		clients[i]->closes = false;
+		clients[i]->interval_ms = REQUEST_MS;
+		run_ms(FLOW_GAP_MS);
 	}
-	run_ms(DRAIN_MS + 200);
-	use_ports_(ports);
-	note("%d flows were taken too late", late_);
-	return late_ > 0;
+	run_ms(2000);
+	note("the flows are in use");
+	restart_(1);
+	restart_(2);
+	restart_(3);
+	for (int i = 0; i < PORTS; i++)
+		broken += clients[i]->held_reset;
+	note("%d open flows were reset by another end while their server held "
+	     "them",
+	     broken);
+	return broken > 0;
 }
