--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -434,6 +434,21 @@
 	note("the store %s", up ? "serves again" : "answers 503");
 }
 
+bool store_names(const node_t *agent)
+{
+	char *end = g_strdup_printf("/%s:%d", ip_text(agent->ip),
+				    world.base_port + 4);
+	bool named = false;
+
+	pthread_mutex_lock(&lock_);
+	for (int i = 0; i < item_count_; i++)
+		named = named || (items_[i].value &&
+				  g_str_has_suffix(items_[i].key, end));
+	pthread_mutex_unlock(&lock_);
+	g_free(end);
+	return named;
+}
+
 uint32_t store_ip(const node_t *node)
 {
 	return address(3, node->entry ? 1 + node->index : AGENTS_IP);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -13,7 +13,7 @@
 #include <sys/types.h>
 
 #define ENTRIES_MAX 8
-#define SERVERS_MAX 16
+#define SERVERS_MAX 24
 #define CLIENTS_MAX 512
 #define FLOWS_MAX 4096
 #define PACKET_MAX 1234
@@ -150,6 +150,8 @@
 void store_start(void);
 /** The store is up, or answers all calls with 503. */
 void store_set_up(bool up);
+/** Whether the roster in the store names the agent. */
+bool store_names(const node_t *agent);
 /** Address of the store for a process. */
 uint32_t store_ip(const node_t *node);
 /** Writes a key as the operator; returns its revision. */
