--- a/review/9/scenario.c
+++ b/review/9/scenario.c
@@ -6,8 +6,9 @@
  */
 #include "../standin-2/world.h"
 
-#define PORTS 40
-#define FLOW_GAP_MS 50
+#define SERVERS 10
+#define PORTS 120
+#define FLOW_GAP_MS 25
 #define DRAIN_MS 3000
 /* time until a port is used again, besides DRAIN_MS */
 #define REUSE_MS 30000
@@ -48,9 +49,7 @@
 	on_flow_taken = on_taken_;
 	store_start();
 	config_put(7, 110);
-	for (int i = 0; i < 3; i++)
-		world.servers[i].service = "permitdesk";
-	world_start(3, 3);
+	world_start(3, SERVERS);
 	if (!world_ready())
 		return 2;
 	use_ports_(ports);
