flow agent: a record claims only packets of its own flow

Cause: an agent's record outlives its flow and is found by addresses and ports, which the caller had used again. It stayed "open", so the agent claimed the later flow; as the record was confirmed, its server's reset was passed on.

The product's log could not tell a server's reset from another cause: new events 248 flow-replaced and 249 server-reset do.

Ruled out: a proof by an entry (no line 243 for these flows; the reset is the server's), a wrong service, a lost record of the holder.

Change: a record holds the server's sequence numbers; only packets that acknowledge one of them are of its flow. A packet of the server with other numbers replaces the whole record, so that no mark of the earlier flow (closed, confirmed, last request, probes) is left for the later one.

--- a/include/pimentolift/counter.h
+++ b/include/pimentolift/counter.h
@@ -102,6 +102,8 @@
 	  "times that an ejected backend server got new flows again")         \
 	X(PL_COUNTER_FLOWS_EVICTED, "flows_evicted",                          \
 	  "records of open flows that were dropped from a full table")        \
+	X(PL_COUNTER_FLOWS_REPLACED, "flows_replaced",                        \
+	  "records of flows whose callers use the port for another flow")     \
 	X(PL_COUNTER_FLOWS_BOUNCED, "flows_bounced",                          \
 	  "packets that the backend server handed back")                      \
 	X(PL_COUNTER_FLOWS_FOUND, "flows_found",                              \
--- a/include/pimentolift/packet.h
+++ b/include/pimentolift/packet.h
@@ -17,6 +17,9 @@
 
 /** Largest packet, in bytes. */
 #define PL_PACKET_MAX 1300
+/** Acknowledgement number of a packet that acknowledges nothing, as a caller's
+ * reset may. */
+#define PL_PACKET_ACK_NONE 0
 
 /** IPv4 address and port, both in host byte order. */
 typedef struct {
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -126,12 +126,15 @@
 	send_verdict_(agent, entry, key, PL_FLOW_REFUSED, reason, packet, len);
 }
 
-/* Whether the caller's acknowledgement matches this server's SYN-ACK. An
- * opening packet may be offered to several servers, and the caller answers
- * only one of them. */
-static bool acknowledges_server_(const flow_t *flow, uint32_t ack)
+/* Whether a packet of the caller that acknowledges @p ack is of the recorded
+ * flow. It may be of another one: an opening packet is offered to several
+ * servers, of which the caller answers one, and callers use ports again. A
+ * packet without an acknowledgement is of a flow that has not ended. */
+static bool is_of_flow_(const flow_t *flow, uint32_t ack)
 {
-	return ack - flow->server_isn <= PL_FLOW_ACK_WINDOW_BYTES;
+	if (ack == PL_PACKET_ACK_NONE)
+		return !flow->ended;
+	return pl_seq_range_contains(&flow->server_seqs, ack);
 }
 
 static pl_flow_verdict_t get_verdict_(const pl_flow_agent_t *agent,
@@ -145,13 +148,20 @@
 		return unknown;
 	switch (flow->state) {
 	case FLOW_OPEN:
-		return PL_FLOW_OWNED;
+		if (is_of_flow_(flow, ack))
+			return PL_FLOW_OWNED;
+		/* the server holds one flow of these addresses and ports */
+		return flow->confirmed ? PL_FLOW_ABSENT : unknown;
 	case FLOW_PROBING:
+		if (!is_of_flow_(flow, ack))
+			return unknown;
 		/* a server that is not up does not hand packets back */
 		return agent->backend_seen ? PL_FLOW_OWNED : PL_FLOW_UNSURE;
 	case FLOW_OFFERED:
-		return acknowledges_server_(flow, ack) ? PL_FLOW_OWNED :
-							 unknown;
+		/* the answer may be that to a late copy of the opening packet */
+		return pl_seq_range_may_reach(&flow->server_seqs, ack) ?
+			       PL_FLOW_OWNED :
+			       unknown;
 	case FLOW_NEW:
 		/* the opening packet may be a late copy of a flow that the
 		 * server has held since before this agent's start */
@@ -198,10 +208,8 @@
 	if (!pl_flow_admit_(agent, message, &waits))
 		return;
 	flow = pl_flow_get_or_add_(agent, &message->flow);
-	pl_flow_set_state_(agent, flow, FLOW_NEW);
+	pl_flow_replace_(agent, flow);
 	flow->entry = message->sender;
-	pl_flow_reopen_(agent, flow);
-	flow->confirmed = false;
 	flow->request_due = request_due_(agent, message);
 	agent->stats.accepted++;
 	if (waits) {
@@ -280,6 +288,12 @@
 {
 	flow_t *flow = pl_flow_get_or_add_(agent, &message->flow);
 
+	if (!is_of_flow_(flow, packet->ack)) {
+		flow->server_seqs.known = false;
+		flow->probed_at = 0;
+	}
+	if (packet->ack != PL_PACKET_ACK_NONE)
+		pl_seq_range_add(&flow->server_seqs, packet->ack, packet->ack);
 	flow->forwarded_as_known = (message->flags & PL_FLOW_OWNER_KNOWN) != 0;
 	flow->entry_keeps_copy = true;
 	pl_flow_start_probe_(agent, flow);
@@ -355,6 +369,7 @@
 	}
 	if (flow->state == FLOW_OFFERED) {
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
+		pl_seq_range_add(&flow->server_seqs, packet->ack, packet->ack);
 		flow->confirmed = true;
 		flow->probed_at = 0;
 		pl_flow_work_flow_opened_(agent, flow);
@@ -465,6 +480,10 @@
 	pl_counter_add(PL_COUNTER_FLOWS_BOUNCED, 1);
 	if (!flow || (opens && may_be_held_(flow)))
 		return;
+	/* a probe of another flow: the server has shown since that it holds the
+	 * recorded one */
+	if (!opens && flow->confirmed && !is_of_flow_(flow, packet->ack))
+		return;
 	if (opens && flow->state == FLOW_NEW)
 		pl_flow_health_refused_(agent);
 	agent->params.packets->clear_bounced(bytes, len);
@@ -475,6 +494,50 @@
 				    keep ? NULL : bytes, keep ? 0 : len);
 }
 
+/* Whether the server's packet is of another flow than the recorded one. */
+static bool is_of_other_flow_(const flow_t *flow, const pl_packet_t *packet)
+{
+	return flow->server_seqs.known &&
+	       !pl_seq_range_may_reach(&flow->server_seqs, packet->seq);
+}
+
+static void log_replaced_(const flow_t *flow, const pl_packet_t *packet)
+{
+	char text[PL_FLOW_TEXT_MAX];
+
+	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
+	pl_event(PL_EVENT_FLOW_REPLACED,
+		 "%s: the server sends %u, its last number in the %s flow "
+		 "was %u",
+		 pl_flow_format(&flow->node.key, text), packet->seq,
+		 flow->ended ? "ended" : "recorded", flow->server_seqs.next);
+}
+
+/* Records the numbers of a packet of the server. A packet of another flow shows
+ * that the server no longer holds the recorded one, if it ever did. */
+static void note_server_seqs_(pl_flow_agent_t *agent, flow_t *flow,
+			      const pl_packet_t *packet)
+{
+	bool opens = (packet->flags & PL_PACKET_SYN) != 0;
+	bool takes_seq = (packet->flags & (PL_PACKET_SYN | PL_PACKET_FIN)) != 0;
+
+	/* the number of a reset may be that of the packet it answers */
+	if (packet->flags & PL_PACKET_RST)
+		return;
+	if (is_of_other_flow_(flow, packet)) {
+		log_replaced_(flow, packet);
+		if (flow->state == FLOW_PROBING)
+			pl_flow_agent_send_verdict_(agent, flow->entry,
+						    &flow->node.key,
+						    PL_FLOW_ABSENT, NULL, 0);
+		pl_flow_replace_(agent, flow);
+	}
+	if (opens && flow->state != FLOW_OPEN && flow->state != FLOW_PROBING)
+		pl_seq_range_start(&flow->server_seqs, packet->seq);
+	pl_seq_range_add(&flow->server_seqs, packet->seq,
+			 packet->seq + packet->data_len + takes_seq);
+}
+
 static void update_from_server_(pl_flow_agent_t *agent,
 				const pl_flow_key_t *key,
 				const pl_packet_t *packet)
@@ -482,13 +545,12 @@
 	bool opens = (packet->flags & PL_PACKET_SYN) != 0;
 	flow_t *flow = pl_flow_get_or_add_(agent, key);
 
-	if (opens && flow->state != FLOW_OPEN) {
-		flow->server_isn = packet->seq;
+	note_server_seqs_(agent, flow, packet);
+	if (opens && flow->state != FLOW_OPEN)
 		pl_flow_set_state_(agent, flow, FLOW_OFFERED);
-	} else if (!opens && flow->state != FLOW_OFFERED) {
+	else if (!opens && flow->state != FLOW_OFFERED)
 		/* the server sends packets of the flow, so it holds it */
 		pl_flow_set_state_(agent, flow, FLOW_OPEN);
-	}
 	flow->held_at = pl_flow_agent_now_(agent);
 	if (!opens && !(packet->flags & PL_PACKET_RST))
 		pl_flow_confirm_(agent, flow);
@@ -503,6 +565,18 @@
 		pl_flow_work_free_slot_(agent, flow);
 }
 
+static void log_reset_(const pl_flow_key_t *key, const flow_t *flow,
+		       const char *result)
+{
+	char text[PL_FLOW_TEXT_MAX];
+
+	pl_event(PL_EVENT_SERVER_RESET, "%s: %s, %s%s%s",
+		 pl_flow_format(key, text), result,
+		 flow ? pl_flow_state_names_[flow->state] : "no record",
+		 flow && flow->confirmed ? ", confirmed" : "",
+		 flow && flow->ended ? ", ended" : "");
+}
+
 /* Whether a reset by the server may be passed to the caller. A server that was
  * only offered the flow, or got a probe of it, must not reset it:
  * another server holds the flow or will hold it. */
@@ -510,8 +584,11 @@
 {
 	flow_t *flow = find_flow_(agent, key);
 
-	if (!flow || flow->confirmed || flow->forwarded_as_known)
+	if (!flow || flow->confirmed || flow->forwarded_as_known) {
+		log_reset_(key, flow, "passed on");
 		return true;
+	}
+	log_reset_(key, flow, "withheld");
 	if (flow->state == FLOW_PROBING)
 		pl_flow_agent_send_verdict_(agent, flow->entry, key,
 					    PL_FLOW_ABSENT, NULL, 0);
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -11,6 +11,12 @@
  * it does not hold. */
 #define PROBE_TIMEOUT_MS 15
 
+const char *const pl_flow_state_names_[] = {
+	[FLOW_NEW] = "new",	  [FLOW_OFFERED] = "offered",
+	[FLOW_OPEN] = "open",	  [FLOW_PROBING] = "probing",
+	[FLOW_ABSENT] = "absent",
+};
+
 /* A live server that did not hand the probe back is presumed to hold the flow:
  * this process or the server may just be late. If no packet or report of the
  * server has arrived yet, the probe stays open until the server answers. */
@@ -84,15 +90,24 @@
 	return (uint32_t)MAX(pl_flow_agent_now_(agent) - flow->probed_at, 1);
 }
 
-void pl_flow_reopen_(pl_flow_agent_t *agent, flow_t *flow)
+void pl_flow_replace_(pl_flow_agent_t *agent, flow_t *flow)
 {
+	pl_flow_work_discard_(agent, flow);
+	pl_flow_set_state_(agent, flow, FLOW_NEW);
 	flow->held_at = pl_flow_agent_now_(agent);
+	flow->server_seqs.known = false;
+	flow->request_end_valid = false;
+	flow->request_expired = false;
+	flow->request_follows = false;
+	flow->request_due = 0;
+	flow->confirmed = false;
+	flow->probed_at = 0;
+	flow->forwarded_as_known = false;
+	flow->entry_keeps_copy = false;
 	flow->closed = false;
+	flow->ended = false;
 	flow->caller_closed = false;
 	flow->server_closed = false;
-	flow->request_open = false;
-	flow->request_expired = false;
-	pl_flow_table_set_expendable(agent->flows, &flow->node, false);
 }
 
 void pl_flow_note_end_(pl_flow_agent_t *agent, flow_t *flow,
@@ -106,6 +121,8 @@
 		flow->closed = true;
 	/* the server may still answer a caller that has only sent its FIN */
 	if (reset || (flow->caller_closed && flow->server_closed))
+		flow->ended = true;
+	if (flow->ended)
 		pl_flow_table_set_expendable(agent->flows, &flow->node, true);
 }
 
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -15,6 +15,7 @@
 #include <pimentolift/balance/load.h>
 #include <pimentolift/balance/pace.h>
 #include "private/packet_queue.h"
+#include "private/seq_range.h"
 #include <pimentolift/balance/work_queue.h>
 
 #include <glib.h>
@@ -31,11 +32,16 @@
 	FLOW_ABSENT, /**< the server does not hold the flow */
 } flow_state_t;
 
+/** Names of @ref flow_state_t, indexed by its values. */
+extern const char *const pl_flow_state_names_[];
+
 /** Record of one flow. */
 typedef struct {
 	pl_flow_node_t node;
 	flow_state_t state;
-	uint32_t server_isn; /**< sequence number of the server's SYN-ACK */
+	/** Sequence numbers of the server: only packets that acknowledge one of
+	 * them are of this flow. */
+	pl_seq_range_t server_seqs;
 	uint32_t caller_ack; /**< last acknowledgement of the caller */
 	pl_member_id_t entry; /**< entry that sent the last packet */
 	pl_timer_t probe_timer; /**< end of the probe */
@@ -59,6 +65,7 @@
 	 * of the flow. */
 	pl_ms_t held_at;
 	bool closed; /**< the caller or the server closed or reset it */
+	bool ended; /**< both closed it, or one reset it */
 	bool caller_closed; /**< the caller sent a FIN */
 	bool server_closed; /**< the server sent a FIN */
 	/* agent_work.c */
@@ -177,8 +184,9 @@
 void pl_flow_on_release_(void *ctx, pl_flow_node_t *node);
 /** Called before the record of a flow that may be open is evicted. */
 void pl_flow_on_evict_(void *ctx, pl_flow_node_t *node);
-/** Records that the flow is about to be opened. */
-void pl_flow_reopen_(pl_flow_agent_t *agent, flow_t *flow);
+/** Replaces what is recorded of a flow by the record of another one of the same
+ * addresses and ports, of which nothing is known yet; its state is FLOW_NEW. */
+void pl_flow_replace_(pl_flow_agent_t *agent, flow_t *flow);
 /** Records a FIN or RST of the side whose flag is @p closed. */
 void pl_flow_note_end_(pl_flow_agent_t *agent, flow_t *flow,
 		       const pl_packet_t *packet, bool *closed);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -26,6 +26,8 @@
 #define RETRANSMITS_MAX 8
 #define OPENING_TIMEOUT_MS 1400
 #define ATTEMPTS_MAX 3
+/* Sequence number of a caller's first request. */
+#define FIRST_SEQ 1000
 /* Membership declares an agent that never answered dead after this time. */
 #define PROBE_TIMEOUT_MS 1500
 #define LOOPBACK_NET 127
@@ -143,6 +145,8 @@
 	server_t *server;
 	unsigned int generation;
 	bool open;
+	bool ended; /* both ends have closed the flow */
+	uint32_t caller_first; /* sequence number of the opening packet */
 	uint32_t seq; /* sequence number of the server's next byte */
 	uint32_t expected; /* sequence number of the caller's next byte */
 	bool working;
@@ -270,10 +274,25 @@
 	send_from_server_(server, &answer);
 }
 
-static void handle_server_opening_(server_t *server, pl_packet_t *packet)
+/* The flow that the packet opens at the server, if it is open already. A caller
+ * that uses a port again opens another flow. */
+static server_flow_t *find_opened_(server_t *server, const pl_packet_t *packet)
 {
 	const pl_flow_key_t key = pl_packet_flow(packet);
 	server_flow_t *flow = g_hash_table_lookup(server->flows, &key);
+
+	if (!flow || (!flow->ended && flow->caller_first == packet->seq))
+		return flow;
+	g_queue_remove(server->waiting, flow);
+	server->busy -= flow->working;
+	g_hash_table_remove(server->flows, &key);
+	return NULL;
+}
+
+static void handle_server_opening_(server_t *server, pl_packet_t *packet)
+{
+	const pl_flow_key_t key = pl_packet_flow(packet);
+	server_flow_t *flow = find_opened_(server, packet);
 	pl_packet_t answer;
 
 	if (flow && server->copies != COPY_ANSWERED) {
@@ -286,6 +305,7 @@
 		flow->key = key;
 		flow->server = server;
 		flow->seq = g_rand_int(server->world->random);
+		flow->caller_first = packet->seq;
 		flow->expected = packet->seq + 1;
 		pl_timer_init(&flow->timer, work_done_, flow);
 		server->opened++;
@@ -322,6 +342,17 @@
 		world->misdirected++;
 }
 
+/* Handles a packet of a flow that has ended. */
+static void handle_late_packet_(server_flow_t *flow, const pl_packet_t *packet)
+{
+	const pl_packet_t ack = make_answer_(flow, PL_PACKET_ACK, 0);
+
+	if (packet->flags & PL_PACKET_FIN)
+		send_from_server_(flow->server, &ack);
+	else if (packet->data_len > 0)
+		reset_unowned_(flow->server, packet);
+}
+
 static void handle_server_packet_(server_t *server, pl_packet_t *packet)
 {
 	const pl_flow_key_t key = pl_packet_flow(packet);
@@ -344,11 +375,16 @@
 			hand_back_(server, packet);
 		return;
 	}
+	if (flow->ended) {
+		handle_late_packet_(flow, packet);
+		return;
+	}
 	flow->open = true;
 	g_hash_table_remove(server->world->strays, &key);
 	if ((packet->flags & PL_PACKET_FIN) && server->world->servers_close) {
 		ack = make_answer_(flow, PL_PACKET_FIN | PL_PACKET_ACK, 0);
 		send_from_server_(server, &ack);
+		flow->ended = true;
 	}
 	if (packet->data_len == 0)
 		return;
@@ -526,7 +562,7 @@
 		const server_flow_t *held =
 			g_hash_table_lookup(world->servers[i].flows, flow);
 
-		if (held && held->open)
+		if (held && held->open && !held->ended)
 			return &world->servers[i];
 	}
 	return NULL;
@@ -909,7 +945,7 @@
 	call->copies = 1;
 	call->retransmits = 0;
 	call->flow_reused = false;
-	call->seq = 1000;
+	call->seq = FIRST_SEQ;
 	send_from_caller_(call, PL_PACKET_SYN, call->seq - 1, 0, 0);
 	arm_call_timer_(call, RETRANSMIT_FIRST_MS);
 }
@@ -1002,6 +1038,20 @@
 	return call;
 }
 
+call_t *world_call_from_port(world_t *world, const call_t *before, bool keep)
+{
+	call_t *call = call_new_(world, before->ip, before->bytes, keep);
+
+	call->attempts = 1;
+	call->port = before->port;
+	call->state = CALL_OPENING;
+	call->copies = 1;
+	call->seq = g_rand_int(world->random);
+	send_from_caller_(call, PL_PACKET_SYN, call->seq - 1, 0, 0);
+	arm_call_timer_(call, RETRANSMIT_FIRST_MS);
+	return call;
+}
+
 call_t *world_call_again(world_t *world, const call_t *before)
 {
 	call_t *call = call_new_(world, before->ip, before->bytes, true);
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -243,6 +243,10 @@
 /** Starts another request on the flow of the completed call @p before. */
 call_t *world_call_again(world_t *world, const call_t *before);
 
+/** Starts a request on a new flow from the port of the flow of @p before, which
+ * the caller has ended or given up. */
+call_t *world_call_from_port(world_t *world, const call_t *before, bool keep);
+
 /** The caller resets the flow of a call. */
 void world_abort(call_t *call);
 
