flow: an opening packet with other numbers opens another flow

Cause: an entry sends opening packets to the cached owner, and an agent delivers each one of which it has a record, as a copy, without admission. Both records outlive the flow and are found by addresses and ports.

Ruled out: lagging load (the agent is the gate, and knew), late copies (new numbers, first transmissions).

Change: both hold the caller's sequence numbers. A copy has the first number of a flow that has not ended; anything else is placed and admitted as new. An agent returns what an entry took for a copy by mistake (reason other-flow); refusals by the cached owner, which the entry ignored unless the data centre was evacuated, place the flow elsewhere, and refusals of an earlier opening packet count no more.

Same cause, with tests: flows closed by one end, reset, silent, looked up, known to a restarted agent, offered only; a full server; an evacuated data centre; a service whose weight is 0 now.

--- a/include/pimentolift/balance/reason.h
+++ b/include/pimentolift/balance/reason.h
@@ -33,7 +33,9 @@
 	X(PL_REASON_NO_ENDPOINT, "no-endpoint",                              \
 	  "the service has no endpoint for new flows")                       \
 	X(PL_REASON_NO_SERVICE, "no-service",                                \
-	  "no service of the route has a weight above 0")
+	  "no service of the route has a weight above 0")                    \
+	X(PL_REASON_OTHER_FLOW, "other-flow",                                \
+	  "the caller uses the port of a flow of the agent again")
 
 typedef enum {
 #define PL_REASON_ENUM_(id, name, meaning) id,
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -186,15 +186,17 @@
 	return pl_flow_agent_now_(agent) + message->due_ms;
 }
 
-/* Handles the opening packet of a flow without a record. */
+/* Handles the opening packet of a flow without a record, or with that of another
+ * flow, which it replaces. */
 static void admit_flow_(pl_flow_agent_t *agent,
-			const pl_flow_message_t *message)
+			const pl_flow_message_t *message,
+			const pl_packet_t *packet)
 {
 	bool waits;
 	flow_t *flow;
 
 	if (!pl_flow_backend_accepts_(agent)) {
-		pl_flow_refuse_not_serving_(agent, message);
+		pl_flow_refuse_(agent, message, PL_REASON_NOT_SERVING);
 		return;
 	}
 	if (!pl_flow_pace_admits_flow_(agent)) {
@@ -209,6 +211,7 @@
 		return;
 	flow = pl_flow_get_or_add_(agent, &message->flow);
 	pl_flow_replace_(agent, flow);
+	pl_seq_range_start(&flow->caller_seqs, packet->seq);
 	flow->entry = message->sender;
 	flow->request_due = request_due_(agent, message);
 	agent->stats.accepted++;
@@ -221,24 +224,53 @@
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
 
+/* Whether the opening packet is of the recorded flow: a copy, as callers send
+ * until they get an answer. */
+static bool is_opening_of_(const flow_t *flow, const pl_packet_t *packet)
+{
+	return !flow->ended &&
+	       pl_seq_range_begins_at(&flow->caller_seqs, packet->seq);
+}
+
+static void log_opened_again_(const flow_t *flow, const pl_packet_t *packet)
+{
+	char text[PL_FLOW_TEXT_MAX];
+
+	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
+	pl_event(
+		PL_EVENT_FLOW_REPLACED,
+		"%s: the caller opens another flow with %u, its last number in "
+		"the %s%s one was %u",
+		pl_flow_format(&flow->node.key, text), packet->seq,
+		flow->ended ? "ended, " : "", pl_flow_state_names_[flow->state],
+		flow->caller_seqs.next);
+}
+
 static void handle_opening_(pl_flow_agent_t *agent,
-			    const pl_flow_message_t *message)
+			    const pl_flow_message_t *message,
+			    const pl_packet_t *packet)
 {
 	flow_t *flow = find_flow_(agent, &message->flow);
 
+	if (flow && flow->state == FLOW_ABSENT)
+		flow = NULL;
+	if (flow && !is_opening_of_(flow, packet)) {
+		log_opened_again_(flow, packet);
+		if (message->flags & PL_FLOW_OWNER_KNOWN) {
+			/* the entry places it as any other new flow */
+			pl_flow_refuse_(agent, message, PL_REASON_OTHER_FLOW);
+			return;
+		}
+		flow = NULL;
+	}
 	if (agent->evacuated) {
 		pl_flow_evacuate_opening_(agent, flow, message);
 		return;
 	}
-	if (!flow || flow->state == FLOW_ABSENT) {
-		admit_flow_(agent, message);
+	if (!flow) {
+		admit_flow_(agent, message, packet);
 		return;
 	}
-	/* the caller uses the port of an ended flow again */
-	if (flow->closed) {
-		flow->request_expired = false;
-		flow->request_end_valid = false;
-	}
 	flow->entry = message->sender;
 	agent->ops->deliver(agent->ctx, message->packet, message->packet_len);
 }
@@ -254,6 +286,9 @@
 			    pl_flow_agent_now_(agent));
 	if (packet->flags & PL_PACKET_ACK)
 		flow->caller_ack = packet->ack;
+	if (!(packet->flags & PL_PACKET_RST))
+		pl_seq_range_add(&flow->caller_seqs, packet->seq,
+				 packet->seq + packet->data_len);
 	pl_flow_note_end_(agent, flow, packet, &flow->caller_closed);
 }
 
@@ -453,7 +488,7 @@
 	if (pl_packet_opens(&packet) || !(message->flags & PL_FLOW_REMOTE))
 		pl_flow_load_report_add_entry_(agent, message->sender);
 	if (pl_packet_opens(&packet))
-		handle_opening_(agent, message);
+		handle_opening_(agent, message, &packet);
 	else
 		handle_forward_(agent, message, &packet);
 }
@@ -536,6 +571,8 @@
 		pl_seq_range_start(&flow->server_seqs, packet->seq);
 	pl_seq_range_add(&flow->server_seqs, packet->seq,
 			 packet->seq + packet->data_len + takes_seq);
+	if (!flow->caller_seqs.known && packet->ack != PL_PACKET_ACK_NONE)
+		pl_seq_range_add(&flow->caller_seqs, packet->ack, packet->ack);
 }
 
 static void update_from_server_(pl_flow_agent_t *agent,
--- a/src/flow/agent_admit.c
+++ b/src/flow/agent_admit.c
@@ -9,8 +9,8 @@
 #include <pimentolift/counter.h>
 #include <pimentolift/event.h>
 
-static void refuse_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
-		    pl_reason_t reason)
+void pl_flow_refuse_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		     pl_reason_t reason)
 {
 	agent->stats.refused++;
 	pl_counter_add(PL_COUNTER_FLOWS_HANDED_BACK, 1);
@@ -32,7 +32,7 @@
 		 pl_flow_format(&message->flow, text),
 		 pl_reason_name(PL_REASON_HOPELESS), query->left_ms,
 		 query->ahead_ms);
-	refuse_(agent, message, PL_REASON_HOPELESS);
+	pl_flow_refuse_(agent, message, PL_REASON_HOPELESS);
 }
 
 pl_ms_t pl_flow_expires_(const pl_flow_agent_t *agent,
@@ -61,16 +61,10 @@
 	if (decision.result == PL_ADMIT_REFUSE)
 		refuse_hopeless_(agent, message, &query);
 	else if (decision.result == PL_ADMIT_HAND_BACK)
-		refuse_(agent, message, decision.reason);
+		pl_flow_refuse_(agent, message, decision.reason);
 	return *waits || decision.result == PL_ADMIT_NOW;
 }
 
-void pl_flow_refuse_not_serving_(pl_flow_agent_t *agent,
-				 const pl_flow_message_t *message)
-{
-	refuse_(agent, message, PL_REASON_NOT_SERVING);
-}
-
 static void log_dropped_(const pl_flow_agent_t *agent, const flow_t *flow,
 			 const char *cause)
 {
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -96,6 +96,7 @@
 	pl_flow_set_state_(agent, flow, FLOW_NEW);
 	flow->held_at = pl_flow_agent_now_(agent);
 	flow->server_seqs.known = false;
+	flow->caller_seqs.known = false;
 	flow->request_end_valid = false;
 	flow->request_expired = false;
 	flow->request_follows = false;
--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -6,6 +6,7 @@
 
 #include <assert.h>
 #include <pimentolift/counter.h>
+#include <pimentolift/event.h>
 #include <string.h>
 
 /** Interval of the sweep that expires old records. */
@@ -331,19 +332,65 @@
 		       OPENING_UNWEIGHTED;
 }
 
+static void log_replaced_(const cached_flow_t *flow, const pl_packet_t *packet)
+{
+	char text[PL_FLOW_TEXT_MAX];
+
+	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
+	pl_event(
+		PL_EVENT_FLOW_REPLACED,
+		"%s: the caller opens another flow with %u, its last number in "
+		"the cached one was %u",
+		pl_flow_format(&flow->node.key, text), packet->seq,
+		flow->caller_seqs.next);
+}
+
+static cached_flow_t *find_flow_(const pl_flow_entry_t *entry,
+				 const pl_flow_key_t *key)
+{
+	pl_flow_node_t *node = pl_flow_table_find(entry->flows, key);
+
+	return node ? PL_CONTAINER_OF(node, cached_flow_t, node) : NULL;
+}
+
+bool pl_flow_entry_is_opening_of_(const cached_flow_t *flow,
+				  const pl_packet_t *packet)
+{
+	return pl_seq_range_begins_at(&flow->caller_seqs, packet->seq);
+}
+
+/* Removes the record of another flow of the same addresses and ports: neither
+ * its owner nor its offers count for the flow of the packet. */
+static void remove_other_flow_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
+			       const pl_packet_t *packet)
+{
+	cached_flow_t *flow = find_flow_(entry, key);
+
+	if (!flow || pl_flow_entry_is_opening_of_(flow, packet))
+		return;
+	log_replaced_(flow, packet);
+	pl_flow_table_remove(entry->flows, &flow->node);
+}
+
 /* Handles an opening packet or its retransmission. A retransmission goes to
  * another endpoint, because the first one may be dead. */
 static void handle_opening_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
-			    uint32_t copy, const uint8_t *bytes, size_t len)
+			    const pl_packet_t *packet, const uint8_t *bytes,
+			    size_t len)
 {
-	cached_flow_t *flow = get_flow_(entry, key, true);
+	uint32_t copy = packet->ack;
 	pl_flow_opening_t step;
+	cached_flow_t *flow;
 
+	remove_other_flow_(entry, key, packet);
+	flow = get_flow_(entry, key, true);
 	if (pl_flow_entry_is_rerouted_(entry, flow)) {
 		/* the route now belongs to other services */
 		pl_flow_table_remove(entry->flows, &flow->node);
 		flow = get_flow_(entry, key, true);
 	}
+	if (!flow->caller_seqs.known)
+		pl_seq_range_start(&flow->caller_seqs, packet->seq);
 	step = pl_flow_entry_opening_(entry, flow);
 	if (step == OPENING_UNWEIGHTED) {
 		reject_unweighted_(entry, flow, copy);
@@ -366,9 +413,14 @@
 				const pl_packet_t *packet, const uint8_t *bytes,
 				size_t len)
 {
-	cached_flow_t *flow = get_flow_(entry, key, routed);
-	pl_member_id_t offer = pl_flow_entry_last_offer_(flow);
+	pl_member_id_t offer;
+	cached_flow_t *flow;
 
+	flow = get_flow_(entry, key, routed);
+	if (!(packet->flags & PL_PACKET_RST))
+		pl_seq_range_add(&flow->caller_seqs, packet->seq,
+				 packet->seq + packet->data_len);
+	offer = pl_flow_entry_last_offer_(flow);
 	if (flow->owner != 0 &&
 	    !pl_flow_liveness_owner_lost_(entry, flow->owner)) {
 		entry->stats.cache_hits++;
@@ -427,7 +479,7 @@
 	if (configured && !service)
 		reject_unrouted_(entry, &key, &packet);
 	else if (pl_packet_opens(&packet))
-		handle_opening_(entry, &key, packet.ack, bytes, len);
+		handle_opening_(entry, &key, &packet, bytes, len);
 	else
 		handle_established_(entry, &key, service != NULL, &packet,
 				    bytes, len);
--- a/src/flow/entry_verdict.c
+++ b/src/flow/entry_verdict.c
@@ -5,6 +5,7 @@
 #include "private/entry_private.h"
 
 #include <pimentolift/counter.h>
+#include <pimentolift/event.h>
 
 /* An agent found that the caller gives up before it can be served. The caller
  * is told so, unless another endpoint may have accepted the flow. */
@@ -22,16 +23,39 @@
 	pl_flow_entry_reset_(entry, &key, 0);
 }
 
+/* The owner's agent refused an opening packet. It delivers or drops copies, so
+ * this one opens another flow, which has no owner yet. */
+static void place_other_flow_(pl_flow_entry_t *entry, cached_flow_t *flow,
+			      const pl_flow_message_t *message)
+{
+	char text[PL_FLOW_TEXT_MAX];
+
+	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
+	pl_event(PL_EVENT_FLOW_REPLACED,
+		 "%s: its owner refuses to open another flow: %s",
+		 pl_flow_format(&message->flow, text),
+		 pl_reason_name(message->reason));
+	pl_flow_table_remove(entry->flows, &flow->node);
+	pl_flow_entry_route_(entry, message->packet, message->packet_len);
+}
+
 /* An agent refused an opening packet: offers it to another one. */
 static void handle_refused_(pl_flow_entry_t *entry, cached_flow_t *flow,
 			    const pl_flow_message_t *message)
 {
-	/* an evacuated agent drops copies of a flow that is open there */
-	if (flow->owner == message->sender &&
-	    message->reason == PL_REASON_EVACUATED)
-		flow->owner = 0;
+	pl_packet_t packet;
+
+	/* the answer may come after the caller has opened another flow */
+	if (!entry->params.packets->read(message->packet, message->packet_len,
+					 &packet) ||
+	    !pl_flow_entry_is_opening_of_(flow, &packet))
+		return;
+	if (flow->owner == message->sender) {
+		place_other_flow_(entry, flow, message);
+		return;
+	}
 	pl_flow_entry_rule_out_(flow, message->sender);
-	if (message->packet_len == 0 || flow->owner != 0)
+	if (flow->owner != 0)
 		return;
 	/* the caller has given up this attempt; another offer would only occupy
 	 * a slot */
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -42,6 +42,9 @@
 	/** Sequence numbers of the server: only packets that acknowledge one of
 	 * them are of this flow. */
 	pl_seq_range_t server_seqs;
+	/** Sequence numbers of the caller: only opening packets with the first of
+	 * them are of this flow. */
+	pl_seq_range_t caller_seqs;
 	uint32_t caller_ack; /**< last acknowledgement of the caller */
 	pl_member_id_t entry; /**< entry that sent the last packet */
 	pl_timer_t probe_timer; /**< end of the probe */
@@ -228,8 +231,9 @@
  * Otherwise it was returned to its entry. */
 bool pl_flow_admit_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
 		    bool *waits);
-void pl_flow_refuse_not_serving_(pl_flow_agent_t *agent,
-				 const pl_flow_message_t *message);
+/** Returns an opening packet to its entry for @p reason. */
+void pl_flow_refuse_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
+		     pl_reason_t reason);
 /** Drops the queued request of a flow that its caller has reset. */
 void pl_flow_caller_left_(pl_flow_agent_t *agent, flow_t *flow);
 /** Returns whether the packet is a copy of a request that was dropped at its
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -10,6 +10,7 @@
 
 #include "private/flow_table.h"
 #include "private/packet_queue.h"
+#include "private/seq_range.h"
 
 #include <glib.h>
 #include <pimentolift/balance/reason.h>
@@ -83,6 +84,9 @@
 /** A flow in the cache. */
 typedef struct cached_flow {
 	pl_flow_node_t node;
+	/** Sequence numbers of the caller: a packet with others is of another flow
+	 * of the same addresses and ports. */
+	pl_seq_range_t caller_seqs;
 	/** Service that this entry offered the flow to, or that of the owner; 0
 	 * if neither is known. */
 	pl_service_id_t service;
@@ -213,6 +217,10 @@
 pl_flow_opening_t pl_flow_entry_opening_(const pl_flow_entry_t *entry,
 					 const cached_flow_t *flow);
 
+/** Whether the opening packet is of the cached flow, or a copy of that. */
+bool pl_flow_entry_is_opening_of_(const cached_flow_t *flow,
+				  const pl_packet_t *packet);
+
 /** Whether the route no longer names the service of the flow, so that an opening
  * packet starts another flow. */
 bool pl_flow_entry_is_rerouted_(const pl_flow_entry_t *entry,
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -11,6 +11,10 @@
 #define AGENTS 4
 /* Time between the end of a flow and the next one of its port. */
 #define PORT_PAUSE_MS 5000
+/* By then a server has reported a change of its state. */
+#define REPORT_PAUSE_MS 1100
+/* An opening packet has reached its server, but no answer its caller. */
+#define ENTRY_DELAY_MS 5
 
 /** How the first flow of a port ends. */
 typedef enum {
@@ -181,6 +185,173 @@
 	world_delete(world);
 }
 
+/* All servers but the last one drain, and have reported so. */
+static void drain_servers_(world_t *world)
+{
+	for (int i = 0; i < AGENTS - 1; i++)
+		world->servers[i].draining = true;
+	world_run(world, REPORT_PAUSE_MS);
+}
+
+static void assert_none_opened_while_draining_(const world_t *world)
+{
+	for (int i = 0; i < world->agent_count; i++)
+		assert_int_equal(world->servers[i].opened_while_draining, 0);
+}
+
+static void draining_servers_take_none_(end_t end, uint32_t seed)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, seed);
+	call_t *calls[CALLERS];
+
+	use_ports_(world, calls, end);
+	drain_servers_(world);
+	use_ports_again_(world, calls);
+	assert_none_opened_while_draining_(world);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* A server that drains took new flows from ports that had had a flow there. */
+static void draining_server_takes_no_flow_of_a_used_port(void **state)
+{
+	(void)state;
+	draining_servers_take_none_(END_CLOSED, 11);
+	draining_servers_take_none_(END_HALF_CLOSED, 12);
+	draining_servers_take_none_(END_RESET, 13);
+	draining_servers_take_none_(END_SILENT, 14);
+}
+
+/* The entries have looked the first flows up, and know no opening packets. */
+static void owner_that_was_looked_up_takes_no_later_flow(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 15);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	use_ports_(world, calls, END_SILENT);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	drain_servers_(world);
+	use_ports_again_(world, calls);
+	assert_none_opened_while_draining_(world);
+	world_delete(world);
+}
+
+/* The numbers of the later flow do not tell it from the first one at an entry that
+ * knows no opening packet, but its agent does. */
+static void agent_refuses_what_its_entry_takes_for_a_copy(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 21);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	world->near_seqs = true;
+	use_ports_(world, calls, END_SILENT);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	drain_servers_(world);
+	use_ports_again_(world, calls);
+	assert_none_opened_while_draining_(world);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* The agents know the first flows from probes and later packets only. */
+static void restarted_agent_beside_a_draining_server_takes_none(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 16);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	use_ports_(world, calls, END_SILENT);
+	restart_agents_(world);
+	assert_flows_go_on_(world, calls);
+	drain_servers_(world);
+	use_ports_again_(world, calls);
+	assert_none_opened_while_draining_(world);
+	world_delete(world);
+}
+
+/* An opening packet was offered to a server that never got an answer. */
+static void offer_that_was_not_taken_up_admits_no_later_flow(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 17);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	for (int i = 0; i < CALLERS; i++) {
+		calls[i] =
+			world_call(world, 1 + (uint32_t)i, REQUEST_BYTES, true);
+		world_run(world, ENTRY_DELAY_MS);
+		world_lose_caller(calls[i]);
+	}
+	world_run(world, PORT_PAUSE_MS);
+	drain_servers_(world);
+	use_ports_again_(world, calls);
+	assert_none_opened_while_draining_(world);
+	world_delete(world);
+}
+
+/* A server that is full hands the opening packet of the later flow back. */
+static void later_flow_that_is_handed_back_goes_elsewhere(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 18);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	use_ports_(world, calls, END_CLOSED);
+	for (int i = 0; i < AGENTS - 1; i++)
+		world->servers[i].full = true;
+	use_ports_again_(world, calls);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* Later flows follow the weights in force, not the owners of earlier ones. */
+static void later_flow_follows_the_weights(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 19);
+	call_t *calls[CALLERS];
+	uint64_t opened = 0;
+
+	(void)state;
+	world_split_services(world, AGENTS / 2);
+	world->weighted = true;
+	world->weights[0] = 1000000;
+	world->weights[1] = 0;
+	world_publish(world);
+	use_ports_(world, calls, END_CLOSED);
+	for (int i = 0; i < AGENTS / 2; i++)
+		opened += world->servers[i].opened;
+	world->weights[0] = 0;
+	world->weights[1] = 1000000;
+	world_publish(world);
+	use_ports_again_(world, calls);
+	for (int i = 0; i < AGENTS / 2; i++)
+		opened -= world->servers[i].opened;
+	assert_int_equal(opened, 0);
+	world_delete(world);
+}
+
+/* An agent whose data centre is evacuated dropped the opening packet of a later
+ * flow as a copy, so that its caller had to give up the attempt. */
+static void later_flow_leaves_an_evacuated_agent(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 20);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	use_ports_(world, calls, END_SILENT);
+	for (int i = 0; i < AGENTS - 1; i++)
+		pl_flow_agent_set_evacuated(world->agents[i].agent, true);
+	use_ports_again_(world, calls);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -192,6 +363,16 @@
 		cmocka_unit_test(restarted_agent_claims_no_later_flow),
 		cmocka_unit_test(later_flow_at_the_same_server_goes_on),
 		cmocka_unit_test(later_flow_is_reset_with_its_server),
+		cmocka_unit_test(draining_server_takes_no_flow_of_a_used_port),
+		cmocka_unit_test(owner_that_was_looked_up_takes_no_later_flow),
+		cmocka_unit_test(agent_refuses_what_its_entry_takes_for_a_copy),
+		cmocka_unit_test(
+			restarted_agent_beside_a_draining_server_takes_none),
+		cmocka_unit_test(
+			offer_that_was_not_taken_up_admits_no_later_flow),
+		cmocka_unit_test(later_flow_that_is_handed_back_goes_elsewhere),
+		cmocka_unit_test(later_flow_follows_the_weights),
+		cmocka_unit_test(later_flow_leaves_an_evacuated_agent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/flow/seq_range_test.c
+++ b/test/flow/seq_range_test.c
@@ -7,7 +7,7 @@
 #include <pimentolift/flow.h>
 
 /* The numbers of a flow wrap around. */
-static void complete_range_contains_what_was_used(void **state)
+static void range_contains_what_was_used(void **state)
 {
 	const uint32_t first = UINT32_MAX - 10;
 	pl_seq_range_t range = { 0 };
@@ -24,7 +24,8 @@
 	assert_false(pl_seq_range_may_reach(&range, first - 1));
 }
 
-static void incomplete_range_contains_what_may_have_been_missed(void **state)
+static void
+range_without_a_start_contains_what_may_have_been_missed(void **state)
 {
 	pl_seq_range_t range = { 0 };
 
@@ -38,14 +39,14 @@
 		pl_seq_range_contains(&range, 999 - PL_FLOW_ACK_WINDOW_BYTES));
 }
 
-static void gap_makes_a_range_incomplete(void **state)
+static void packets_in_a_gap_may_have_been_missed(void **state)
 {
 	pl_seq_range_t range = { 0 };
 
 	(void)state;
 	pl_seq_range_start(&range, 1000);
 	pl_seq_range_add(&range, 2000, 2100);
-	assert_false(range.complete);
+	assert_true(range.missed);
 	assert_true(pl_seq_range_contains(&range, 2200));
 }
 
@@ -65,13 +66,31 @@
 	assert_false(pl_seq_range_contains(&range, seq + 3 * step));
 }
 
+static void opening_packet_is_told_from_that_of_another_flow(void **state)
+{
+	pl_seq_range_t range = { 0 };
+
+	(void)state;
+	assert_false(pl_seq_range_begins_at(&range, 1000));
+	pl_seq_range_start(&range, 1000);
+	pl_seq_range_add(&range, 2000, 2100);
+	assert_true(pl_seq_range_begins_at(&range, 1000));
+	assert_false(pl_seq_range_begins_at(&range, 1001));
+	range = (pl_seq_range_t){ 0 };
+	pl_seq_range_add(&range, 2000, 2100);
+	assert_true(pl_seq_range_begins_at(&range, 1000));
+	assert_false(pl_seq_range_begins_at(&range, 1000000));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(complete_range_contains_what_was_used),
+		cmocka_unit_test(range_contains_what_was_used),
+		cmocka_unit_test(
+			range_without_a_start_contains_what_may_have_been_missed),
+		cmocka_unit_test(packets_in_a_gap_may_have_been_missed),
 		cmocka_unit_test(
-			incomplete_range_contains_what_may_have_been_missed),
-		cmocka_unit_test(gap_makes_a_range_incomplete),
+			opening_packet_is_told_from_that_of_another_flow),
 		cmocka_unit_test(long_range_keeps_its_last_numbers),
 	};
 
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -300,6 +300,10 @@
 			hand_back_(server, packet);
 		return;
 	}
+	if (!flow && server->full) {
+		hand_back_(server, packet);
+		return;
+	}
 	if (!flow) {
 		flow = g_new0(server_flow_t, 1);
 		flow->key = key;
@@ -1030,6 +1034,11 @@
 	fail_call_(call);
 }
 
+void world_lose_caller(call_t *call)
+{
+	fail_call_(call);
+}
+
 call_t *world_call(world_t *world, uint32_t ip, size_t bytes, bool keep)
 {
 	call_t *call = call_new_(world, ip, bytes, keep);
@@ -1046,7 +1055,8 @@
 	call->port = before->port;
 	call->state = CALL_OPENING;
 	call->copies = 1;
-	call->seq = g_rand_int(world->random);
+	call->seq = world->near_seqs ? before->seq + (uint32_t)before->bytes :
+				       g_rand_int(world->random);
 	send_from_caller_(call, PL_PACKET_SYN, call->seq - 1, 0, 0);
 	arm_call_timer_(call, RETRANSMIT_FIRST_MS);
 	return call;
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -65,6 +65,7 @@
 	bool mute; /* takes requests and never answers them */
 	/* What it does with a copy of the packet that opened a flow. */
 	enum { COPY_ANSWERED, COPY_IGNORED, COPY_HANDED_BACK } copies;
+	bool full; /* hands back the opening packets of new flows */
 	bool errs; /* answers requests at once, with a short error */
 	/* Resets flows that it does not hold instead of handing the packets
 	 * back, as a starting server does. */
@@ -151,6 +152,9 @@
 	uint64_t revision;
 	bool unconfigured; /* routing tables are built without configuration */
 	bool servers_close; /* servers answer a caller's FIN with their own */
+	/* A caller that uses a port again goes on where the last flow of the port
+	 * ended; else it begins at a random number. */
+	bool near_seqs;
 	size_t agent_flows_max; /* capacity of an agent for flow records */
 	bool hides_timeout; /* the route does not state deadline_ms */
 	const char *target; /* service that the route sends new flows to */
@@ -250,6 +254,9 @@
 /** The caller resets the flow of a call. */
 void world_abort(call_t *call);
 
+/** The caller goes away without a packet. */
+void world_lose_caller(call_t *call);
+
 /** Sends another copy of the opening packet of a call that is opening. */
 void world_resend_opening(call_t *call);
 
