flow entry: packets with other numbers are not sent to the cached owner

A caller could lose an open flow: its port had had a flow before, through another entry, whose cache still names the owner of that one; if that agent was restarted meanwhile, it believed the entry, and passed on the reset of its server.

Cause: the cache outlives the flow and is found by addresses and ports. Ruled out: the proof of a dead flow (no line 243), the agent's record (there is none).

Change: the entry compares the number of each packet with those that the caller has used in the cached flow, and looks the flow up if it is another one.

Test: flow_port_reuse, owner_of_the_first_flow_resets_no_later_one: fails without the comparison (run with this commit's test on the code before), passes with it; the 15 others pass.

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -339,9 +339,10 @@
 	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
 	pl_event(
 		PL_EVENT_FLOW_REPLACED,
-		"%s: the caller opens another flow with %u, its last number in "
-		"the cached one was %u",
+		"%s: the caller sends %u%s, its last number in the cached flow "
+		"was %u",
 		pl_flow_format(&flow->node.key, text), packet->seq,
+		pl_packet_opens(packet) ? " to open another one" : "",
 		flow->caller_seqs.next);
 }
 
@@ -365,8 +366,17 @@
 			       const pl_packet_t *packet)
 {
 	cached_flow_t *flow = find_flow_(entry, key);
+	bool same;
 
-	if (!flow || pl_flow_entry_is_opening_of_(flow, packet))
+	/* the number of a reset may be any */
+	if (!flow || (packet->flags & PL_PACKET_RST))
+		return;
+	if (pl_packet_opens(packet))
+		same = pl_flow_entry_is_opening_of_(flow, packet);
+	else
+		same = !flow->caller_seqs.known ||
+		       pl_seq_range_may_reach(&flow->caller_seqs, packet->seq);
+	if (same)
 		return;
 	log_replaced_(flow, packet);
 	pl_flow_table_remove(entry->flows, &flow->node);
@@ -416,6 +426,7 @@
 	pl_member_id_t offer;
 	cached_flow_t *flow;
 
+	remove_other_flow_(entry, key, packet);
 	flow = get_flow_(entry, key, routed);
 	if (!(packet->flags & PL_PACKET_RST))
 		pl_seq_range_add(&flow->caller_seqs, packet->seq,
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -352,6 +352,40 @@
 	world_delete(world);
 }
 
+static void route_to_(world_t *world, int entry)
+{
+	for (int i = 0; i < world->entry_count; i++)
+		world->in_rotation[i] = i == entry;
+}
+
+/* New flows open at one half of the servers. */
+static void open_at_half_(world_t *world, bool first_half)
+{
+	for (int i = 0; i < AGENTS; i++)
+		world->servers[i].full = (i < AGENTS / 2) != first_half;
+}
+
+/* An entry knows the owner of the first flow only; the later one was opened
+ * through another entry. Its agent, which was restarted meanwhile, took the owner
+ * for granted and passed on the server's reset. */
+static void owner_of_the_first_flow_resets_no_later_one(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 22);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	route_to_(world, 0);
+	open_at_half_(world, true);
+	use_ports_(world, calls, END_CLOSED);
+	route_to_(world, 1);
+	open_at_half_(world, false);
+	use_ports_again_(world, calls);
+	restart_agents_(world);
+	route_to_(world, 0);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -373,6 +407,7 @@
 		cmocka_unit_test(later_flow_that_is_handed_back_goes_elsewhere),
 		cmocka_unit_test(later_flow_follows_the_weights),
 		cmocka_unit_test(later_flow_leaves_an_evacuated_agent),
+		cmocka_unit_test(owner_of_the_first_flow_resets_no_later_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
