flow agent: packets of the backend server in a file of their own

The functions moved as they were; find_flow_() and is_of_flow_() became pl_flow_find_() and pl_flow_acknowledges_().

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -1,6 +1,6 @@
 /**
  * @file
- * Flow agent: messages of entries and packets of the backend server.
+ * Flow agent: messages of entries.
  */
 #include "private/agent_private.h"
 
@@ -79,20 +79,13 @@
 	return load;
 }
 
-static flow_t *find_flow_(const pl_flow_agent_t *agent,
-			  const pl_flow_key_t *key)
-{
-	pl_flow_node_t *node = pl_flow_table_find(agent->flows, key);
-
-	return node ? PL_CONTAINER_OF(node, flow_t, node) : NULL;
-}
-
 static void send_verdict_(pl_flow_agent_t *agent, pl_member_id_t entry,
 			  const pl_flow_key_t *key, pl_flow_verdict_t verdict,
 			  pl_reason_t reason, const uint8_t *packet, size_t len)
 {
-	bool presumed = verdict == PL_FLOW_OWNED &&
-			pl_flow_probed_ms_(agent, find_flow_(agent, key)) > 0;
+	bool presumed =
+		verdict == PL_FLOW_OWNED &&
+		pl_flow_probed_ms_(agent, pl_flow_find_(agent, key)) > 0;
 	const pl_flow_message_t message = {
 		.type = PL_FLOW_VERDICT,
 		.sender = agent->params.self,
@@ -126,17 +119,6 @@
 	send_verdict_(agent, entry, key, PL_FLOW_REFUSED, reason, packet, len);
 }
 
-/* Whether a packet of the caller that acknowledges @p ack is of the recorded
- * flow. It may be of another one: an opening packet is offered to several
- * servers, of which the caller answers one, and callers use ports again. A
- * packet without an acknowledgement is of a flow that has not ended. */
-static bool is_of_flow_(const flow_t *flow, uint32_t ack)
-{
-	if (ack == PL_PACKET_ACK_NONE)
-		return !flow->ended;
-	return pl_seq_range_contains(&flow->server_seqs, ack);
-}
-
 static pl_flow_verdict_t get_verdict_(const pl_flow_agent_t *agent,
 				      const flow_t *flow, uint32_t ack)
 {
@@ -148,12 +130,12 @@
 		return unknown;
 	switch (flow->state) {
 	case FLOW_OPEN:
-		if (is_of_flow_(flow, ack))
+		if (pl_flow_acknowledges_(flow, ack))
 			return PL_FLOW_OWNED;
 		/* the server holds one flow of these addresses and ports */
 		return flow->confirmed ? PL_FLOW_ABSENT : unknown;
 	case FLOW_PROBING:
-		if (!is_of_flow_(flow, ack))
+		if (!pl_flow_acknowledges_(flow, ack))
 			return unknown;
 		/* a server that is not up does not hand packets back */
 		return agent->backend_seen ? PL_FLOW_OWNED : PL_FLOW_UNSURE;
@@ -250,7 +232,7 @@
 			    const pl_flow_message_t *message,
 			    const pl_packet_t *packet)
 {
-	flow_t *flow = find_flow_(agent, &message->flow);
+	flow_t *flow = pl_flow_find_(agent, &message->flow);
 
 	if (flow && flow->state == FLOW_ABSENT)
 		flow = NULL;
@@ -323,7 +305,7 @@
 {
 	flow_t *flow = pl_flow_get_or_add_(agent, &message->flow);
 
-	if (!is_of_flow_(flow, packet->ack)) {
+	if (!pl_flow_acknowledges_(flow, packet->ack)) {
 		flow->server_seqs.known = false;
 		flow->probed_at = 0;
 	}
@@ -389,7 +371,7 @@
 			    const pl_flow_message_t *message,
 			    const pl_packet_t *packet)
 {
-	flow_t *flow = find_flow_(agent, &message->flow);
+	flow_t *flow = pl_flow_find_(agent, &message->flow);
 	pl_flow_verdict_t verdict = get_verdict_(agent, flow, packet->ack);
 	bool may_probe =
 		(message->flags & (PL_FLOW_OWNER_KNOWN | PL_FLOW_PROBE)) != 0;
@@ -433,7 +415,7 @@
 
 	for (size_t i = 0; i < message->item_count; i++) {
 		const pl_flow_item_t *asked = &message->items[i];
-		const flow_t *flow = find_flow_(agent, &asked->flow);
+		const flow_t *flow = pl_flow_find_(agent, &asked->flow);
 
 		items[i].flow = asked->flow;
 		items[i].verdict = get_verdict_(agent, flow, asked->ack);
@@ -446,7 +428,7 @@
 static void handle_cancel_(pl_flow_agent_t *agent,
 			   const pl_flow_message_t *message)
 {
-	flow_t *flow = find_flow_(agent, &message->flow);
+	flow_t *flow = pl_flow_find_(agent, &message->flow);
 
 	if (!flow || flow->state == FLOW_OPEN || flow->state == FLOW_PROBING)
 		return;
@@ -493,169 +475,6 @@
 		handle_forward_(agent, message, &packet);
 }
 
-/* Whether the server has answered packets of the flow, or may have. It then may
- * hold the flow although it cannot accept a copy of the opening packet. */
-static bool may_be_held_(const flow_t *flow)
-{
-	return flow->state == FLOW_OFFERED || flow->state == FLOW_PROBING ||
-	       flow->state == FLOW_OPEN;
-}
-
-/* Handles a packet that the server returned because it does not hold the
- * flow, or cannot accept a new one. */
-static void handle_bounced_(pl_flow_agent_t *agent, const pl_packet_t *packet,
-			    uint8_t *bytes, size_t len)
-{
-	const pl_flow_key_t key = pl_packet_flow(packet);
-	flow_t *flow = find_flow_(agent, &key);
-	bool opens = pl_packet_opens(packet);
-	bool keep;
-
-	agent->stats.bounced++;
-	pl_counter_add(PL_COUNTER_FLOWS_BOUNCED, 1);
-	if (!flow || (opens && may_be_held_(flow)))
-		return;
-	/* a probe of another flow: the server has shown since that it holds the
-	 * recorded one */
-	if (!opens && flow->confirmed && !is_of_flow_(flow, packet->ack))
-		return;
-	if (opens && flow->state == FLOW_NEW)
-		pl_flow_health_refused_(agent);
-	agent->params.packets->clear_bounced(bytes, len);
-	keep = flow->state == FLOW_PROBING && flow->entry_keeps_copy;
-	pl_flow_set_state_(agent, flow, FLOW_ABSENT);
-	pl_flow_agent_send_verdict_(agent, flow->entry, &key,
-				    opens ? PL_FLOW_REFUSED : PL_FLOW_ABSENT,
-				    keep ? NULL : bytes, keep ? 0 : len);
-}
-
-/* Whether the server's packet is of another flow than the recorded one. */
-static bool is_of_other_flow_(const flow_t *flow, const pl_packet_t *packet)
-{
-	return flow->server_seqs.known &&
-	       !pl_seq_range_may_reach(&flow->server_seqs, packet->seq);
-}
-
-static void log_replaced_(const flow_t *flow, const pl_packet_t *packet)
-{
-	char text[PL_FLOW_TEXT_MAX];
-
-	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
-	pl_event(PL_EVENT_FLOW_REPLACED,
-		 "%s: the server sends %u, its last number in the %s flow "
-		 "was %u",
-		 pl_flow_format(&flow->node.key, text), packet->seq,
-		 flow->ended ? "ended" : "recorded", flow->server_seqs.next);
-}
-
-/* Records the numbers of a packet of the server. A packet of another flow shows
- * that the server no longer holds the recorded one, if it ever did. */
-static void note_server_seqs_(pl_flow_agent_t *agent, flow_t *flow,
-			      const pl_packet_t *packet)
-{
-	bool opens = (packet->flags & PL_PACKET_SYN) != 0;
-	bool takes_seq = (packet->flags & (PL_PACKET_SYN | PL_PACKET_FIN)) != 0;
-
-	/* the number of a reset may be that of the packet it answers */
-	if (packet->flags & PL_PACKET_RST)
-		return;
-	if (is_of_other_flow_(flow, packet)) {
-		log_replaced_(flow, packet);
-		if (flow->state == FLOW_PROBING)
-			pl_flow_agent_send_verdict_(agent, flow->entry,
-						    &flow->node.key,
-						    PL_FLOW_ABSENT, NULL, 0);
-		pl_flow_replace_(agent, flow);
-	}
-	if (opens && flow->state != FLOW_OPEN && flow->state != FLOW_PROBING)
-		pl_seq_range_start(&flow->server_seqs, packet->seq);
-	pl_seq_range_add(&flow->server_seqs, packet->seq,
-			 packet->seq + packet->data_len + takes_seq);
-	if (!flow->caller_seqs.known && packet->ack != PL_PACKET_ACK_NONE)
-		pl_seq_range_add(&flow->caller_seqs, packet->ack, packet->ack);
-}
-
-static void update_from_server_(pl_flow_agent_t *agent,
-				const pl_flow_key_t *key,
-				const pl_packet_t *packet)
-{
-	bool opens = (packet->flags & PL_PACKET_SYN) != 0;
-	flow_t *flow = pl_flow_get_or_add_(agent, key);
-
-	note_server_seqs_(agent, flow, packet);
-	if (opens && flow->state != FLOW_OPEN)
-		pl_flow_set_state_(agent, flow, FLOW_OFFERED);
-	else if (!opens && flow->state != FLOW_OFFERED)
-		/* the server sends packets of the flow, so it holds it */
-		pl_flow_set_state_(agent, flow, FLOW_OPEN);
-	flow->held_at = pl_flow_agent_now_(agent);
-	if (!opens && !(packet->flags & PL_PACKET_RST))
-		pl_flow_confirm_(agent, flow);
-	pl_flow_note_end_(agent, flow, packet, &flow->server_closed);
-	if (packet->flags & PL_PACKET_RST) {
-		pl_flow_health_failed_(agent, flow, PL_HEALTH_RESET);
-		pl_flow_pace_failed_(agent, flow);
-	}
-	if (packet->data_len > 0)
-		pl_flow_work_answered_(agent, flow, packet->data_len);
-	else if (packet->flags & (PL_PACKET_FIN | PL_PACKET_RST))
-		pl_flow_work_free_slot_(agent, flow);
-}
-
-static void log_reset_(const pl_flow_key_t *key, const flow_t *flow,
-		       const char *result)
-{
-	char text[PL_FLOW_TEXT_MAX];
-
-	pl_event(PL_EVENT_SERVER_RESET, "%s: %s, %s%s%s",
-		 pl_flow_format(key, text), result,
-		 flow ? pl_flow_state_names_[flow->state] : "no record",
-		 flow && flow->confirmed ? ", confirmed" : "",
-		 flow && flow->ended ? ", ended" : "");
-}
-
-/* Whether a reset by the server may be passed to the caller. A server that was
- * only offered the flow, or got a probe of it, must not reset it:
- * another server holds the flow or will hold it. */
-static bool may_pass_reset_(pl_flow_agent_t *agent, const pl_flow_key_t *key)
-{
-	flow_t *flow = find_flow_(agent, key);
-
-	if (!flow || flow->confirmed || flow->forwarded_as_known) {
-		log_reset_(key, flow, "passed on");
-		return true;
-	}
-	log_reset_(key, flow, "withheld");
-	if (flow->state == FLOW_PROBING)
-		pl_flow_agent_send_verdict_(agent, flow->entry, key,
-					    PL_FLOW_ABSENT, NULL, 0);
-	pl_flow_set_state_(agent, flow, FLOW_ABSENT);
-	return false;
-}
-
-void pl_flow_agent_packet(pl_flow_agent_t *agent, uint8_t *bytes, size_t len)
-{
-	pl_packet_t packet;
-	pl_flow_key_t key;
-
-	if (!agent->params.packets->read(bytes, len, &packet)) {
-		pl_counter_add(PL_COUNTER_DROP_MALFORMED, 1);
-		return;
-	}
-	agent->backend_seen = true;
-	agent->backend_down = false;
-	if (packet.flags & PL_PACKET_BOUNCED) {
-		handle_bounced_(agent, &packet, bytes, len);
-		return;
-	}
-	agent->backend_spoke = true;
-	key = pl_packet_reply_flow(&packet);
-	if ((packet.flags & PL_PACKET_RST) && !may_pass_reset_(agent, &key))
-		return;
-	update_from_server_(agent, &key, &packet);
-	agent->ops->send_to_caller(agent->ctx, &key, bytes, len);
-}
-
 static size_t count_open_flows_(const pl_flow_agent_t *agent)
 {
 	size_t count = 0;
--- a/src/flow/agent_flow.c
+++ b/src/flow/agent_flow.c
@@ -30,6 +30,13 @@
 		pl_flow_probe_succeeded_(ctx, flow);
 }
 
+flow_t *pl_flow_find_(const pl_flow_agent_t *agent, const pl_flow_key_t *key)
+{
+	pl_flow_node_t *node = pl_flow_table_find(agent->flows, key);
+
+	return node ? PL_CONTAINER_OF(node, flow_t, node) : NULL;
+}
+
 flow_t *pl_flow_get_or_add_(pl_flow_agent_t *agent, const pl_flow_key_t *key)
 {
 	pl_flow_node_t *node =
@@ -43,6 +50,13 @@
 	return flow;
 }
 
+bool pl_flow_acknowledges_(const flow_t *flow, uint32_t ack)
+{
+	if (ack == PL_PACKET_ACK_NONE)
+		return !flow->ended;
+	return pl_seq_range_contains(&flow->server_seqs, ack);
+}
+
 void pl_flow_set_state_(pl_flow_agent_t *agent, flow_t *flow,
 			flow_state_t state)
 {
--- a/src/flow/private/agent_private.h
+++ b/src/flow/private/agent_private.h
@@ -1,9 +1,9 @@
 /**
  * @file
- * Internal structures of the flow agent: flow records (agent_flow.c), packets
- * of entries and the backend server (agent.c), slots and queued work
- * (agent_work.c), load reports to entries (agent_report.c), the pace of a
- * started or cold server (agent_pace.c), the health of the server
+ * Internal structures of the flow agent: flow records (agent_flow.c), messages of
+ * entries (agent.c), packets of the backend server (agent_server.c), slots and
+ * queued work (agent_work.c), load reports to entries (agent_report.c), the pace
+ * of a started or cold server (agent_pace.c), the health of the server
  * (agent_health.c) and its state (agent_backend.c).
  */
 #ifndef PL_FLOW_AGENT_PRIVATE_H
@@ -169,8 +169,15 @@
 			       const pl_flow_message_t *message);
 
 /* agent_flow.c */
+/** Returns the record of the flow, or NULL. */
+flow_t *pl_flow_find_(const pl_flow_agent_t *agent, const pl_flow_key_t *key);
 /** Returns the record of the flow, a new one if there is none. */
 flow_t *pl_flow_get_or_add_(pl_flow_agent_t *agent, const pl_flow_key_t *key);
+/** Whether a packet of the caller that acknowledges @p ack is of the recorded flow.
+ * It may be of another one: an opening packet is offered to several servers, of
+ * which the caller answers one, and callers use ports again. A packet without an
+ * acknowledgement is of a flow that has not ended. */
+bool pl_flow_acknowledges_(const flow_t *flow, uint32_t ack);
 void pl_flow_set_state_(pl_flow_agent_t *agent, flow_t *flow,
 			flow_state_t state);
 
