--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -346,40 +346,36 @@
 		flow->caller_seqs.next);
 }
 
-static cached_flow_t *find_flow_(const pl_flow_entry_t *entry,
-				 const pl_flow_key_t *key)
-{
-	pl_flow_node_t *node = pl_flow_table_find(entry->flows, key);
-
-	return node ? PL_CONTAINER_OF(node, cached_flow_t, node) : NULL;
-}
-
 bool pl_flow_entry_is_opening_of_(const cached_flow_t *flow,
 				  const pl_packet_t *packet)
 {
 	return pl_seq_range_begins_at(&flow->caller_seqs, packet->seq);
 }
 
-/* Removes the record of another flow of the same addresses and ports: neither
- * its owner nor its offers count for the flow of the packet. */
-static void remove_other_flow_(pl_flow_entry_t *entry, const pl_flow_key_t *key,
-			       const pl_packet_t *packet)
+/* Whether the packet is of the cached flow. It may be of another one of the same
+ * addresses and ports; the number of a reset may be any. */
+static bool is_of_flow_(const cached_flow_t *flow, const pl_packet_t *packet)
 {
-	cached_flow_t *flow = find_flow_(entry, key);
-	bool same;
-
-	/* the number of a reset may be any */
-	if (!flow || (packet->flags & PL_PACKET_RST))
-		return;
-	if (pl_packet_opens(packet))
-		same = pl_flow_entry_is_opening_of_(flow, packet);
-	else
-		same = !flow->caller_seqs.known ||
+	if (!flow->caller_seqs.known || (packet->flags & PL_PACKET_RST))
+		return true;
+	return pl_packet_opens(packet) ?
+		       pl_flow_entry_is_opening_of_(flow, packet) :
 		       pl_seq_range_may_reach(&flow->caller_seqs, packet->seq);
-	if (same)
-		return;
+}
+
+/* Returns the record of the packet's flow, created if needed. The owner and the
+ * offers of another flow do not count for it. */
+static cached_flow_t *get_flow_of_(pl_flow_entry_t *entry,
+				   const pl_flow_key_t *key, bool routed,
+				   const pl_packet_t *packet)
+{
+	cached_flow_t *flow = get_flow_(entry, key, routed);
+
+	if (is_of_flow_(flow, packet))
+		return flow;
 	log_replaced_(flow, packet);
 	pl_flow_table_remove(entry->flows, &flow->node);
+	return get_flow_(entry, key, routed);
 }
 
 /* Handles an opening packet or its retransmission. A retransmission goes to
@@ -388,12 +384,10 @@
 			    const pl_packet_t *packet, const uint8_t *bytes,
 			    size_t len)
 {
+	cached_flow_t *flow = get_flow_of_(entry, key, true, packet);
 	uint32_t copy = packet->ack;
 	pl_flow_opening_t step;
-	cached_flow_t *flow;
 
-	remove_other_flow_(entry, key, packet);
-	flow = get_flow_(entry, key, true);
 	if (pl_flow_entry_is_rerouted_(entry, flow)) {
 		/* the route now belongs to other services */
 		pl_flow_table_remove(entry->flows, &flow->node);
@@ -423,15 +417,12 @@
 				const pl_packet_t *packet, const uint8_t *bytes,
 				size_t len)
 {
-	pl_member_id_t offer;
-	cached_flow_t *flow;
+	cached_flow_t *flow = get_flow_of_(entry, key, routed, packet);
+	pl_member_id_t offer = pl_flow_entry_last_offer_(flow);
 
-	remove_other_flow_(entry, key, packet);
-	flow = get_flow_(entry, key, routed);
 	if (!(packet->flags & PL_PACKET_RST))
 		pl_seq_range_add(&flow->caller_seqs, packet->seq,
 				 packet->seq + packet->data_len);
-	offer = pl_flow_entry_last_offer_(flow);
 	if (flow->owner != 0 &&
 	    !pl_flow_liveness_owner_lost_(entry, flow->owner)) {
 		entry->stats.cache_hits++;
