flow entry: the acknowledged number tells flows of a port apart, too

Seen: flow_port_reuse_random, a test of random runs in which callers use ports again.

Cause: only the caller's numbers were compared, which it need not draw at random. A server has to, or two servers that got the same opening packet could not be told apart.

Change: the cache keeps the numbers that the caller acknowledges as well.

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -337,13 +337,13 @@
 	char text[PL_FLOW_TEXT_MAX];
 
 	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
-	pl_event(
-		PL_EVENT_FLOW_REPLACED,
-		"%s: the caller sends %u%s, its last number in the cached flow "
-		"was %u",
-		pl_flow_format(&flow->node.key, text), packet->seq,
-		pl_packet_opens(packet) ? " to open another one" : "",
-		flow->caller_seqs.next);
+	pl_event(PL_EVENT_FLOW_REPLACED,
+		 "%s: %s with number %u, acknowledgement %u; the last ones of "
+		 "the cached flow were %u and %u",
+		 pl_flow_format(&flow->node.key, text),
+		 pl_packet_opens(packet) ? "opening packet" : "packet",
+		 packet->seq, packet->ack, flow->caller_seqs.next,
+		 flow->server_seqs.next);
 }
 
 bool pl_flow_entry_is_opening_of_(const cached_flow_t *flow,
@@ -352,15 +352,33 @@
 	return pl_seq_range_begins_at(&flow->caller_seqs, packet->seq);
 }
 
+static bool may_reach_(const pl_seq_range_t *range, uint32_t seq)
+{
+	return !range->known || pl_seq_range_may_reach(range, seq);
+}
+
 /* Whether the packet is of the cached flow. It may be of another one of the same
  * addresses and ports; the number of a reset may be any. */
 static bool is_of_flow_(const cached_flow_t *flow, const pl_packet_t *packet)
 {
-	if (!flow->caller_seqs.known || (packet->flags & PL_PACKET_RST))
+	if (packet->flags & PL_PACKET_RST)
 		return true;
-	return pl_packet_opens(packet) ?
-		       pl_flow_entry_is_opening_of_(flow, packet) :
-		       pl_seq_range_may_reach(&flow->caller_seqs, packet->seq);
+	if (pl_packet_opens(packet))
+		return !flow->caller_seqs.known ||
+		       pl_flow_entry_is_opening_of_(flow, packet);
+	return may_reach_(&flow->caller_seqs, packet->seq) &&
+	       (packet->ack == PL_PACKET_ACK_NONE ||
+		may_reach_(&flow->server_seqs, packet->ack));
+}
+
+static void note_numbers_(cached_flow_t *flow, const pl_packet_t *packet)
+{
+	if (packet->flags & PL_PACKET_RST)
+		return;
+	pl_seq_range_add(&flow->caller_seqs, packet->seq,
+			 packet->seq + packet->data_len);
+	if (packet->ack != PL_PACKET_ACK_NONE)
+		pl_seq_range_add(&flow->server_seqs, packet->ack, packet->ack);
 }
 
 /* Returns the record of the packet's flow, created if needed. The owner and the
@@ -420,9 +438,7 @@
 	cached_flow_t *flow = get_flow_of_(entry, key, routed, packet);
 	pl_member_id_t offer = pl_flow_entry_last_offer_(flow);
 
-	if (!(packet->flags & PL_PACKET_RST))
-		pl_seq_range_add(&flow->caller_seqs, packet->seq,
-				 packet->seq + packet->data_len);
+	note_numbers_(flow, packet);
 	if (flow->owner != 0 &&
 	    !pl_flow_liveness_owner_lost_(entry, flow->owner)) {
 		entry->stats.cache_hits++;
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -84,9 +84,11 @@
 /** A flow in the cache. */
 typedef struct cached_flow {
 	pl_flow_node_t node;
-	/** Sequence numbers of the caller: a packet with others is of another flow
-	 * of the same addresses and ports. */
+	/** Sequence numbers of the caller, and those of the server that it has
+	 * acknowledged: a packet with others is of another flow of the same
+	 * addresses and ports. */
 	pl_seq_range_t caller_seqs;
+	pl_seq_range_t server_seqs;
 	/** Service that this entry offered the flow to, or that of the owner; 0
 	 * if neither is known. */
 	pl_service_id_t service;
