flow tests: servers that answer probes of another flow; docs

In the world a packet of a later flow at a server whose flow has ended counts as one of a flow that it does not hold.

--- a/include/pimentolift/flow.h
+++ b/include/pimentolift/flow.h
@@ -70,7 +70,9 @@
 /** State of a flow as an agent knows it. */
 typedef enum {
 	PL_FLOW_OWNED, /**< its backend server holds the flow */
-	PL_FLOW_ABSENT, /**< its backend server does not hold the flow */
+	/** Its backend server does not hold the flow, but may hold another one of
+	 * the same addresses and ports. */
+	PL_FLOW_ABSENT,
 	PL_FLOW_UNSURE, /**< unknown: the server may be older than the agent */
 	PL_FLOW_REFUSED, /**< the agent did not accept the opening packet */
 	/** Not sent, and ignored. Agents of earlier releases sent it when they
@@ -91,7 +93,8 @@
 typedef struct {
 	pl_flow_key_t flow;
 	union {
-		/** LOCATE: acknowledgement number of the queued packet. */
+		/** LOCATE: acknowledgement number of the queued packet, or
+		 * PL_PACKET_ACK_NONE. */
 		uint32_t ack;
 		/** LOCATED: time since the server got a probe of the flow, in
 		 * ms, at least 1; 0 if it got none, or has shown since that it
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -386,6 +386,104 @@
 	world_delete(world);
 }
 
+/* Opens the first flows at one half of the servers, the later ones at the other,
+ * and restarts all agents and entries. */
+static world_t *new_world_of_moved_ports_(end_t end, uint32_t seed,
+					  call_t **calls)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, seed);
+
+	open_at_half_(world, true);
+	use_ports_(world, calls, end);
+	open_at_half_(world, false);
+	use_ports_again_(world, calls);
+	restart_agents_(world);
+	restart_entries_(world);
+	return world;
+}
+
+/* The server of the first flow still holds it, and answers a probe of the later
+ * one with the numbers of the first. That confirmed the later flow. */
+static void answer_with_other_numbers_confirms_no_flow(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = new_world_of_moved_ports_(END_SILENT, 23, calls);
+
+	(void)state;
+	assert_flows_go_on_(world, calls);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
+/* The same with the first flow ended, whose server acknowledges a FIN. A second
+ * FIN finds its server without another probe. */
+static void acknowledged_fin_confirms_no_flow(void **state)
+{
+	call_t *calls[CALLERS];
+	world_t *world = new_world_of_moved_ports_(END_CLOSED, 24, calls);
+	uint64_t probed;
+
+	(void)state;
+	for (int i = 0; i < CALLERS; i++)
+		world_close(calls[i]);
+	world_run(world, 2000);
+	probed = world_unowned_packets(world);
+	restart_entries_(world);
+	for (int i = 0; i < CALLERS; i++)
+		world_close(calls[i]);
+	world_run(world, 2000);
+	assert_int_equal(world_unowned_packets(world), probed);
+	world_delete(world);
+}
+
+/* Sends an agent a packet of a caller as one that is known to be its flow. */
+static void forward_(world_t *world, const pl_packet_t *packet)
+{
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_FORWARD,
+		.sender = world->entries[0].id,
+		.service = pl_service_id(WORLD_SERVICE),
+		.flow = pl_packet_flow(packet),
+		.flags = PL_FLOW_OWNER_KNOWN,
+		.packet = (const uint8_t *)packet,
+		.packet_len = sizeof(*packet),
+	};
+
+	pl_flow_agent_message(world->agents[0].agent, &message);
+}
+
+/* A probe of an earlier flow is handed back after the server has shown that it
+ * holds another one, which is open. */
+static void late_hand_back_ends_no_other_flow(void **state)
+{
+	world_t *world = world_new(1, 1, 25);
+	pl_flow_agent_t *agent;
+	pl_flow_agent_stats_t stats;
+	pl_packet_t probe = { .src = { 1, 1 },
+			      .dst = { 2, 2 },
+			      .flags = PL_PACKET_ACK,
+			      .seq = 1000,
+			      .ack = 1000000 };
+	pl_packet_t answer = { .src = probe.dst,
+			       .dst = probe.src,
+			       .flags = PL_PACKET_ACK,
+			       .seq = 2000000,
+			       .ack = 5000 };
+
+	(void)state;
+	world->servers[0].mute = true;
+	restart_agents_(world);
+	agent = world->agents[0].agent;
+	forward_(world, &probe);
+	pl_flow_agent_packet(agent, (uint8_t *)&answer, sizeof(answer));
+	probe.flags |= PL_PACKET_BOUNCED;
+	pl_flow_agent_packet(agent, (uint8_t *)&probe, sizeof(probe));
+	pl_flow_agent_stats(agent, &stats);
+	assert_int_equal(stats.flows, 1);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -408,6 +506,9 @@
 		cmocka_unit_test(later_flow_follows_the_weights),
 		cmocka_unit_test(later_flow_leaves_an_evacuated_agent),
 		cmocka_unit_test(owner_of_the_first_flow_resets_no_later_one),
+		cmocka_unit_test(answer_with_other_numbers_confirms_no_flow),
+		cmocka_unit_test(acknowledged_fin_confirms_no_flow),
+		cmocka_unit_test(late_hand_back_ends_no_other_flow),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -346,11 +346,15 @@
 		world->misdirected++;
 }
 
-/* Handles a packet of a flow that has ended. */
+/* Handles a packet of a flow that has ended, or of a later one. */
 static void handle_late_packet_(server_flow_t *flow, const pl_packet_t *packet)
 {
 	const pl_packet_t ack = make_answer_(flow, PL_PACKET_ACK, 0);
 
+	if (packet->ack != flow->seq) {
+		flow->server->unowned_packets++;
+		note_stray_(flow->server->world, &flow->key);
+	}
 	if (packet->flags & PL_PACKET_FIN)
 		send_from_server_(flow->server, &ack);
 	else if (packet->data_len > 0)
@@ -1034,6 +1038,13 @@
 	fail_call_(call);
 }
 
+void world_close(call_t *call)
+{
+	send_from_caller_(call, PL_PACKET_ACK | PL_PACKET_FIN,
+			  call->seq + (uint32_t)call->bytes,
+			  call->server_next_seq, 0);
+}
+
 void world_lose_caller(call_t *call)
 {
 	fail_call_(call);
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -255,6 +255,9 @@
 /** The caller resets the flow of a call. */
 void world_abort(call_t *call);
 
+/** The caller closes the flow of a completed call, or repeats that. */
+void world_close(call_t *call);
+
 /** The caller goes away without a packet. */
 void world_lose_caller(call_t *call);
 
