flow agent: a hand-back rules out only the flow that was handed back

A caller could lose an open flow: its port had had a flow before, the agent was restarted, a late packet of the first flow was probed and handed back, and the agent then ruled the open flow out as well.

Cause: the record "absent" stood for addresses and ports, not for a flow. Ruled out: another agent's claim (one agent), the cache (entries restarted).

Change: it holds for packets that acknowledge a number of that flow; for others the agent answers as without a record.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -148,9 +148,12 @@
 		/* the opening packet may be a late copy of a flow that the
 		 * server has held since before this agent's start */
 		return unknown;
-	default:
-		return PL_FLOW_ABSENT;
+	case FLOW_ABSENT:
+		/* the server was asked about this flow, or about another one */
+		return pl_flow_acknowledges_(flow, ack) ? PL_FLOW_ABSENT :
+							  unknown;
 	}
+	return unknown;
 }
 
 static void hand_back_(pl_flow_agent_t *agent, const pl_flow_message_t *message,
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -437,6 +437,30 @@
 	world_delete(world);
 }
 
+/* A packet of the first flow comes late, at an agent that was restarted, and its
+ * server hands it back. That says nothing of the flow that it holds. */
+static void hand_back_of_the_first_flow_hides_no_later_one(void **state)
+{
+	world_t *world = world_new(ENTRIES, 1, 26);
+	call_t *first[CALLERS];
+	call_t *calls[CALLERS];
+
+	(void)state;
+	use_ports_(world, first, END_CLOSED);
+	for (int i = 0; i < CALLERS; i++)
+		calls[i] = first[i];
+	use_ports_again_(world, calls);
+	world->servers[0].strict = true;
+	restart_agents_(world);
+	restart_entries_(world);
+	for (int i = 0; i < CALLERS; i++)
+		world_close(first[i]);
+	world_run(world, 500);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
 /* Sends an agent a packet of a caller as one that is known to be its flow. */
 static void forward_(world_t *world, const pl_packet_t *packet)
 {
@@ -508,6 +532,8 @@
 		cmocka_unit_test(owner_of_the_first_flow_resets_no_later_one),
 		cmocka_unit_test(answer_with_other_numbers_confirms_no_flow),
 		cmocka_unit_test(acknowledged_fin_confirms_no_flow),
+		cmocka_unit_test(
+			hand_back_of_the_first_flow_hides_no_later_one),
 		cmocka_unit_test(late_hand_back_ends_no_other_flow),
 	};
 
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -387,6 +387,10 @@
 		handle_late_packet_(flow, packet);
 		return;
 	}
+	if (server->strict && flow->open && packet->ack != flow->seq) {
+		hand_back_(server, packet);
+		return;
+	}
 	flow->open = true;
 	g_hash_table_remove(server->world->strays, &key);
 	if ((packet->flags & PL_PACKET_FIN) && server->world->servers_close) {
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -65,6 +65,8 @@
 	bool mute; /* takes requests and never answers them */
 	/* What it does with a copy of the packet that opened a flow. */
 	enum { COPY_ANSWERED, COPY_IGNORED, COPY_HANDED_BACK } copies;
+	/* Hands back what does not acknowledge all that it has sent. */
+	bool strict;
 	bool full; /* hands back the opening packets of new flows */
 	bool errs; /* answers requests at once, with a short error */
 	/* Resets flows that it does not hold instead of handing the packets
