flow agent: a reset has the numbers of the flow that it resets

A caller would have waited until its deadline: its server ended, and the agent's reset carried a number of an earlier flow of the port, or 0, which callers ignore.

Cause: the caller's last acknowledgement outlived its flow, or was not known. Ruled out: the proof by entries, which uses the caller's packet.

Change: until the caller acknowledges something, the first number of the server.

--- a/src/flow/agent_server.c
+++ b/src/flow/agent_server.c
@@ -82,6 +82,9 @@
 						    PL_FLOW_ABSENT, NULL, 0);
 		pl_flow_replace_(agent, flow);
 	}
+	/* close to what the caller has acknowledged */
+	if (!flow->server_seqs.known)
+		flow->caller_ack = packet->seq;
 	if (opens && flow->state != FLOW_OPEN && flow->state != FLOW_PROBING)
 		pl_seq_range_start(&flow->server_seqs, packet->seq);
 	pl_seq_range_add(&flow->server_seqs, packet->seq,
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -477,37 +477,66 @@
 	pl_flow_agent_message(world->agents[0].agent, &message);
 }
 
+/* A packet of the first flow of a port, and the answer of the server, which holds
+ * another flow of the port. */
+static const pl_packet_t probe_ = { .src = { 1, 1 },
+				    .dst = { 2, 2 },
+				    .flags = PL_PACKET_ACK,
+				    .seq = 1000,
+				    .ack = 1000000 };
+static const pl_packet_t answer_ = { .src = { 2, 2 },
+				     .dst = { 1, 1 },
+				     .flags = PL_PACKET_ACK,
+				     .seq = 2000000,
+				     .ack = 5000 };
+
+/* A restarted agent has learnt from an answer that its server holds another flow
+ * than the one that it was sent a packet of. */
+static world_t *new_world_with_other_flow_(uint32_t seed)
+{
+	world_t *world = world_new(1, 1, seed);
+	pl_packet_t answer = answer_;
+
+	world->servers[0].mute = true;
+	restart_agents_(world);
+	world_run(world, REPORT_PAUSE_MS);
+	forward_(world, &probe_);
+	pl_flow_agent_packet(world->agents[0].agent, (uint8_t *)&answer,
+			     sizeof(answer));
+	return world;
+}
+
 /* A probe of an earlier flow is handed back after the server has shown that it
  * holds another one, which is open. */
 static void late_hand_back_ends_no_other_flow(void **state)
 {
-	world_t *world = world_new(1, 1, 25);
-	pl_flow_agent_t *agent;
+	world_t *world = new_world_with_other_flow_(25);
 	pl_flow_agent_stats_t stats;
-	pl_packet_t probe = { .src = { 1, 1 },
-			      .dst = { 2, 2 },
-			      .flags = PL_PACKET_ACK,
-			      .seq = 1000,
-			      .ack = 1000000 };
-	pl_packet_t answer = { .src = probe.dst,
-			       .dst = probe.src,
-			       .flags = PL_PACKET_ACK,
-			       .seq = 2000000,
-			       .ack = 5000 };
+	pl_packet_t packet = probe_;
 
 	(void)state;
-	world->servers[0].mute = true;
-	restart_agents_(world);
-	agent = world->agents[0].agent;
-	forward_(world, &probe);
-	pl_flow_agent_packet(agent, (uint8_t *)&answer, sizeof(answer));
-	probe.flags |= PL_PACKET_BOUNCED;
-	pl_flow_agent_packet(agent, (uint8_t *)&probe, sizeof(probe));
-	pl_flow_agent_stats(agent, &stats);
+	packet.flags |= PL_PACKET_BOUNCED;
+	pl_flow_agent_packet(world->agents[0].agent, (uint8_t *)&packet,
+			     sizeof(packet));
+	pl_flow_agent_stats(world->agents[0].agent, &stats);
 	assert_int_equal(stats.flows, 1);
 	world_delete(world);
 }
 
+/* Callers ignore resets with numbers far from their last acknowledgement. */
+static void reset_has_the_numbers_of_the_later_flow(void **state)
+{
+	world_t *world = new_world_with_other_flow_(27);
+
+	(void)state;
+	world_crash_server(world, 0);
+	world_report_backend_down(world, 0);
+	assert_in_range(world->last_reset_seq,
+			answer_.seq - PL_FLOW_ACK_WINDOW_BYTES,
+			answer_.seq + PL_FLOW_ACK_WINDOW_BYTES);
+	world_delete(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -535,6 +564,7 @@
 		cmocka_unit_test(
 			hand_back_of_the_first_flow_hides_no_later_one),
 		cmocka_unit_test(late_hand_back_ends_no_other_flow),
+		cmocka_unit_test(reset_has_the_numbers_of_the_later_flow),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -603,8 +603,10 @@
 	pl_packet_t packet = { 0 };
 
 	assert_true(read_packet_(bytes, len, &packet));
-	if (packet.flags & PL_PACKET_RST)
+	if (packet.flags & PL_PACKET_RST) {
+		world->last_reset_seq = packet.seq;
 		note_reset_(world, flow);
+	}
 	schedule_event_(world, TO_CALLER, 0, CALLER_DELAY_MS, bytes, len);
 }
 
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -173,6 +173,7 @@
 	uint64_t lookup_bytes; /* of lookups from entries to agents */
 	uint64_t remote_load_reports; /* load reports to other data centres */
 	uint64_t false_resets; /* resets of flows that a server holds */
+	uint32_t last_reset_seq; /* sequence number of the last reset */
 	/* Open flows whose packets reached only servers that do not hold them
 	 * for WORLD_REORDER_MS. */
 	uint64_t misdirected;
