flow agent: probes of an earlier flow do not count for a later one

A caller got no answer for up to ten seconds: the port's earlier flow had been probed at all servers, the later one's agent was restarted, and entries, told of the earlier probes, did not probe for the later flow.

Cause: agents told the time of a probe by addresses and ports. Ruled out: a claim by another agent (all are unsure), a lost probe.

Change: an agent tells of a probe only if the asking packet acknowledges a number of the probed flow.

Test: flow_port_reuse, probes_of_the_first_flow_do_not_count_for_a_later_one: fails before the change (no answer within 2 s), passes with it.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -422,7 +422,11 @@
 
 		items[i].flow = asked->flow;
 		items[i].verdict = get_verdict_(agent, flow, asked->ack);
-		items[i].probed_ms = pl_flow_probed_ms_(agent, flow);
+		/* probes of another flow do not count for this one */
+		items[i].probed_ms =
+			flow && pl_flow_acknowledges_(flow, asked->ack) ?
+				pl_flow_probed_ms_(agent, flow) :
+				0;
 	}
 	pl_flow_load_report_send_(agent, message->sender, &answer);
 }
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -461,6 +461,31 @@
 	world_delete(world);
 }
 
+/* Agents tell entries of probes, so that those of one flow are bounded. The probes
+ * of the first flow must not keep an entry from finding the later one, whose agent
+ * has been restarted. */
+static void probes_of_the_first_flow_do_not_count_for_a_later_one(void **state)
+{
+	world_t *world = world_new(ENTRIES, AGENTS, 28);
+	call_t *calls[CALLERS];
+
+	(void)state;
+	open_at_half_(world, true);
+	use_ports_(world, calls, END_SILENT);
+	restart_agents_(world);
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	open_at_half_(world, false);
+	use_ports_again_(world, calls);
+	for (int i = AGENTS / 2; i < AGENTS; i++) {
+		world_kill_agent(world, i);
+		world_start_agent(world, i);
+	}
+	restart_entries_(world);
+	assert_flows_go_on_(world, calls);
+	world_delete(world);
+}
+
 /* Sends an agent a packet of a caller as one that is known to be its flow. */
 static void forward_(world_t *world, const pl_packet_t *packet)
 {
@@ -563,6 +588,8 @@
 		cmocka_unit_test(acknowledged_fin_confirms_no_flow),
 		cmocka_unit_test(
 			hand_back_of_the_first_flow_hides_no_later_one),
+		cmocka_unit_test(
+			probes_of_the_first_flow_do_not_count_for_a_later_one),
 		cmocka_unit_test(late_hand_back_ends_no_other_flow),
 		cmocka_unit_test(reset_has_the_numbers_of_the_later_flow),
 	};
--- a/test/flow/world.c
+++ b/test/flow/world.c
@@ -17,8 +17,6 @@
 /* Packets that may stray for longer than WORLD_REORDER_MS. */
 #define STRAYS_MAX 2
 #define IP_BASE 0x0a000000U
-#define SERVICE_IP 0xc6120001U
-#define SERVICE_PORT 8443
 #define RETRANSMIT_FIRST_MS 200
 #define RETRANSMIT_MAX_MS 1600
 /** After as many retransmissions without an answer a caller's stack ends the
@@ -744,7 +742,7 @@
 static pl_addr_t service_addr_(void)
 {
 	return (pl_addr_t){ .ip = { 0xc6, 0x12, 0, 1 },
-			    .port = SERVICE_PORT,
+			    .port = WORLD_SERVICE_PORT,
 			    .family = PL_ADDR_IPV4 };
 }
 
@@ -867,9 +865,9 @@
 static pl_flow_key_t call_key_(const call_t *call)
 {
 	return (pl_flow_key_t){ .caller_ip = call->ip,
-				.service_ip = SERVICE_IP,
+				.service_ip = WORLD_SERVICE_IP,
 				.caller_port = call->port,
-				.service_port = SERVICE_PORT };
+				.service_port = WORLD_SERVICE_PORT };
 }
 
 static int select_entry_(const world_t *world, const pl_flow_key_t *key)
--- a/test/flow/world.h
+++ b/test/flow/world.h
@@ -34,6 +34,9 @@
 #define WORLD_SERVICE "desk"
 #define WORLD_OTHER_SERVICE "archive"
 #define WORLD_SERVICES 2
+/* Address to which callers send. */
+#define WORLD_SERVICE_IP 0xc6120001U
+#define WORLD_SERVICE_PORT 8443
 #define WORLD_DATACENTRE "east"
 
 typedef struct world world_t;
