flow entry: a packet that is handed back late moves no other flow

Ruled out: a lookup that the flow needed (it has an owner that serves).

Change: both are compared by the numbers of the returned packet.

--- a/src/flow/entry.c
+++ b/src/flow/entry.c
@@ -346,26 +346,20 @@
 		 flow->server_seqs.next);
 }
 
-bool pl_flow_entry_is_opening_of_(const cached_flow_t *flow,
-				  const pl_packet_t *packet)
-{
-	return pl_seq_range_begins_at(&flow->caller_seqs, packet->seq);
-}
-
 static bool may_reach_(const pl_seq_range_t *range, uint32_t seq)
 {
 	return !range->known || pl_seq_range_may_reach(range, seq);
 }
 
-/* Whether the packet is of the cached flow. It may be of another one of the same
- * addresses and ports; the number of a reset may be any. */
-static bool is_of_flow_(const cached_flow_t *flow, const pl_packet_t *packet)
+bool pl_flow_entry_is_of_flow_(const cached_flow_t *flow,
+			       const pl_packet_t *packet)
 {
+	/* the number of a reset may be any */
 	if (packet->flags & PL_PACKET_RST)
 		return true;
 	if (pl_packet_opens(packet))
 		return !flow->caller_seqs.known ||
-		       pl_flow_entry_is_opening_of_(flow, packet);
+		       pl_seq_range_begins_at(&flow->caller_seqs, packet->seq);
 	return may_reach_(&flow->caller_seqs, packet->seq) &&
 	       (packet->ack == PL_PACKET_ACK_NONE ||
 		may_reach_(&flow->server_seqs, packet->ack));
@@ -389,7 +383,7 @@
 {
 	cached_flow_t *flow = get_flow_(entry, key, routed);
 
-	if (is_of_flow_(flow, packet))
+	if (pl_flow_entry_is_of_flow_(flow, packet))
 		return flow;
 	log_replaced_(flow, packet);
 	pl_flow_table_remove(entry->flows, &flow->node);
--- a/src/flow/entry_verdict.c
+++ b/src/flow/entry_verdict.c
@@ -48,7 +48,7 @@
 	/* the answer may come after the caller has opened another flow */
 	if (!entry->params.packets->read(message->packet, message->packet_len,
 					 &packet) ||
-	    !pl_flow_entry_is_opening_of_(flow, &packet))
+	    !pl_flow_entry_is_of_flow_(flow, &packet))
 		return;
 	if (flow->owner == message->sender) {
 		place_other_flow_(entry, flow, message);
@@ -85,14 +85,18 @@
 {
 	pl_packet_t packet;
 	pl_member_id_t next;
+	bool returned = message->packet_len > 0 &&
+			entry->params.packets->read(
+				message->packet, message->packet_len, &packet);
 
+	/* the caller has gone on to another flow */
+	if (returned && !pl_flow_entry_is_of_flow_(flow, &packet))
+		return;
 	if (flow->owner == message->sender)
 		flow->owner = 0;
 	pl_flow_entry_rule_out_(flow, message->sender);
 	next = pl_flow_entry_last_offer_(flow);
-	if (message->packet_len == 0 ||
-	    !entry->params.packets->read(message->packet, message->packet_len,
-					 &packet))
+	if (!returned)
 		return;
 	if (flow->owner != 0)
 		pl_flow_entry_forward_(entry, flow, flow->owner,
--- a/src/flow/private/entry_private.h
+++ b/src/flow/private/entry_private.h
@@ -219,9 +219,10 @@
 pl_flow_opening_t pl_flow_entry_opening_(const pl_flow_entry_t *entry,
 					 const cached_flow_t *flow);
 
-/** Whether the opening packet is of the cached flow, or a copy of that. */
-bool pl_flow_entry_is_opening_of_(const cached_flow_t *flow,
-				  const pl_packet_t *packet);
+/** Whether the caller's packet is of the cached flow, and not of another one of
+ * the same addresses and ports. */
+bool pl_flow_entry_is_of_flow_(const cached_flow_t *flow,
+			       const pl_packet_t *packet);
 
 /** Whether the route no longer names the service of the flow, so that an opening
  * packet starts another flow. */
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -486,6 +486,38 @@
 	world_delete(world);
 }
 
+/* An agent hands a packet of the first flow back after the entry has learnt of the
+ * later one, which it must not look up for that. */
+static void hand_back_of_the_first_flow_moves_no_later_one(void **state)
+{
+	world_t *world = world_new(1, 1, 29);
+	call_t *call = world_call(world, 1, REQUEST_BYTES, true);
+	const pl_packet_t packet = { .src = { call->ip, call->port },
+				     .dst = { WORLD_SERVICE_IP,
+					      WORLD_SERVICE_PORT },
+				     .flags = PL_PACKET_ACK,
+				     .seq = UINT32_C(1) << 30,
+				     .ack = 1 };
+	const pl_flow_message_t message = {
+		.type = PL_FLOW_VERDICT,
+		.sender = world->agents[0].id,
+		.service = pl_service_id(WORLD_SERVICE),
+		.flow = pl_packet_flow(&packet),
+		.verdict = PL_FLOW_ABSENT,
+		.packet = (const uint8_t *)&packet,
+		.packet_len = sizeof(packet),
+	};
+	pl_flow_entry_stats_t stats;
+
+	(void)state;
+	world_run(world, 500);
+	assert_int_equal(call->state, CALL_DONE);
+	pl_flow_entry_message(world->entries[0].entry, &message);
+	pl_flow_entry_stats(world->entries[0].entry, &stats);
+	assert_int_equal(stats.lookups, 0);
+	world_delete(world);
+}
+
 /* Sends an agent a packet of a caller as one that is known to be its flow. */
 static void forward_(world_t *world, const pl_packet_t *packet)
 {
@@ -590,6 +622,8 @@
 			hand_back_of_the_first_flow_hides_no_later_one),
 		cmocka_unit_test(
 			probes_of_the_first_flow_do_not_count_for_a_later_one),
+		cmocka_unit_test(
+			hand_back_of_the_first_flow_moves_no_later_one),
 		cmocka_unit_test(late_hand_back_ends_no_other_flow),
 		cmocka_unit_test(reset_has_the_numbers_of_the_later_flow),
 	};
