--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -222,13 +222,12 @@
 	char text[PL_FLOW_TEXT_MAX];
 
 	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
-	pl_event(
-		PL_EVENT_FLOW_REPLACED,
-		"%s: the caller opens another flow with %u, its last number in "
-		"the %s%s one was %u",
-		pl_flow_format(&flow->node.key, text), packet->seq,
-		flow->ended ? "ended, " : "", pl_flow_state_names_[flow->state],
-		flow->caller_seqs.next);
+	pl_event(PL_EVENT_FLOW_REPLACED,
+		 "%s: the caller opens another flow with number %u; the "
+		 "recorded one is %s%s, its caller's last number %u",
+		 pl_flow_format(&flow->node.key, text), packet->seq,
+		 pl_flow_state_names_[flow->state],
+		 flow->ended ? " and has ended" : "", flow->caller_seqs.next);
 }
 
 static void handle_opening_(pl_flow_agent_t *agent,
--- a/src/flow/agent_server.c
+++ b/src/flow/agent_server.c
@@ -57,10 +57,11 @@
 
 	pl_counter_add(PL_COUNTER_FLOWS_REPLACED, 1);
 	pl_event(PL_EVENT_FLOW_REPLACED,
-		 "%s: the server sends %u, its last number in the %s flow "
-		 "was %u",
+		 "%s: the server sends number %u; the recorded flow is %s%s, "
+		 "its server's last number %u",
 		 pl_flow_format(&flow->node.key, text), packet->seq,
-		 flow->ended ? "ended" : "recorded", flow->server_seqs.next);
+		 pl_flow_state_names_[flow->state],
+		 flow->ended ? " and has ended" : "", flow->server_seqs.next);
 }
 
 /* Records the numbers of a packet of the server. A packet of another flow shows
--- a/test/flow/port_reuse_test.c
+++ b/test/flow/port_reuse_test.c
@@ -103,34 +103,37 @@
 	world_delete(world);
 }
 
-/* The agent of an ended flow claimed a later flow of the same port, and its
- * server reset that one. */
+/* Guards against an agent that claims a later flow of the port of one that has
+ * ended, so that its server resets it. */
 static void agent_of_an_ended_flow_claims_no_later_one(void **state)
 {
 	(void)state;
 	later_flows_go_on_(END_CLOSED, 1);
 }
 
+/* The same with a flow that only its caller has closed. */
 static void agent_of_a_half_closed_flow_claims_no_later_one(void **state)
 {
 	(void)state;
 	later_flows_go_on_(END_HALF_CLOSED, 2);
 }
 
+/* The same with a flow that its caller has reset. */
 static void agent_of_a_reset_flow_claims_no_later_one(void **state)
 {
 	(void)state;
 	later_flows_go_on_(END_RESET, 3);
 }
 
+/* The same with a flow that its caller has left without a packet. */
 static void agent_of_a_silent_flow_claims_no_later_one(void **state)
 {
 	(void)state;
 	later_flows_go_on_(END_SILENT, 4);
 }
 
-/* The agents were restarted during the first flows, of which they know only what
- * probes and later packets show. */
+/* The same with agents that were restarted during the first flows, of which they
+ * know only what probes and later packets show. */
 static void restarted_agent_claims_no_later_flow(void **state)
 {
 	world_t *world = world_new(ENTRIES, AGENTS, 5);
@@ -213,7 +216,8 @@
 	world_delete(world);
 }
 
-/* A server that drains took new flows from ports that had had a flow there. */
+/* Guards against a server that drains and takes new flows from ports that have had
+ * a flow there. */
 static void draining_server_takes_no_flow_of_a_used_port(void **state)
 {
 	(void)state;
