--- a/review/standin-3/lab.c
+++ b/review/standin-3/lab.c
@@ -1,4 +1,6 @@
+#ifndef _GNU_SOURCE
 #define _GNU_SOURCE
+#endif
 #include "lab.h"
 
 #include <arpa/inet.h>
@@ -45,8 +47,16 @@
 static char services_[8][32];
 static int service_count_;
 
-enum { PORT_DATAGRAMS, PORT_READY, PORT_CONTROL, PORT_APP, PORT_OUTBOUND,
-       PORT_INNER, PORT_ADMIN, PORT_COUNT };
+enum {
+	PORT_DATAGRAMS,
+	PORT_READY,
+	PORT_CONTROL,
+	PORT_APP,
+	PORT_OUTBOUND,
+	PORT_INNER,
+	PORT_ADMIN,
+	PORT_COUNT
+};
 
 #define CLIENT_IP 0x7f000901U /* 127.0.9.1 */
 #define ROUTE_IP 0x7f00c801U /* 127.0.200.1 */
@@ -134,8 +144,8 @@
 	static int next;
 	char *out = text[next++ % 8];
 
-	snprintf(out, 20, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255, ip >> 8 & 255,
-		 ip & 255);
+	snprintf(out, 20, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
+		 ip >> 8 & 255, ip & 255);
 	return out;
 }
 
@@ -164,8 +174,8 @@
 	for (int i = 0; i < 200; i++) {
 		bool free = true;
 
-		base_ = (uint16_t)(21000 + ((unsigned)getpid() * 7 + i * 97) %
-						   9000);
+		base_ = (uint16_t)(21000 +
+				   ((unsigned)getpid() * 7 + i * 97) % 9000);
 		for (int k = 0; k < PORT_COUNT && free; k++) {
 			int udp = bound_(SOCK_DGRAM, INADDR_ANY, port_(k));
 			int tcp = bound_(SOCK_STREAM, INADDR_ANY, port_(k));
@@ -207,7 +217,8 @@
 		return 0;
 	}
 	while (len < sizeof(buffer) - 1) {
-		ssize_t got = recv(fd, buffer + len, sizeof(buffer) - 1 - len, 0);
+		ssize_t got =
+			recv(fd, buffer + len, sizeof(buffer) - 1 - len, 0);
 		char *length;
 
 		if (got <= 0)
@@ -260,10 +271,11 @@
 	static char request[24000];
 
 	base64_(value, encoded);
-	snprintf(body, sizeof(body),
-		 "{\"expect\":[],\"writes\":[{\"key\":\"%s\",\"value\":\"%s\"}],"
-		 "\"remove\":[]}",
-		 key, encoded);
+	snprintf(
+		body, sizeof(body),
+		"{\"expect\":[],\"writes\":[{\"key\":\"%s\",\"value\":\"%s\"}],"
+		"\"remove\":[]}",
+		key, encoded);
 	snprintf(request, sizeof(request),
 		 "POST /v1/kv-txn HTTP/1.1\r\nHost: store\r\nContent-Type: "
 		 "application/json\r\nContent-Length: %zu\r\nConnection: "
@@ -468,12 +480,16 @@
 {
 	uint64_t until = lab_now() + timeout_ms;
 
-	while (node->pid > 0) {
-		if (waitpid(node->pid, NULL, WNOHANG) == node->pid) {
+	for (;;) {
+		if (node->pid == 0 ||
+		    waitpid(node->pid, NULL, WNOHANG) == node->pid) {
+			if (node->pid > 0)
+				lab_record("%s has ended", node->name);
 			node->pid = 0;
-			lab_record("%s has ended", node->name);
 			return;
 		}
+		if (timeout_ms == 0)
+			return;
 		if (lab_now() >= until) {
 			/* the platform sends SIGKILL after grace_s */
 			lab_node_signal(node, SIGKILL);
@@ -677,9 +693,9 @@
 		   uint32_t seq, const void *data, size_t len)
 {
 	uint8_t out[HEAD + DATA_MAX];
-	size_t size = packet_(out, held->dst, held->dport, held->src,
-			      held->sport, flags, seq, held->client_next, data,
-			      len);
+	size_t size =
+		packet_(out, held->dst, held->dport, held->src, held->sport,
+			flags, seq, held->client_next, data, len);
 
 	send_(endpoint->udp, endpoint->node->ip, port_(PORT_OUTBOUND), out,
 	      size);
@@ -754,8 +770,8 @@
 	if (!held || (!held->open && ack != held->server_first + 1)) {
 		bytes[30] |= F_BOUNCED;
 		memset(bytes + 31, 0, 3);
-		lab_record("endpoint %s returns a packet of port %u", endpoint->id,
-			   sport);
+		lab_record("endpoint %s returns a packet of port %u",
+			   endpoint->id, sport);
 		send_(endpoint->udp, endpoint->node->ip, port_(PORT_OUTBOUND),
 		      bytes, len);
 		return;
@@ -877,9 +893,10 @@
 		return;
 	}
 	if (get32_(bytes) != sum_(bytes, len)) {
-		lab_record("MIXED: client port %u gets a packet that its sender "
-			   "did not write so",
-			   port);
+		lab_record(
+			"MIXED: client port %u gets a packet that its sender "
+			"did not write so",
+			port);
 		return;
 	}
 	if (flow->reset)
@@ -890,7 +907,8 @@
 			flow->ack = seq + 1;
 		}
 		if (seq + 1 == flow->ack || flow->requests == 0)
-			client_send_(flow, F_ACK, flow->seq, flow->ack, NULL, 0);
+			client_send_(flow, F_ACK, flow->seq, flow->ack, NULL,
+				     0);
 		return;
 	}
 	if (len > HEAD && seq == flow->ack) {
@@ -959,7 +977,8 @@
 
 static void accept_(endpoint_t *endpoint)
 {
-	int fd = accept4(endpoint->tcp, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	int fd = accept4(endpoint->tcp, NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 	for (int i = 0; fd >= 0 && i < 64; i++) {
 		if (endpoint->health[i] < 0) {
--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -114,7 +114,7 @@
 endpoint_t *lab_machine(const char *service);
 void lab_node_start(node_t *node);
 void lab_node_signal(node_t *node, int signal);
-/* Waits until the process has ended. */
+/* Waits until the process has ended; with 0 only looks. */
 void lab_node_reap(node_t *node, uint64_t timeout_ms);
 bool lab_node_ready(node_t *entry);
 
--- a/review/standin-3/late_beat.c
+++ b/review/standin-3/late_beat.c
@@ -62,7 +62,8 @@
 		lab_record("heartbeat %u of i-1, on time: %d", first->sequence,
 			   lab_deliver_beat(first->node, late));
 	else
-		lab_record("heartbeat %u of i-1 is on its way", first->sequence);
+		lab_record("heartbeat %u of i-1 is on its way",
+			   first->sequence);
 	lab_run(100);
 	lab_endpoint_crash(first);
 	lab_run(1000);
@@ -124,13 +125,15 @@
 				   flows[i].port,
 				   (unsigned long long)(flows[i].reset_at -
 							restarted));
-		} else if (lab_holds(first, &flows[i]) && flows[i].answers < 2) {
+		} else if (lab_holds(first, &flows[i]) &&
+			   flows[i].answers < 2) {
 			unanswered++;
 		}
 	}
-	lab_record("%d flows at i-1b, %d used again after the restart, %d reset "
-		   "although their endpoint lives, %d without an answer",
-		   owned, checked, broken, unanswered);
+	lab_record(
+		"%d flows at i-1b, %d used again after the restart, %d reset "
+		"although their endpoint lives, %d without an answer",
+		owned, checked, broken, unanswered);
 	printf("%d of %d live flows reset, %d without an answer\n", broken,
 	       owned, unanswered);
 	lab_exit(broken > 0 ? 1 : unanswered > 0 ? 2 : 0);
