--- a/review/standin-3/lab.c
+++ b/review/standin-3/lab.c
@@ -26,7 +26,6 @@
 #define F_ACK 32
 #define F_FIN 64
 #define WORK_MS 20
-#define ROUTE_PORT 8443
 
 node_t nodes[NODES_MAX];
 int node_count;
@@ -266,53 +265,60 @@
 
 static void put_(const char *key, const char *value)
 {
-	static char encoded[16384];
-	static char body[20000];
-	static char request[24000];
+	size_t cap = strlen(value) * 2 + 1024;
+	char *encoded = malloc(cap);
+	char *body = malloc(cap);
+	char *request = malloc(cap);
 
 	base64_(value, encoded);
 	snprintf(
-		body, sizeof(body),
+		body, cap,
 		"{\"expect\":[],\"writes\":[{\"key\":\"%s\",\"value\":\"%s\"}],"
 		"\"remove\":[]}",
 		key, encoded);
-	snprintf(request, sizeof(request),
+	snprintf(request, cap,
 		 "POST /v1/kv-txn HTTP/1.1\r\nHost: store\r\nContent-Type: "
 		 "application/json\r\nContent-Length: %zu\r\nConnection: "
 		 "close\r\n\r\n%s",
 		 strlen(body), body);
 	if (http_(INADDR_LOOPBACK, store_port_, request, NULL, 0) != 200)
 		lab_fail("the store refused %s", key);
+	free(encoded);
+	free(body);
+	free(request);
 }
 
-static void configure_(void)
+void lab_configure(unsigned int version, int extra)
 {
-	char text[8192];
+	size_t cap = 4096 + (size_t)(service_count_ + extra) * 220;
+	char *text = malloc(cap);
 	size_t len = 0;
 
-	len += (size_t)snprintf(text + len, sizeof(text) - len,
-				"{\"version\":7,\"routes\":[");
-	for (int i = 0; i < service_count_; i++)
+	len += (size_t)snprintf(text + len, cap - len,
+				"{\"version\":%u,\"routes\":[", version);
+	for (int i = 0; i < service_count_ + extra; i++)
 		len += (size_t)snprintf(
-			text + len, sizeof(text) - len,
+			text + len, cap - len,
 			"%s{\"name\":\"r-%d\",\"host\":\"%s\",\"prefix\":\"/%d/\","
 			"\"kind\":\"safe\",\"timeout_ms\":3000,\"goal_ms\":200,"
 			"\"priority\":2,\"service\":\"%s\",\"attempts\":2}",
-			i ? "," : "", i, ip_text_(ROUTE_IP), ROUTE_PORT + i,
-			services_[i]);
-	len += (size_t)snprintf(text + len, sizeof(text) - len,
-				"],\"services\":[");
+			i ? "," : "", i, ip_text_(ROUTE_IP), LAB_ROUTE + i,
+			services_[i < service_count_ ? i : 0]);
+	len += (size_t)snprintf(text + len, cap - len, "],\"services\":[");
 	for (int i = 0; i < service_count_; i++)
 		len += (size_t)snprintf(
-			text + len, sizeof(text) - len,
+			text + len, cap - len,
 			"%s{\"name\":\"%s\",\"health_path\":\"/health\","
 			"\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false}",
 			i ? "," : "", services_[i]);
-	snprintf(text + len, sizeof(text) - len,
+	snprintf(text + len, cap - len,
 		 "],\"limits\":{\"max_header_bytes\":16384,"
 		 "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
 		 "\"idle_timeout_ms\":15000}}");
 	put_("op/config", text);
+	free(text);
+	if (version > 1)
+		lab_record("operator: version %u is acknowledged", version);
 }
 
 void lab_store(const char *command)
@@ -398,7 +404,7 @@
 	if (client_fd_ < 0)
 		lab_fail("no socket for clients");
 	start_store_();
-	configure_();
+	lab_configure(7, 0);
 }
 
 /* ---- processes ---- */
@@ -803,7 +809,7 @@
 
 held_t *lab_holds(endpoint_t *endpoint, const flow_t *flow)
 {
-	held_t *held = find_held_(endpoint, CLIENT_IP, flow->port, ROUTE_PORT);
+	held_t *held = find_held_(endpoint, CLIENT_IP, flow->port, flow->route);
 
 	return endpoint->alive && held && held->open ? held : NULL;
 }
@@ -823,13 +829,13 @@
 			 uint32_t ack, const void *data, size_t len)
 {
 	uint8_t out[HEAD + DATA_MAX];
-	size_t size = packet_(out, CLIENT_IP, flow->port, ROUTE_IP, ROUTE_PORT,
+	size_t size = packet_(out, CLIENT_IP, flow->port, ROUTE_IP, flow->route,
 			      flags, seq, ack, data, len);
 
 	send_(client_fd_, flow->via->ip, port_(PORT_DATAGRAMS), out, size);
 }
 
-flow_t *lab_open(node_t *via)
+flow_t *lab_open_route(node_t *via, uint16_t route)
 {
 	flow_t *flow = &flows[flow_count];
 
@@ -838,6 +844,7 @@
 	flow->first = (uint32_t)random() * 2U;
 	flow->seq = flow->first + 1;
 	flow->via = via;
+	flow->route = route;
 	flow->syn_sent = true;
 	flow->syn_at = lab_now();
 	lab_record("client port %u opens a flow through %s", flow->port,
@@ -846,6 +853,11 @@
 	return flow;
 }
 
+flow_t *lab_open(node_t *via)
+{
+	return lab_open_route(via, LAB_ROUTE);
+}
+
 void lab_request(flow_t *flow, node_t *via)
 {
 	if (!flow->open || flow->reset || flow->waiting)
--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -20,6 +20,8 @@
 
 #define HEARTBEAT_MS 1200
 #define CONTACT_MS 4000
+/* Port of the first route. */
+#define LAB_ROUTE 8443
 
 typedef struct {
 	char name[32];
@@ -69,7 +71,7 @@
 
 typedef struct {
 	int index;
-	uint16_t port;
+	uint16_t port, route;
 	uint32_t seq, ack; /* next own number, next expected of the server */
 	uint32_t first;
 	node_t *via;
@@ -85,7 +87,7 @@
 	char request_id[32];
 } flow_t;
 
-#define FLOWS_MAX 256
+#define FLOWS_MAX 2048
 #define NODES_MAX 32
 #define ENDPOINTS_MAX 24
 
@@ -128,6 +130,9 @@
 held_t *lab_holds(endpoint_t *endpoint, const flow_t *flow);
 
 flow_t *lab_open(node_t *via);
+flow_t *lab_open_route(node_t *via, uint16_t route);
+/* Writes a configuration: a route for each service, and @extra for the first. */
+void lab_configure(unsigned int version, int extra);
 void lab_request(flow_t *flow, node_t *via);
 endpoint_t *lab_owner(const flow_t *flow);
 
