--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
 $cc -std=gnu11 -D_GNU_SOURCE -O1 -g -o "$out/pl_store" \
 	test/standin/store/main.c test/standin/store/store.c \
 	$(pkg-config --cflags --libs glib-2.0 libmicrohttpd json-c) -lpthread
-for case in late_beat unregistered; do
+for case in late_beat unregistered new_entry; do
 	$cc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -Wno-restrict \
 		-Wno-format-truncation -o "$out/$case" \
 		review/standin-3/lab.c "review/standin-3/$case.c"
