--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case-3.sh" "$(dirname "$0")" unregistered
+exec "$(dirname "$0")/../run-case-3.sh" "$(dirname "$0")" new_entry
--- a/review/run-case-3.sh
+++ b/review/run-case-3.sh
@@ -6,8 +6,8 @@
 folder=$(cd "$1" && pwd)
 root=$(cd "$(dirname "$0")/.." && pwd)
 LAB_DAEMON=$root/target/src/daemon/pimentoliftd
-LAB_STORE=$root/build/review-3/pl_store
-program=$root/build/review-3/$2
+LAB_STORE=$root/target/review-3/pl_store
+program=$root/target/review-3/$2
 for file in "$LAB_DAEMON" "$LAB_STORE" "$program"; do
 	if [ ! -x "$file" ]; then
 		echo "missing: ${file#"$root"/}" >&2
