--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of the third review start into
 # target/review-3: the project's own store, the small ones of review/standin-3
-# and, for case 13, those of the second review. They need the packages of the
+# and, for case 14, those of the second review. They need the packages of the
 # deploy file only.
 set -eu
 cd "$(dirname "$0")/.."
@@ -15,8 +15,8 @@
 }
 build pl_store test/standin/store/main.c test/standin/store/store.c \
 	$(pkg-config --cflags --libs glib-2.0 libmicrohttpd json-c)
-for case in new_entry late_beat; do
+for case in new_entry late_beat two_beats; do
 	build "$case" review/standin-3/lab.c "review/standin-3/$case.c"
 done
-build behind review/13/behind.c review/standin-2/*.c \
+build behind review/14/behind.c review/standin-2/*.c \
 	$(pkg-config --cflags --libs glib-2.0 json-c)
