--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -88,8 +88,8 @@
 } flow_t;
 
 #define FLOWS_MAX 2048
-#define NODES_MAX 32
-#define ENDPOINTS_MAX 24
+#define NODES_MAX 40
+#define ENDPOINTS_MAX 32
 
 extern node_t nodes[NODES_MAX];
 extern int node_count;
--- a/review/standin-3/late_beat.c
+++ b/review/standin-3/late_beat.c
@@ -9,7 +9,8 @@
 #include <signal.h>
 #include <stdlib.h>
 
-#define FLOWS 32
+#define MACHINES 7
+#define FLOWS 60
 
 static bool trouble_;
 
@@ -80,9 +81,10 @@
 int main(int argc, char **argv)
 {
 	static const char *const services[] = { "permitdesk" };
-	static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4" };
+	static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4",
+					   "i-5", "i-6", "i-7" };
 	node_t *entries[2];
-	endpoint_t *machines[4];
+	endpoint_t *machines[MACHINES];
 	char last[1024], first[1024];
 	int open[2], broken = 0;
 
@@ -94,12 +96,12 @@
 		entries[i] = lab_entry();
 		lab_node_start(entries[i]);
 	}
-	for (int i = 0; i < 4; i++) {
+	for (int i = 0; i < MACHINES; i++) {
 		machines[i] = lab_machine("permitdesk");
 		lab_node_start(machines[i]->node);
 	}
 	lab_run(700);
-	for (int i = 0; i < 4; i++) {
+	for (int i = 0; i < MACHINES; i++) {
 		lab_endpoint_start(machines[i], ids[i]);
 		if (i == 1) {
 			/* no answer within a second: the endpoint calls again */
@@ -137,7 +139,7 @@
 
 	for (int i = 0; i < FLOWS; i++) {
 		lab_open(entries[i % 2]);
-		lab_run(20);
+		lab_run(12);
 	}
 	lab_run(300);
 	for (int i = 0; i < flow_count; i++) {
--- a/review/standin-3/new_entry.c
+++ b/review/standin-3/new_entry.c
@@ -8,11 +8,12 @@
 #include <signal.h>
 #include <stdlib.h>
 
-#define OLD 3
-#define NEW 5 /* endpoints added in one round */
+#define OLD 9
+#define NEW 4 /* endpoints added in one round: share 0.45 of 9 at most */
+#define PACE 2 /* of them at a time, each second */
 #define ROUNDS 4
 #define ENTRIES 3
-#define FLOWS 45 /* opened in one round */
+#define FLOWS 90 /* opened in one round */
 #define OUTAGE_MS 5900
 #define FIRST_PROBE_MS 45
 
@@ -68,15 +69,17 @@
 	down = lab_now();
 	if (trouble_)
 		lab_store("down");
-	lab_run(800);
+	lab_run(600);
 	for (int i = 0; i < NEW; i++) {
+		if (i > 0 && i % PACE == 0)
+			lab_run(1000);
 		snprintf(id, sizeof(id), "i-%d", endpoint_count - NEW + i + 1);
 		lab_endpoint_start(machines[i], id);
 	}
-	lab_run(2800);
+	lab_run(2300);
 	for (int i = 0; i < FLOWS; i++) {
 		lab_open(entries_[i % ENTRIES]);
-		lab_run(20);
+		lab_run(12);
 	}
 	for (int i = first; i < flow_count; i++) {
 		lab_request(&flows[i], flows[i].via);
--- a/review/standin-3/two_beats.c
+++ b/review/standin-3/two_beats.c
@@ -7,8 +7,8 @@
 
 #include <stdlib.h>
 
-#define MACHINES 4
-#define FLOWS 32
+#define MACHINES 7
+#define FLOWS 60
 
 int main(int argc, char **argv)
 {
@@ -34,7 +34,7 @@
 	for (int i = 0; i < MACHINES; i++) {
 		snprintf(id, sizeof(id), "i-%d", i + 1);
 		lab_endpoint_start(&endpoints[i], id);
-		lab_run(100);
+		lab_run(50);
 	}
 	for (int i = 0;
 	     !lab_node_ready(entries[0]) || !lab_node_ready(entries[1]); i++) {
@@ -65,7 +65,7 @@
 
 	for (int i = 0; i < FLOWS; i++) {
 		lab_open(entries[i % 2]);
-		lab_run(20);
+		lab_run(12);
 	}
 	lab_run(300);
 	for (int i = 0; i < flow_count; i++) {
